--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Set-up and checks. Every target builds the environment it needs.
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PYTHON ?= python3
+MANIFESTS := $(wildcard packages/*/pyproject.toml)
+
+.PHONY: demo test format lint check clean
+
+$(STAMP): constraints.txt $(MANIFESTS)
+	$(PYTHON) -m venv $(VENV)
+	PIP_CONSTRAINT=constraints.txt $(BIN)/pip install --quiet \
+		--disable-pip-version-check \
+		-e packages/poplarhill -e packages/poplarhilld -e packages/poplarhill-dev
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m poplarhill_dev demo
+
+format: $(STAMP)
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+
+check: $(STAMP)
+	$(BIN)/python -m poplarhill_dev known-red -- packages
+
+test: lint check
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiment tool for developing poplarhill."""
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point: `python -m poplarhill_dev`."""
+
+from poplarhill_dev.cli import main
+
+main()
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -0,0 +1,47 @@
+"""Commands of the development package."""
+
+import sys
+
+import click
+import curio
+
+from poplarhill_dev.demo import run_demo
+from poplarhill_dev.known_red import run_tests
+from poplarhill_dev.platform import PlatformStandIn
+from poplarhill_dev.worker import WorkerStandIn
+
+
+@click.group()
+def main() -> None:
+    """Develop poplarhill: stand-ins, demo, tests."""
+
+
+@main.command()
+def demo() -> None:
+    """Run jobs through three daemons and six workers, then stop them."""
+    sys.exit(run_demo())
+
+
+@main.command()
+@click.option("--host", default="127.0.0.1")
+@click.option("--port", type=int, required=True)
+def platform(host: str, port: int) -> None:
+    """Run the stand-in of the platform."""
+    curio.run(PlatformStandIn(host, port).run)
+
+
+@main.command()
+@click.option("--host", default="127.0.0.1")
+@click.option("--port", type=int, required=True)
+@click.option("--name", required=True)
+@click.option("--slots", type=int, default=8)
+def worker(host: str, port: int, name: str, slots: int) -> None:
+    """Run the stand-in of one worker."""
+    curio.run(WorkerStandIn(name, host, port, slots).run)
+
+
+@main.command("known-red", context_settings={"ignore_unknown_options": True})
+@click.argument("arguments", nargs=-1)
+def known_red(arguments: tuple[str, ...]) -> None:
+    """Run pytest, passing over just the tests in KNOWN-RED.txt."""
+    sys.exit(run_tests(arguments))
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/worker.py
@@ -0,0 +1,97 @@
+"""Stand-in of a worker: runs tasks in slots and counts their starts.
+
+A task body is JSON such as `{"run_s": 0.1, "echo": "x"}`; other text runs for
+no time and is echoed. `{"fail": true}` answers with an error.
+"""
+
+from collections import Counter
+
+import curio
+import msgspec
+
+from poplarhill.http import HttpServer, Request, Response, json_response
+
+_HTTP_OK = 200
+_HTTP_STOPPED = 409
+_HTTP_FAILED = 500
+_HTTP_NOT_FOUND = 404
+
+
+class TaskBody(msgspec.Struct):
+    """What a task asks of the stand-in.
+
+    Attributes:
+        run_s: Run time, s.
+        echo: Result.
+        fail: Whether to answer with an error.
+    """
+
+    run_s: float = 0.0
+    echo: str = "done"
+    fail: bool = False
+
+
+class WorkerStandIn:
+    """One worker.
+
+    Args:
+        name: Its name.
+        host: IP address to listen on.
+        port: TCP port to listen on; 0 takes any free one.
+        slots: Tasks it runs at a time; more wait.
+    """
+
+    def __init__(self, name: str, host: str, port: int, slots: int) -> None:
+        self._name = name
+        self._slots = curio.Semaphore(slots)
+        self._starts: Counter[str] = Counter()
+        self._running: dict[str, curio.Event] = {}
+        self._server = HttpServer(host, port, self.handle)
+
+    @property
+    def port(self) -> int:
+        """The port in use."""
+        return self._server.port
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await self._server.run()
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        match (request.method, request.path.strip("/").split("/")):
+            case ("POST", ["tasks"]):
+                return await self._run_task(request)
+            case ("DELETE", ["tasks", job, index]):
+                stopped = self._running.get(f"{job}/{index}")
+                if stopped is not None:
+                    await stopped.set()
+                return json_response(_HTTP_OK, {})
+            case ("GET", ["starts"]):
+                return json_response(_HTTP_OK, dict(self._starts))
+        return json_response(_HTTP_NOT_FOUND, {})
+
+    async def _run_task(self, request: Request) -> Response:
+        task = request.headers["task-id"]
+        self._starts[task] += 1
+        stopped = curio.Event()
+        self._running[task] = stopped
+        headers = {"task-id": task}
+        body = _parse(request.body)
+        try:
+            async with self._slots:
+                was_stopped = await curio.ignore_after(body.run_s, stopped.wait)
+        finally:
+            self._running.pop(task, None)
+        if was_stopped:
+            return Response(_HTTP_STOPPED, headers)
+        if body.fail:
+            return Response(_HTTP_FAILED, headers)
+        return Response(_HTTP_OK, headers, body.echo.encode())
+
+
+def _parse(body: bytes) -> TaskBody:
+    try:
+        return msgspec.json.decode(body, type=TaskBody)
+    except msgspec.MsgspecError:
+        return TaskBody(echo=body.decode("utf-8", "replace"))
--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command `poplarhill`."""
+
+from poplarhill.cli.main import main as main
--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -0,0 +1,234 @@
+"""The configuration document: its JSON schema and its typed form.
+
+A document holds defaults for the whole fleet, the services with their workers,
+the customers, and a short list of exceptions, each with a written reason.
+"""
+
+from typing import Any, NamedTuple
+
+from poplarhill.configuration.patch import apply_patch
+from poplarhill.exceptions import SettingsError
+from poplarhill.schema import check
+from poplarhill.types import WorkerSpec
+
+Document = dict[str, Any]
+
+_NAME = "^[A-Za-z0-9._-]{1,64}$"
+_POSITIVE = {"type": "number", "exclusiveMinimum": 0}
+_COUNT = {"type": "integer", "minimum": 1}
+
+_WORKER_FIELDS: dict[str, Any] = {
+    "host": {"type": "string", "format": "ipv4"},
+    "port": {"type": "integer", "minimum": 1, "maximum": 65535},
+    "slots": _COUNT,
+    "connections": _COUNT,
+    "cores": _POSITIVE,
+    "memory_mb": _COUNT,
+    "rack": {"type": "string"},
+    "data_centre": {"type": "string"},
+    "draining": {"type": "boolean"},
+}
+
+_DEFAULT_FIELDS: dict[str, Any] = {
+    "policy": {
+        "enum": [
+            "random",
+            "round_robin",
+            "least_outstanding",
+            "two_choices",
+            "shares",
+        ]
+    },
+    "order": {"enum": ["first_come", "fewest_tasks"]},
+    "worker_cap": _COUNT,
+    "queue_tasks": _COUNT,
+    "lending": {"type": "boolean"},
+    "eject_fraction": {"type": "number", "minimum": 0, "maximum": 1},
+    "key_window_s": _POSITIVE,
+}
+
+SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "properties": {
+        "defaults": {
+            "type": "object",
+            "additionalProperties": False,
+            "properties": _DEFAULT_FIELDS,
+        },
+        "services": {
+            "type": "object",
+            "propertyNames": {"pattern": _NAME},
+            "additionalProperties": {
+                "type": "object",
+                "additionalProperties": False,
+                "required": ["workers"],
+                "properties": {
+                    "workers": {
+                        "type": "object",
+                        "propertyNames": {"pattern": _NAME},
+                        "additionalProperties": {
+                            "type": "object",
+                            "additionalProperties": False,
+                            "required": ["host", "port"],
+                            "properties": _WORKER_FIELDS,
+                        },
+                    },
+                },
+            },
+        },
+        "customers": {
+            "type": "object",
+            "propertyNames": {"pattern": _NAME},
+            "additionalProperties": {
+                "type": "object",
+                "additionalProperties": False,
+                "properties": {"weight": _POSITIVE, "quota_tasks": _COUNT},
+            },
+        },
+        "exceptions": {
+            "type": "object",
+            "propertyNames": {"pattern": _NAME},
+            "additionalProperties": {
+                "type": "object",
+                "additionalProperties": False,
+                "required": ["worker", "reason", "set"],
+                "properties": {
+                    "worker": {"type": "string", "pattern": _NAME},
+                    "reason": {"type": "string", "pattern": r"\S"},
+                    "set": {
+                        "type": "object",
+                        "additionalProperties": False,
+                        "properties": _WORKER_FIELDS,
+                    },
+                },
+            },
+        },
+    },
+}
+
+
+class Defaults(NamedTuple):
+    """Settings for the whole fleet.
+
+    Attributes:
+        policy: Name of the placement policy.
+        order: Which queued job goes first.
+        worker_cap: Most tasks that one host has outstanding on one worker.
+        queue_tasks: Most tasks that one host keeps queued.
+        lending: Whether hosts lend each other idle slots.
+        eject_fraction: Largest part of a service's workers ejected at a time.
+        key_window_s: How long an idempotency key is remembered, s.
+    """
+
+    policy: str = "least_outstanding"
+    order: str = "fewest_tasks"
+    worker_cap: int = 2
+    queue_tasks: int = 20000
+    lending: bool = True
+    eject_fraction: float = 0.3
+    key_window_s: float = 600.0
+
+
+class CustomerSpec(NamedTuple):
+    """What a customer may use.
+
+    Attributes:
+        weight: Share against other customers when there is not enough for all.
+        quota_tasks: Most tasks that it has queued or running on one host.
+    """
+
+    weight: float = 1.0
+    quota_tasks: int = 10000
+
+
+class Configuration(NamedTuple):
+    """A checked document in typed form.
+
+    Attributes:
+        version: Count of accepted changes since the empty document.
+        defaults: Settings for the whole fleet.
+        workers: Every worker, exceptions applied, by name.
+        customers: Every customer, by name.
+        services: Names of the services.
+    """
+
+    version: int
+    defaults: Defaults
+    workers: dict[str, WorkerSpec]
+    customers: dict[str, CustomerSpec]
+    services: frozenset[str]
+
+    @classmethod
+    def from_document(cls, version: int, document: Document) -> "Configuration":
+        """Check a document and return its typed form.
+
+        Raises:
+            SettingsError: Names every problem by its path.
+        """
+        check_document(document)
+        return cls(
+            version=version,
+            defaults=Defaults(**document.get("defaults", {})),
+            workers=_workers(document),
+            customers={
+                name: CustomerSpec(**fields)
+                for name, fields in document.get("customers", {}).items()
+            },
+            services=frozenset(document.get("services", {})),
+        )
+
+
+def empty_document() -> Document:
+    """Return the document that version 0 stands for."""
+    return {}
+
+
+def check_document(document: Document) -> None:
+    """Check a document whole.
+
+    Raises:
+        SettingsError: Names every problem by its path.
+    """
+    check(document, SCHEMA)
+    problems = [*_duplicate_workers(document), *_unknown_exceptions(document)]
+    if problems:
+        raise SettingsError(tuple(problems))
+
+
+def _workers(document: Document) -> dict[str, WorkerSpec]:
+    overrides: dict[str, Document] = {}
+    for exception in document.get("exceptions", {}).values():
+        merged = apply_patch(overrides.get(exception["worker"], {}), exception["set"])
+        overrides[exception["worker"]] = merged
+    workers = {}
+    for service, fields in document.get("services", {}).items():
+        for name, worker in fields["workers"].items():
+            values = apply_patch(worker, overrides.get(name, {}))
+            workers[name] = WorkerSpec(name=name, service=service, **values)
+    return workers
+
+
+def _duplicate_workers(document: Document) -> list[str]:
+    problems = []
+    seen: set[str] = set()
+    for service, fields in document.get("services", {}).items():
+        for name in fields["workers"]:
+            if name in seen:
+                path = f"/services/{service}/workers/{name}"
+                problems.append(f"{path}: worker named twice")
+            seen.add(name)
+    return problems
+
+
+def _unknown_exceptions(document: Document) -> list[str]:
+    known = {
+        name
+        for fields in document.get("services", {}).values()
+        for name in fields["workers"]
+    }
+    return [
+        f"/exceptions/{name}/worker: no worker {exception['worker']!r}"
+        for name, exception in document.get("exceptions", {}).items()
+        if exception["worker"] not in known
+    ]
--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/http/__init__.py
@@ -0,0 +1,11 @@
+"""HTTP/1.1 over curio sockets, by h11 on both sides."""
+
+from poplarhill.http.client import Connection as Connection
+from poplarhill.http.client import ConnectionLostError as ConnectionLostError
+from poplarhill.http.client import InvalidResponseError as InvalidResponseError
+from poplarhill.http.client import fetch as fetch
+from poplarhill.http.messages import Limits as Limits
+from poplarhill.http.messages import Request as Request
+from poplarhill.http.messages import Response as Response
+from poplarhill.http.messages import json_response as json_response
+from poplarhill.http.server import HttpServer as HttpServer
--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/http/client.py
@@ -0,0 +1,170 @@
+"""One HTTP/1.1 connection to a server, by h11."""
+
+import socket
+from collections.abc import Iterable
+
+import curio
+import h11
+
+from poplarhill.http.messages import Limits, Request, Response
+
+_READ_BYTES = 65536
+_PLATFORM_LIMITS = Limits()
+
+
+class ConnectionLostError(Exception):
+    """The connection ended before the whole response had come.
+
+    Args:
+        detail: What happened.
+        sent: Whether any byte of the request may have left this host.
+    """
+
+    def __init__(self, detail: str, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+class InvalidResponseError(Exception):
+    """The server's response breaks the protocol or a limit."""
+
+
+class Connection:
+    """A kept-alive connection that carries one request at a time.
+
+    Args:
+        sock: A connected curio socket.
+        limits: Bounds on responses.
+    """
+
+    def __init__(self, sock: curio.io.Socket, limits: Limits) -> None:
+        self._sock = sock
+        self._limits = limits
+        self._http = h11.Connection(h11.CLIENT, limits.header_bytes)
+
+    @classmethod
+    async def open(
+        cls, host: str, port: int, limits: Limits, connect_timeout_s: float
+    ) -> "Connection":
+        """Connect to a server.
+
+        Raises:
+            ConnectionLostError: No connection came about; nothing was sent.
+        """
+        try:
+            sock = await curio.timeout_after(
+                connect_timeout_s, curio.open_connection, host, port
+            )
+        except (OSError, curio.TaskTimeout) as error:
+            detail = f"cannot connect to {host}:{port}: {error or 'timeout'}"
+            raise ConnectionLostError(detail, sent=False) from error
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return cls(sock, limits)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent on this connection."""
+        return self._http.our_state is h11.IDLE
+
+    def is_stale(self) -> bool:
+        """Return whether the server closed, or sent what nobody asked for."""
+        try:
+            self._sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    async def exchange(self, request: Request) -> Response:
+        """Send a request and return the whole response.
+
+        Raises:
+            ConnectionLostError: The connection ended first.
+            InvalidResponseError: The response breaks the protocol or a limit.
+        """
+        data = self._encode(request)
+        try:
+            await self._sock.sendall(data)
+            return await self._receive()
+        except OSError as error:
+            raise ConnectionLostError(f"connection lost: {error}", sent=True) from error
+        except h11.RemoteProtocolError as error:
+            raise InvalidResponseError(str(error)) from error
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+    def _encode(self, request: Request) -> bytes:
+        target = request.path
+        if request.query:
+            target += "?" + request.query
+        headers = [("host", "poplarhill"), ("content-length", str(len(request.body)))]
+        headers += list(request.headers.items())
+        parts = [
+            self._http.send(
+                h11.Request(method=request.method, target=target, headers=headers)
+            )
+        ]
+        if request.body:
+            parts.append(self._http.send(h11.Data(data=request.body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+    async def _receive(self) -> Response:
+        status = 0
+        headers: dict[str, str] = {}
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = self._http.next_event()
+            match event:
+                case h11.NEED_DATA:
+                    data = await self._sock.recv(_READ_BYTES)
+                    if not data and not status:
+                        raise ConnectionLostError("connection closed", sent=True)
+                    self._http.receive_data(data)
+                case h11.Response():
+                    status = event.status_code
+                    headers = _header_map(event.headers)
+                case h11.Data():
+                    size += len(event.data)
+                    if size > self._limits.body_bytes:
+                        raise InvalidResponseError("response body too large")
+                    chunks.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    break
+                case h11.ConnectionClosed():
+                    raise ConnectionLostError("connection closed", sent=True)
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+        return Response(status, headers, b"".join(chunks))
+
+
+def _header_map(headers: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    return {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
+
+
+async def fetch(
+    host: str,
+    port: int,
+    request: Request,
+    timeout_s: float,
+    limits: Limits = _PLATFORM_LIMITS,
+) -> Response:
+    """Send one request on a connection of its own.
+
+    Raises:
+        ConnectionLostError: No whole response within `timeout_s`.
+        InvalidResponseError: The response breaks the protocol or a limit.
+    """
+    connection = await Connection.open(host, port, limits, timeout_s)
+    try:
+        return await curio.timeout_after(timeout_s, connection.exchange, request)
+    except curio.TaskTimeout as error:
+        raise ConnectionLostError(
+            f"no answer within {timeout_s:g} s", sent=True
+        ) from error
+    finally:
+        await connection.close()
--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/types.py
@@ -0,0 +1,88 @@
+"""Types shared by the slices: jobs, tasks and workers."""
+
+from typing import NamedTuple
+
+MAX_TASKS_PER_JOB = 160
+
+
+class TaskId(NamedTuple):
+    """One task of one submission.
+
+    Attributes:
+        job: Id of the submission, unique across the fleet.
+        index: Position in the job, from 0.
+    """
+
+    job: str
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.job}/{self.index}"
+
+
+class Resources(NamedTuple):
+    """What a task declares that it needs on a worker.
+
+    Attributes:
+        cores: Processor cores.
+        memory_mb: Memory in megabytes.
+    """
+
+    cores: float = 0.0
+    memory_mb: int = 0
+
+
+class JobSpec(NamedTuple):
+    """A job as submitted.
+
+    Attributes:
+        job_id: Id of the submission.
+        service: Name of the service that runs it.
+        customer: Name of the customer that it counts against.
+        tasks: Opaque task bodies, 1 to `MAX_TASKS_PER_JOB`.
+        deadline: Time by which the answer is due, in the host's own clock, s.
+        idempotent: Whether running it again does no harm.
+        key: Idempotency key, if the caller gave one.
+        resources: Declared needs of each task.
+        run_time_s: Declared run time of a task, if any.
+    """
+
+    job_id: str
+    service: str
+    customer: str
+    tasks: tuple[bytes, ...]
+    deadline: float
+    idempotent: bool = True
+    key: str | None = None
+    resources: Resources = Resources()
+    run_time_s: float | None = None
+
+
+class WorkerSpec(NamedTuple):
+    """A worker, as the configuration describes it.
+
+    Attributes:
+        name: Name, unique in the configuration.
+        service: Service that it serves.
+        host: IP address.
+        port: TCP port.
+        slots: Tasks it runs at a time.
+        connections: Connections it accepts from all entry hosts together.
+        cores: Processor cores.
+        memory_mb: Memory in megabytes.
+        rack: Rack it stands in.
+        data_centre: Data centre it stands in.
+        draining: Whether it gets no new work.
+    """
+
+    name: str
+    service: str
+    host: str
+    port: int
+    slots: int = 8
+    connections: int = 64
+    cores: float = 16.0
+    memory_mb: int = 32768
+    rack: str = ""
+    data_centre: str = ""
+    draining: bool = False
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/api/__init__.py
@@ -0,0 +1,3 @@
+"""The callers' interface over HTTP."""
+
+from poplarhilld.api.handler import Api as Api
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/api/handler.py
@@ -0,0 +1,108 @@
+"""Routes of the callers' interface."""
+
+import math
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from poplarhill.exceptions import ErrorKind, Failure, error_body
+from poplarhill.http import Request, Response, json_response
+from poplarhill.types import JobSpec
+from poplarhilld.api.requests import JobAnswer, parse_job
+from poplarhilld.jobs import Completed, JobOutcome
+
+KEY_HEADER = "idempotency-key"
+_HTTP_OK = 200
+_HTTP_ACCEPTED = 202
+_HTTP_UNAVAILABLE = 503
+
+Submit = Callable[[JobSpec], Awaitable[JobOutcome]]
+Cancel = Callable[[str], Awaitable[bool]]
+
+
+class Api:
+    """Turns requests into jobs and outcomes into answers.
+
+    Args:
+        submit: Runs a job to its outcome.
+        cancel: Cancels a job; returns whether it was in flight here.
+        ready: Returns whether new jobs are taken.
+        metrics: Returns the metrics page.
+        clock: Returns the host's own time, s.
+    """
+
+    def __init__(
+        self,
+        submit: Submit,
+        cancel: Cancel,
+        ready: Callable[[], bool],
+        metrics: Callable[[], bytes],
+        clock: Callable[[], float],
+    ) -> None:
+        self._submit = submit
+        self._cancel = cancel
+        self._ready = ready
+        self._metrics = metrics
+        self._clock = clock
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        match (request.method, request.path.strip("/").split("/")):
+            case ("POST", ["v1", "services", service, "jobs"]):
+                return await self._post_job(service, request)
+            case ("DELETE", ["v1", "jobs", job_id]):
+                return await self._delete_job(job_id)
+            case ("GET", ["healthz"]):
+                return json_response(_HTTP_OK, {"alive": True})
+            case ("GET", ["readyz"]):
+                ready = self._ready()
+                status = _HTTP_OK if ready else _HTTP_UNAVAILABLE
+                return json_response(status, {"ready": ready})
+            case ("GET", ["metrics"]):
+                headers = {"content-type": "text/plain; version=0.0.4"}
+                return Response(_HTTP_OK, headers, self._metrics())
+        detail = f"no {request.method} {request.path}"
+        return _failed(None, Failure(ErrorKind.UNKNOWN_PATH, detail))
+
+    async def _post_job(self, service: str, request: Request) -> Response:
+        key = request.headers.get(KEY_HEADER)
+        parsed = parse_job(service, request.body, key, self._clock())
+        if parsed.is_error():
+            return _failed(None, parsed.error)
+        spec = parsed.ok
+        try:
+            outcome = await self._submit(spec)
+        except curio.CancelledError:
+            await curio.disable_cancellation(self._cancel(spec.job_id))
+            raise
+        return _answer(spec.job_id, outcome)
+
+    async def _delete_job(self, job_id: str) -> Response:
+        if await self._cancel(job_id):
+            return json_response(_HTTP_ACCEPTED, {"job_id": job_id})
+        failure = Failure(ErrorKind.UNKNOWN_JOB, f"no job {job_id!r} in flight here")
+        return _failed(job_id, failure)
+
+
+def _answer(job_id: str, outcome: JobOutcome) -> Response:
+    match outcome:
+        case Completed(results):
+            try:
+                texts = [result.decode() for result in results]
+            except UnicodeDecodeError:
+                detail = "a result is not UTF-8"
+                return _failed(job_id, Failure(ErrorKind.BAD_RESPONSE, detail))
+            answer = JobAnswer(job_id=job_id, state="complete", results=texts)
+            return json_response(_HTTP_OK, answer)
+        case Failure():
+            return _failed(job_id, outcome)
+
+
+def _failed(job_id: str | None, failure: Failure) -> Response:
+    answer = JobAnswer(state="failed", error=error_body(failure))
+    if job_id is not None:
+        answer["job_id"] = job_id
+    headers = {}
+    if failure.retry_after_s is not None:
+        headers["retry-after"] = str(math.ceil(failure.retry_after_s))
+    return json_response(failure.answer.status, answer, headers)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/api/requests.py
@@ -0,0 +1,83 @@
+"""JSON bodies of callers' requests and answers."""
+
+import uuid
+from typing import Annotated, TypedDict
+
+import msgspec
+from expression import Error, Ok, Result
+
+from poplarhill.exceptions import ErrorBody, ErrorKind, Failure
+from poplarhill.types import MAX_TASKS_PER_JOB, JobSpec, Resources
+
+_DEFAULT_TIMEOUT_S = 30.0
+_MAX_TIMEOUT_S = 3600.0
+_MAX_KEY_CHARS = 200
+
+_Tasks = Annotated[list[str], msgspec.Meta(min_length=1, max_length=MAX_TASKS_PER_JOB)]
+_Timeout = Annotated[float, msgspec.Meta(le=_MAX_TIMEOUT_S)]
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+_Megabytes = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class JobRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a submission.
+
+    Attributes:
+        tasks: Opaque task bodies.
+        timeout_s: Time from now until the answer is due, s.
+        customer: Customer that the job counts against.
+        idempotent: Whether running it again does no harm.
+        cores: Processor cores that each task needs.
+        memory_mb: Memory that each task needs, MB.
+        run_time_s: Expected run time of a task, s.
+    """
+
+    tasks: _Tasks
+    timeout_s: _Timeout = _DEFAULT_TIMEOUT_S
+    customer: str = "default"
+    idempotent: bool = True
+    cores: _NotNegative = 0.0
+    memory_mb: _Megabytes = 0
+    run_time_s: _NotNegative | None = None
+
+
+class JobAnswer(TypedDict, total=False):
+    """Body of the answer: every result, or one error."""
+
+    job_id: str
+    state: str
+    results: list[str]
+    error: ErrorBody
+
+
+def parse_job(
+    service: str, body: bytes, key: str | None, now: float
+) -> Result[JobSpec, Failure]:
+    """Check the body of a submission.
+
+    Args:
+        service: Service named in the path.
+        body: JSON body.
+        key: Value of the `Idempotency-Key` header.
+        now: The host's own clock, s.
+    """
+    try:
+        request = msgspec.json.decode(body, type=JobRequest)
+    except msgspec.MsgspecError as error:
+        return Error(Failure(ErrorKind.BAD_REQUEST, str(error)))
+    if key is not None and not 0 < len(key) <= _MAX_KEY_CHARS:
+        detail = f"Idempotency-Key must have 1 to {_MAX_KEY_CHARS} characters"
+        return Error(Failure(ErrorKind.BAD_REQUEST, detail))
+    return Ok(
+        JobSpec(
+            job_id=uuid.uuid4().hex,
+            service=service,
+            customer=request.customer,
+            tasks=tuple(task.encode() for task in request.tasks),
+            deadline=now + request.timeout_s,
+            idempotent=request.idempotent,
+            key=key,
+            resources=Resources(request.cores, request.memory_mb),
+            run_time_s=request.run_time_s,
+        )
+    )
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -0,0 +1,174 @@
+"""The process of one entry host: runs the dispatcher's actions on one loop."""
+
+import signal
+import time
+from random import Random
+
+import curio
+import structlog
+
+from poplarhill.http import HttpServer
+from poplarhill.platform import HttpPlatform
+from poplarhill.types import JobSpec
+from poplarhilld.api import Api
+from poplarhilld.configuration import ConfigurationReader
+from poplarhilld.dispatch import Dispatcher
+from poplarhilld.dispatch.actions import (
+    Action,
+    AnswerJob,
+    LogPlacement,
+    SendFrame,
+    SendTask,
+    StopTask,
+)
+from poplarhilld.dispatch.events import (
+    ConfigurationChanged,
+    Event,
+    FrameReceived,
+    JobCancelled,
+    JobSubmitted,
+    ShutdownStarted,
+    Ticked,
+)
+from poplarhilld.jobs import Completed, JobOutcome
+from poplarhilld.metrics import Metrics
+from poplarhilld.peers import PeerLinks
+from poplarhilld.peers.codec import Envelope
+from poplarhilld.settings import Settings
+from poplarhilld.signals import SignalWaiter
+from poplarhilld.workers import WorkerLinks
+
+_PLATFORM_TIMEOUT_S = 2.0
+_TICK_S = 0.1
+_log = structlog.get_logger()
+
+
+class Daemon:
+    """One entry host.
+
+    Args:
+        settings: Settings of the process.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._clock = time.monotonic
+        self._dispatcher = Dispatcher(Random())
+        self._metrics = Metrics()
+        self._links = WorkerLinks(self._clock)
+        self._outcomes: dict[str, curio.Queue] = {}
+        self._events: curio.Queue = curio.Queue()
+        self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
+        self._reader = ConfigurationReader(self._platform, self._post)
+        self._peers = PeerLinks(settings.name, settings.peer_listen, self._frame)
+        self._api = Api(
+            submit=self.submit,
+            cancel=self.cancel,
+            ready=lambda: self._dispatcher.ready,
+            metrics=self._metrics.page,
+            clock=self._clock,
+        )
+        self._http = HttpServer(*settings.listen, self._api.handle)
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> "Daemon":
+        """Return the daemon that the settings describe."""
+        return cls(settings)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then answer what is in flight."""
+        stop = SignalWaiter(signal.SIGTERM, signal.SIGINT)
+        loops = [
+            await curio.spawn(loop, daemon=True)
+            for loop in (
+                self._decide,
+                self._tick,
+                self._reader.run,
+                self._peers.run,
+                self._http.run,
+            )
+        ]
+        _log.info("started", port=self._settings.listen.port)
+        await stop.wait()
+        _log.info("shutdown started", jobs=self._dispatcher.jobs_in_flight)
+        await self._post(ShutdownStarted())
+        await self._http.drain()
+        for loop in loops:
+            await loop.cancel()
+        await self._links.close()
+        _log.info("stopped")
+
+    async def submit(self, spec: JobSpec) -> JobOutcome:
+        """Run a job to its outcome."""
+        outcome: curio.Queue = curio.Queue()
+        self._outcomes[spec.job_id] = outcome
+        try:
+            await self._post(JobSubmitted(spec))
+            return await outcome.get()
+        finally:
+            self._outcomes.pop(spec.job_id, None)
+
+    async def cancel(self, job_id: str) -> bool:
+        """Cancel a job; return whether it was in flight here."""
+        known = job_id in self._outcomes
+        await self._post(JobCancelled(job_id))
+        return known
+
+    async def _post(self, event: Event) -> None:
+        await self._events.put(event)
+
+    async def _frame(self, envelope: Envelope) -> None:
+        await self._post(FrameReceived(envelope.sender, envelope.message))
+
+    async def _decide(self) -> None:
+        while True:
+            event = await self._events.get()
+            if isinstance(event, ConfigurationChanged):
+                version = event.configuration.version
+                self._metrics.configuration_version.set(version)
+            for action in self._dispatcher.handle(self._clock(), event):
+                await self._perform(action)
+            self._metrics.jobs_in_flight.set(self._dispatcher.jobs_in_flight)
+
+    async def _tick(self) -> None:
+        while True:
+            await curio.sleep(_TICK_S)
+            await self._post(Ticked())
+
+    async def _perform(self, action: Action) -> None:
+        match action:
+            case SendTask():
+                self._metrics.tasks_sent.inc()
+                await curio.spawn(self._send, action, daemon=True)
+            case StopTask(task, worker):
+                self._metrics.messages.labels("stop").inc()
+                await curio.spawn(self._links.stop, task, worker, daemon=True)
+            case SendFrame(peer, message):
+                kind = type(message).__name__
+                self._metrics.messages.labels(kind).inc()
+                await self._peers.send(self._settings.peers[peer], message)
+            case AnswerJob(job_id, outcome):
+                await self._give_answer(job_id, outcome)
+            case LogPlacement(placed):
+                _log.info(
+                    "placed",
+                    task=str(placed.task),
+                    worker=placed.worker,
+                    policy=placed.policy,
+                    candidates=dict(placed.candidates),
+                )
+
+    async def _send(self, action: SendTask) -> None:
+        await self._post(await self._links.send(action))
+
+    async def _give_answer(self, job_id: str, outcome: JobOutcome) -> None:
+        match outcome:
+            case Completed():
+                label = "complete"
+            case failure:
+                label = failure.kind.value
+        self._metrics.jobs.labels(label).inc()
+        _log.info("answered", job=job_id, outcome=label)
+        waiter = self._outcomes.get(job_id)
+        if waiter is not None:
+            await waiter.put(outcome)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/__init__.py
@@ -0,0 +1,3 @@
+"""The decisions of one entry host: events in, actions out."""
+
+from poplarhilld.dispatch.core import Dispatcher as Dispatcher
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
@@ -0,0 +1,52 @@
+"""Actions that the dispatcher asks of its process."""
+
+from dataclasses import dataclass
+
+from poplarhill.types import TaskId, WorkerSpec
+from poplarhilld.jobs import JobOutcome
+from poplarhilld.peers.messages import Message
+from poplarhilld.placement import Placed
+
+
+@dataclass(frozen=True)
+class SendTask:
+    """Send a task to a worker, once."""
+
+    task: TaskId
+    worker: WorkerSpec
+    body: bytes
+    deadline: float
+
+
+@dataclass(frozen=True)
+class StopTask:
+    """Ask a worker to stop a task that it runs."""
+
+    task: TaskId
+    worker: WorkerSpec
+
+
+@dataclass(frozen=True)
+class AnswerJob:
+    """Give a job's caller its one answer."""
+
+    job_id: str
+    outcome: JobOutcome
+
+
+@dataclass(frozen=True)
+class LogPlacement:
+    """Write the log line of a placement decision."""
+
+    placed: Placed
+
+
+@dataclass(frozen=True)
+class SendFrame:
+    """Send a frame to another entry host, best effort."""
+
+    peer: str
+    message: Message
+
+
+Action = SendTask | StopTask | AnswerJob | LogPlacement | SendFrame
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -0,0 +1,202 @@
+"""The dispatcher: a pure state machine from events to actions."""
+
+from random import Random
+
+from sortedcontainers import SortedSet
+
+from poplarhill.configuration import Configuration
+from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.types import JobSpec, TaskId
+from poplarhilld.dispatch.actions import (
+    Action,
+    AnswerJob,
+    LogPlacement,
+    SendTask,
+    StopTask,
+)
+from poplarhilld.dispatch.events import (
+    ConfigurationChanged,
+    Event,
+    FrameReceived,
+    JobCancelled,
+    JobSubmitted,
+    ShutdownStarted,
+    TaskLost,
+    TaskSucceeded,
+    TaskUnsent,
+    Ticked,
+)
+from poplarhilld.jobs import JobOutcome, JobTable
+from poplarhilld.jobs.state import cancellation, expiry
+from poplarhilld.placement import Placed, Placement
+
+_NOT_READY_RETRY_S = 1.0
+_SHUTDOWN_RETRY_S = 0.1
+
+
+class Dispatcher:
+    """Decides for one entry host; holds no socket and reads no clock.
+
+    Args:
+        random: Source of random choices.
+    """
+
+    def __init__(self, random: Random) -> None:
+        self._configuration: Configuration | None = None
+        self._random = random
+        self._jobs = JobTable()
+        self._deadlines: SortedSet = SortedSet()
+        self._placement: Placement | None = None
+        self._shutting_down = False
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force, once one is known."""
+        return self._configuration
+
+    @property
+    def ready(self) -> bool:
+        """Whether new jobs are taken."""
+        return self._configuration is not None and not self._shutting_down
+
+    @property
+    def jobs_in_flight(self) -> int:
+        """Count of jobs without an answer."""
+        return len(self._jobs)
+
+    @property
+    def next_deadline(self) -> float | None:
+        """The earliest deadline of a job in flight, s."""
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Decide on one event.
+
+        Args:
+            now: The host's own clock, s.
+            event: What happened.
+        """
+        actions: list[Action] = []
+        match event:
+            case JobSubmitted(spec):
+                self._submit(now, spec, actions)
+            case JobCancelled(job_id):
+                self._cancel(job_id, actions)
+            case TaskSucceeded(task, worker, body):
+                self._task_succeeded(task, worker, body, actions)
+            case TaskUnsent(task, worker):
+                self._task_unsent(task, worker)
+            case TaskLost(task, worker, kind, detail):
+                self._task_lost(task, worker, Failure(kind, detail), actions)
+            case ConfigurationChanged(configuration):
+                self._configure(configuration)
+            case FrameReceived():
+                pass
+            case ShutdownStarted():
+                self._shutting_down = True
+            case Ticked():
+                pass
+        self._expire(now, actions)
+        self._place(actions)
+        return actions
+
+    def _submit(self, now: float, spec: JobSpec, actions: list[Action]) -> None:
+        refusal = self._refusal(now, spec)
+        if refusal is not None:
+            actions.append(AnswerJob(spec.job_id, refusal))
+            return
+        self._jobs.add(spec)
+        self._deadlines.add((spec.deadline, spec.job_id))
+        self._placement.enqueue(spec)
+
+    def _refusal(self, now: float, spec: JobSpec) -> Failure | None:
+        if self._shutting_down:
+            detail = "this entry host is shutting down"
+            return Failure(ErrorKind.SHUTTING_DOWN, detail, _SHUTDOWN_RETRY_S)
+        if self._configuration is None or self._placement is None:
+            detail = "no configuration is known yet"
+            return Failure(ErrorKind.NOT_READY, detail, _NOT_READY_RETRY_S)
+        if spec.service not in self._configuration.services:
+            return Failure(ErrorKind.UNKNOWN_SERVICE, f"no service {spec.service!r}")
+        if spec.deadline <= now:
+            return Failure(ErrorKind.EXPIRED, "the deadline has passed")
+        if not self._fits(spec):
+            detail = "no worker is large enough for a task of this job"
+            return Failure(ErrorKind.IMPOSSIBLE, detail)
+        return None
+
+    def _fits(self, spec: JobSpec) -> bool:
+        return any(
+            worker.cores >= spec.resources.cores
+            and worker.memory_mb >= spec.resources.memory_mb
+            for worker in self._placement.workers(spec.service)
+        )
+
+    def _cancel(self, job_id: str, actions: list[Action]) -> None:
+        job = self._jobs.get(job_id)
+        if job is not None:
+            self._end(job_id, cancellation(job), actions)
+
+    def _task_succeeded(
+        self, task: TaskId, worker: str, body: bytes, actions: list[Action]
+    ) -> None:
+        self._placement.release(worker)
+        outcome = self._jobs.finish_task(task, body)
+        if outcome is not None:
+            self._end(task.job, outcome, actions)
+
+    def _task_unsent(self, task: TaskId, worker: str) -> None:
+        self._placement.release(worker)
+        job = self._jobs.get(task.job)
+        if job is not None:
+            job.mark_unsent(task.index)
+            self._placement.put_back(task)
+
+    def _task_lost(
+        self, task: TaskId, worker: str, failure: Failure, actions: list[Action]
+    ) -> None:
+        self._placement.release(worker)
+        job = self._jobs.get(task.job)
+        if job is not None:
+            job.mark_failed(task.index)
+            self._end(task.job, failure, actions)
+
+    def _configure(self, configuration: Configuration) -> None:
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._configuration = configuration
+        if self._placement is None:
+            self._placement = Placement(configuration, self._random)
+        else:
+            self._placement.configure(configuration)
+
+    def _expire(self, now: float, actions: list[Action]) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, job_id = self._deadlines[0]
+            self._end(job_id, expiry(self._jobs.get(job_id)), actions)
+
+    def _end(self, job_id: str, outcome: JobOutcome, actions: list[Action]) -> None:
+        """Answer a job, drop its queued tasks and stop its running ones."""
+        job = self._jobs.pop(job_id)
+        self._deadlines.discard((job.spec.deadline, job_id))
+        self._placement.discard(job_id)
+        for task, worker in job.running:
+            spec = self._configuration.workers.get(worker)
+            if spec is not None:
+                actions.append(StopTask(task, spec))
+        actions.append(AnswerJob(job_id, outcome))
+
+    def _place(self, actions: list[Action]) -> None:
+        if self._placement is None:
+            return
+        for placed in self._placement.place():
+            self._send(placed, actions)
+
+    def _send(self, placed: Placed, actions: list[Action]) -> None:
+        job = self._jobs.get(placed.task.job)
+        job.mark_sent(placed.task.index, placed.worker)
+        worker = self._configuration.workers[placed.worker]
+        body = job.spec.tasks[placed.task.index]
+        actions.append(LogPlacement(placed))
+        actions.append(SendTask(placed.task, worker, body, job.spec.deadline))
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/jobs/__init__.py
@@ -0,0 +1,7 @@
+"""Jobs: their tasks, what was sent, and their one answer."""
+
+from poplarhilld.jobs.messages import Completed as Completed
+from poplarhilld.jobs.messages import JobOutcome as JobOutcome
+from poplarhilld.jobs.state import Job as Job
+from poplarhilld.jobs.state import JobTable as JobTable
+from poplarhilld.jobs.state import TaskState as TaskState
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/jobs/state.py
@@ -0,0 +1,140 @@
+"""State of the jobs that this host answers for.
+
+A task goes from queued to sent to done. Once it is sent, it is never queued
+again unless it is proved that no byte of it left this host or that the worker
+did not start it. A job has one outcome, given when its last task is done or
+when the first of its tasks fails.
+"""
+
+from enum import Enum
+
+from poplarhill.exceptions import ErrorKind, Failure, RunState
+from poplarhill.types import JobSpec, TaskId
+from poplarhilld.jobs.messages import Completed, JobOutcome
+
+
+class TaskState(Enum):
+    """How far a task has come."""
+
+    QUEUED = "queued"
+    SENT = "sent"
+    DONE = "done"
+
+
+class Job:
+    """One submission and its tasks.
+
+    Args:
+        spec: The job as submitted.
+    """
+
+    def __init__(self, spec: JobSpec) -> None:
+        self._spec = spec
+        self._states = [TaskState.QUEUED] * len(spec.tasks)
+        self._results: list[bytes] = [b""] * len(spec.tasks)
+        self._workers: dict[int, str] = {}
+        self._done = 0
+        self._may_have_run = False
+
+    @property
+    def spec(self) -> JobSpec:
+        """The job as submitted."""
+        return self._spec
+
+    @property
+    def run_state(self) -> RunState:
+        """Whether any of its tasks may have started."""
+        if self._may_have_run or self._workers:
+            return RunState.MAY_HAVE_RUN
+        return RunState.NOT_RUN
+
+    @property
+    def running(self) -> tuple[tuple[TaskId, str], ...]:
+        """Tasks sent and not done, each with its worker."""
+        job_id = self._spec.job_id
+        return tuple((TaskId(job_id, i), w) for i, w in self._workers.items())
+
+    def mark_sent(self, index: int, worker: str) -> None:
+        """Note that a task is handed to a worker's link.
+
+        Raises:
+            ValueError: The task has been sent already.
+        """
+        if self._states[index] is not TaskState.QUEUED:
+            raise ValueError(f"task {index} of {self._spec.job_id} sent twice")
+        self._states[index] = TaskState.SENT
+        self._workers[index] = worker
+
+    def mark_unsent(self, index: int) -> None:
+        """Note the proof that a task was not started; it is queued again."""
+        self._states[index] = TaskState.QUEUED
+        self._workers.pop(index, None)
+
+    def mark_done(self, index: int, result: bytes) -> None:
+        """Note the result of a task."""
+        self._states[index] = TaskState.DONE
+        self._workers.pop(index, None)
+        self._results[index] = result
+        self._done += 1
+        self._may_have_run = True
+
+    def mark_failed(self, index: int) -> None:
+        """Note that a task may have run and gave no result."""
+        self._states[index] = TaskState.DONE
+        self._workers.pop(index, None)
+        self._may_have_run = True
+
+    def completed(self) -> Completed | None:
+        """Return the whole answer, once every task has its result."""
+        if self._done < len(self._results):
+            return None
+        return Completed(tuple(self._results))
+
+
+class JobTable:
+    """The jobs in flight on this host."""
+
+    def __init__(self) -> None:
+        self._jobs: dict[str, Job] = {}
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def __contains__(self, job_id: str) -> bool:
+        return job_id in self._jobs
+
+    def get(self, job_id: str) -> Job | None:
+        """Return a job in flight."""
+        return self._jobs.get(job_id)
+
+    def add(self, spec: JobSpec) -> Job:
+        """Take a job in."""
+        job = Job(spec)
+        self._jobs[spec.job_id] = job
+        return job
+
+    def pop(self, job_id: str) -> Job | None:
+        """Take a job out, whatever its state."""
+        return self._jobs.pop(job_id, None)
+
+    def finish_task(self, task: TaskId, result: bytes) -> JobOutcome | None:
+        """Note a task's result; return the job's outcome if that was the last."""
+        job = self._jobs.get(task.job)
+        if job is None:
+            return None
+        job.mark_done(task.index, result)
+        return job.completed()
+
+
+def expiry(job: Job) -> Failure:
+    """Return the failure of a job whose deadline has passed."""
+    if job.run_state is RunState.NOT_RUN:
+        return Failure(ErrorKind.EXPIRED, "deadline passed before a task was sent")
+    return Failure(ErrorKind.TIMEOUT, "deadline passed while tasks were running")
+
+
+def cancellation(job: Job) -> Failure:
+    """Return the failure of a job that its caller cancelled."""
+    if job.run_state is RunState.NOT_RUN:
+        return Failure(ErrorKind.CANCELLED, "cancelled before a task was sent")
+    return Failure(ErrorKind.STOPPED, "cancelled while tasks were running")
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/logs.py
@@ -0,0 +1,24 @@
+"""Structured logs: one JSON object a line on standard output."""
+
+import sys
+
+import structlog
+
+
+def configure_logs(host: str) -> None:
+    """Set up structlog for this process.
+
+    Args:
+        host: Name of this entry host, added to every line.
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+    )
+    structlog.contextvars.bind_contextvars(host=host)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/metrics.py
@@ -0,0 +1,39 @@
+"""Counters and gauges of one entry host."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+
+class Metrics:
+    """The metrics of one process, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self.jobs = Counter(
+            "poplarhill_jobs",
+            "Jobs answered, by outcome",
+            ["outcome"],
+            registry=self._registry,
+        )
+        self.tasks_sent = Counter(
+            "poplarhill_tasks_sent", "Tasks sent to workers", registry=self._registry
+        )
+        self.messages = Counter(
+            "poplarhill_messages",
+            "Messages sent beyond tasks and jobs, by kind",
+            ["kind"],
+            registry=self._registry,
+        )
+        self.jobs_in_flight = Gauge(
+            "poplarhill_jobs_in_flight",
+            "Jobs without an answer",
+            registry=self._registry,
+        )
+        self.configuration_version = Gauge(
+            "poplarhill_configuration_version",
+            "Version of the configuration in force",
+            registry=self._registry,
+        )
+
+    def page(self) -> bytes:
+        """Return the metrics page."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/settings.py
@@ -0,0 +1,95 @@
+"""Settings of one process: read from JSON and checked whole at start."""
+
+import json
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from poplarhill.exceptions import SettingsError
+from poplarhill.schema import check
+
+
+class Address(NamedTuple):
+    """Where a process listens.
+
+    Attributes:
+        host: IP address.
+        port: TCP port.
+    """
+
+    host: str
+    port: int
+
+
+class Settings(NamedTuple):
+    """Settings of a daemon.
+
+    Attributes:
+        name: Name of this entry host, unique in the fleet.
+        data_centre: Data centre that it stands in.
+        listen: Where callers reach it.
+        peer_listen: Where other entry hosts reach it.
+        platform: Where the platform's log service is.
+        peers: Entry hosts known at start, by name; others are learnt from them.
+        drain_s: Longest wait for jobs in flight at shutdown, s; 0 for no limit.
+    """
+
+    name: str
+    data_centre: str
+    listen: Address
+    peer_listen: Address
+    platform: Address
+    peers: dict[str, Address]
+    drain_s: float = 0.0
+
+    @classmethod
+    def from_config(cls, value: Any) -> "Settings":
+        """Check a decoded JSON value and return the settings.
+
+        Raises:
+            SettingsError: Names every problem by its path.
+        """
+        check(value, SCHEMA)
+        fields = dict(value)
+        for name in ("listen", "peer_listen", "platform"):
+            fields[name] = Address(**fields[name])
+        peers = {name: Address(**peer) for name, peer in fields["peers"].items()}
+        return cls(**{**fields, "peers": peers})
+
+    @classmethod
+    def from_file(cls, path: Path) -> "Settings":
+        """Read and check a settings file.
+
+        Raises:
+            SettingsError: The file cannot be read or does not pass its checks.
+        """
+        try:
+            value = json.loads(path.read_text(encoding="utf-8"))
+        except (OSError, ValueError) as error:
+            raise SettingsError((f"{path}: {error}",)) from error
+        return cls.from_config(value)
+
+
+_ADDRESS: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["host", "port"],
+    "properties": {
+        "host": {"type": "string", "pattern": r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$"},
+        "port": {"type": "integer", "minimum": 1, "maximum": 65535},
+    },
+}
+
+SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["name", "data_centre", "listen", "peer_listen", "platform", "peers"],
+    "properties": {
+        "name": {"type": "string", "pattern": "^[A-Za-z0-9._-]{1,64}$"},
+        "data_centre": {"type": "string", "minLength": 1},
+        "listen": _ADDRESS,
+        "peer_listen": _ADDRESS,
+        "platform": _ADDRESS,
+        "peers": {"type": "object", "additionalProperties": _ADDRESS},
+        "drain_s": {"type": "number", "minimum": 0},
+    },
+}
--- /dev/null
+++ b/packages/poplarhilld/tests/dispatch/test_core.py
@@ -0,0 +1,96 @@
+"""The dispatcher's promises, event by event."""
+
+from random import Random
+
+import pytest
+
+from poplarhill import ErrorKind, JobSpec, TaskId
+from poplarhill.configuration import Configuration
+from poplarhilld.dispatch import Dispatcher
+from poplarhilld.dispatch.actions import AnswerJob, SendTask, StopTask
+from poplarhilld.dispatch.events import (
+    ConfigurationChanged,
+    JobCancelled,
+    JobSubmitted,
+    TaskLost,
+    TaskSucceeded,
+    TaskUnsent,
+    Ticked,
+)
+from poplarhilld.jobs import Completed
+
+
+def document(workers: int) -> dict:
+    return {
+        "services": {
+            "booking": {
+                "workers": {
+                    f"w{n}": {"host": "127.0.0.1", "port": 1000 + n}
+                    for n in range(workers)
+                }
+            }
+        }
+    }
+
+
+def job(tasks: int, job_id: str = "j", deadline: float = 10.0) -> JobSpec:
+    bodies = tuple(b"%d" % index for index in range(tasks))
+    return JobSpec(job_id, "booking", "default", bodies, deadline)
+
+
+@pytest.fixture
+def dispatcher() -> Dispatcher:
+    dispatcher = Dispatcher(Random(1))
+    configuration = Configuration.from_document(1, document(2))
+    dispatcher.handle(0.0, ConfigurationChanged(configuration))
+    return dispatcher
+
+
+def of(kind: type, actions: list) -> list:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def test_results_come_in_task_order_whatever_order_they_end_in(dispatcher) -> None:
+    sends = of(SendTask, dispatcher.handle(0.0, JobSubmitted(job(3))))
+    actions: list = []
+    for send in reversed(sends):
+        event = TaskSucceeded(send.task, send.worker.name, b"r" + send.body)
+        actions += dispatcher.handle(1.0, event)
+    assert of(AnswerJob, actions) == [AnswerJob("j", Completed((b"r0", b"r1", b"r2")))]
+
+
+def test_the_first_failure_answers_at_once_and_stops_the_rest(dispatcher) -> None:
+    sends = of(SendTask, dispatcher.handle(0.0, JobSubmitted(job(3))))
+    lost = TaskLost(sends[0].task, sends[0].worker.name, ErrorKind.WORKER_LOST, "gone")
+    actions = dispatcher.handle(1.0, lost)
+    [answer] = of(AnswerJob, actions)
+    assert answer.outcome.kind is ErrorKind.WORKER_LOST
+    stopped = {action.task for action in of(StopTask, actions)}
+    assert stopped == {send.task for send in sends[1:]}
+
+
+def test_only_a_provably_unsent_task_is_sent_again(dispatcher) -> None:
+    [send] = of(SendTask, dispatcher.handle(0.0, JobSubmitted(job(1))))
+    unsent = TaskUnsent(send.task, send.worker.name, "refused")
+    [again] = of(SendTask, dispatcher.handle(1.0, unsent))
+    assert again.task == TaskId("j", 0)
+    lost = TaskLost(again.task, again.worker.name, ErrorKind.WORKER_LOST, "gone")
+    assert not of(SendTask, dispatcher.handle(2.0, lost))
+
+
+@pytest.mark.parametrize(
+    ("event", "tasks", "kind"),
+    [
+        (JobCancelled("queued"), 1, ErrorKind.CANCELLED),
+        (JobCancelled("j"), 4, ErrorKind.STOPPED),
+        (Ticked(), 4, ErrorKind.TIMEOUT),
+    ],
+)
+def test_a_job_given_up_on_says_whether_it_may_have_run(
+    dispatcher, event, tasks, kind
+) -> None:
+    dispatcher.handle(0.0, JobSubmitted(job(4)))
+    dispatcher.handle(0.0, JobSubmitted(job(1, "queued", deadline=99.0)))
+    now = 10.0 if isinstance(event, Ticked) else 1.0
+    answers = of(AnswerJob, dispatcher.handle(now, event))
+    assert [answer.outcome.kind for answer in answers] == [kind]
--- /dev/null
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -0,0 +1,37 @@
+"""The codec of frames between entry hosts."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from poplarhilld import peers
+from poplarhilld.peers.codec import Envelope, FrameError, decode, encode
+
+MEMBER = peers.MemberState("h1", "127.0.0.1", 7001, "dc1", 5, 9, False)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        peers.Heartbeat((MEMBER,), 3, 4, 5, 6, ("w1", "w2")),
+        peers.SlotRequest(1, "booking", 20),
+        peers.SlotGrant(1, 0.5, (peers.WorkerSlots("w1", 3),), 2),
+        peers.SlotReturn(1, (peers.WorkerSlots("w1", 3),)),
+        peers.ConfigurationRequest(7),
+        peers.ConfigurationOffer(8, 12, "{}"),
+        peers.Goodbye(5),
+    ],
+    ids=lambda message: type(message).__name__,
+)
+def test_a_message_comes_back_as_it_was(message) -> None:
+    envelope = Envelope("h1", message)
+    assert decode(encode(envelope)) == envelope
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_frame_or_a_frame_error(data: bytes) -> None:
+    try:
+        decode(data)
+    except FrameError:
+        return
