Give decisions an identity, a worker view and one log action

Cause: the slices to come (health, membership, claims) need to know who the host is, to hide workers from placement, and to log typed decisions.

--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -12,11 +12,11 @@
 from poplarhill.types import JobSpec
 from poplarhilld.api import Api
 from poplarhilld.configuration import ConfigurationReader
-from poplarhilld.dispatch import Dispatcher
+from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import (
     Action,
     AnswerJob,
-    LogPlacement,
+    LogDecision,
     SendFrame,
     SendTask,
     StopTask,
@@ -53,7 +53,9 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._clock = time.monotonic
-        self._dispatcher = Dispatcher(Random())
+        incarnation = round(time.time() * 1000)
+        identity = Identity.from_config(settings, incarnation)
+        self._dispatcher = Dispatcher(identity, Random())
         self._metrics = Metrics()
         self._links = WorkerLinks(self._clock)
         self._outcomes: dict[str, curio.Queue] = {}
@@ -149,14 +151,8 @@
                 await self._peers.send(self._settings.peers[peer], message)
             case AnswerJob(job_id, outcome):
                 await self._give_answer(job_id, outcome)
-            case LogPlacement(placed):
-                _log.info(
-                    "placed",
-                    task=str(placed.task),
-                    worker=placed.worker,
-                    policy=placed.policy,
-                    candidates=dict(placed.candidates),
-                )
+            case LogDecision(decision):
+                _log.info(type(decision).__name__, **decision._asdict())
 
     async def _send(self, action: SendTask) -> None:
         await self._post(await self._links.send(action))
--- a/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
@@ -1,11 +1,11 @@
 """Actions that the dispatcher asks of its process."""
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from poplarhill.types import TaskId, WorkerSpec
 from poplarhilld.jobs import JobOutcome
 from poplarhilld.peers.messages import Message
-from poplarhilld.placement import Placed
 
 
 @dataclass(frozen=True)
@@ -35,10 +35,15 @@
 
 
 @dataclass(frozen=True)
-class LogPlacement:
-    """Write the log line of a placement decision."""
+class LogDecision:
+    """Write the log line of a decision.
 
-    placed: Placed
+    Attributes:
+        decision: A named tuple; its type names the line, its fields are the
+            inputs and the choice, enough to replay the decision.
+    """
+
+    decision: NamedTuple
 
 
 @dataclass(frozen=True)
@@ -49,4 +54,4 @@
     message: Message
 
 
-Action = SendTask | StopTask | AnswerJob | LogPlacement | SendFrame
+Action = SendTask | StopTask | AnswerJob | LogDecision | SendFrame
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -10,7 +10,7 @@
 from poplarhilld.dispatch.actions import (
     Action,
     AnswerJob,
-    LogPlacement,
+    LogDecision,
     SendTask,
     StopTask,
 )
@@ -26,9 +26,10 @@
     TaskUnsent,
     Ticked,
 )
+from poplarhilld.dispatch.identity import Identity
 from poplarhilld.jobs import JobOutcome, JobTable
 from poplarhilld.jobs.state import cancellation, expiry
-from poplarhilld.placement import Placed, Placement
+from poplarhilld.placement import EveryWorker, Placed, Placement
 
 _NOT_READY_RETRY_S = 1.0
 _SHUTDOWN_RETRY_S = 0.1
@@ -38,15 +39,18 @@
     """Decides for one entry host; holds no socket and reads no clock.
 
     Args:
+        identity: Who this host is.
         random: Source of random choices.
     """
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, identity: Identity, random: Random) -> None:
+        self._identity = identity
         self._configuration: Configuration | None = None
         self._random = random
         self._jobs = JobTable()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
+        self._view = EveryWorker()
         self._shutting_down = False
 
     @property
@@ -97,7 +101,7 @@
             case Ticked():
                 pass
         self._expire(now, actions)
-        self._place(actions)
+        self._place(now, actions)
         return actions
 
     def _submit(self, now: float, spec: JobSpec, actions: list[Action]) -> None:
@@ -187,10 +191,10 @@
                 actions.append(StopTask(task, spec))
         actions.append(AnswerJob(job_id, outcome))
 
-    def _place(self, actions: list[Action]) -> None:
+    def _place(self, now: float, actions: list[Action]) -> None:
         if self._placement is None:
             return
-        for placed in self._placement.place():
+        for placed in self._placement.place(now, self._view):
             self._send(placed, actions)
 
     def _send(self, placed: Placed, actions: list[Action]) -> None:
@@ -198,5 +202,5 @@
         job.mark_sent(placed.task.index, placed.worker)
         worker = self._configuration.workers[placed.worker]
         body = job.spec.tasks[placed.task.index]
-        actions.append(LogPlacement(placed))
+        actions.append(LogDecision(placed))
         actions.append(SendTask(placed.task, worker, body, job.spec.deadline))
--- a/packages/poplarhilld/src/poplarhilld/placement/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/__init__.py
@@ -2,3 +2,5 @@
 
 from poplarhilld.placement.messages import Placed as Placed
 from poplarhilld.placement.state import Placement as Placement
+from poplarhilld.placement.view import EveryWorker as EveryWorker
+from poplarhilld.placement.view import WorkerView as WorkerView
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -7,6 +7,7 @@
 from poplarhilld.placement.messages import Placed
 from poplarhilld.placement.policies import Candidate, choose, policy_from_config
 from poplarhilld.placement.queue import JobQueue
+from poplarhilld.placement.view import WorkerView
 
 
 class Placement:
@@ -56,12 +57,17 @@
         """Queue a task again that was provably not sent."""
         self._queue.put_back(task)
 
-    def place(self) -> list[Placed]:
-        """Place every task that has a candidate now."""
+    def place(self, now: float, view: WorkerView) -> list[Placed]:
+        """Place every task that has a candidate now.
+
+        Args:
+            now: The host's own clock, s.
+            view: What is known of the workers.
+        """
         placed: list[Placed] = []
         blocked: set[str] = set()
         while (spec := self._queue.next_job(blocked)) is not None:
-            candidates = self._candidates(spec)
+            candidates = self._candidates(now, spec, view)
             if not candidates:
                 blocked.add(spec.service)
                 continue
@@ -72,11 +78,13 @@
             placed.append(Placed(task, chosen.worker, weighed, self._policy.name))
         return placed
 
-    def _candidates(self, spec: JobSpec) -> list[Candidate]:
+    def _candidates(
+        self, now: float, spec: JobSpec, view: WorkerView
+    ) -> list[Candidate]:
         cap = self._defaults.worker_cap
         candidates = []
         for worker in self.workers(spec.service):
             outstanding = self._outstanding.get(worker.name, 0)
-            if not worker.draining and outstanding < cap:
+            if outstanding < cap and view.may_use(now, worker):
                 candidates.append(Candidate(worker.name, outstanding))
         return candidates
--- a/packages/poplarhilld/tests/dispatch/test_core.py
+++ b/packages/poplarhilld/tests/dispatch/test_core.py
@@ -6,7 +6,7 @@
 
 from poplarhill import ErrorKind, JobSpec, TaskId
 from poplarhill.configuration import Configuration
-from poplarhilld.dispatch import Dispatcher
+from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import AnswerJob, SendTask, StopTask
 from poplarhilld.dispatch.events import (
     ConfigurationChanged,
@@ -18,6 +18,9 @@
     Ticked,
 )
 from poplarhilld.jobs import Completed
+from poplarhilld.settings import Address
+
+IDENTITY = Identity("h1", "dc1", Address("127.0.0.1", 7001), 1, {})
 
 
 def document(workers: int) -> dict:
@@ -40,7 +43,7 @@
 
 @pytest.fixture
 def dispatcher() -> Dispatcher:
-    dispatcher = Dispatcher(Random(1))
+    dispatcher = Dispatcher(IDENTITY, Random(1))
     configuration = Configuration.from_document(1, document(2))
     dispatcher.handle(0.0, ConfigurationChanged(configuration))
     return dispatcher
