Add the experiment tool: a fleet under load, measured against central queues

Cause: decisions under load could not be measured.

Ports given to processes are now below those of outgoing connections, so that two fleets on one machine do not take each other's.

--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -1,6 +1,7 @@
 """Commands of the development package."""
 
 import sys
+from pathlib import Path
 
 import click
 import curio
@@ -8,7 +9,9 @@
 from poplarhill_dev.demo import run_demo
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.platform import PlatformStandIn
-from poplarhill_dev.worker import WorkerStandIn
+from poplarhill_dev.worker import WorkerStandIn, run_workers
+
+_LOOPBACK = "127.0.0.1"
 
 
 @click.group()
@@ -40,6 +43,35 @@
     curio.run(WorkerStandIn(name, host, port, slots).run)
 
 
+@main.command()
+@click.option("--worker", "named", type=(str, int), multiple=True, required=True)
+@click.option("--slots", type=int, default=8)
+def workers(named: tuple[tuple[str, int], ...], slots: int) -> None:
+    """Run the stand-ins of several workers, each given by name and port."""
+    stand_ins = [WorkerStandIn(name, _LOOPBACK, port, slots) for name, port in named]
+    curio.run(run_workers, stand_ins)
+
+
+@main.command()
+@click.argument("plan", type=click.Path(exists=True, path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), required=True)
+def load(plan: Path, out: Path) -> None:
+    """Submit a planned load and write what was answered."""
+    from poplarhill_dev.experiment.load import run_load
+
+    curio.run(run_load, plan, out)
+
+
+@main.command()
+@click.argument("file", type=click.Path(exists=True, path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), default=Path("results"))
+def experiment(file: Path, out: Path) -> None:
+    """Run an experiment; write its results, table and plot."""
+    from poplarhill_dev.experiment.run import run_experiment
+
+    run_experiment(file, out)
+
+
 @main.command("known-red", context_settings={"ignore_unknown_options": True})
 @click.argument("arguments", nargs=-1)
 def known_red(arguments: tuple[str, ...]) -> None:
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
@@ -0,0 +1,142 @@
+"""Runs an experiment: a fleet, its load and its faults for each case."""
+
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+import click
+import msgspec
+from prometheus_client.parser import text_string_to_metric_families
+
+from poplarhill_dev.experiment.bounds import ORDERS, central_responses
+from poplarhill_dev.experiment.config import Case, Experiment, cases
+from poplarhill_dev.experiment.faults import schedule_faults
+from poplarhill_dev.experiment.load import Answered, LoadPlan
+from poplarhill_dev.experiment.plot import plot_results
+from poplarhill_dev.experiment.report import Bound, Results, table
+from poplarhill_dev.experiment.summary import (
+    Messages,
+    Summary,
+    slowdown_of,
+    summarize,
+)
+from poplarhill_dev.experiment.workload import PlannedJob, plan_jobs
+from poplarhill_dev.fleet import Fleet, get_page
+
+_LEAD_S = 3.0
+_LOAD_MARGIN_S = 120.0
+_TASKS_SENT = "poplarhill_tasks_sent"
+_MESSAGES = "poplarhill_messages"
+
+
+def run_experiment(file: Path, out: Path) -> Results:
+    """Run every case of an experiment and write what came of it.
+
+    Args:
+        file: The experiment.
+        out: Directory of results.
+    """
+    experiment = Experiment.from_file(file)
+    directory = out / experiment.name
+    directory.mkdir(parents=True, exist_ok=True)
+    results = Results(experiment)
+    bounded: set[tuple[str, float, int]] = set()
+    for case in cases(experiment):
+        jobs = plan_jobs(experiment, case)
+        if (case.firm, case.load, case.seed) not in bounded:
+            bounded.add((case.firm, case.load, case.seed))
+            results.bounds += _bounds(experiment, case, jobs)
+        results.summaries.append(_run_case(experiment, case, jobs, directory))
+        (directory / "results.json").write_bytes(msgspec.json.encode(results))
+    text = table(results)
+    (directory / "table.md").write_text(text)
+    plot_results(results, directory / "plot.png")
+    click.echo(text)
+    return results
+
+
+def _run_case(
+    experiment: Experiment, case: Case, jobs: list[PlannedJob], directory: Path
+) -> Summary:
+    click.echo(f"{case.firm} at {case.load:g}, seed {case.seed}: {case.policy}")
+    fleet = Fleet.start(
+        experiment.hosts,
+        experiment.workers,
+        experiment.policies[case.policy],
+        experiment.worker_processes,
+    )
+    try:
+        answers = _submit(experiment, fleet, jobs)
+        starts = _starts(fleet)
+        messages = _messages(fleet, len(starts))
+    finally:
+        fleet.stop()
+    fleet.remove_files()
+    twice = sum(count > 1 for count in starts.values())
+    return summarize(case, answers, messages, twice)
+
+
+def _submit(
+    experiment: Experiment, fleet: Fleet, jobs: list[PlannedJob]
+) -> list[Answered]:
+    """Run the load and the faults; return what was answered."""
+    start = time.monotonic() + _LEAD_S
+    ports = [daemon.port for daemon in fleet.daemons()]
+    outs: list[Path] = []
+    processes: list[subprocess.Popen] = []
+    for number in range(experiment.load_processes):
+        part = jobs[number :: experiment.load_processes]
+        plan = fleet.directory / f"load{number}.json"
+        plan.write_bytes(msgspec.json.encode(LoadPlan(start, ports, part)))
+        outs.append(fleet.directory / f"answers{number}.json")
+        command = [sys.executable, "-m", "poplarhill_dev", "load", str(plan)]
+        processes.append(subprocess.Popen([*command, "--out", str(outs[-1])]))
+    try:
+        schedule_faults(fleet, experiment.faults, start).run()
+        for process in processes:
+            process.wait(experiment.duration_s + _LOAD_MARGIN_S)
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
+    parts = [msgspec.json.decode(p.read_bytes(), type=list[Answered]) for p in outs]
+    return sorted((a for part in parts for a in part), key=lambda a: a.at_s)
+
+
+def _starts(fleet: Fleet) -> Counter[str]:
+    """Return how often each task started at any worker."""
+    starts: Counter[str] = Counter()
+    for port in fleet.worker_ports.values():
+        starts.update(msgspec.json.decode(get_page(port, "/starts")))
+    return starts
+
+
+def _messages(fleet: Fleet, tasks_started: int) -> Messages:
+    """Return the messages that the living daemons counted."""
+    sent = 0
+    others: Counter[str] = Counter()
+    for daemon in fleet.daemons():
+        if daemon.handle.poll() is not None:
+            continue
+        page = get_page(daemon.port, "/metrics").decode()
+        for family in text_string_to_metric_families(page):
+            for sample in family.samples:
+                if sample.name == f"{_TASKS_SENT}_total":
+                    sent += int(sample.value)
+                if sample.name == f"{_MESSAGES}_total":
+                    others[sample.labels["kind"]] += int(sample.value)
+    return Messages(sent, tasks_started, dict(others))
+
+
+def _bounds(experiment: Experiment, case: Case, jobs: list[PlannedJob]) -> list[Bound]:
+    slots = experiment.workers * experiment.slots
+    bounds = []
+    for name, order in ORDERS.items():
+        responses = central_responses(jobs, slots, order)
+        slowdowns = [(len(j.run_s), responses[j.name] / j.longest_s) for j in jobs]
+        bounds.append(
+            Bound(name, case.firm, case.load, case.seed, slowdown_of(slowdowns))
+        )
+    return bounds
--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -1,9 +1,12 @@
-"""A small fleet of real processes on loopback: platform, workers, daemons.
+"""A fleet of real processes on loopback: platform, workers, daemons.
 
 The development tool starts these processes; the daemons themselves start none.
 """
 
 import json
+import random
+import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -11,14 +14,17 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
 _HOST = "127.0.0.1"
-_START_TIMEOUT_S = 30.0
-_STOP_TIMEOUT_S = 30.0
+_START_TIMEOUT_S = 60.0
+_STOP_TIMEOUT_S = 60.0
 _POLL_S = 0.05
 _BIN = Path(sys.executable).parent
+# Below the ports that the system gives to outgoing connections.
+_PORTS = range(12000, 32000)
 DATA_CENTRES = ("dc1", "dc2", "dc3")
 
 
@@ -45,23 +51,41 @@
 
     Args:
         directory: Where settings and logs are written.
+        defaults: Fleet defaults of the configuration.
     """
 
-    def __init__(self, directory: Path) -> None:
+    def __init__(self, directory: Path, defaults: dict[str, Any] | None = None) -> None:
         self._directory = directory
+        self._defaults = defaults or {}
         self._processes: dict[str, Process] = {}
+        self._worker_ports: dict[str, int] = {}
+        self._commands: dict[str, list[str]] = {}
 
     @classmethod
-    def start(cls, hosts: int, workers: int) -> "Fleet":
-        """Start a fleet and publish its configuration."""
-        fleet = cls(Path(tempfile.mkdtemp(prefix="poplarhill-")))
+    def start(
+        cls,
+        hosts: int,
+        workers: int,
+        defaults: dict[str, Any] | None = None,
+        worker_processes: int | None = None,
+    ) -> "Fleet":
+        """Start a fleet and publish its configuration.
+
+        Args:
+            hosts: Count of entry hosts.
+            workers: Count of workers.
+            defaults: Fleet defaults of the configuration.
+            worker_processes: Processes that the workers are spread over; one
+                each if not given.
+        """
+        fleet = cls(Path(tempfile.mkdtemp(prefix="poplarhill-")), defaults)
         try:
             fleet.start_platform()
-            for number in range(1, workers + 1):
-                fleet.start_worker(f"w{number}")
+            fleet.start_workers(workers, worker_processes or workers)
             peer_ports = {f"h{n}": free_port() for n in range(1, hosts + 1)}
             for number, name in enumerate(peer_ports):
-                fleet.start_daemon(name, DATA_CENTRES[number % 3], peer_ports)
+                fleet.start_daemon(name, data_centre(number), peer_ports)
+            fleet.wait_listening()
             fleet.publish(fleet.document(), "first configuration")
             fleet.wait_ready()
         except BaseException:
@@ -74,6 +98,16 @@
         """Where settings and logs are written."""
         return self._directory
 
+    @property
+    def platform_port(self) -> int:
+        """Port of the platform's stand-in."""
+        return self._processes["platform"].port
+
+    @property
+    def worker_ports(self) -> dict[str, int]:
+        """Port of each worker, by its name."""
+        return dict(self._worker_ports)
+
     def process(self, name: str) -> Process:
         """Return a process by name."""
         return self._processes[name]
@@ -83,7 +117,7 @@
         return [p for name, p in self._processes.items() if name.startswith("h")]
 
     def workers(self) -> list[Process]:
-        """Return the workers."""
+        """Return the processes of the workers."""
         return [p for name, p in self._processes.items() if name.startswith("w")]
 
     def start_platform(self) -> None:
@@ -93,9 +127,19 @@
 
     def start_worker(self, name: str) -> None:
         """Start the stand-in of a worker."""
-        port = free_port()
+        port = self._worker_ports.setdefault(name, free_port())
         self._start_module(name, port, ["worker", "--port", str(port), "--name", name])
 
+    def start_workers(self, count: int, processes: int) -> None:
+        """Start workers `w1` and on, as even a number in each process."""
+        names = [f"w{number}" for number in range(1, count + 1)]
+        if processes == count:
+            for name in names:
+                self.start_worker(name)
+            return
+        for number in range(processes):
+            self._start_group(f"wg{number + 1}", names[number::processes])
+
     def start_daemon(
         self, name: str, data_centre: str, peer_ports: dict[str, int]
     ) -> None:
@@ -106,7 +150,7 @@
             "data_centre": data_centre,
             "listen": _address(port),
             "peer_listen": _address(peer_ports[name]),
-            "platform": _address(self._processes["platform"].port),
+            "platform": _address(self.platform_port),
             "peers": {
                 peer: _address(peer_port)
                 for peer, peer_port in peer_ports.items()
@@ -118,27 +162,57 @@
         command = [str(_BIN / "poplarhilld"), "--settings", str(path)]
         self._start(name, port, command)
 
+    def kill(self, name: str) -> None:
+        """End a process at once, as a lost host does."""
+        handle = self._processes[name].handle
+        handle.kill()
+        handle.wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process where it stands."""
+        self._processes[name].handle.send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self._processes[name].handle.send_signal(signal.SIGCONT)
+
+    def restart(self, name: str) -> None:
+        """Start a process again that has ended, with the settings it had."""
+        process = self._processes[name]
+        process.handle.wait(_STOP_TIMEOUT_S)
+        self._start(name, process.port, self._commands[name])
+
     def document(self) -> dict[str, Any]:
         """Return a configuration document for the fleet's workers."""
         workers = {
-            process.name: {
-                **_address(process.port),
-                "data_centre": DATA_CENTRES[number % 3],
+            name: {
+                **_address(port),
+                "data_centre": data_centre(number),
                 "rack": f"r{number % 3 + 1}",
             }
-            for number, process in enumerate(self.workers())
+            for number, (name, port) in enumerate(self._worker_ports.items())
         }
-        return {"services": {"booking": {"workers": workers}}}
+        document: dict[str, Any] = {"services": {"booking": {"workers": workers}}}
+        if self._defaults:
+            document["defaults"] = self._defaults
+        return document
 
     def publish(self, document: dict[str, Any], note: str) -> None:
         """Publish a configuration by the operators' command."""
         path = self._directory / "configuration.json"
         path.write_text(json.dumps(document, indent=2))
-        platform = f"{_HOST}:{self._processes['platform'].port}"
+        platform = f"{_HOST}:{self.platform_port}"
         command = [str(_BIN / "poplarhill"), "config", "publish", str(path)]
         command += ["--note", note, "--platform", platform]
         subprocess.run(command, check=True, capture_output=True, timeout=60)
 
+    def wait_listening(self) -> None:
+        """Wait until every process can be reached."""
+        for process in self._processes.values():
+            wait_until(
+                lambda port=process.port: _listens(port), f"{process.name} listening"
+            )
+
     def wait_ready(self) -> None:
         """Wait until every daemon takes jobs."""
         for process in self.daemons():
@@ -149,35 +223,59 @@
 
     def stop(self) -> dict[str, int]:
         """Stop every process, daemons first; return their exit codes."""
-        ordered = sorted(self._processes.values(), key=lambda p: p.name[0] != "h")
-        for process in ordered:
-            process.handle.terminate()
-            try:
-                process.handle.wait(_STOP_TIMEOUT_S)
-            except subprocess.TimeoutExpired:
-                process.handle.kill()
-                process.handle.wait()
-        return {process.name: process.handle.returncode for process in ordered}
+        daemons = self.daemons()
+        others = [p for p in self._processes.values() if p not in daemons]
+        for group in (daemons, others):
+            for process in group:
+                process.handle.send_signal(signal.SIGCONT)
+                process.handle.terminate()
+            for process in group:
+                _wait_or_kill(process.handle)
+        return {name: p.handle.returncode for name, p in self._processes.items()}
+
+    def remove_files(self) -> None:
+        """Remove the settings and logs."""
+        shutil.rmtree(self._directory)
+
+    def _start_group(self, name: str, workers: list[str]) -> None:
+        ports = [self._worker_ports.setdefault(w, free_port()) for w in workers]
+        arguments = ["workers"]
+        for worker, port in zip(workers, ports, strict=True):
+            arguments += ["--worker", worker, str(port)]
+        self._start_module(name, ports[0], arguments)
 
     def _start_module(self, name: str, port: int, arguments: list[str]) -> None:
-        command = [sys.executable, "-m", "poplarhill_dev", *arguments]
-        self._start(name, port, command)
-        wait_until(lambda: _listens(port), f"{name} listening")
+        self._start(name, port, [sys.executable, "-m", "poplarhill_dev", *arguments])
 
     def _start(self, name: str, port: int, command: list[str]) -> None:
+        self._commands[name] = command
         with (self._directory / f"{name}.log").open("ab") as log:
             handle = subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT)
         self._processes[name] = Process(name, port, handle)
 
 
-def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((_HOST, 0))
-        return sock.getsockname()[1]
+def data_centre(number: int) -> str:
+    """Return the data centre of the host or worker with a number, from 0."""
+    return DATA_CENTRES[number % len(DATA_CENTRES)]
+
+
+_given_ports: set[int] = set()
+_random = random.Random()
 
 
-def wait_until(condition: Any, what: str, timeout_s: float = _START_TIMEOUT_S) -> None:
+def free_port() -> int:
+    """Return a TCP port that is free now, and that was not returned before."""
+    while True:
+        port = _random.choice(_PORTS)
+        with socket.socket() as sock:
+            if port not in _given_ports and _binds(sock, port):
+                _given_ports.add(port)
+                return port
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, timeout_s: float = _START_TIMEOUT_S
+) -> None:
     """Wait until a condition holds.
 
     Raises:
@@ -201,10 +299,49 @@
         return None
 
 
+def get_page(port: int, path: str) -> bytes:
+    """Return the body of a GET.
+
+    Raises:
+        OSError: There is no answer, or it is an error.
+    """
+    with urllib.request.urlopen(f"http://{_HOST}:{port}{path}", timeout=10) as reply:
+        return reply.read()
+
+
+def put_json(port: int, path: str, value: Any) -> None:
+    """Send a PUT with a JSON body, such as the faults of a stand-in.
+
+    Raises:
+        OSError: There is no answer, or it is an error.
+    """
+    url = f"http://{_HOST}:{port}{path}"
+    data = json.dumps(value).encode()
+    request = urllib.request.Request(url, data=data, method="PUT")
+    with urllib.request.urlopen(request, timeout=10) as reply:
+        reply.read()
+
+
+def _wait_or_kill(handle: subprocess.Popen) -> None:
+    try:
+        handle.wait(_STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        handle.kill()
+        handle.wait()
+
+
 def _address(port: int) -> dict[str, Any]:
     return {"host": _HOST, "port": port}
 
 
+def _binds(sock: socket.socket, port: int) -> bool:
+    try:
+        sock.bind((_HOST, port))
+    except OSError:
+        return False
+    return True
+
+
 def _listens(port: int) -> bool:
     with socket.socket() as sock:
         return sock.connect_ex((_HOST, port)) == 0
--- a/packages/poplarhill-dev/src/poplarhill_dev/worker.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/worker.py
@@ -4,7 +4,9 @@
 no time and is echoed. `{"fail": true}` answers with an error.
 """
 
+import time
 from collections import Counter
+from typing import NamedTuple
 
 import curio
 import msgspec
@@ -31,6 +33,32 @@
     fail: bool = False
 
 
+class WorkerFaults(NamedTuple):
+    """What the stand-in does wrong.
+
+    Attributes:
+        fail: Whether every task fails at once.
+        slow: Factor on every run time.
+    """
+
+    fail: bool = False
+    slow: float = 1.0
+
+
+class Start(NamedTuple):
+    """One start of a task.
+
+    Attributes:
+        at: When, by the machine's monotonic clock, s.
+        task: Id of the task.
+        echo: The `echo` of its body.
+    """
+
+    at: float
+    task: str
+    echo: str
+
+
 class WorkerStandIn:
     """One worker.
 
@@ -45,6 +73,8 @@
         self._name = name
         self._slots = curio.Semaphore(slots)
         self._starts: Counter[str] = Counter()
+        self._trace: list[Start] = []
+        self._faults = WorkerFaults()
         self._running: dict[str, curio.Event] = {}
         self._server = HttpServer(host, port, self.handle)
 
@@ -69,27 +99,42 @@
                 return json_response(_HTTP_OK, {})
             case ("GET", ["starts"]):
                 return json_response(_HTTP_OK, dict(self._starts))
+            case ("GET", ["trace"]):
+                return json_response(_HTTP_OK, self._trace)
+            case ("PUT", ["faults"]):
+                self._faults = WorkerFaults(**msgspec.json.decode(request.body))
+                return json_response(_HTTP_OK, {})
         return json_response(_HTTP_NOT_FOUND, {})
 
     async def _run_task(self, request: Request) -> Response:
         task = request.headers["task-id"]
+        body = _parse(request.body)
         self._starts[task] += 1
+        self._trace.append(Start(time.monotonic(), task, body.echo))
         stopped = curio.Event()
         self._running[task] = stopped
         headers = {"task-id": task}
-        body = _parse(request.body)
+        failing = self._faults.fail or body.fail
+        run_s = 0.0 if self._faults.fail else body.run_s * self._faults.slow
         try:
             async with self._slots:
-                was_stopped = await curio.ignore_after(body.run_s, stopped.wait)
+                was_stopped = await curio.ignore_after(run_s, stopped.wait)
         finally:
             self._running.pop(task, None)
         if was_stopped:
             return Response(_HTTP_STOPPED, headers)
-        if body.fail:
+        if failing:
             return Response(_HTTP_FAILED, headers)
         return Response(_HTTP_OK, headers, body.echo.encode())
 
 
+async def run_workers(workers: list[WorkerStandIn]) -> None:
+    """Serve several workers on one loop until cancelled."""
+    async with curio.TaskGroup() as group:
+        for worker in workers:
+            await group.spawn(worker.run)
+
+
 def _parse(body: bytes) -> TaskBody:
     try:
         return msgspec.json.decode(body, type=TaskBody)
