--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/load.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/load.py
@@ -57,6 +57,7 @@
         outcome: `complete`, the kind of the failure, or what else was seen.
         run_state: What the failure says of its run.
         whole: Whether every result came, each the right one, in order.
+        results: Results as they came.
         key: Its idempotency key, if any.
         job_id: Id of the submission, if the answer gave it.
         hung_up: Whether the caller hung up.
@@ -72,6 +73,7 @@
     outcome: str
     run_state: str = ""
     whole: bool = False
+    results: list[str] = []
     key: str | None = None
     job_id: str | None = None
     hung_up: bool = False
@@ -204,7 +206,8 @@
     answered.job_id = body.get("job_id")
     if body.get("state") == "complete":
         answered.outcome = "complete"
-        answered.whole = body.get("results") == echoes
+        answered.results = body["results"]
+        answered.whole = answered.results == echoes
     else:
         answered.outcome = body["error"]["kind"]
         answered.run_state = body["error"]["run_state"]
--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/report.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/report.py
@@ -60,8 +60,8 @@
     failures = ", ".join(f"{k} {n}" for k, n in sorted(summary.failures.items()))
     if summary.wrong:
         failures += f", WRONG {summary.wrong}"
-    if summary.started_twice:
-        failures += f", STARTED TWICE {summary.started_twice}"
+    if summary.violations:
+        failures += f", VIOLATIONS {len(summary.violations)}"
     late = f"{summary.late_p99_s * 1000:.1f}"
     if summary.load_was_late:
         late += " (high)"
--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
@@ -24,6 +24,8 @@
 )
 from poplarhill_dev.experiment.workload import PlannedJob, plan_jobs
 from poplarhill_dev.fleet import Fleet, get_page
+from poplarhill_dev.trace import check, record
+from poplarhill_dev.trace.checker import Trace
 
 _LEAD_S = 3.0
 _LOAD_MARGIN_S = 120.0
@@ -69,13 +71,15 @@
     )
     try:
         answers = _submit(experiment, fleet, jobs)
-        starts = _starts(fleet)
-        messages = _messages(fleet, len(starts))
+        trace = record(fleet, answers)
+        messages = _messages(fleet, len(trace["starts"]))
     finally:
         fleet.stop()
     fleet.remove_files()
-    twice = sum(count > 1 for count in starts.values())
-    return summarize(case, answers, messages, twice)
+    violations = check(trace)
+    if violations:
+        _keep(trace, case, directory)
+    return summarize(case, answers, messages, violations)
 
 
 def _submit(
@@ -105,12 +109,10 @@
     return sorted((a for part in parts for a in part), key=lambda a: a.at_s)
 
 
-def _starts(fleet: Fleet) -> Counter[str]:
-    """Return how often each task started at any worker."""
-    starts: Counter[str] = Counter()
-    for port in fleet.worker_ports.values():
-        starts.update(msgspec.json.decode(get_page(port, "/starts")))
-    return starts
+def _keep(trace: Trace, case: Case, directory: Path) -> None:
+    """Keep a trace that breaks an outcome, for a reader."""
+    name = f"trace-{case.firm}-{case.load:g}-{case.seed}-{case.policy}.json"
+    (directory / name).write_bytes(msgspec.json.encode(trace))
 
 
 def _messages(fleet: Fleet, tasks_started: int) -> Messages:
--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/summary.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/summary.py
@@ -8,6 +8,7 @@
 
 from poplarhill_dev.experiment.config import Case
 from poplarhill_dev.experiment.load import Answered
+from poplarhill_dev.trace import Violation
 
 LARGE_TASKS = 41
 # Beyond this the load generator's own delay may colour the figures.
@@ -56,7 +57,7 @@
         goodput: Tasks in whole answers over tasks submitted.
         messages: Messages a started task, the two a job left out.
         message_kinds: Messages beyond tasks and jobs, by kind.
-        started_twice: Count of tasks that started more than once.
+        violations: Outcomes that the run's trace breaks.
         late_p99_s: Delay of the load generator itself, s.
         late_max_s: Largest delay of the load generator itself, s.
     """
@@ -70,7 +71,7 @@
     goodput: float
     messages: float
     message_kinds: dict[str, int]
-    started_twice: int
+    violations: list[Violation]
     late_p99_s: float
     late_max_s: float
 
@@ -81,7 +82,10 @@
 
 
 def summarize(
-    case: Case, answers: list[Answered], messages: Messages, started_twice: int
+    case: Case,
+    answers: list[Answered],
+    messages: Messages,
+    violations: list[Violation],
 ) -> Summary:
     """Return the figures of one run."""
     whole = [answer for answer in answers if answer.whole]
@@ -100,7 +104,7 @@
         goodput=round(sum(answer.tasks for answer in whole) / tasks, 4),
         messages=round(messages.per_task, 4),
         message_kinds=messages.others,
-        started_twice=started_twice,
+        violations=violations,
         late_p99_s=round(float(np.percentile(late, 99)), 4),
         late_max_s=round(float(late.max()), 4),
     )
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/trace/record.py
@@ -0,0 +1,63 @@
+"""Collects the trace of a running fleet."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from poplarhill_dev.experiment.load import Answered
+from poplarhill_dev.fleet import Fleet, get_page
+from poplarhill_dev.trace.checker import Trace
+
+_IN_FORCE = "configuration in force"
+
+
+def record(
+    fleet: Fleet, answers: Iterable[Answered], leaving: dict[str, float] | None = None
+) -> Trace:
+    """Return the trace of a fleet whose workers still run.
+
+    Args:
+        fleet: The fleet.
+        answers: What the load generator asked and got.
+        leaving: When each leaving worker was told, by the machine's monotonic
+            clock, s.
+    """
+    return {
+        "requests": [_request(answered) for answered in answers],
+        "starts": _starts(fleet),
+        "leaving": [{"worker": w, "at": at} for w, at in (leaving or {}).items()],
+        "versions": _versions(fleet),
+    }
+
+
+def _request(answered: Answered) -> dict[str, Any]:
+    return {
+        "name": answered.name,
+        "tasks": answered.tasks,
+        "key": answered.key,
+        "idempotent": answered.key is None,
+        "outcome": answered.outcome,
+        "run_state": answered.run_state,
+        "results": answered.results,
+    }
+
+
+def _starts(fleet: Fleet) -> list[dict[str, Any]]:
+    starts = []
+    for worker, port in fleet.worker_ports.items():
+        for at, task, echo in msgspec.json.decode(get_page(port, "/trace")):
+            starts.append({"worker": worker, "at": at, "task": task, "echo": echo})
+    return starts
+
+
+def _versions(fleet: Fleet) -> list[dict[str, Any]]:
+    versions = []
+    for daemon in fleet.daemons():
+        log = fleet.directory / f"{daemon.name}.log"
+        for line in log.read_text(encoding="utf-8").splitlines():
+            if _IN_FORCE in line and line.startswith("{"):
+                version = json.loads(line)["version"]
+                versions.append({"process": daemon.name, "version": version})
+    return versions
--- a/packages/poplarhill-dev/tests/experiment/test_run.py
+++ b/packages/poplarhill-dev/tests/experiment/test_run.py
@@ -27,5 +27,5 @@
     [summary] = run_experiment(file, tmp_path).summaries
     assert summary.jobs > 0
     assert summary.whole == summary.jobs
-    assert summary.started_twice == 0
+    assert summary.violations == []
     assert (tmp_path / "small" / "plot.png").exists()
