Add the limits slice: quotas, queue bound, admission by predicted wait

Cause: nothing bounded what a host takes in. Refusals are not_run, at once, and carry a retry time spread over one to two waits by a hash of the job's id. Not wired into the dispatcher yet: it needs the queue's count of tasks ahead.

--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -135,7 +135,7 @@
 
     Attributes:
         weight: Share against other customers when there is not enough for all.
-        quota_tasks: Most tasks that it has queued or running on one host.
+        quota_tasks: Most tasks that it has queued or running in the fleet.
     """
 
     weight: float = 1.0
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/limits/__init__.py
@@ -0,0 +1,5 @@
+"""Limits: which jobs are taken in, by quota, queue length and predicted wait."""
+
+from poplarhilld.limits.messages import Backlog as Backlog
+from poplarhilld.limits.messages import Refused as Refused
+from poplarhilld.limits.state import Limits as Limits
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/limits/state.py
@@ -0,0 +1,104 @@
+"""Admission of jobs on one host.
+
+A quota is for the whole fleet. Each host grants its even part of it, but no
+less than one largest job where the quota allows one, so hosts need not agree.
+"""
+
+from collections import Counter
+
+import xxhash
+
+from poplarhill.configuration import Configuration, CustomerSpec
+from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.types import MAX_TASKS_PER_JOB, JobSpec
+from poplarhilld.limits.messages import Backlog
+
+_DEFAULT_CUSTOMER = CustomerSpec()
+_MIN_RETRY_S = 0.1
+_MAX_RETRY_S = 30.0
+_HASH_RANGE = 2.0**32
+
+
+class Limits:
+    """Tasks in flight by customer, and the rules of admission.
+
+    Args:
+        configuration: Quotas and fleet defaults.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._hosts = 1
+        self._in_flight: Counter[str] = Counter()
+
+    @property
+    def in_flight(self) -> Counter[str]:
+        """Tasks of jobs without an answer, by customer."""
+        return self._in_flight
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a new configuration; what is in flight stays counted."""
+        self._configuration = configuration
+
+    def set_hosts(self, hosts: int) -> None:
+        """Set the number of live entry hosts among which quotas are divided."""
+        self._hosts = max(1, hosts)
+
+    def admit(self, now: float, spec: JobSpec, backlog: Backlog) -> Failure | None:
+        """Return why a job is refused, or None and count it.
+
+        Args:
+            now: The host's own clock, s.
+            spec: The job.
+            backlog: What stands before it.
+        """
+        failure = (
+            self._over_quota(spec, backlog)
+            or self._over_queue(spec, backlog)
+            or self._too_late(now, spec, backlog)
+        )
+        if failure is None:
+            self._in_flight[spec.customer] += len(spec.tasks)
+        return failure
+
+    def release(self, spec: JobSpec) -> None:
+        """Note that an admitted job has its answer."""
+        self._in_flight[spec.customer] -= len(spec.tasks)
+        if not self._in_flight[spec.customer]:
+            del self._in_flight[spec.customer]
+
+    def _over_quota(self, spec: JobSpec, backlog: Backlog) -> Failure | None:
+        customers = self._configuration.customers
+        quota = customers.get(spec.customer, _DEFAULT_CUSTOMER).quota_tasks
+        size = len(spec.tasks)
+        if size > quota:
+            detail = f"{size} tasks are over the customer's quota of {quota}"
+            return Failure(ErrorKind.IMPOSSIBLE, detail)
+        part = max(quota // self._hosts, min(quota, MAX_TASKS_PER_JOB))
+        in_flight = self._in_flight[spec.customer]
+        if in_flight + size <= part:
+            return None
+        detail = f"{in_flight} tasks in flight of {part} allowed on this host"
+        return _refuse(ErrorKind.QUOTA_EXCEEDED, detail, spec, backlog.run_time_s)
+
+    def _over_queue(self, spec: JobSpec, backlog: Backlog) -> Failure | None:
+        most = self._configuration.defaults.queue_tasks
+        if backlog.tasks_queued + len(spec.tasks) <= most:
+            return None
+        detail = f"{backlog.tasks_queued} tasks queued of {most} allowed"
+        return _refuse(ErrorKind.OVERLOADED, detail, spec, backlog.wait_s())
+
+    def _too_late(self, now: float, spec: JobSpec, backlog: Backlog) -> Failure | None:
+        response_s = backlog.response_s(len(spec.tasks))
+        excess_s = now + response_s - spec.deadline
+        if excess_s <= 0 or not backlog.tasks_ahead:
+            return None
+        detail = f"an answer is expected in {response_s:.3f} s, after the deadline"
+        return _refuse(ErrorKind.OVERLOADED, detail, spec, excess_s)
+
+
+def _refuse(kind: ErrorKind, detail: str, spec: JobSpec, wait_s: float) -> Failure:
+    """Return a refusal whose retry time is spread over one to two waits."""
+    spread = 1.0 + xxhash.xxh32_intdigest(spec.job_id.encode()) / _HASH_RANGE
+    retry_s = min(max(wait_s, _MIN_RETRY_S), _MAX_RETRY_S) * spread
+    return Failure(kind, detail, round(retry_s, 3))
