Measure the slopes that the capacity page needs

One command measures the pure decisions, the codecs, the configuration and a real daemon at four sizes.

--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -8,6 +8,7 @@
 from poplarhill_dev.demo import run_demo
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.platform import PlatformStandIn
+from poplarhill_dev.slopes import run_slopes
 from poplarhill_dev.worker import WorkerStandIn
 
 
@@ -40,6 +41,12 @@
     curio.run(WorkerStandIn(name, host, port, slots).run)
 
 
+@main.command()
+def slopes() -> None:
+    """Measure the slopes that docs/CAPACITY.md is worked out from."""
+    run_slopes()
+
+
 @main.command("known-red", context_settings={"ignore_unknown_options": True})
 @click.argument("arguments", nargs=-1)
 def known_red(arguments: tuple[str, ...]) -> None:
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/slopes/__init__.py
@@ -0,0 +1,6 @@
+"""Slopes of cost against size, from which docs/CAPACITY.md is worked out."""
+
+from poplarhill_dev.slopes.fit import Point as Point
+from poplarhill_dev.slopes.fit import Slope as Slope
+from poplarhill_dev.slopes.fit import fit as fit
+from poplarhill_dev.slopes.report import run_slopes as run_slopes
