--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -9,6 +9,7 @@
 from poplarhill_dev.demo import run_demo
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.platform import PlatformStandIn
+from poplarhill_dev.slopes import run_slopes
 from poplarhill_dev.worker import WorkerStandIn, run_workers
 
 _LOOPBACK = "127.0.0.1"
@@ -72,6 +73,26 @@
     run_experiment(file, out)
 
 
+@main.command()
+def slopes() -> None:
+    """Measure the slopes that docs/CAPACITY.md is worked out from."""
+    run_slopes()
+
+
+@main.group()
+def golden() -> None:
+    """Golden sessions of the dispatcher."""
+
+
+@golden.command("record")
+def golden_record() -> None:
+    """Record every session anew; read the diff before it is committed."""
+    from poplarhill_dev.golden.record import record_all
+
+    for path in record_all():
+        click.echo(f"changed: {path}")
+
+
 @main.command("known-red", context_settings={"ignore_unknown_options": True})
 @click.argument("arguments", nargs=-1)
 def known_red(arguments: tuple[str, ...]) -> None:
