Record golden sessions of one host and compare them exactly

Cause: nothing showed a reader what a whole session decides. A session is a text file of events; replaying it writes what the host does, and one command records all of them again.

--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/golden/record.py
@@ -0,0 +1,19 @@
+"""Records golden sessions anew."""
+
+from pathlib import Path
+
+from poplarhill_dev.golden.session import replay
+
+SESSIONS = Path("packages/poplarhilld/tests/golden")
+
+
+def record_all(directory: Path = SESSIONS) -> list[Path]:
+    """Write every session of a directory anew; return those that changed."""
+    changed = []
+    for path in sorted(directory.glob("*.txt")):
+        before = path.read_text(encoding="utf-8")
+        after = replay(before)
+        if after != before:
+            path.write_text(after, encoding="utf-8")
+            changed.append(path)
+    return changed
