Check traces of real processes under failures, alone and together; add the relay

Cause: what the fleet promises under kills, freezes, platform outages, slowness and lost answers, bad and slow workers was not shown against processes. The relay delays and cuts what passes between data centres; the daemons do not go through it yet.

--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -53,6 +53,15 @@
     curio.run(run_workers, stand_ins)
 
 
+@main.command()
+@click.argument("plan", type=click.Path(exists=True, path_type=Path))
+def relay(plan: Path) -> None:
+    """Run the relay that delays and cuts what passes between data centres."""
+    from poplarhill_dev.relay import run_relay
+
+    curio.run(run_relay, plan)
+
+
 @main.command()
 @click.argument("plan", type=click.Path(exists=True, path_type=Path))
 @click.option("--out", type=click.Path(path_type=Path), required=True)
--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
@@ -1,8 +1,5 @@
 """Runs an experiment: a fleet, its load and its faults for each case."""
 
-import subprocess
-import sys
-import time
 from collections import Counter
 from pathlib import Path
 
@@ -12,10 +9,9 @@
 
 from poplarhill_dev.experiment.bounds import ORDERS, central_responses
 from poplarhill_dev.experiment.config import Case, Experiment, cases
-from poplarhill_dev.experiment.faults import schedule_faults
-from poplarhill_dev.experiment.load import Answered, LoadPlan
 from poplarhill_dev.experiment.plot import plot_results
 from poplarhill_dev.experiment.report import Bound, Results, table
+from poplarhill_dev.experiment.submit import submit
 from poplarhill_dev.experiment.summary import (
     Messages,
     Summary,
@@ -27,8 +23,6 @@
 from poplarhill_dev.trace import check, record
 from poplarhill_dev.trace.checker import Trace
 
-_LEAD_S = 3.0
-_LOAD_MARGIN_S = 120.0
 _TASKS_SENT = "poplarhill_tasks_sent"
 _MESSAGES = "poplarhill_messages"
 
@@ -70,7 +64,9 @@
         experiment.worker_processes,
     )
     try:
-        answers = _submit(experiment, fleet, jobs)
+        answers = submit(
+            fleet, jobs, experiment.faults, processes=experiment.load_processes
+        )
         trace = record(fleet, answers)
         messages = _messages(fleet, len(trace["starts"]))
     finally:
@@ -82,33 +78,6 @@
     return summarize(case, answers, messages, violations)
 
 
-def _submit(
-    experiment: Experiment, fleet: Fleet, jobs: list[PlannedJob]
-) -> list[Answered]:
-    """Run the load and the faults; return what was answered."""
-    start = time.monotonic() + _LEAD_S
-    ports = [daemon.port for daemon in fleet.daemons()]
-    outs: list[Path] = []
-    processes: list[subprocess.Popen] = []
-    for number in range(experiment.load_processes):
-        part = jobs[number :: experiment.load_processes]
-        plan = fleet.directory / f"load{number}.json"
-        plan.write_bytes(msgspec.json.encode(LoadPlan(start, ports, part)))
-        outs.append(fleet.directory / f"answers{number}.json")
-        command = [sys.executable, "-m", "poplarhill_dev", "load", str(plan)]
-        processes.append(subprocess.Popen([*command, "--out", str(outs[-1])]))
-    try:
-        schedule_faults(fleet, experiment.faults, start).run()
-        for process in processes:
-            process.wait(experiment.duration_s + _LOAD_MARGIN_S)
-    finally:
-        for process in processes:
-            process.kill()
-            process.wait()
-    parts = [msgspec.json.decode(p.read_bytes(), type=list[Answered]) for p in outs]
-    return sorted((a for part in parts for a in part), key=lambda a: a.at_s)
-
-
 def _keep(trace: Trace, case: Case, directory: Path) -> None:
     """Keep a trace that breaks an outcome, for a reader."""
     name = f"trace-{case.firm}-{case.load:g}-{case.seed}-{case.policy}.json"
--- /dev/null
+++ b/packages/poplarhill-dev/tests/failures/conftest.py
@@ -0,0 +1,52 @@
+"""A fleet of real processes for tests of failures."""
+
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from poplarhill_dev.experiment.load import Answered
+from poplarhill_dev.experiment.workload import PlannedJob
+from poplarhill_dev.fleet import Fleet
+
+HOSTS = 3
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    fleet = Fleet.start(hosts=HOSTS, workers=6, worker_processes=3)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
+        fleet.remove_files()
+
+
+@pytest.fixture
+def steady_jobs() -> Callable[[float], list[PlannedJob]]:
+    """Return a function from a duration, s, to twenty small jobs a second."""
+
+    def jobs(duration_s: float) -> list[PlannedJob]:
+        return [
+            PlannedJob(
+                name=f"j{number}",
+                at_s=number / 20,
+                host=number % HOSTS,
+                run_s=(0.1,) * (1 + number % 3),
+                timeout_s=10.0,
+                declared_s=0.1,
+                customer="default",
+                key=f"k{number}" if number % 5 == 0 else None,
+                hang_up_s=None,
+            )
+            for number in range(int(duration_s * 20))
+        ]
+
+    return jobs
+
+
+@pytest.fixture
+def one_answer_each() -> Callable[[list[PlannedJob], list[Answered]], bool]:
+    def check(jobs: list[PlannedJob], answers: list[Answered]) -> bool:
+        return sorted(j.name for j in jobs) == sorted(a.name for a in answers)
+
+    return check
