--- a/packages/poplarhill/src/poplarhill/cli/config.py
+++ b/packages/poplarhill/src/poplarhill/cli/config.py
@@ -13,7 +13,7 @@
     Configuration,
     Fold,
     Rejection,
-    encode_change,
+    encode_record,
     make_patch,
 )
 from poplarhill.exceptions import ErrorKind, Failure, PoplarhillError
@@ -80,7 +80,7 @@
         patch=make_patch(fold.document, document),
     )
     for _ in range(_ATTEMPTS):
-        appended = await client.append(CONFIG_STREAM, encode_change(change))
+        appended = await client.append(CONFIG_STREAM, encode_record(change))
         if isinstance(appended, AppendRefused):
             raise _unavailable(appended.detail)
         outcome = await _settle(client, fold, change.change_id)
--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -18,7 +18,7 @@
 _COUNT = {"type": "integer", "minimum": 1}
 
 _WORKER_FIELDS: dict[str, Any] = {
-    "host": {"type": "string", "format": "ipv4"},
+    "host": {"type": "string", "pattern": r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$"},
     "port": {"type": "integer", "minimum": 1, "maximum": 65535},
     "slots": _COUNT,
     "connections": _COUNT,
--- a/packages/poplarhill/src/poplarhill/configuration/fold.py
+++ b/packages/poplarhill/src/poplarhill/configuration/fold.py
@@ -1,13 +1,12 @@
-"""The fold of configuration changes over log order.
+"""The fold of the configuration stream over log order.
 
 Every host and every command folds the same records in the same order, so all
 come to the same version and document. Of changes made from the same version,
-the one at the lowest offset is accepted.
+the one at the lowest offset is accepted. docs/design/configuration.md argues
+why this holds for readers that come late to a truncated log.
 """
 
-from typing import Any, NamedTuple
-
-import msgspec
+from typing import NamedTuple
 
 from poplarhill.configuration.document import (
     Configuration,
@@ -15,26 +14,16 @@
     empty_document,
 )
 from poplarhill.configuration.patch import apply_patch
+from poplarhill.configuration.records import (
+    Change,
+    Restoration,
+    Snapshot,
+    decode_record,
+)
 from poplarhill.exceptions import SettingsError
 from poplarhill.platform import Record
 
-
-class Change(msgspec.Struct, tag="change", forbid_unknown_fields=True):
-    """A change that an operator publishes.
-
-    Attributes:
-        change_id: Unique id, by which a lost answer is settled.
-        base_version: Version that the change was made from.
-        author: Who made it.
-        note: Why, in a sentence.
-        patch: JSON merge patch against the base version's document.
-    """
-
-    change_id: str
-    base_version: int
-    author: str
-    note: str
-    patch: dict[str, Any]
+_WINNERS_KEPT = 64
 
 
 class Rejection(NamedTuple):
@@ -42,7 +31,7 @@
 
     Attributes:
         change_id: Its id.
-        winner: Id of the change accepted from the same version, if any.
+        winner: Id of the change accepted from the same version, if known.
         detail: Why, in a sentence.
     """
 
@@ -51,19 +40,22 @@
     detail: str
 
 
-def encode_change(change: Change) -> str:
-    """Return the record body of a change."""
-    return msgspec.json.encode(change).decode()
-
-
 class Fold:
-    """State after the records read so far."""
+    """State after the records read so far.
+
+    A fold is *complete* while it has read, or taken from a snapshot, every
+    record below `next_offset`. After a gap it reads on in search of a snapshot
+    made at or after the end of the gap, and keeps its last state meanwhile.
+    """
 
     def __init__(self) -> None:
         self._document: Document = empty_document()
         self._configuration = Configuration.from_document(0, self._document)
-        self._next_offset = 0
         self._winners: dict[int, str] = {}
+        self._folded_offset = 0
+        self._next_offset = 0
+        self._gap_end: int | None = None
+        self._snapshot_time: float | None = None
 
     @property
     def configuration(self) -> Configuration:
@@ -77,22 +69,75 @@
 
     @property
     def next_offset(self) -> int:
-        """Offset of the first record not folded yet."""
+        """Offset to read from next."""
         return self._next_offset
 
+    @property
+    def complete(self) -> bool:
+        """Whether no record below `next_offset` is missing from the state."""
+        return self._gap_end is None
+
+    @property
+    def snapshot_time(self) -> float | None:
+        """Time of the newest good snapshot seen in the log, by its clock, s."""
+        return self._snapshot_time
+
+    def winner(self, base_version: int) -> str | None:
+        """Return the id of the change accepted from a version, if known."""
+        return self._winners.get(base_version)
+
     def apply(self, record: Record) -> Change | Rejection | None:
-        """Fold one record.
+        """Fold one record; a record other than the next one is passed over.
 
         Returns:
             The change if it was accepted, why not if it was rejected, or None
-            for a record that is no change.
+            for a record that decides on no change.
         """
-        self._next_offset = record.offset + 1
-        try:
-            change = msgspec.json.decode(record.body, type=Change)
-        except msgspec.MsgspecError:
+        if record.offset != self._next_offset:
             return None
-        return self._apply_change(change)
+        self._next_offset += 1
+        if self.complete:
+            self._folded_offset = self._next_offset
+        match decode_record(record.body):
+            case Change() as change if self.complete:
+                return self._apply_change(change)
+            case Snapshot() as snapshot:
+                self._apply_snapshot(record, snapshot)
+            case Restoration(version, document) if self.complete:
+                self._replace(version, document)
+        return None
+
+    def skip_to(self, earliest: int) -> None:
+        """Go on at the oldest record kept, after records were truncated."""
+        if earliest > self._next_offset:
+            self._next_offset = earliest
+            self._gap_end = earliest
+
+    def adopt(self, snapshot: Snapshot) -> bool:
+        """Take over a newer state that another reader came to.
+
+        Returns:
+            Whether it was newer and well-formed.
+        """
+        current = (self._configuration.version, self._folded_offset)
+        offered = (snapshot.version, snapshot.next_offset)
+        if snapshot.version < self._configuration.version or offered <= current:
+            return False
+        return self._take(snapshot)
+
+    def make_snapshot(self, time: float) -> Snapshot:
+        """Return the state, as a fact that any other reader may take over.
+
+        Args:
+            time: The log's clock when it held no further record, s.
+        """
+        return Snapshot(
+            version=self._configuration.version,
+            document=self._document,
+            next_offset=self._folded_offset,
+            time=time,
+            winners=dict(self._winners),
+        )
 
     def _apply_change(self, change: Change) -> Change | Rejection:
         version = self._configuration.version
@@ -100,12 +145,58 @@
             winner = self._winners.get(change.base_version)
             detail = f"made from version {change.base_version}, now {version}"
             return Rejection(change.change_id, winner, detail)
-        document = apply_patch(self._document, change.patch)
         try:
+            document = apply_patch(self._document, change.patch)
             configuration = Configuration.from_document(version + 1, document)
         except SettingsError as error:
             return Rejection(change.change_id, None, error.format_message())
+        except RecursionError:
+            return Rejection(change.change_id, None, "nested too deeply")
         self._document = document
         self._configuration = configuration
-        self._winners[version] = change.change_id
+        self._add_winner(version, change.change_id)
         return change
+
+    def _apply_snapshot(self, record: Record, snapshot: Snapshot) -> None:
+        if snapshot.next_offset > record.offset:
+            return
+        if self._gap_end is None:
+            self._note_snapshot(snapshot)
+        elif snapshot.next_offset >= self._gap_end and self._take(snapshot):
+            self._snapshot_time = snapshot.time
+
+    def _note_snapshot(self, snapshot: Snapshot) -> None:
+        """Note the time of a snapshot that says what the fold says."""
+        same = snapshot.version == self._configuration.version
+        if same and snapshot.document == self._document:
+            newest = self._snapshot_time
+            self._snapshot_time = max(snapshot.time, newest or snapshot.time)
+
+    def _take(self, snapshot: Snapshot) -> bool:
+        """Set the state and go on reading where it ends."""
+        if not self._replace(snapshot.version, snapshot.document, at_least=True):
+            return False
+        self._winners = dict(sorted(snapshot.winners.items())[-_WINNERS_KEPT:])
+        self._folded_offset = snapshot.next_offset
+        self._next_offset = snapshot.next_offset
+        self._gap_end = None
+        return True
+
+    def _replace(
+        self, version: int, document: Document, at_least: bool = False
+    ) -> bool:
+        """Set version and document unless that goes back or fails its checks."""
+        current = self._configuration.version
+        if version < current or (version == current and not at_least):
+            return False
+        try:
+            configuration = Configuration.from_document(version, document)
+        except (SettingsError, RecursionError):
+            return False
+        self._document = document
+        self._configuration = configuration
+        return True
+
+    def _add_winner(self, base_version: int, change_id: str) -> None:
+        self._winners[base_version] = change_id
+        self._winners.pop(base_version - _WINNERS_KEPT, None)
--- a/packages/poplarhill/tests/configuration/test_fold.py
+++ b/packages/poplarhill/tests/configuration/test_fold.py
@@ -1,13 +1,24 @@
 """The fold of configuration changes."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from poplarhill.configuration import Change, Fold, Rejection, encode_change
+from poplarhill.configuration import (
+    Change,
+    Fold,
+    Rejection,
+    Restoration,
+    Snapshot,
+    encode_record,
+)
 from poplarhill.platform import Record
 
+DOCUMENT = {"customers": {"jacaranda": {"weight": 2}}}
+
 
 def change(change_id: str, base_version: int, patch: dict) -> str:
-    return encode_change(Change(change_id, base_version, "ada", "a test", patch))
+    return encode_record(Change(change_id, base_version, "ada", "a test", patch))
 
 
 def fold_all(bodies: list[str]) -> tuple[Fold, list]:
@@ -15,18 +26,129 @@
     return fold, [fold.apply(Record(i, 0.0, body)) for i, body in enumerate(bodies)]
 
 
+def state(fold: Fold) -> tuple[int, dict]:
+    return fold.configuration.version, fold.document
+
+
 def test_of_racing_changes_the_first_wins_and_the_other_names_it() -> None:
-    customers = {"customers": {"jacaranda": {"weight": 2}}}
-    fold, outcomes = fold_all([change("a", 0, customers), change("b", 0, {})])
+    fold, outcomes = fold_all([change("a", 0, DOCUMENT), change("b", 0, {})])
     assert fold.configuration.version == 1
     assert isinstance(outcomes[1], Rejection)
     assert outcomes[1].winner == "a"
 
 
 @pytest.mark.parametrize(
-    "body", ["", "{", "[]", '{"type": "change"}', change("x", 0, {"bad": 1})]
+    "body",
+    [
+        "",
+        "{",
+        "[]",
+        '{"type": "change"}',
+        change("x", 0, {"bad": 1}),
+        "[" * 100_000,
+        '{"a":' * 100_000,
+        encode_record(Snapshot(5, DOCUMENT, 9, 0.0)),
+        encode_record(Restoration(5, {"bad": 1}, "h1")),
+    ],
 )
 def test_a_bad_record_changes_nothing(body: str) -> None:
     fold, _ = fold_all([body])
-    assert fold.configuration.version == 0
+    assert state(fold) == (0, {})
     assert fold.next_offset == 1
+
+
+def test_a_reader_after_a_gap_waits_for_a_snapshot_made_beyond_it() -> None:
+    fold = Fold()
+    fold.skip_to(7)
+    stale = encode_record(Snapshot(3, DOCUMENT, 6, 0.0))
+    fold.apply(Record(7, 0.0, stale))
+    fold.apply(Record(8, 0.0, change("c", 0, DOCUMENT)))
+    assert (state(fold), fold.complete) == ((0, {}), False)
+    fold.apply(Record(9, 0.0, encode_record(Snapshot(3, DOCUMENT, 8, 0.0))))
+    assert (state(fold), fold.complete) == ((3, DOCUMENT), True)
+    assert fold.next_offset == 8
+
+
+def test_a_restoration_counts_only_where_it_is_newer() -> None:
+    restored = encode_record(Restoration(10, DOCUMENT, "h1"))
+    older = encode_record(Restoration(9, {}, "h2"))
+    fold, _ = fold_all([change("a", 0, {}), restored, older, restored])
+    assert state(fold) == (10, DOCUMENT)
+
+
+_READ_BOUND = 10_000  # far more reads than any history here needs
+_WEIGHTS = st.integers(0, 3)  # 0 is no valid weight
+_CHANGES = st.tuples(st.just("change"), st.integers(0, 3), _WEIGHTS)
+_REPEATS = st.tuples(st.just("repeat"), st.integers(0, 30), st.none())
+_SNAPSHOTS = st.tuples(st.just("snapshot"), st.integers(0, 6), st.none())
+_RESTORATIONS = st.tuples(st.just("restoration"), st.integers(0, 8), _WEIGHTS)
+_GARBAGE = st.tuples(st.just("garbage"), st.sampled_from(["", "{", "0"]), st.none())
+_STEPS = st.one_of(_CHANGES, _CHANGES, _REPEATS, _SNAPSHOTS, _RESTORATIONS, _GARBAGE)
+
+
+def write_history(steps: list) -> tuple[list[Record], list[tuple[int, dict]]]:
+    """Return the records and the state of a full reader before each of them.
+
+    A change is made from up to 3 versions back, a snapshot is appended up to 6
+    records after it was made, and any earlier record may be repeated.
+    """
+    fold = Fold()
+    records: list[Record] = []
+    states = [state(fold)]
+    snapshots = [fold.make_snapshot(0.0)]
+    for offset, (kind, number, weight) in enumerate(steps):
+        patch = {"customers": {"kelani": {"weight": weight}}}
+        match kind:
+            case "change":
+                base = max(0, fold.configuration.version - number)
+                body = change(f"c{offset}", base, patch)
+            case "repeat":
+                body = records[number % offset].body if offset else ""
+            case "snapshot":
+                body = encode_record(snapshots[max(0, offset - number)])
+            case "restoration":
+                body = encode_record(Restoration(number, patch, "h1"))
+            case _:
+                body = number
+        records.append(Record(offset, float(offset), body))
+        fold.apply(records[-1])
+        states.append(state(fold))
+        snapshots.append(fold.make_snapshot(float(offset)))
+    return records, states
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(
+    st.lists(_STEPS, min_size=10, max_size=40),
+    st.lists(st.tuples(st.floats(0, 1), st.integers(1, 8)), max_size=8),
+)
+def test_a_late_reader_comes_to_the_state_of_one_that_read_everything(
+    steps: list, reads: list
+) -> None:
+    records, states = write_history(steps)
+    fold = Fold()
+    version = 0
+    # Each read finds the log truncated to some offset, and takes a few records.
+    for truncated, count in [*sorted(reads), (0, _READ_BOUND)]:
+        earliest = int(truncated * len(records))
+        fold.skip_to(earliest)
+        taken = 0
+        while fold.next_offset < len(records) and taken < count:
+            fold.apply(records[fold.next_offset])
+            fold.skip_to(earliest)
+            taken += 1
+            assert fold.configuration.version >= version
+            version = fold.configuration.version
+            if fold.complete:
+                assert state(fold) == states[fold.next_offset]
+    assert fold.next_offset == len(records)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(_STEPS, max_size=40))
+def test_no_change_is_accepted_twice(steps: list) -> None:
+    records, _ = write_history(steps)
+    fold = Fold()
+    outcomes = [fold.apply(record) for record in records]
+    accepted = [o.change_id for o in outcomes if isinstance(o, Change)]
+    assert len(accepted) == len(set(accepted))
