Publish by reading back, and give the platform stand-in typed faults

Cause: publish appended up to five times without waiting and told 'outcome unknown' for appends that take effect late; the stand-in could lose every answer or none.

Publisher appends under one id until the log shows the outcome; a change whose base version has passed is told its winner even if its own record never came. The stand-in bounds appends a second, loses answers or appends, and applies them late, for a part of the appends, from a seed.

Ruled out: appending once and waiting (an append lost with its answer never settles).

--- a/packages/poplarhill-dev/src/poplarhill_dev/platform.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/platform.py
@@ -1,7 +1,7 @@
 """Stand-in of the platform: an append-only log and a host list, in memory."""
 
 import time
-from typing import NamedTuple
+from random import Random
 from urllib.parse import parse_qs
 
 import curio
@@ -10,27 +10,38 @@
 from poplarhill.http import HttpServer, Request, Response, json_response
 from poplarhill.platform import Appended, Batch, HostList, Record, Truncated
 
-_APPEND_DELAY_S = 0.004
 _HTTP_OK = 200
-_HTTP_GONE = 410
+_HTTP_BAD_REQUEST = 400
 _HTTP_NOT_FOUND = 404
+_HTTP_GONE = 410
 _HTTP_UNAVAILABLE = 503
 
 
-class Faults(NamedTuple):
-    """What the stand-in does wrong.
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the stand-in behaves and what it does wrong.
 
     Attributes:
         down: Whether every request is answered with an error.
         delay_s: Time before each answer, s.
+        appends_per_s: Most appends in a second; more of them wait.
         lose_answers: Whether appends take effect and their answers are lost.
+        lose_appends: Whether appends are lost with their answers.
+        late_append_s: Time by which appends take effect after their answer is
+            lost, s; 0 for none.
+        fraction: Part of the appends that the three faults above hit.
         retention: Most records kept in a stream.
+        retention_s: Longest time that a record is kept, s.
     """
 
     down: bool = False
-    delay_s: float = _APPEND_DELAY_S
+    delay_s: float = 0.004
+    appends_per_s: float = 400.0
     lose_answers: bool = False
+    lose_appends: bool = False
+    late_append_s: float = 0.0
+    fraction: float = 1.0
     retention: int = 100_000
+    retention_s: float = 1e9
 
 
 class PlatformStandIn:
@@ -39,14 +50,17 @@
     Args:
         host: IP address to listen on.
         port: TCP port to listen on; 0 takes any free one.
+        seed: Seed of the choice of appends that faults hit.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, seed: int = 1) -> None:
         self._streams: dict[str, list[Record]] = {}
         self._ends: dict[str, int] = {}
         self._hosts = HostList(0, frozenset(), frozenset())
-        self._faults = Faults()
+        self._random = Random(seed)
+        self._next_append = 0.0
         self._server = HttpServer(host, port, self.handle)
+        self.faults = Faults()
 
     @property
     def port(self) -> int:
@@ -59,23 +73,30 @@
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
-        match (request.method, request.path.strip("/").split("/")):
+        try:
+            return await self._handle(request)
+        except (msgspec.MsgspecError, KeyError, ValueError) as error:
+            return json_response(_HTTP_BAD_REQUEST, {"detail": str(error)})
+
+    async def _handle(self, request: Request) -> Response:
+        path = request.path.strip("/").split("/")
+        match (request.method, path):
             case ("PUT", ["faults"]):
-                fields = msgspec.json.decode(request.body)
-                self._faults = Faults(**fields)
-                return json_response(_HTTP_OK, {})
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+                return json_response(_HTTP_OK, self.faults)
             case ("PUT", ["hosts"]):
                 self._hosts = msgspec.json.decode(request.body, type=HostList)
                 return json_response(_HTTP_OK, {})
-        if self._faults.down:
+            case ("DELETE", ["streams", stream]):
+                self._ends.pop(stream, None)
+                self._streams.pop(stream, None)
+                return json_response(_HTTP_OK, {})
+        if self.faults.down:
             return json_response(_HTTP_UNAVAILABLE, {"detail": "down"})
-        await curio.sleep(self._faults.delay_s)
-        return self._serve(request)
-
-    def _serve(self, request: Request) -> Response:
-        match (request.method, request.path.strip("/").split("/")):
+        await curio.sleep(self.faults.delay_s)
+        match (request.method, path):
             case ("POST", ["streams", stream, "records"]):
-                return self._append(stream, request.body.decode())
+                return await self._append(stream, request.body.decode())
             case ("GET", ["streams", stream, "records"]):
                 query = parse_qs(request.query)
                 return self._read(stream, int(query["from"][0]), int(query["limit"][0]))
@@ -83,19 +104,43 @@
                 return json_response(_HTTP_OK, self._hosts)
         return json_response(_HTTP_NOT_FOUND, {"detail": request.path})
 
-    def _append(self, stream: str, body: str) -> Response:
+    async def _append(self, stream: str, body: str) -> Response:
+        await self._wait_for_turn()
+        faults = self.faults
+        hit = self._random.random() < faults.fraction
+        lost = json_response(_HTTP_UNAVAILABLE, {"detail": "answer lost"})
+        if hit and faults.lose_appends:
+            return lost
+        if hit and faults.late_append_s:
+            await curio.spawn(self._add_late, stream, body, daemon=True)
+            return lost
+        offset = self._add(stream, body)
+        if hit and faults.lose_answers:
+            return lost
+        return json_response(_HTTP_OK, Appended(offset))
+
+    async def _wait_for_turn(self) -> None:
+        """Keep to `appends_per_s`."""
+        now = time.monotonic()
+        turn = max(now, self._next_append)
+        self._next_append = turn + 1.0 / self.faults.appends_per_s
+        await curio.sleep(turn - now)
+
+    async def _add_late(self, stream: str, body: str) -> None:
+        await curio.sleep(self.faults.late_append_s)
+        self._add(stream, body)
+
+    def _add(self, stream: str, body: str) -> int:
         offset = self._ends.get(stream, 0)
         self._ends[stream] = offset + 1
         records = self._streams.setdefault(stream, [])
         records.append(Record(offset, time.time(), body))
-        del records[: -self._faults.retention]
-        if self._faults.lose_answers:
-            return json_response(_HTTP_UNAVAILABLE, {"detail": "answer lost"})
-        return json_response(_HTTP_OK, Appended(offset))
+        return offset
 
     def _read(self, stream: str, offset: int, limit: int) -> Response:
         records = self._streams.get(stream, [])
         end = self._ends.get(stream, 0)
+        self._expire(records)
         earliest = records[0].offset if records else end
         if offset < earliest:
             return json_response(_HTTP_GONE, Truncated(earliest))
@@ -103,3 +148,9 @@
         found = tuple(records[first : first + limit])
         batch = Batch(found, offset + len(found), end, time.time())
         return json_response(_HTTP_OK, batch)
+
+    def _expire(self, records: list[Record]) -> None:
+        del records[: -self.faults.retention]
+        oldest = time.time() - self.faults.retention_s
+        while records and records[0].time < oldest:
+            del records[0]
--- a/packages/poplarhill/src/poplarhill/configuration/__init__.py
+++ b/packages/poplarhill/src/poplarhill/configuration/__init__.py
@@ -9,6 +9,10 @@
 from poplarhill.configuration.fold import Rejection as Rejection
 from poplarhill.configuration.patch import apply_patch as apply_patch
 from poplarhill.configuration.patch import make_patch as make_patch
+from poplarhill.configuration.publisher import READ_LIMIT as READ_LIMIT
+from poplarhill.configuration.publisher import Accepted as Accepted
+from poplarhill.configuration.publisher import Decided as Decided
+from poplarhill.configuration.publisher import Publisher as Publisher
 from poplarhill.configuration.records import CONFIG_STREAM as CONFIG_STREAM
 from poplarhill.configuration.records import Change as Change
 from poplarhill.configuration.records import Restoration as Restoration
