Add the operators' commands for services, workers, status and cancelling

Cause: only config check, publish and show, and job submit, existed; publish compared the file with whatever was in force and so undid a change made meanwhile without a word.

--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -134,10 +135,20 @@
         """Publish a configuration by the operators' command."""
         path = self._directory / "configuration.json"
         path.write_text(json.dumps(document, indent=2))
+        shown = self.operate("config", "show").stderr.split()[-1]
+        self.operate("config", "publish", str(path), "--note", note, "--base", shown)
+
+    def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the operators' command against the fleet's platform."""
         platform = f"{_HOST}:{self._processes['platform'].port}"
-        command = [str(_BIN / "poplarhill"), "config", "publish", str(path)]
-        command += ["--note", note, "--platform", platform]
-        subprocess.run(command, check=True, capture_output=True, timeout=60)
+        return subprocess.run(
+            [str(_BIN / "poplarhill"), *arguments],
+            check=True,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            env={**os.environ, "POPLARHILL_PLATFORM": platform},
+        )
 
     def wait_ready(self) -> None:
         """Wait until every daemon takes jobs."""
--- /dev/null
+++ b/packages/poplarhill-dev/tests/test_operators_command.py
@@ -0,0 +1,145 @@
+"""The operators' command against a platform stand-in."""
+
+import json
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import curio
+import pytest
+from click.testing import CliRunner, Result
+
+from poplarhill.cli import main
+from poplarhill.exceptions import ANSWERS, ErrorKind
+from poplarhill_dev.platform import Faults, PlatformStandIn
+
+Run = Callable[..., Result]
+
+DOCUMENT = {
+    "services": {
+        "booking": {"workers": {"w1": {"host": "10.0.0.1", "port": 80, "rack": "r1"}}}
+    }
+}
+
+
+@pytest.fixture
+def stand_in() -> Iterator[PlatformStandIn]:
+    stop = curio.UniversalEvent()
+    started = threading.Event()
+    stand_ins = []
+
+    async def serve() -> None:
+        stand_ins.append(PlatformStandIn("127.0.0.1", 0))
+        serving = await curio.spawn(stand_ins[0].run)
+        started.set()
+        await stop.wait()
+        await serving.cancel()
+
+    thread = threading.Thread(target=curio.run, args=(serve,))
+    thread.start()
+    started.wait()
+    yield stand_ins[0]
+    stop.set()
+    thread.join()
+
+
+@pytest.fixture
+def run(stand_in: PlatformStandIn) -> Run:
+    environment = {"POPLARHILL_PLATFORM": f"127.0.0.1:{stand_in.port}", "USER": "ada"}
+
+    def run_command(*arguments: str) -> Result:
+        return CliRunner().invoke(main, arguments, env=environment)
+
+    return run_command
+
+
+@pytest.fixture
+def path(tmp_path: Path) -> Path:
+    path = tmp_path / "configuration.json"
+    path.write_text(json.dumps(DOCUMENT))
+    return path
+
+
+@pytest.fixture
+def published(run: Run, path: Path) -> Run:
+    result = run("config", "publish", str(path), "--note", "first")
+    assert result.output.startswith("accepted as version 1")
+    return run
+
+
+def code(kind: ErrorKind) -> int:
+    return ANSWERS[kind].exit_code
+
+
+def test_show_prints_what_was_published(published: Run) -> None:
+    result = published("config", "show")
+    assert json.loads(result.stdout) == DOCUMENT
+    assert result.stderr == "version 1\n"
+
+
+def test_a_document_made_from_an_older_version_is_refused(
+    published: Run, path: Path
+) -> None:
+    published("worker", "drain", "w1", "--reason", "a noisy fan")
+    result = published("config", "publish", str(path), "--note", "n", "--base", "1")
+    assert result.exit_code == code(ErrorKind.CONFLICT)
+    assert "made from version 1, now 2" in result.stderr
+    forgotten = published("config", "publish", str(path), "--note", "n")
+    assert forgotten.exit_code == code(ErrorKind.BAD_REQUEST)
+    assert "--base" in forgotten.stderr
+
+
+def test_a_drain_is_an_exception_with_its_reason(published: Run) -> None:
+    assert published("worker", "drain", "w1", "--reason", "a noisy fan").exit_code == 0
+    document = json.loads(published("config", "show").stdout)
+    exception = document["exceptions"]["drain-w1"]
+    assert (exception["reason"], exception["set"]) == (
+        "a noisy fan",
+        {"draining": True},
+    )
+    assert "w1 booking 10.0.0.1:80 -/r1 draining" in published("worker", "list").output
+    assert "0 workers with 0 slots, 1 draining" in published("service", "list").output
+    published("worker", "undrain", "w1")
+    assert "in service" in published("worker", "list").output
+
+
+def test_history_tells_what_became_of_each_change(published: Run) -> None:
+    published("worker", "drain", "w1", "--reason", "a noisy fan")
+    first, second = published("config", "history").output.splitlines()
+    assert "version 1" in first and first.endswith("ada first")
+    assert "version 2" in second and second.endswith("ada drain w1: a noisy fan")
+
+
+def test_diff_shows_what_would_change(published: Run, path: Path) -> None:
+    path.write_text(json.dumps({**DOCUMENT, "customers": {"kelani": {}}}))
+    assert '+    "kelani": {}' in published("config", "diff", str(path)).output
+
+
+@pytest.mark.parametrize(
+    ("arguments", "kind", "message"),
+    [
+        (("config", "check", "no-such-file"), ErrorKind.BAD_REQUEST, "no-such-file"),
+        (("worker", "drain", "w9", "--reason", "r"), ErrorKind.BAD_REQUEST, "'w9'"),
+        (("worker", "drain", "w1", "--reason", " "), ErrorKind.BAD_REQUEST, "/reason"),
+        (("worker", "undrain", "w1"), ErrorKind.BAD_REQUEST, "drain-w1"),
+        (("service", "show", "x"), ErrorKind.UNKNOWN_SERVICE, "'x'"),
+        (("status", "--host", "127.0.0.1:1"), ErrorKind.NOT_READY, "cannot connect"),
+        (("job", "cancel", "j", "--host", "127.0.0.1:1"), ErrorKind.NOT_READY, ""),
+    ],
+)
+def test_each_error_is_one_line_with_its_exit_code(
+    published: Run, arguments: tuple[str, ...], kind: ErrorKind, message: str
+) -> None:
+    result = published(*arguments)
+    assert result.exit_code == code(kind)
+    [line] = result.stderr.splitlines()
+    assert line.startswith(f"Error: {kind.value}: ") and message in line
+
+
+def test_a_platform_that_is_down_is_one_line_too(
+    run: Run, stand_in: PlatformStandIn
+) -> None:
+    stand_in.faults = Faults(down=True)
+    result = run("config", "show")
+    assert result.exit_code == code(ErrorKind.PLATFORM_UNAVAILABLE)
+    assert result.stderr.count("\n") == 1
--- a/packages/poplarhill/src/poplarhill/cli/_support.py
+++ b/packages/poplarhill/src/poplarhill/cli/_support.py
@@ -3,15 +3,28 @@
 import json
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import click
+import curio
+import msgspec
 
 from poplarhill.exceptions import ErrorKind, Failure, PoplarhillError
+from poplarhill.http import (
+    ConnectionLostError,
+    InvalidResponseError,
+    Request,
+    Response,
+    fetch,
+)
+
+HTTP_TIMEOUT_S = 5.0
+_HTTP_OK = range(200, 300)
+_Value = TypeVar("_Value")
 
 
 class CommandGroup(click.Group):
-    """A group that shows each `PoplarhillError` as one line and its exit code."""
+    """The top group: shows each `PoplarhillError` as one line and its exit code."""
 
     def invoke(self, ctx: click.Context) -> Any:
         """Run the command."""
@@ -39,6 +52,29 @@
         return host, int(port)
 
 
+host_option = click.option(
+    "--host",
+    type=Address(),
+    envvar="POPLARHILL_HOST",
+    required=True,
+    help="Entry host to ask.",
+)
+
+
+class ErrorAnswer(msgspec.Struct):
+    """The error in a daemon's answer."""
+
+    kind: ErrorKind
+    detail: str
+    retry_after_s: float | None = None
+
+
+class FailedAnswer(msgspec.Struct):
+    """A daemon's answer that is no success."""
+
+    error: ErrorAnswer
+
+
 def load_json(path: Path) -> Any:
     """Read a JSON file.
 
@@ -48,5 +84,43 @@
     try:
         return json.loads(path.read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
-        failure = Failure(ErrorKind.BAD_REQUEST, f"{path}: {error}")
+        raise bad_request(f"{path}: {error}") from error
+
+
+def bad_request(detail: str) -> PoplarhillError:
+    """Return the error of a request that the operator has to correct."""
+    return PoplarhillError(Failure(ErrorKind.BAD_REQUEST, detail))
+
+
+def call(
+    host: tuple[str, int], request: Request, timeout_s: float = HTTP_TIMEOUT_S
+) -> Response:
+    """Send a request to a daemon and return its successful answer.
+
+    Raises:
+        PoplarhillError: The daemon's own error, or no whole answer came.
+    """
+    try:
+        response = curio.run(fetch, *host, request, timeout_s)
+    except (ConnectionLostError, InvalidResponseError) as error:
+        sent = getattr(error, "sent", True)
+        kind = ErrorKind.TIMEOUT if sent else ErrorKind.NOT_READY
+        raise PoplarhillError(Failure(kind, str(error))) from error
+    if response.status in _HTTP_OK:
+        return response
+    failed = decode(response.body, FailedAnswer).error
+    failure = Failure(failed.kind, failed.detail, failed.retry_after_s)
+    raise PoplarhillError(failure)
+
+
+def decode(body: bytes, kind: type[_Value]) -> _Value:
+    """Decode a daemon's answer.
+
+    Raises:
+        PoplarhillError: The answer is not of that form.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        failure = Failure(ErrorKind.BAD_RESPONSE, str(error))
         raise PoplarhillError(failure) from error
--- a/packages/poplarhill/src/poplarhill/cli/config.py
+++ b/packages/poplarhill/src/poplarhill/cli/config.py
@@ -1,45 +1,35 @@
-"""Commands on the configuration: check, publish, show."""
+"""Commands on the configuration: check, publish, show, diff, history."""
 
-import json
-import uuid
+import difflib
+from datetime import UTC, datetime
 from pathlib import Path
 
 import click
 import curio
 
-from poplarhill.cli._support import Address, CommandGroup, load_json
-from poplarhill.configuration import (
-    Change,
-    Configuration,
-    Fold,
-    Rejection,
-    encode_record,
-    make_patch,
+from poplarhill.cli._publishing import (
+    author_option,
+    format_document,
+    platform_option,
+    publish_edit,
+    publisher_at,
+    read_fold,
+    timeout_option,
 )
+from poplarhill.cli._support import bad_request, load_json
+from poplarhill.configuration import Accepted, Configuration, Decided, Document, Fold
 from poplarhill.exceptions import ErrorKind, Failure, PoplarhillError
-from poplarhill.platform import AppendRefused, Batch, HttpPlatform
-
-CONFIG_STREAM = "configuration"
-_READ_LIMIT = 500
-_TIMEOUT_S = 5.0
-_ATTEMPTS = 5
-
-_platform_option = click.option(
-    "--platform",
-    type=Address(),
-    envvar="POPLARHILL_PLATFORM",
-    required=True,
-    help="Address of the platform's log service.",
-)
+
+_path_argument = click.argument("path", type=click.Path(path_type=Path))
 
 
-@click.group(cls=CommandGroup)
+@click.group()
 def config() -> None:
     """Check, publish and show the configuration."""
 
 
 @config.command()
-@click.argument("path", type=click.Path(path_type=Path))
+@_path_argument
 def check(path: Path) -> None:
     """Check a configuration document and name every problem."""
     configuration = Configuration.from_document(0, load_json(path))
@@ -47,75 +37,93 @@
 
 
 @config.command()
-@_platform_option
+@platform_option
 def show(platform: tuple[str, int]) -> None:
-    """Print the document in force."""
-    client = HttpPlatform(*platform, timeout_s=_TIMEOUT_S)
-    fold = curio.run(read_fold, client)
+    """Print the document in force, and its version on standard error."""
+    fold = read_fold(platform)
     click.echo(f"version {fold.configuration.version}", err=True)
-    click.echo(json.dumps(fold.document, indent=2, sort_keys=True))
+    click.echo(format_document(fold.document))
+
+
+@config.command()
+@_path_argument
+@platform_option
+def diff(path: Path, platform: tuple[str, int]) -> None:
+    """Show what publishing a document would change."""
+    document = load_json(path)
+    Configuration.from_document(0, document)
+    fold = read_fold(platform)
+    lines = difflib.unified_diff(
+        format_document(fold.document).splitlines(),
+        format_document(document).splitlines(),
+        f"version {fold.configuration.version}",
+        str(path),
+        lineterm="",
+    )
+    for line in lines:
+        click.echo(line)
 
 
 @config.command()
-@click.argument("path", type=click.Path(path_type=Path))
+@_path_argument
 @click.option("--note", required=True, help="Why, in a sentence.")
-@click.option("--author", envvar="USER", default="unknown", help="Who you are.")
-@_platform_option
-def publish(path: Path, note: str, author: str, platform: tuple[str, int]) -> None:
+@click.option(
+    "--base",
+    type=click.IntRange(min=0),
+    help="Version that the document was made from; needed beyond the first.",
+)
+@author_option
+@timeout_option
+@platform_option
+def publish(
+    path: Path,
+    note: str,
+    base: int | None,
+    author: str,
+    timeout: float,
+    platform: tuple[str, int],
+) -> None:
     """Publish a document as the next version."""
     document = load_json(path)
     Configuration.from_document(0, document)
-    client = HttpPlatform(*platform, timeout_s=_TIMEOUT_S)
-    version = curio.run(_publish, client, document, note, author)
-    click.echo(f"accepted as version {version}")
-
-
-async def _publish(client: HttpPlatform, document: dict, note: str, author: str) -> int:
-    fold = await read_fold(client)
-    change = Change(
-        change_id=uuid.uuid4().hex,
-        base_version=fold.configuration.version,
-        author=author,
-        note=note,
-        patch=make_patch(fold.document, document),
-    )
-    for _ in range(_ATTEMPTS):
-        appended = await client.append(CONFIG_STREAM, encode_record(change))
-        if isinstance(appended, AppendRefused):
-            raise _unavailable(appended.detail)
-        outcome = await _settle(client, fold, change.change_id)
-        match outcome:
-            case Change():
-                return fold.configuration.version
-            case Rejection():
-                detail = f"{outcome.detail}; winner {outcome.winner}"
-                raise PoplarhillError(Failure(ErrorKind.CONFLICT, detail))
-    raise _unavailable("the record cannot be read back; outcome unknown")
-
-
-async def read_fold(client: HttpPlatform) -> Fold:
-    """Read and fold the whole configuration stream."""
-    fold = Fold()
-    await _settle(client, fold, None)
-    return fold
-
-
-async def _settle(
-    client: HttpPlatform, fold: Fold, change_id: str | None
-) -> Change | Rejection | None:
-    """Fold up to the end of the stream, or to the change asked for."""
-    while True:
-        match await client.read(CONFIG_STREAM, fold.next_offset, _READ_LIMIT):
-            case Batch(records=records):
-                if not records:
-                    return None
-            case other:
-                raise _unavailable(str(other))
-        for record in records:
-            outcome = fold.apply(record)
-            if outcome is not None and outcome.change_id == change_id:
-                return outcome
-
-
-def _unavailable(detail: str) -> PoplarhillError:
-    return PoplarhillError(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail))
+
+    def edit(fold: Fold) -> Document:
+        _check_base(fold, base)
+        return document
+
+    publish_edit(platform, edit, note, author, timeout)
+
+
+@config.command()
+@platform_option
+def history(platform: tuple[str, int]) -> None:
+    """List the changes that the log still keeps, and what became of each."""
+    publisher = publisher_at(platform)
+    curio.run(publisher.read)
+    for decided in publisher.history:
+        click.echo(_format_decided(decided))
+
+
+def _check_base(fold: Fold, base: int | None) -> None:
+    """Refuse a document that would silently undo somebody else's change."""
+    version = fold.configuration.version
+    if base is None and version > 0:
+        detail = f"version {version} is in force: say by --base from which version"
+        raise bad_request(f"{detail} this document was made")
+    if base is not None and base != version:
+        winner = fold.winner(base) or "unknown"
+        detail = f"made from version {base}, now {version} (change {winner})"
+        raise PoplarhillError(Failure(ErrorKind.CONFLICT, detail))
+
+
+def _format_decided(decided: Decided) -> str:
+    time = datetime.fromtimestamp(decided.record.time, UTC)
+    start = f"{time:%Y-%m-%d %H:%M:%S}Z"
+    match decided.outcome:
+        case Accepted(change_id, version):
+            change = decided.change
+            return (
+                f"{start} version {version} {change_id} {change.author} {change.note}"
+            )
+        case rejection:
+            return f"{start} rejected {rejection.change_id} {rejection.detail}"
--- a/packages/poplarhill/src/poplarhill/cli/jobs.py
+++ b/packages/poplarhill/src/poplarhill/cli/jobs.py
@@ -1,44 +1,51 @@
-"""Commands on jobs: submit."""
+"""Commands on jobs: submit, cancel."""
 
 import click
-import curio
 import msgspec
 
-from poplarhill.cli._support import Address, CommandGroup
-from poplarhill.exceptions import ErrorKind, Failure, PoplarhillError
-from poplarhill.http import ConnectionLostError, InvalidResponseError, Request, fetch
+from poplarhill.cli._support import call, host_option
+from poplarhill.http import Request
 
-_HTTP_OK = 200
+_ANSWER_MARGIN_S = 1.0
 
 
-@click.group(cls=CommandGroup)
+@click.group()
 def job() -> None:
-    """Submit jobs."""
+    """Submit and cancel jobs."""
 
 
 @job.command()
 @click.argument("service")
 @click.argument("bodies", nargs=-1, required=True)
-@click.option("--host", type=Address(), required=True, help="Entry host to ask.")
+@host_option
 @click.option("--timeout", default=10.0, help="Longest wait for the answer, s.")
 @click.option("--customer", default="default", help="Customer it counts against.")
+@click.option("--key", help="Idempotency key; implies that it may not run twice.")
 def submit(
     service: str,
     bodies: tuple[str, ...],
     host: tuple[str, int],
     timeout: float,
     customer: str,
+    key: str | None,
 ) -> None:
     """Submit a job with one task for each of BODIES and print its answer."""
     job_request = {"tasks": bodies, "timeout_s": timeout, "customer": customer}
-    request = Request(
-        "POST", f"/v1/services/{service}/jobs", body=msgspec.json.encode(job_request)
-    )
-    try:
-        response = curio.run(fetch, *host, request, timeout + 1.0)
-    except (ConnectionLostError, InvalidResponseError) as error:
-        failure = Failure(ErrorKind.INTERNAL, str(error))
-        raise PoplarhillError(failure) from error
+    headers = {}
+    if key is not None:
+        headers["idempotency-key"] = key
+        job_request["idempotent"] = False
+    path = f"/v1/services/{service}/jobs"
+    body = msgspec.json.encode(job_request)
+    request = Request("POST", path, headers=headers, body=body)
+    response = call(host, request, timeout + _ANSWER_MARGIN_S)
     click.echo(response.body.decode())
-    if response.status != _HTTP_OK:
-        raise click.exceptions.Exit(1)
+
+
+@job.command()
+@click.argument("job_id")
+@host_option
+def cancel(job_id: str, host: tuple[str, int]) -> None:
+    """Cancel a job in flight at an entry host."""
+    call(host, Request("DELETE", f"/v1/jobs/{job_id}"))
+    click.echo(f"cancelled {job_id}")
--- a/packages/poplarhill/src/poplarhill/cli/main.py
+++ b/packages/poplarhill/src/poplarhill/cli/main.py
@@ -2,15 +2,19 @@
 
 import click
 
+from poplarhill.cli._support import CommandGroup
 from poplarhill.cli.config import config
 from poplarhill.cli.jobs import job
+from poplarhill.cli.services import service
+from poplarhill.cli.status import status
+from poplarhill.cli.workers import worker
 
 
-@click.group()
+@click.group(cls=CommandGroup)
 @click.version_option(package_name="poplarhill")
 def main() -> None:
     """Operate poplarhill: its configuration, workers and jobs."""
 
 
-main.add_command(config)
-main.add_command(job)
+for command in (config, service, worker, status, job):
+    main.add_command(command)
