--- a/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
@@ -9,6 +9,9 @@
 Events:
     publish ID BASE JSON: An operator's change of the configuration is read from
         the log; JSON is a merge patch. `workers=N` stands for N workers.
+    snapshot, truncate N: A snapshot is appended to the log; its first N records
+        are no longer kept.
+    replace: The host is replaced by a new one, which reads what the log keeps.
     submit JOB TASKS TIMEOUT [CUSTOMER]: A caller submits a job.
     cancel JOB: Its caller cancels it.
     done TASK, refused TASK, lost TASK KIND: What came back from the worker that
@@ -23,7 +26,7 @@
 from typing import Any
 
 from poplarhill import ErrorKind, JobSpec, TaskId
-from poplarhill.configuration import Change, Fold, encode_change
+from poplarhill.configuration import Change, Fold, Snapshot, encode_record
 from poplarhill.platform import Record
 from poplarhill_dev.golden.render import render, render_outcome
 from poplarhilld.dispatch import Dispatcher, Identity
@@ -62,30 +65,55 @@
 
 class _Session:
     def __init__(self) -> None:
+        self._log: list[Record] = []
+        self._end = 0
+        self._sent: dict[str, str] = {}
+        self._replace()
+
+    def step(self, line: str) -> Iterator[str]:
+        time, name, *rest = line.split(" ", 2)
+        now, arguments = float(time), rest[0] if rest else ""
+        match name:
+            case "publish":
+                change_id, base, patch = arguments.split(" ", 2)
+                change = Change(change_id, int(base), "ann", "golden", _patch(patch))
+                self._append(now, change)
+                yield from self._read(now)
+            case "snapshot":
+                self._append(now, self._fold.make_snapshot(now))
+                yield from self._read(now)
+            case "truncate":
+                del self._log[: int(arguments)]
+            case "replace":
+                self._replace()
+                yield from self._read(now)
+            case _:
+                yield from self._handle(now, self._event(now, name, arguments))
+
+    def _replace(self) -> None:
         seeds = {name: Address("127.0.0.1", 7000 + n) for n, name in _PEERS}
         address = Address("127.0.0.1", 7001)
         identity = Identity("h1", "dc1", address, 1000, seeds)
         self._dispatcher = Dispatcher(identity, Random(_SEED))
         self._fold = Fold()
-        self._sent: dict[str, str] = {}
 
-    def step(self, line: str) -> Iterator[str]:
-        time, name, *rest = line.split(" ", 2)
-        arguments = rest[0] if rest else ""
-        if name == "publish":
-            yield from self._publish(float(time), arguments)
-        else:
-            event = self._event(float(time), name, arguments)
-            yield from self._handle(float(time), event)
-
-    def _publish(self, now: float, arguments: str) -> Iterator[str]:
-        change_id, base, patch = arguments.split(" ", 2)
-        change = Change(change_id, int(base), "operator", "golden", _patch(patch))
-        offset = self._fold.next_offset
-        outcome = self._fold.apply(Record(offset, now, encode_change(change)))
-        yield render_outcome(outcome)
-        event = ConfigurationChanged(self._fold.configuration)
-        yield from self._handle(now, event)
+    def _append(self, now: float, record: Change | Snapshot) -> None:
+        self._log.append(Record(self._end, now, encode_record(record)))
+        self._end += 1
+
+    def _read(self, now: float) -> Iterator[str]:
+        version = self._fold.configuration.version
+        if self._log:
+            self._fold.skip_to(self._log[0].offset)
+        while self._fold.next_offset < self._end:
+            record = self._log[self._fold.next_offset - self._end]
+            outcome = self._fold.apply(record)
+            if outcome is not None:
+                yield render_outcome(outcome)
+        if self._fold.configuration.version > version:
+            yield f"version {self._fold.configuration.version} in force"
+            event = ConfigurationChanged(self._fold.configuration)
+            yield from self._handle(now, event)
 
     def _handle(self, now: float, event: Event) -> Iterator[str]:
         for action in self._dispatcher.handle(now, event):
