--- a/packages/poplarhill-dev/src/poplarhill_dev/slopes/pure.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/slopes/pure.py
@@ -11,7 +11,7 @@
     Configuration,
     Fold,
     apply_patch,
-    encode_change,
+    encode_record,
 )
 from poplarhill.platform import Record
 from poplarhill.types import JobSpec
@@ -133,13 +133,13 @@
     second = Change("second", 1, "ada", "one", patch)
     third = Change("third", 2, "ada", "one", patch)
     fold = Fold()
-    fold.apply(Record(0, 0.0, encode_change(first)))
-    fold.apply(Record(1, 0.0, encode_change(second)))
+    fold.apply(Record(0, 0.0, encode_record(first)))
+    fold.apply(Record(1, 0.0, encode_record(second)))
     offsets = itertools.count(2)
     versions = itertools.count(fold.configuration.version)
 
     def change() -> None:
-        body = encode_change(
+        body = encode_record(
             Change(f"c{next(offsets)}", next(versions), "ada", "one", third.patch)
         )
         fold.apply(Record(fold.next_offset, 0.0, body))
--- a/packages/poplarhill/src/poplarhill/configuration/fold.py
+++ b/packages/poplarhill/src/poplarhill/configuration/fold.py
@@ -113,9 +113,14 @@
             self._next_offset = earliest
             self._gap_end = earliest
 
-    def adopt(self, snapshot: Snapshot) -> bool:
+    def adopt(self, snapshot: Snapshot, snapshot_time: float | None) -> bool:
         """Take over a newer state that another reader came to.
 
+        Args:
+            snapshot: The state.
+            snapshot_time: Time of the newest snapshot that the other reader has
+                seen in the log, by the log's clock, s.
+
         Returns:
             Whether it was newer and well-formed.
         """
@@ -123,7 +128,10 @@
         offered = (snapshot.version, snapshot.next_offset)
         if snapshot.version < self._configuration.version or offered <= current:
             return False
-        return self._take(snapshot)
+        if not self._take(snapshot):
+            return False
+        self._snapshot_time = snapshot_time
+        return True
 
     def make_snapshot(self, time: float) -> Snapshot:
         """Return the state, as a fact that any other reader may take over.
--- a/packages/poplarhilld/src/poplarhilld/api/handler.py
+++ b/packages/poplarhilld/src/poplarhilld/api/handler.py
@@ -7,6 +7,7 @@
 
 from poplarhill.exceptions import ErrorKind, Failure, error_body
 from poplarhill.http import Request, Response, json_response
+from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
 from poplarhilld.api.requests import JobAnswer, parse_job
 from poplarhilld.jobs import Completed, JobOutcome
@@ -27,6 +28,7 @@
         submit: Runs a job to its outcome.
         cancel: Cancels a job; returns whether it was in flight here.
         ready: Returns whether new jobs are taken.
+        status: Returns what operators see of this host.
         metrics: Returns the metrics page.
         clock: Returns the host's own time, s.
     """
@@ -36,12 +38,14 @@
         submit: Submit,
         cancel: Cancel,
         ready: Callable[[], bool],
+        status: Callable[[], HostStatus],
         metrics: Callable[[], bytes],
         clock: Callable[[], float],
     ) -> None:
         self._submit = submit
         self._cancel = cancel
         self._ready = ready
+        self._status = status
         self._metrics = metrics
         self._clock = clock
 
@@ -52,6 +56,8 @@
                 return await self._post_job(service, request)
             case ("DELETE", ["v1", "jobs", job_id]):
                 return await self._delete_job(job_id)
+            case ("GET", ["v1", "status"]):
+                return json_response(_HTTP_OK, self._status())
             case ("GET", ["healthz"]):
                 return json_response(_HTTP_OK, {"alive": True})
             case ("GET", ["readyz"]):
--- a/packages/poplarhilld/src/poplarhilld/configuration/reader.py
+++ b/packages/poplarhilld/src/poplarhilld/configuration/reader.py
@@ -1,55 +1,49 @@
-"""Reads the configuration stream and reports each newer configuration."""
+"""Input and output of the configuration slice: reads and appends of the log."""
 
 from collections.abc import Awaitable, Callable
 
 import curio
 import structlog
 
-from poplarhill.configuration import Fold, Rejection
-from poplarhill.platform import Batch, Platform
-from poplarhilld.dispatch.events import ConfigurationChanged
+from poplarhill.configuration import CONFIG_STREAM, READ_LIMIT
+from poplarhill.platform import Appended, Platform
+from poplarhilld.configuration.messages import AppendRecord, LogRead, ReadLog
 
-CONFIG_STREAM = "configuration"
-_READ_LIMIT = 500
-_POLL_S = 1.0
 _log = structlog.get_logger()
 
 
 class ConfigurationReader:
-    """Polls the log for changes.
+    """Reads the stream as asked and reports each answer.
 
     Args:
         platform: The platform.
-        post: Called with each newer configuration.
+        post: Called with each answer.
     """
 
     def __init__(
-        self,
-        platform: Platform,
-        post: Callable[[ConfigurationChanged], Awaitable[None]],
+        self, platform: Platform, post: Callable[[LogRead], Awaitable[None]]
     ) -> None:
         self._platform = platform
         self._post = post
-        self._fold = Fold()
+        self._reads: curio.Queue = curio.Queue()
 
     async def run(self) -> None:
-        """Poll until cancelled."""
+        """Read, one read at a time, until cancelled."""
         while True:
-            await self._poll()
-            await curio.sleep(_POLL_S)
-
-    async def _poll(self) -> None:
-        offset = self._fold.next_offset
-        result = await self._platform.read(CONFIG_STREAM, offset, _READ_LIMIT)
-        if not isinstance(result, Batch):
-            _log.warning("configuration not read", reason=str(result))
-            return
-        version = self._fold.configuration.version
-        for record in result.records:
-            outcome = self._fold.apply(record)
-            if isinstance(outcome, Rejection):
-                _log.info("change rejected", **outcome._asdict())
-        configuration = self._fold.configuration
-        if configuration.version > version:
-            _log.info("configuration in force", version=configuration.version)
-            await self._post(ConfigurationChanged(configuration))
+            action: ReadLog = await self._reads.get()
+            await curio.sleep(action.delay_s)
+            result = await self._platform.read(CONFIG_STREAM, action.offset, READ_LIMIT)
+            await self._post(LogRead(action.offset, result))
+
+    async def perform(self, action: ReadLog | AppendRecord) -> None:
+        """Carry out an action without waiting for its end."""
+        match action:
+            case ReadLog():
+                await self._reads.put(action)
+            case AppendRecord(body):
+                await curio.spawn(self._append, body, daemon=True)
+
+    async def _append(self, body: str) -> None:
+        result = await self._platform.append(CONFIG_STREAM, body)
+        if not isinstance(result, Appended):
+            _log.warning("configuration record not written", reason=str(result))
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -1,5 +1,6 @@
 """The process of one entry host: runs the dispatcher's actions on one loop."""
 
+import math
 import signal
 import time
 from random import Random
@@ -9,9 +10,10 @@
 
 from poplarhill.http import HttpServer
 from poplarhill.platform import HttpPlatform
+from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
 from poplarhilld.api import Api
-from poplarhilld.configuration import ConfigurationReader
+from poplarhilld.configuration import AppendRecord, ConfigurationReader, ReadLog
 from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import (
     Action,
@@ -22,12 +24,12 @@
     StopTask,
 )
 from poplarhilld.dispatch.events import (
-    ConfigurationChanged,
     Event,
     FrameReceived,
     JobCancelled,
     JobSubmitted,
     ShutdownStarted,
+    Started,
     Ticked,
 )
 from poplarhilld.jobs import Completed, JobOutcome
@@ -67,7 +69,8 @@
             submit=self.submit,
             cancel=self.cancel,
             ready=lambda: self._dispatcher.ready,
-            metrics=self._metrics.page,
+            status=self.status,
+            metrics=self._metrics_page,
             clock=self._clock,
         )
         self._http = HttpServer(*settings.listen, self._api.handle)
@@ -90,6 +93,7 @@
                 self._http.run,
             )
         ]
+        await self._post(Started())
         _log.info("started", port=self._settings.listen.port)
         await stop.wait()
         _log.info("shutdown started", jobs=self._dispatcher.jobs_in_flight)
@@ -100,6 +104,10 @@
         await self._links.close()
         _log.info("stopped")
 
+    def status(self) -> HostStatus:
+        """Return what operators see of this host."""
+        return self._dispatcher.status(self._clock())
+
     async def submit(self, spec: JobSpec) -> JobOutcome:
         """Run a job to its outcome."""
         outcome: curio.Queue = curio.Queue()
@@ -116,6 +124,13 @@
         await self._post(JobCancelled(job_id))
         return known
 
+    def _metrics_page(self) -> bytes:
+        status = self.status()
+        age_s = status.configuration_age_s
+        self._metrics.configuration_version.set(status.configuration_version)
+        self._metrics.configuration_age.set(math.inf if age_s is None else age_s)
+        return self._metrics.page()
+
     async def _post(self, event: Event) -> None:
         await self._events.put(event)
 
@@ -125,9 +140,6 @@
     async def _decide(self) -> None:
         while True:
             event = await self._events.get()
-            if isinstance(event, ConfigurationChanged):
-                version = event.configuration.version
-                self._metrics.configuration_version.set(version)
             for action in self._dispatcher.handle(self._clock(), event):
                 await self._perform(action)
             self._metrics.jobs_in_flight.set(self._dispatcher.jobs_in_flight)
@@ -149,6 +161,10 @@
                 kind = type(message).__name__
                 self._metrics.messages.labels(kind).inc()
                 await self._peers.send(self._settings.peers[peer], message)
+            case ReadLog() | AppendRecord():
+                kind = type(action).__name__
+                self._metrics.messages.labels(kind).inc()
+                await self._reader.perform(action)
             case AnswerJob(job_id, outcome):
                 await self._give_answer(job_id, outcome)
             case LogDecision(decision):
--- a/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from poplarhill.types import TaskId, WorkerSpec
+from poplarhilld.configuration.messages import AppendRecord, ReadLog
 from poplarhilld.jobs import JobOutcome
 from poplarhilld.peers.messages import Message
 
@@ -54,4 +55,6 @@
     message: Message
 
 
-Action = SendTask | StopTask | AnswerJob | LogDecision | SendFrame
+Action = (
+    SendTask | StopTask | AnswerJob | LogDecision | SendFrame | ReadLog | AppendRecord
+)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -6,11 +6,21 @@
 
 from poplarhill.configuration import Configuration
 from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec, TaskId
+from poplarhilld.configuration.messages import (
+    AppendRecord,
+    LogRead,
+    Output,
+    ReadLog,
+    ToPeer,
+)
+from poplarhilld.configuration.state import ConfigurationState
 from poplarhilld.dispatch.actions import (
     Action,
     AnswerJob,
     LogDecision,
+    SendFrame,
     SendTask,
     StopTask,
 )
@@ -21,6 +31,7 @@
     JobCancelled,
     JobSubmitted,
     ShutdownStarted,
+    Started,
     TaskLost,
     TaskSucceeded,
     TaskUnsent,
@@ -47,6 +58,9 @@
         self._identity = identity
         self._configuration: Configuration | None = None
         self._random = random
+        retention_s = identity.log_retention_s
+        self._following = ConfigurationState(identity.name, retention_s, random)
+        self._following.set_peers(tuple(identity.seeds))
         self._jobs = JobTable()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
@@ -73,6 +87,18 @@
         """The earliest deadline of a job in flight, s."""
         return self._deadlines[0][0] if self._deadlines else None
 
+    def status(self, now: float) -> HostStatus:
+        """Return what operators see of this host."""
+        return HostStatus(
+            name=self._identity.name,
+            data_centre=self._identity.data_centre,
+            ready=self.ready,
+            configuration_version=self._following.version,
+            configuration_age_s=self._following.age(now),
+            configuration_complete=self._following.complete,
+            jobs_in_flight=self.jobs_in_flight,
+        )
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Decide on one event.
 
@@ -94,8 +120,13 @@
                 self._task_lost(task, worker, Failure(kind, detail), actions)
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
-            case FrameReceived():
-                pass
+            case Started():
+                self._follow(self._following.start(), actions)
+            case LogRead(offset, result):
+                self._follow(self._following.read(now, offset, result), actions)
+            case FrameReceived(sender, message):
+                outputs = self._following.receive(now, sender, message)
+                self._follow(outputs, actions)
             case ShutdownStarted():
                 self._shutting_down = True
             case Ticked():
@@ -165,6 +196,19 @@
             job.mark_failed(task.index)
             self._end(task.job, failure, actions)
 
+    def _follow(self, outputs: list[Output], actions: list[Action]) -> None:
+        """Carry out what the configuration slice decided."""
+        for output in outputs:
+            match output:
+                case ToPeer(peer, message):
+                    actions.append(SendFrame(peer, message))
+                case ReadLog() | AppendRecord():
+                    actions.append(output)
+                case decision:
+                    actions.append(LogDecision(decision))
+        if self._following.configuration is not None:
+            self._configure(self._following.configuration)
+
     def _configure(self, configuration: Configuration) -> None:
         current = self._configuration
         if current is not None and configuration.version <= current.version:
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -5,9 +5,15 @@
 from poplarhill.configuration import Configuration
 from poplarhill.exceptions import ErrorKind
 from poplarhill.types import JobSpec, TaskId
+from poplarhilld.configuration.messages import LogRead
 from poplarhilld.peers.messages import Message
 
 
+@dataclass(frozen=True)
+class Started:
+    """The process is up."""
+
+
 @dataclass(frozen=True)
 class JobSubmitted:
     """A caller submitted a job."""
@@ -76,12 +82,14 @@
 
 
 Event = (
-    JobSubmitted
+    Started
+    | JobSubmitted
     | JobCancelled
     | TaskSucceeded
     | TaskUnsent
     | TaskLost
     | ConfigurationChanged
+    | LogRead
     | FrameReceived
     | ShutdownStarted
     | Ticked
--- a/packages/poplarhilld/src/poplarhilld/dispatch/identity.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/identity.py
@@ -14,6 +14,7 @@
         address: Where peers reach it.
         incarnation: Start time, ms since the epoch; rises with each start.
         seeds: Entry hosts known at start, by name.
+        log_retention_s: Shortest time that the platform's log keeps records, s.
     """
 
     name: str
@@ -21,6 +22,7 @@
     address: Address
     incarnation: int
     seeds: dict[str, Address]
+    log_retention_s: float = 3600.0
 
     @classmethod
     def from_config(cls, settings: Settings, incarnation: int) -> "Identity":
@@ -31,4 +33,5 @@
             address=settings.peer_listen,
             incarnation=incarnation,
             seeds=settings.peers,
+            log_retention_s=settings.log_retention_s,
         )
--- a/packages/poplarhilld/src/poplarhilld/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/metrics.py
@@ -34,6 +34,12 @@
             registry=self._registry,
         )
 
+        self.configuration_age = Gauge(
+            "poplarhill_configuration_age_seconds",
+            "Time since the log confirmed the version in force",
+            registry=self._registry,
+        )
+
     def page(self) -> bytes:
         """Return the metrics page."""
         return generate_latest(self._registry)
--- a/packages/poplarhilld/src/poplarhilld/peers/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/__init__.py
@@ -4,6 +4,7 @@
 from poplarhilld.peers.codec import decode as decode
 from poplarhilld.peers.codec import encode as encode
 from poplarhilld.peers.links import PeerLinks as PeerLinks
+from poplarhilld.peers.messages import ConfigurationNews as ConfigurationNews
 from poplarhilld.peers.messages import ConfigurationOffer as ConfigurationOffer
 from poplarhilld.peers.messages import ConfigurationRequest as ConfigurationRequest
 from poplarhilld.peers.messages import Goodbye as Goodbye
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -6,6 +6,7 @@
 import capnp
 
 from poplarhilld.peers.messages import (
+    ConfigurationNews,
     ConfigurationOffer,
     ConfigurationRequest,
     Goodbye,
@@ -31,6 +32,7 @@
     SlotReturn: "slotReturn",
     ConfigurationRequest: "configurationRequest",
     ConfigurationOffer: "configurationOffer",
+    ConfigurationNews: "configurationNews",
     Goodbye: "goodbye",
 }
 _TYPES: dict[str, type] = {variant: kind for kind, variant in _VARIANTS.items()}
@@ -41,6 +43,9 @@
 }
 
 
+_TEXTS = frozenset({"leaving_workers", "records"})
+
+
 class FrameError(Exception):
     """Bytes that are no well-formed frame."""
 
@@ -94,7 +99,7 @@
         value = getattr(struct, _camel(name))
         if name in _ELEMENTS:
             value = tuple(_from_struct(_ELEMENTS[name], item) for item in value)
-        elif name == "leaving_workers":
+        elif name in _TEXTS:
             value = tuple(value)
         values.append(value)
     return kind(*values)
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -56,8 +56,15 @@
 
 struct ConfigurationOffer {
   version @0 :UInt64;
-  nextOffset @1 :UInt64;
-  document @2 :Text;
+  ageS @1 :Float64;
+  snapshot @2 :Text;
+  snapshotTime @3 :Float64;
+}
+
+struct ConfigurationNews {
+  version @0 :UInt64;
+  firstOffset @1 :UInt64;
+  records @2 :List(Text);
 }
 
 struct Goodbye {
@@ -74,5 +81,6 @@
     configurationRequest @5 :ConfigurationRequest;
     configurationOffer @6 :ConfigurationOffer;
     goodbye @7 :Goodbye;
+    configurationNews @8 :ConfigurationNews;
   }
 }
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -110,23 +110,45 @@
 
 
 class ConfigurationRequest(NamedTuple):
-    """Asks a peer for a configuration newer than a version."""
+    """Asks a peer for its configuration; the answer is a `ConfigurationOffer`.
+
+    Attributes:
+        newer_than: Version up to which the sender needs no document.
+    """
 
     newer_than: int
 
 
 class ConfigurationOffer(NamedTuple):
-    """Passes a configuration on.
+    """Tells the version in force at the sender, and passes it on if needed.
+
+    Attributes:
+        version: The version.
+        age_s: Time since the log last confirmed it, s.
+        snapshot: The sender's state as a record of the log; empty when the
+            receiver has it.
+        snapshot_time: Time of the newest snapshot in the log, by the log's
+            clock, s; 0 if the sender knows of none.
+    """
+
+    version: int
+    age_s: float
+    snapshot: str = ""
+    snapshot_time: float = 0.0
+
+
+class ConfigurationNews(NamedTuple):
+    """Passes on records that the sender has just read from the log.
 
     Attributes:
-        version: Its version.
-        next_offset: Offset of the first record of the log not in it.
-        document: The document, JSON text.
+        version: Version that they lead to.
+        first_offset: Offset of the first record.
+        records: Bodies in log order; none when they are too large.
     """
 
     version: int
-    next_offset: int
-    document: str
+    first_offset: int
+    records: tuple[str, ...]
 
 
 class Goodbye(NamedTuple):
@@ -142,5 +164,6 @@
     | SlotReturn
     | ConfigurationRequest
     | ConfigurationOffer
+    | ConfigurationNews
     | Goodbye
 )
--- a/packages/poplarhilld/src/poplarhilld/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/settings.py
@@ -31,6 +31,7 @@
         platform: Where the platform's log service is.
         peers: Entry hosts known at start, by name; others are learnt from them.
         drain_s: Longest wait for jobs in flight at shutdown, s; 0 for no limit.
+        log_retention_s: Shortest time that the platform's log keeps records, s.
     """
 
     name: str
@@ -40,6 +41,7 @@
     platform: Address
     peers: dict[str, Address]
     drain_s: float = 0.0
+    log_retention_s: float = 3600.0
 
     @classmethod
     def from_config(cls, value: Any) -> "Settings":
@@ -91,5 +93,6 @@
         "platform": _ADDRESS,
         "peers": {"type": "object", "additionalProperties": _ADDRESS},
         "drain_s": {"type": "number", "minimum": 0},
+        "log_retention_s": {"type": "number", "exclusiveMinimum": 0},
     },
 }
