--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -102,6 +102,16 @@
         click.echo(f"changed: {path}")
 
 
+@main.command()
+@click.argument("file", type=click.Path(exists=True, path_type=Path))
+@click.option("--only", default="", help="Run the guards whose name has this in it.")
+def mutations(file: Path, only: str) -> None:
+    """Switch guards off on a copy and show the tests that go red."""
+    from poplarhill_dev.mutations import run_mutations
+
+    sys.exit(1 if run_mutations(file, only) else 0)
+
+
 @main.command("known-red", context_settings={"ignore_unknown_options": True})
 @click.argument("arguments", nargs=-1)
 def known_red(arguments: tuple[str, ...]) -> None:
--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/faults.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/faults.py
@@ -44,6 +44,8 @@
     match fault.kind:
         case "freeze_host":
             return lambda: fleet.freeze(target), lambda: fleet.resume(target)
+        case "stop_host":
+            return lambda: fleet.terminate(target), lambda: fleet.restart(target)
         case "kill_host" | "kill_workers":
             return lambda: fleet.kill(target), lambda: fleet.restart(target)
         case "platform":
--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -61,6 +61,7 @@
         self._processes: dict[str, Process] = {}
         self._worker_ports: dict[str, int] = {}
         self._commands: dict[str, list[str]] = {}
+        self._exit_codes: list[tuple[str, int]] = []
 
     @classmethod
     def start(
@@ -99,6 +100,11 @@
         """Where settings and logs are written."""
         return self._directory
 
+    @property
+    def exit_codes(self) -> list[tuple[str, int]]:
+        """Names and exit codes of the processes that were started again."""
+        return list(self._exit_codes)
+
     @property
     def platform_port(self) -> int:
         """Port of the platform's stand-in."""
@@ -169,6 +175,10 @@
         handle.kill()
         handle.wait()
 
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop gracefully."""
+        self._processes[name].handle.terminate()
+
     def freeze(self, name: str) -> None:
         """Stop a process where it stands."""
         self._processes[name].handle.send_signal(signal.SIGSTOP)
@@ -180,7 +190,8 @@
     def restart(self, name: str) -> None:
         """Start a process again that has ended, with the settings it had."""
         process = self._processes[name]
-        process.handle.wait(_STOP_TIMEOUT_S)
+        code = process.handle.wait(_STOP_TIMEOUT_S)
+        self._exit_codes.append((name, code))
         self._start(name, process.port, self._commands[name])
 
     def document(self) -> dict[str, Any]:
--- a/packages/poplarhill-dev/src/poplarhill_dev/trace/record.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/trace/record.py
@@ -10,7 +10,8 @@
 from poplarhill_dev.fleet import Fleet, get_page
 from poplarhill_dev.trace.checker import Trace
 
-_IN_FORCE = "configuration in force"
+_IN_FORCE = '"event": "ConfigurationInForce"'
+_STARTED = '"event": "started"'
 
 
 def record(
@@ -53,11 +54,16 @@
 
 
 def _versions(fleet: Fleet) -> list[dict[str, Any]]:
+    """Return versions in the order of each log; a process begins at `started`."""
     versions = []
     for daemon in fleet.daemons():
         log = fleet.directory / f"{daemon.name}.log"
+        run = 0
         for line in log.read_text(encoding="utf-8").splitlines():
+            if _STARTED in line:
+                run += 1
             if _IN_FORCE in line and line.startswith("{"):
                 version = json.loads(line)["version"]
-                versions.append({"process": daemon.name, "version": version})
+                process = f"{daemon.name} run {run}"
+                versions.append({"process": process, "version": version})
     return versions
