--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -9,6 +9,7 @@
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.platform import PlatformStandIn
 from poplarhill_dev.slopes import run_slopes
+from poplarhill_dev.spread import run_spread
 from poplarhill_dev.worker import WorkerStandIn
 
 
@@ -23,6 +24,16 @@
     sys.exit(run_demo())
 
 
+@main.command()
+@click.option("--hosts", default=8, help="Daemons to start.")
+@click.option("--cut", default=0, help="How many of them cannot reach the log.")
+@click.option("--changes", default=20, help="Changes to publish.")
+@click.option("--calm", default=30.0, help="Time without changes at the end, s.")
+def spread(hosts: int, cut: int, changes: int, calm: float) -> None:
+    """Measure how soon an accepted change is in force on every daemon."""
+    run_spread(hosts, cut, changes, calm)
+
+
 @main.command()
 @click.option("--host", default="127.0.0.1")
 @click.option("--port", type=int, required=True)
--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -98,21 +98,35 @@
         self._start_module(name, port, ["worker", "--port", str(port), "--name", name])
 
     def start_daemon(
-        self, name: str, data_centre: str, peer_ports: dict[str, int]
+        self,
+        name: str,
+        data_centre: str,
+        peer_ports: dict[str, int],
+        platform_port: int | None = None,
+        **overrides: Any,
     ) -> None:
-        """Start a daemon with settings of its own."""
+        """Start a daemon with settings of its own.
+
+        Args:
+            name: Its name.
+            data_centre: Its data centre.
+            peer_ports: Ports for peers of every daemon, by name.
+            platform_port: Where it finds the platform, if not at its own port.
+            overrides: Further settings.
+        """
         port = free_port()
         settings = {
             "name": name,
             "data_centre": data_centre,
             "listen": _address(port),
             "peer_listen": _address(peer_ports[name]),
-            "platform": _address(self._processes["platform"].port),
+            "platform": _address(platform_port or self.process("platform").port),
             "peers": {
                 peer: _address(peer_port)
                 for peer, peer_port in peer_ports.items()
                 if peer != name
             },
+            **overrides,
         }
         path = self._directory / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
