--- a/packages/poplarhill-dev/src/poplarhill_dev/spread.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/spread.py
@@ -8,7 +8,6 @@
 import re
 import tempfile
 import time
-import urllib.request
 from datetime import datetime
 from pathlib import Path
 from random import Random
@@ -19,7 +18,14 @@
 
 from poplarhill.configuration import Accepted, Change, Publisher
 from poplarhill.platform import HttpPlatform
-from poplarhill_dev.fleet import DATA_CENTRES, Fleet, FleetError, free_port, wait_until
+from poplarhill_dev.fleet import (
+    Fleet,
+    FleetError,
+    data_centre,
+    free_port,
+    get_page,
+    wait_until,
+)
 
 _TIMEOUT_S = 30.0
 _LONGEST_PAUSE_S = 1.0
@@ -76,8 +82,9 @@
         nowhere = free_port()
         for number, name in enumerate(peer_ports):
             port = nowhere if number >= hosts - cut else None
-            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-            fleet.start_daemon(name, data_centre, peer_ports, port, **settings)
+            place = data_centre(number)
+            fleet.start_daemon(name, place, peer_ports, port, **settings)
+        fleet.wait_listening()
         fleet.publish(fleet.document(), "first configuration")
         fleet.wait_ready()
     except BaseException:
@@ -114,8 +121,7 @@
 
 def get_version(port: int) -> int:
     """Return the version in force on a daemon."""
-    with urllib.request.urlopen(f"http://127.0.0.1:{port}/v1/status") as reply:
-        return json.load(reply)["configuration_version"]
+    return json.loads(get_page(port, "/v1/status"))["configuration_version"]
 
 
 def _measure(fleet: Fleet, changes: int, calm_s: float) -> Spread:
@@ -140,8 +146,7 @@
 def _messages(fleet: Fleet) -> dict[str, float]:
     totals = dict.fromkeys(_KINDS, 0.0)
     for process in fleet.daemons():
-        with urllib.request.urlopen(f"http://127.0.0.1:{process.port}/metrics") as page:
-            text = page.read().decode()
+        text = get_page(process.port, "/metrics").decode()
         for kind, value in re.findall(r'messages_total\{kind="(\w+)"\} (\S+)', text):
             if kind in totals:
                 totals[kind] += float(value)
