Build only what a change touches of the typed configuration

Cause: after the check of only the touched part, each change still built every worker's typed form and looked for names used twice over the whole fleet. The random histories of patches still compare each outcome with that of the whole document; with the exceptions, or a removed service's workers, left out of what is touched, they fail.

--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -6,7 +6,7 @@
 
 from typing import Any, NamedTuple
 
-from poplarhill.configuration.patch import Json, apply_patch
+from poplarhill.configuration.patch import apply_patch
 from poplarhill.exceptions import SettingsError
 from poplarhill.schema import check
 from poplarhill.types import WorkerSpec
@@ -167,41 +167,21 @@
             SettingsError: Names every problem by its path.
         """
         check_document(document)
-        return cls._typed(version, document)
-
-    @classmethod
-    def revised(cls, version: int, document: Document, patch: Any) -> "Configuration":
-        """Check what a patch touched of a document and return its typed form.
-
-        A fleet's document is large and a change small: checking every worker
-        against the schema for each change would cost most of a reader's time.
-
-        Args:
-            version: Version of the patched document.
-            document: A document that passed its checks, with the patch applied.
-            patch: The JSON merge patch.
-
-        Raises:
-            SettingsError: Names every problem by its path.
-        """
-        check(touched(document, patch), SCHEMA)
-        check_names(document)
-        return cls._typed(version, document)
-
-    @classmethod
-    def _typed(cls, version: int, document: Document) -> "Configuration":
         return cls(
             version=version,
             defaults=Defaults(**document.get("defaults", {})),
             workers=_workers(document),
-            customers={
-                name: CustomerSpec(**fields)
-                for name, fields in document.get("customers", {}).items()
-            },
+            customers=customers_of(document),
             services=frozenset(document.get("services", {})),
         )
 
 
+def customers_of(document: Document) -> dict[str, CustomerSpec]:
+    """Return the typed form of every customer."""
+    customers = document.get("customers", {})
+    return {name: CustomerSpec(**fields) for name, fields in customers.items()}
+
+
 def empty_document() -> Document:
     """Return the document that version 0 stands for."""
     return {}
@@ -228,44 +208,30 @@
         raise SettingsError(tuple(problems))
 
 
-def touched(document: Json, patch: Json, path: tuple[str, ...] = ()) -> Json:
-    """Return the part of a patched document that the schema must see again.
-
-    That is each entry of a section, and each worker of a service, that the
-    patch names; every other entry is as it was.
-    """
-    if not (isinstance(document, dict) and isinstance(patch, dict)):
-        return document
-    if not _has_entries(path) or (len(path) == 2 and "workers" not in patch):
-        return document
-    return {
-        name: touched(document[name], value, (*path, name))
-        for name, value in patch.items()
-        if name in document
-    }
+def overrides(document: Document) -> dict[str, Document]:
+    """Return what the exceptions set, by worker."""
+    merged: dict[str, Document] = {}
+    for exception in document.get("exceptions", {}).values():
+        name = exception["worker"]
+        merged[name] = apply_patch(merged.get(name, {}), exception["set"])
+    return merged
 
 
-def _has_entries(path: tuple[str, ...]) -> bool:
-    """Return whether a place in a document holds entries by name."""
-    match path:
-        case () | ("services" | "customers" | "exceptions",):
-            return True
-        case ("services", _) | ("services", _, "workers"):
-            return True
-    return False
+def worker_spec(
+    service: str, name: str, fields: Document, override: Document
+) -> WorkerSpec:
+    """Return the typed form of a worker, its exceptions applied."""
+    values = apply_patch(fields, override)
+    return WorkerSpec(name=name, service=service, **values)
 
 
 def _workers(document: Document) -> dict[str, WorkerSpec]:
-    overrides: dict[str, Document] = {}
-    for exception in document.get("exceptions", {}).values():
-        merged = apply_patch(overrides.get(exception["worker"], {}), exception["set"])
-        overrides[exception["worker"]] = merged
-    workers = {}
-    for service, fields in document.get("services", {}).items():
-        for name, worker in fields["workers"].items():
-            values = apply_patch(worker, overrides.get(name, {}))
-            workers[name] = WorkerSpec(name=name, service=service, **values)
-    return workers
+    set_fields = overrides(document)
+    return {
+        name: worker_spec(service, name, worker, set_fields.get(name, {}))
+        for service, fields in document.get("services", {}).items()
+        for name, worker in fields["workers"].items()
+    }
 
 
 def _duplicate_workers(document: Document) -> list[str]:
--- a/packages/poplarhill/src/poplarhill/configuration/fold.py
+++ b/packages/poplarhill/src/poplarhill/configuration/fold.py
@@ -20,6 +20,7 @@
     Snapshot,
     decode_record,
 )
+from poplarhill.configuration.revision import revise
 from poplarhill.exceptions import SettingsError
 from poplarhill.platform import Record
 
@@ -155,7 +156,9 @@
             return Rejection(change.change_id, winner, detail)
         try:
             document = apply_patch(self._document, change.patch)
-            configuration = Configuration.revised(version + 1, document, change.patch)
+            configuration = revise(
+                self._configuration, self._document, document, change.patch
+            )
         except SettingsError as error:
             return Rejection(change.change_id, None, error.format_message())
         except RecursionError:
--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/configuration/revision.py
@@ -0,0 +1,137 @@
+"""The typed form of a patched document, made from the one before it.
+
+A fleet's document is large and a change small: checking and building every
+worker for each change would cost most of a reader's time. The outcome is that
+of checking and building the whole document.
+"""
+
+from poplarhill.configuration.document import (
+    SCHEMA,
+    Configuration,
+    Defaults,
+    Document,
+    customers_of,
+    overrides,
+    worker_spec,
+)
+from poplarhill.configuration.patch import Json
+from poplarhill.exceptions import SettingsError
+from poplarhill.schema import check
+from poplarhill.types import WorkerSpec
+
+
+def revise(
+    previous: Configuration, old: Document, new: Document, patch: Json
+) -> Configuration:
+    """Check what a patch touched and return the next version.
+
+    Args:
+        previous: Typed form of `old`.
+        old: A document that passed its checks.
+        new: That document with the patch applied.
+        patch: The JSON merge patch.
+
+    Raises:
+        SettingsError: Names every problem by its path.
+    """
+    check(_touched(new, patch), SCHEMA)
+    names = _touched_workers(old, new, patch)
+    workers = _revise_workers(previous, new, names)
+    _check_exceptions(new, workers)
+    customers = previous.customers
+    return Configuration(
+        version=previous.version + 1,
+        defaults=Defaults(**new.get("defaults", {})),
+        workers=workers,
+        customers=customers_of(new) if "customers" in patch else customers,
+        services=frozenset(new.get("services", {})),
+    )
+
+
+def _touched(document: Json, patch: Json, path: tuple[str, ...] = ()) -> Json:
+    """Return the part of a patched document that the schema must see again.
+
+    That is each entry of a section, and each worker of a service, that the
+    patch names; every other entry is as it was.
+    """
+    if not (isinstance(document, dict) and isinstance(patch, dict)):
+        return document
+    if not _has_entries(path) or (len(path) == 2 and "workers" not in patch):
+        return document
+    return {
+        name: _touched(document[name], value, (*path, name))
+        for name, value in patch.items()
+        if name in document
+    }
+
+
+def _has_entries(path: tuple[str, ...]) -> bool:
+    """Return whether a place in a document holds entries by name."""
+    match path:
+        case () | ("services" | "customers" | "exceptions",):
+            return True
+        case ("services", _) | ("services", _, "workers"):
+            return True
+    return False
+
+
+def _touched_workers(old: Document, new: Document, patch: Json) -> set[str]:
+    """Return the names of the workers that may differ."""
+    names: set[str] = set()
+    for service in _touched_entries(old, new, patch, "services"):
+        fields = (patch["services"] or {}).get(service)
+        if isinstance(fields, dict) and isinstance(fields.get("workers"), dict):
+            names.update(fields["workers"])
+        else:
+            names.update(_workers_of(old, service), _workers_of(new, service))
+    for name in _touched_entries(old, new, patch, "exceptions"):
+        for document in (old, new):
+            exception = document.get("exceptions", {}).get(name)
+            if exception is not None:
+                names.add(exception["worker"])
+    return names
+
+
+def _touched_entries(
+    old: Document, new: Document, patch: Json, section: str
+) -> set[str]:
+    if section not in patch:
+        return set()
+    if patch[section] is None:
+        return {*old.get(section, {}), *new.get(section, {})}
+    return set(patch[section])
+
+
+def _workers_of(document: Document, service: str) -> Document:
+    return document.get("services", {}).get(service, {}).get("workers", {})
+
+
+def _revise_workers(
+    previous: Configuration, new: Document, names: set[str]
+) -> dict[str, WorkerSpec]:
+    workers = dict(previous.workers)
+    set_fields = overrides(new)
+    problems = []
+    for name in sorted(names):
+        services = [s for s in new.get("services", {}) if name in _workers_of(new, s)]
+        workers.pop(name, None)
+        for service in services[:1]:
+            fields = _workers_of(new, service)[name]
+            override = set_fields.get(name, {})
+            workers[name] = worker_spec(service, name, fields, override)
+        for service in services[1:]:
+            path = f"/services/{service}/workers/{name}"
+            problems.append(f"{path}: worker named twice")
+    if problems:
+        raise SettingsError(tuple(problems))
+    return workers
+
+
+def _check_exceptions(new: Document, workers: dict[str, WorkerSpec]) -> None:
+    problems = [
+        f"/exceptions/{name}/worker: no worker {exception['worker']!r}"
+        for name, exception in new.get("exceptions", {}).items()
+        if exception["worker"] not in workers
+    ]
+    if problems:
+        raise SettingsError(tuple(problems))
--- a/packages/poplarhill/tests/configuration/test_revision.py
+++ b/packages/poplarhill/tests/configuration/test_revision.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from poplarhill import SettingsError
-from poplarhill.configuration import Configuration, apply_patch
+from poplarhill.configuration import Configuration, apply_patch, revise
 
 WORKERS = st.sampled_from(["w1", "w2", "w3"])
 WORKER = st.fixed_dictionaries(
@@ -53,15 +53,16 @@
 @given(st.lists(PATCHES, min_size=1, max_size=12))
 def test_checking_what_is_touched_is_checking_all(patches) -> None:
     document: dict = {}
-    for version, patch in enumerate(patches):
+    current = Configuration.from_document(0, document)
+    for patch in patches:
         patched = apply_patch(document, patch)
-        whole = outcome(Configuration.from_document, version, patched)
-        assert outcome(Configuration.revised, version, patched, patch) == whole
+        whole = outcome(Configuration.from_document, current.version + 1, patched)
+        assert outcome(revise, current, document, patched, patch) == whole
         if whole is not None:
-            document = patched
+            document, current = patched, whole
 
 
 @pytest.mark.parametrize("patch", [[], "text", 1, {"services": []}])
 def test_a_patch_that_is_no_object_is_refused(patch) -> None:
     with pytest.raises(SettingsError):
-        Configuration.revised(1, apply_patch({}, patch), patch)
+        revise(Configuration.from_document(0, {}), {}, apply_patch({}, patch), patch)
