--- /dev/null
+++ b/packages/poplarhill-dev/tests/test_configuration_spread.py
@@ -0,0 +1,102 @@
+"""The configuration reaches every daemon, whatever the log does."""
+
+import subprocess
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from poplarhill_dev.fleet import Fleet, get_status, put_json, wait_until
+from poplarhill_dev.spread import (
+    get_version,
+    publish_weight,
+    start_daemons,
+    wait_in_force,
+)
+
+_RETENTION_S = 6.0
+
+Start = Callable[..., Fleet]
+
+
+@pytest.fixture
+def start() -> Iterator[Start]:
+    fleets: list[Fleet] = []
+
+    def start_fleet(hosts: int, cut: int = 0, **settings: object) -> Fleet:
+        fleets.append(start_daemons(hosts, cut, **settings))
+        return fleets[-1]
+
+    yield start_fleet
+    for fleet in fleets:
+        codes = fleet.stop()
+        fleet.remove_files()
+        assert {codes[process.name] for process in fleet.daemons()} == {0}
+
+
+def set_faults(fleet: Fleet, **faults: object) -> None:
+    put_json(fleet.platform_port, "/faults", faults)
+
+
+def replace(fleet: Fleet, name: str) -> None:
+    """Lose a host at once and start another in its place, which knows nothing."""
+    fleet.kill(name)
+    fleet.restart(name)
+
+
+def wait_ready(fleet: Fleet, name: str) -> None:
+    port = fleet.process(name).port
+    wait_until(lambda: get_status(port, "/readyz") == 200, f"{name} ready")
+
+
+def keeps_only_snapshots(fleet: Fleet) -> bool:
+    """Let old records expire, and no more from then on; return what is left."""
+    set_faults(fleet, retention_s=_RETENTION_S)
+    get_status(fleet.platform_port, "/streams/configuration/records?from=0&limit=1")
+    set_faults(fleet)
+    try:
+        return not fleet.operate("config", "history").stdout
+    except subprocess.CalledProcessError:
+        return False
+
+
+def test_hosts_cut_from_the_log_learn_of_a_change_from_the_one_that_is_not(
+    start: Start,
+) -> None:
+    fleet = start(4, cut=3)
+    wait_in_force(fleet, publish_weight(fleet).version)
+
+
+def test_all_hosts_are_replaced_one_by_one_while_the_log_is_down(start: Start) -> None:
+    fleet = start(3)
+    version = publish_weight(fleet).version
+    wait_in_force(fleet, version)
+    set_faults(fleet, down=True)
+    for process in fleet.daemons():
+        replace(fleet, process.name)
+        wait_ready(fleet, process.name)
+        assert get_version(process.port) == version
+    set_faults(fleet)
+    wait_in_force(fleet, publish_weight(fleet).version)
+
+
+def test_a_host_that_finds_neither_log_nor_peer_is_not_ready(start: Start) -> None:
+    fleet = start(1)
+    set_faults(fleet, down=True)
+    replace(fleet, "h1")
+    port = fleet.process("h1").port
+    wait_until(lambda: get_status(port, "/healthz") == 200, "h1 alive")
+    assert get_status(port, "/readyz") == 503
+    set_faults(fleet)
+    wait_ready(fleet, "h1")
+
+
+def test_a_truncated_log_gives_a_new_host_the_version_by_a_snapshot(
+    start: Start,
+) -> None:
+    fleet = start(1, log_retention_s=_RETENTION_S)
+    version = publish_weight(fleet).version
+    wait_until(lambda: keeps_only_snapshots(fleet), "only snapshots kept")
+    replace(fleet, "h1")
+    wait_ready(fleet, "h1")
+    assert get_version(fleet.process("h1").port) == version
+    wait_in_force(fleet, publish_weight(fleet).version)
