Hold the send rule under every failure of a worker's connection

- A response without a length counted as whole when the connection ended.
Red: "TaskSucceeded(... body=b'half')" for `no length`.
- A duplicate reply stayed in h11's buffer and was read as the reply to the next task on that connection, which then failed.
Red: `test_a_duplicate_reply...`, "'TaskLost' object has no attribute 'body'".
- A repeated report on a send released the worker twice, and a repeated "unsent" queued a running task again.
Each send now ends by the first report that names its attempt.
- A task that waited for a connection was sent after its deadline or its stop.
- Connections had no bound; a refused connection was tried again at once, without end.
- An exception in a send left the task without a report until the deadline.
- A link named its events after the first worker seen at its address.
- Headers over the limit passed when they came in one read.

Ruled out: late reads after the deadline (the connection is cut, never reused).

--- a/packages/poplarhill-dev/src/poplarhill_dev/slopes/pure.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/slopes/pure.py
@@ -104,7 +104,9 @@
         while waiting:
             action = waiting.pop()
             if isinstance(action, SendTask):
-                done = TaskSucceeded(action.task, action.worker.name, _BODY)
+                done = TaskSucceeded(
+                    action.task, action.worker.name, _BODY, action.attempt
+                )
                 waiting += dispatcher.handle(0.0, done)
 
     points = []
--- a/packages/poplarhill/src/poplarhill/http/client.py
+++ b/packages/poplarhill/src/poplarhill/http/client.py
@@ -1,15 +1,18 @@
 """One HTTP/1.1 connection to a server, by h11."""
 
+import contextlib
 import socket
 from collections.abc import Iterable
+from enum import Enum
 
 import curio
 import h11
 
-from poplarhill.http.messages import Limits, Request, Response
+from poplarhill.http.messages import Limits, Request, Response, header_size
 
 _READ_BYTES = 65536
 _PLATFORM_LIMITS = Limits()
+_BODILESS_STATUSES = (204, 304)
 
 
 class ConnectionLostError(Exception):
@@ -29,6 +32,14 @@
     """The server's response breaks the protocol or a limit."""
 
 
+class IdleState(Enum):
+    """What has become of a connection while it was idle."""
+
+    USABLE = "usable"
+    CLOSED = "closed"
+    UNSOLICITED = "unsolicited"
+
+
 class Connection:
     """A kept-alive connection that carries one request at a time.
 
@@ -64,17 +75,27 @@
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
-        return self._http.our_state is h11.IDLE
+        return self._http.our_state is h11.IDLE and not self.has_surplus
+
+    @property
+    def has_surplus(self) -> bool:
+        """Whether more than the one response has come."""
+        return bool(self._http.trailing_data[0])
 
-    def is_stale(self) -> bool:
+    def idle_state(self) -> IdleState:
         """Return whether the server closed, or sent what nobody asked for."""
         try:
-            self._sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            data = self._sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return False
+            return IdleState.USABLE
         except OSError:
-            return True
-        return True
+            return IdleState.CLOSED
+        return IdleState.UNSOLICITED if data else IdleState.CLOSED
+
+    def abort(self) -> None:
+        """End the connection under whoever waits for a response on it."""
+        with contextlib.suppress(OSError):
+            self._sock._socket.shutdown(socket.SHUT_RDWR)
 
     async def exchange(self, request: Request) -> Response:
         """Send a request and return the whole response.
@@ -128,6 +149,9 @@
                 case h11.Response():
                     status = event.status_code
                     headers = _header_map(event.headers)
+                    _check_framing(status, headers)
+                    if header_size(event) > self._limits.header_bytes:
+                        raise InvalidResponseError("response headers too large")
                 case h11.Data():
                     size += len(event.data)
                     if size > self._limits.body_bytes:
@@ -142,6 +166,13 @@
         return Response(status, headers, b"".join(chunks))
 
 
+def _check_framing(status: int, headers: dict[str, str]) -> None:
+    """Refuse a body that ends where the connection does: it may be cut short."""
+    framed = "content-length" in headers or "transfer-encoding" in headers
+    if not framed and status not in _BODILESS_STATUSES:
+        raise InvalidResponseError("response body without a length")
+
+
 def _header_map(headers: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
     return {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
 
--- a/packages/poplarhill/src/poplarhill/http/messages.py
+++ b/packages/poplarhill/src/poplarhill/http/messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+import h11
 import msgspec
 
 KIB = 1024
@@ -62,3 +63,8 @@
     """Return a response whose body is `value` as JSON."""
     fields = {"content-type": "application/json", **(headers or {})}
     return Response(status, fields, msgspec.json.encode(value))
+
+
+def header_size(event: h11.Request | h11.Response) -> int:
+    """Return the bytes of all header fields; h11 bounds only incomplete ones."""
+    return sum(len(name) + len(value) for name, value in event.headers)
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -57,7 +57,11 @@
         identity = Identity.from_config(settings, incarnation)
         self._dispatcher = Dispatcher(identity, Random())
         self._metrics = Metrics()
-        self._links = WorkerLinks(self._clock)
+        self._links = WorkerLinks(
+            self._clock,
+            hosts=len(settings.peers) + 1,
+            discarded=lambda r: self._metrics.replies_discarded.labels(r).inc(),
+        )
         self._outcomes: dict[str, curio.Queue] = {}
         self._events: curio.Queue = curio.Queue()
         self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
@@ -88,6 +92,7 @@
                 self._reader.run,
                 self._peers.run,
                 self._http.run,
+                self._links.run,
             )
         ]
         _log.info("started", port=self._settings.listen.port)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
@@ -10,12 +10,23 @@
 
 @dataclass(frozen=True)
 class SendTask:
-    """Send a task to a worker, once."""
+    """Send a task to a worker, once.
+
+    Attributes:
+        task: The task.
+        worker: The worker.
+        body: Body of the task.
+        deadline: Time by which the result is due, in the host's own clock, s.
+        send_by: Time from which the first byte must not leave any more, s.
+        attempt: Count of earlier sends of this task, each proved unsent.
+    """
 
     task: TaskId
     worker: WorkerSpec
     body: bytes
     deadline: float
+    send_by: float
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -6,7 +6,7 @@
 
 from poplarhill.configuration import Configuration
 from poplarhill.exceptions import ErrorKind, Failure
-from poplarhill.types import JobSpec, TaskId
+from poplarhill.types import JobSpec
 from poplarhilld.dispatch.actions import (
     Action,
     AnswerJob,
@@ -27,8 +27,17 @@
     Ticked,
 )
 from poplarhilld.dispatch.identity import Identity
-from poplarhilld.jobs import JobOutcome, JobTable
-from poplarhilld.jobs.state import cancellation, expiry
+from poplarhilld.jobs import (
+    Backoff,
+    BackoffView,
+    Job,
+    JobOutcome,
+    JobTable,
+    Send,
+    SendTable,
+)
+from poplarhilld.jobs.retries import MAX_TRIES
+from poplarhilld.jobs.state import cancellation, exhaustion, expiry
 from poplarhilld.placement import EveryWorker, Placed, Placement
 
 _NOT_READY_RETRY_S = 1.0
@@ -48,6 +57,8 @@
         self._configuration: Configuration | None = None
         self._random = random
         self._jobs = JobTable()
+        self._sends = SendTable()
+        self._backoff = Backoff()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
         self._view = EveryWorker()
@@ -68,6 +79,16 @@
         """Count of jobs without an answer."""
         return len(self._jobs)
 
+    @property
+    def sends_in_flight(self) -> int:
+        """Count of sends without a report."""
+        return len(self._sends)
+
+    @property
+    def outstanding(self) -> dict[str, int]:
+        """Count of this host's sends without a report, by worker."""
+        return self._placement.outstanding if self._placement is not None else {}
+
     @property
     def next_deadline(self) -> float | None:
         """The earliest deadline of a job in flight, s."""
@@ -86,12 +107,8 @@
                 self._submit(now, spec, actions)
             case JobCancelled(job_id):
                 self._cancel(job_id, actions)
-            case TaskSucceeded(task, worker, body):
-                self._task_succeeded(task, worker, body, actions)
-            case TaskUnsent(task, worker):
-                self._task_unsent(task, worker)
-            case TaskLost(task, worker, kind, detail):
-                self._task_lost(task, worker, Failure(kind, detail), actions)
+            case TaskSucceeded() | TaskUnsent() | TaskLost():
+                self._report(now, event, actions)
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
             case FrameReceived():
@@ -141,29 +158,46 @@
         if job is not None:
             self._end(job_id, cancellation(job), actions)
 
-    def _task_succeeded(
-        self, task: TaskId, worker: str, body: bytes, actions: list[Action]
+    def _report(
+        self,
+        now: float,
+        event: TaskSucceeded | TaskUnsent | TaskLost,
+        actions: list[Action],
     ) -> None:
-        self._placement.release(worker)
-        outcome = self._jobs.finish_task(task, body)
-        if outcome is not None:
-            self._end(task.job, outcome, actions)
-
-    def _task_unsent(self, task: TaskId, worker: str) -> None:
-        self._placement.release(worker)
-        job = self._jobs.get(task.job)
+        """Decide on a report; only the first on each send counts."""
+        if not self._sends.end(event.task, Send(event.worker, event.attempt)):
+            return
+        self._placement.release(event.worker)
+        match event:
+            case TaskUnsent():
+                self._backoff.refused(now, event.worker)
+            case _:
+                self._backoff.took(event.worker)
+        job = self._jobs.get(event.task.job)
         if job is not None:
-            job.mark_unsent(task.index)
-            self._placement.put_back(task)
+            self._advance(job, event, actions)
 
-    def _task_lost(
-        self, task: TaskId, worker: str, failure: Failure, actions: list[Action]
+    def _advance(
+        self,
+        job: Job,
+        event: TaskSucceeded | TaskUnsent | TaskLost,
+        actions: list[Action],
     ) -> None:
-        self._placement.release(worker)
-        job = self._jobs.get(task.job)
-        if job is not None:
-            job.mark_failed(task.index)
-            self._end(task.job, failure, actions)
+        task = event.task
+        match event:
+            case TaskSucceeded():
+                outcome = self._jobs.finish_task(task, event.body)
+            case TaskUnsent():
+                job.mark_unsent(task.index)
+                exhausted = job.tries(task.index) >= MAX_TRIES
+                outcome = exhaustion(job, event.detail) if exhausted else None
+                if outcome is None:
+                    self._placement.put_back(task)
+            case TaskLost():
+                job.mark_failed(task.index)
+                outcome = Failure(event.kind, event.detail)
+        if outcome is not None:
+            self._end(task.job, outcome, actions)
 
     def _configure(self, configuration: Configuration) -> None:
         current = self._configuration
@@ -194,13 +228,17 @@
     def _place(self, now: float, actions: list[Action]) -> None:
         if self._placement is None:
             return
-        for placed in self._placement.place(now, self._view):
+        view = BackoffView(self._view, self._backoff)
+        for placed in self._placement.place(now, view):
             self._send(placed, actions)
 
     def _send(self, placed: Placed, actions: list[Action]) -> None:
-        job = self._jobs.get(placed.task.job)
-        job.mark_sent(placed.task.index, placed.worker)
+        task = placed.task
+        spec = self._jobs.get(task.job).spec
+        attempt = self._jobs.get(task.job).mark_sent(task.index, placed.worker)
+        self._sends.begin(task, Send(placed.worker, attempt))
         worker = self._configuration.workers[placed.worker]
-        body = job.spec.tasks[placed.task.index]
+        body = spec.tasks[task.index]
+        deadline = spec.deadline
         actions.append(LogDecision(placed))
-        actions.append(SendTask(placed.task, worker, body, job.spec.deadline))
+        actions.append(SendTask(task, worker, body, deadline, deadline, attempt))
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -29,6 +29,7 @@
     task: TaskId
     worker: str
     body: bytes
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
@@ -38,6 +39,7 @@
     task: TaskId
     worker: str
     detail: str
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
@@ -48,6 +50,7 @@
     worker: str
     kind: ErrorKind
     detail: str
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/metrics.py
@@ -23,6 +23,12 @@
             ["kind"],
             registry=self._registry,
         )
+        self.replies_discarded = Counter(
+            "poplarhill_replies_discarded",
+            "Replies of workers that were not given to a caller, by reason",
+            ["reason"],
+            registry=self._registry,
+        )
         self.jobs_in_flight = Gauge(
             "poplarhill_jobs_in_flight",
             "Jobs without an answer",
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -29,6 +29,11 @@
         """Count of queued tasks."""
         return self._queue.waiting
 
+    @property
+    def outstanding(self) -> dict[str, int]:
+        """Count of tasks sent and not ended, by worker."""
+        return dict(self._outstanding)
+
     def configure(self, configuration: Configuration) -> None:
         """Take a new configuration; queued and outstanding tasks stay."""
         self._defaults = configuration.defaults
--- a/packages/poplarhilld/src/poplarhilld/workers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/link.py
@@ -1,26 +1,27 @@
-"""Connections to workers and the classification of what comes back.
+"""Sending tasks to workers, each once, and classifying what comes back.
 
 From the moment the first byte of a task may have left this host, the task is
 reported as lost unless its own response, or the worker's explicit refusal,
-comes back.
+comes back. Each send is reported exactly once.
 """
 
 from collections.abc import Callable
 
 import curio
+import structlog
 
 from poplarhill.exceptions import ErrorKind
 from poplarhill.http import (
     Connection,
     ConnectionLostError,
     InvalidResponseError,
-    Limits,
     Request,
     Response,
 )
 from poplarhill.types import TaskId, WorkerSpec
 from poplarhilld.dispatch.actions import SendTask
 from poplarhilld.dispatch.events import TaskLost, TaskSucceeded, TaskUnsent
+from poplarhilld.workers.pool import CONNECT_TIMEOUT_S, ConnectionPool
 
 TASK_ID_HEADER = "task-id"
 TASK_STARTED_HEADER = "task-started"
@@ -28,134 +29,145 @@
 
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
-_CONNECT_TIMEOUT_S = 1.0
 _STOP_TIMEOUT_S = 2.0
-_LIMITS = Limits()
+_log = structlog.get_logger()
 
 TaskEvent = TaskSucceeded | TaskUnsent | TaskLost
 
 
 class WorkerLink:
-    """The connections of this host to one worker.
+    """The tasks of this host on one worker.
 
     Args:
         spec: The worker.
+        pool: Connections to it.
+        clock: Returns the host's own time, s.
+        discarded: Called with the reason for each reply that is not given on.
     """
 
-    def __init__(self, spec: WorkerSpec) -> None:
+    def __init__(
+        self,
+        spec: WorkerSpec,
+        pool: ConnectionPool,
+        clock: Callable[[], float],
+        discarded: Callable[[str], None],
+    ) -> None:
         self._spec = spec
-        self._idle: list[Connection] = []
+        self._pool = pool
+        self._clock = clock
+        self._discarded = discarded
+        self._waiting: set[TaskId] = set()
+        self._running: dict[TaskId, Connection] = {}
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """Connections to the worker."""
+        return self._pool
 
-    async def send(self, action: SendTask, timeout_s: float) -> TaskEvent:
+    async def send(self, action: SendTask) -> TaskEvent:
         """Send a task and return what became of it."""
-        task, worker = action.task, self._spec.name
-        request = Request(
-            "POST",
-            "/tasks",
-            headers={
-                TASK_ID_HEADER: str(task),
-                TIMEOUT_HEADER: f"{timeout_s:.3f}",
-            },
-            body=action.body,
-        )
+        task = action.task
+        self._waiting.add(task)
         try:
-            connection = await self._connection()
+            connection = await self._pool.acquire(CONNECT_TIMEOUT_S)
         except ConnectionLostError as error:
-            return TaskUnsent(task, worker, str(error))
+            return self._unsent(action, str(error))
+        finally:
+            withdrawn = task not in self._waiting
+            self._waiting.discard(task)
+        if withdrawn or self._clock() >= action.send_by:
+            await self._pool.release(connection)
+            return self._unsent(action, "withdrawn" if withdrawn else "too late")
+        self._running[task] = connection
+        try:
+            return await self._exchange(action, connection)
+        finally:
+            del self._running[task]
+
+    async def stop(self, task: TaskId) -> None:
+        """Ask the worker to stop a task; cut its connection if it does not."""
+        if task in self._waiting:
+            self._waiting.discard(task)
+            return
+        connection = self._running.get(task)
+        if connection is None:
+            return
+        await self._request_stop(task)
+        if self._running.get(task) is connection:
+            await curio.sleep(_STOP_TIMEOUT_S)
+        if self._running.get(task) is connection:
+            connection.abort()
+
+    async def _exchange(self, action: SendTask, connection: Connection) -> TaskEvent:
+        timeout_s = max(0.0, action.deadline - self._clock())
+        request = _task_request(action, timeout_s)
         try:
             response = await curio.timeout_after(
                 timeout_s + _STOP_TIMEOUT_S, connection.exchange, request
             )
         except ConnectionLostError as error:
-            await connection.close()
-            return TaskLost(task, worker, ErrorKind.WORKER_LOST, str(error))
+            await self._pool.discard(connection)
+            return self._lost(action, ErrorKind.WORKER_LOST, str(error))
         except (InvalidResponseError, curio.TaskTimeout) as error:
-            await connection.close()
+            await self._pool.discard(connection)
             detail = str(error) or "no response in time"
-            return TaskLost(task, worker, ErrorKind.BAD_RESPONSE, detail)
-        event = _classify(task, worker, response)
-        if isinstance(event, TaskLost) and event.kind is ErrorKind.BAD_RESPONSE:
-            await connection.close()
-        else:
-            await self._keep(connection)
-        return event
-
-    async def stop(self, task: TaskId) -> None:
-        """Ask the worker to stop a task; whether it does is seen elsewhere."""
-        request = Request("DELETE", f"/tasks/{task}")
+            return self._lost(action, ErrorKind.BAD_RESPONSE, detail)
+        except BaseException:
+            await self._pool.discard(connection)
+            raise
+        return await self._receive(action, connection, response)
+
+    async def _receive(
+        self, action: SendTask, connection: Connection, response: Response
+    ) -> TaskEvent:
+        if response.headers.get(TASK_ID_HEADER) != str(action.task):
+            self._discard_reply("another task", action.task)
+            await self._pool.discard(connection)
+            detail = "response is for another task"
+            return self._lost(action, ErrorKind.BAD_RESPONSE, detail)
+        if connection.has_surplus:
+            self._discard_reply("surplus", action.task)
+        await self._pool.release(connection)
+        return self._classify(action, response)
+
+    def _classify(self, action: SendTask, response: Response) -> TaskEvent:
+        if response.status == _HTTP_OK:
+            worker = action.worker.name
+            return TaskSucceeded(action.task, worker, response.body, action.attempt)
+        refused = response.headers.get(TASK_STARTED_HEADER) == "no"
+        if response.status == _HTTP_UNAVAILABLE and refused:
+            return self._unsent(action, "the worker refused the task")
+        detail = f"the worker answered {response.status}"
+        return self._lost(action, ErrorKind.TASK_FAILED, detail)
+
+    async def _request_stop(self, task: TaskId) -> None:
         try:
-            connection = await self._connection()
+            connection = await self._pool.acquire(_STOP_TIMEOUT_S)
         except ConnectionLostError:
             return
+        request = Request("DELETE", f"/tasks/{task}")
         try:
             await curio.timeout_after(_STOP_TIMEOUT_S, connection.exchange, request)
         except (ConnectionLostError, InvalidResponseError, curio.TaskTimeout):
-            await connection.close()
-        else:
-            await self._keep(connection)
-
-    async def close(self) -> None:
-        """Close every idle connection."""
-        while self._idle:
-            await self._idle.pop().close()
-
-    async def _connection(self) -> Connection:
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_stale():
-                return connection
-            await connection.close()
-        return await Connection.open(
-            self._spec.host, self._spec.port, _LIMITS, _CONNECT_TIMEOUT_S
-        )
-
-    async def _keep(self, connection: Connection) -> None:
-        if connection.reusable:
-            self._idle.append(connection)
+            await self._pool.discard(connection)
         else:
-            await connection.close()
+            await self._pool.release(connection)
 
+    def _discard_reply(self, reason: str, task: TaskId) -> None:
+        self._discarded(reason)
+        worker = self._spec.name
+        _log.warning("reply discarded", reason=reason, worker=worker, task=str(task))
 
-class WorkerLinks:
-    """The links to every worker.
+    def _unsent(self, action: SendTask, detail: str) -> TaskUnsent:
+        return TaskUnsent(action.task, action.worker.name, detail, action.attempt)
 
-    Args:
-        clock: Returns the host's own time, s.
-    """
+    def _lost(self, action: SendTask, kind: ErrorKind, detail: str) -> TaskLost:
+        return TaskLost(action.task, action.worker.name, kind, detail, action.attempt)
 
-    def __init__(self, clock: Callable[[], float]) -> None:
-        self._clock = clock
-        self._links: dict[tuple[str, int], WorkerLink] = {}
 
-    async def send(self, action: SendTask) -> TaskEvent:
-        """Send a task and return what became of it."""
-        timeout_s = max(0.0, action.deadline - self._clock())
-        return await self._link(action.worker).send(action, timeout_s)
-
-    async def stop(self, task: TaskId, worker: WorkerSpec) -> None:
-        """Ask a worker to stop a task."""
-        await self._link(worker).stop(task)
-
-    async def close(self) -> None:
-        """Close every idle connection."""
-        for link in self._links.values():
-            await link.close()
-
-    def _link(self, spec: WorkerSpec) -> WorkerLink:
-        address = (spec.host, spec.port)
-        if address not in self._links:
-            self._links[address] = WorkerLink(spec)
-        return self._links[address]
-
-
-def _classify(task: TaskId, worker: str, response: Response) -> TaskEvent:
-    if response.headers.get(TASK_ID_HEADER) != str(task):
-        detail = "response is for another task"
-        return TaskLost(task, worker, ErrorKind.BAD_RESPONSE, detail)
-    if response.status == _HTTP_OK:
-        return TaskSucceeded(task, worker, response.body)
-    refused = response.headers.get(TASK_STARTED_HEADER) == "no"
-    if response.status == _HTTP_UNAVAILABLE and refused:
-        return TaskUnsent(task, worker, "the worker refused the task")
-    detail = f"the worker answered {response.status}"
-    return TaskLost(task, worker, ErrorKind.TASK_FAILED, detail)
+def _task_request(action: SendTask, timeout_s: float) -> Request:
+    headers = {
+        TASK_ID_HEADER: str(action.task),
+        TIMEOUT_HEADER: f"{timeout_s:.3f}",
+    }
+    return Request("POST", "/tasks", headers=headers, body=action.body)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/workers/links.py
@@ -0,0 +1,73 @@
+"""The links to every worker."""
+
+from collections.abc import Callable
+
+import curio
+import structlog
+
+from poplarhill.exceptions import ErrorKind
+from poplarhill.types import TaskId, WorkerSpec
+from poplarhilld.dispatch.actions import SendTask
+from poplarhilld.dispatch.events import TaskLost
+from poplarhilld.workers.link import TaskEvent, WorkerLink
+from poplarhilld.workers.pool import ConnectionPool
+
+_SWEEP_S = 5.0
+_log = structlog.get_logger()
+
+
+class WorkerLinks:
+    """The links to every worker.
+
+    Args:
+        clock: Returns the host's own time, s.
+        hosts: Entry hosts among which a worker's connections are shared.
+        discarded: Called with the reason for each reply that is not given on.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        hosts: int,
+        discarded: Callable[[str], None],
+    ) -> None:
+        self._clock = clock
+        self._hosts = hosts
+        self._discarded = discarded
+        self._links: dict[tuple[str, int], WorkerLink] = {}
+
+    async def run(self) -> None:
+        """Close idle connections until cancelled."""
+        while True:
+            await curio.sleep(_SWEEP_S)
+            for link in list(self._links.values()):
+                await link.pool.close_idle()
+
+    async def send(self, action: SendTask) -> TaskEvent:
+        """Send a task and return what became of it; never raises an error."""
+        try:
+            return await self._link(action.worker).send(action)
+        except Exception as error:
+            _log.exception("send failed", task=str(action.task))
+            name = action.worker.name
+            kind = ErrorKind.INTERNAL
+            return TaskLost(action.task, name, kind, repr(error), action.attempt)
+
+    async def stop(self, task: TaskId, worker: WorkerSpec) -> None:
+        """Ask a worker to stop a task."""
+        await self._link(worker).stop(task)
+
+    async def close(self) -> None:
+        """Close every idle connection."""
+        for link in self._links.values():
+            await link.pool.close_idle(0.0)
+
+    def _link(self, spec: WorkerSpec) -> WorkerLink:
+        address = (spec.host, spec.port)
+        link = self._links.get(address)
+        if link is None:
+            size = max(1, spec.connections // self._hosts)
+            pool = ConnectionPool(spec, size, self._clock, self._discarded)
+            link = WorkerLink(spec, pool, self._clock, self._discarded)
+            self._links[address] = link
+        return link
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/workers/pool.py
@@ -0,0 +1,99 @@
+"""The kept-alive connections of this host to one worker, within its share."""
+
+from collections.abc import Callable
+
+import curio
+
+from poplarhill.http import Connection, ConnectionLostError, IdleState, Limits
+from poplarhill.http.messages import MIB
+from poplarhill.types import WorkerSpec
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_S = 30.0
+LIMITS = Limits(body_bytes=MIB)
+
+
+class ConnectionPool:
+    """Connections that carry one request at a time, at most `size` of them.
+
+    Args:
+        spec: The worker.
+        size: Most connections open at a time.
+        clock: Returns the host's own time, s.
+        discarded: Called with the reason for each reply that nobody asked for.
+    """
+
+    def __init__(
+        self,
+        spec: WorkerSpec,
+        size: int,
+        clock: Callable[[], float],
+        discarded: Callable[[str], None],
+    ) -> None:
+        self._spec = spec
+        self._clock = clock
+        self._discarded = discarded
+        self._free = curio.Semaphore(size)
+        self._idle: list[tuple[float, Connection]] = []
+
+    @property
+    def idle(self) -> int:
+        """Count of open connections that carry no request."""
+        return len(self._idle)
+
+    async def acquire(self, timeout_s: float) -> Connection:
+        """Return a connection that was usable a moment ago.
+
+        Raises:
+            ConnectionLostError: None could be had within `timeout_s`; nothing
+                was sent.
+        """
+        try:
+            await curio.timeout_after(timeout_s, self._free.acquire)
+        except curio.TaskTimeout as error:
+            detail = f"no free connection to {self._spec.name}"
+            raise ConnectionLostError(detail, sent=False) from error
+        try:
+            return await self._reuse() or await self._open(timeout_s)
+        except BaseException:
+            await self._free.release()
+            raise
+
+    async def release(self, connection: Connection) -> None:
+        """Give a connection back; it is kept if it can carry another request."""
+        if connection.reusable:
+            self._idle.append((self._clock(), connection))
+        else:
+            await connection.close()
+        await self._free.release()
+
+    async def discard(self, connection: Connection) -> None:
+        """Give a connection back that must not be used again."""
+        await connection.close()
+        await self._free.release()
+
+    async def close_idle(self, idle_s: float = IDLE_S) -> None:
+        """Close every connection that has been idle for `idle_s`."""
+        oldest = self._clock() - idle_s
+        kept = [(since, c) for since, c in self._idle if since > oldest]
+        expired = [c for since, c in self._idle if since <= oldest]
+        self._idle = kept
+        for connection in expired:
+            await connection.close()
+
+    async def _reuse(self) -> Connection | None:
+        while self._idle:
+            _, connection = self._idle.pop()
+            match connection.idle_state():
+                case IdleState.USABLE:
+                    return connection
+                case IdleState.UNSOLICITED:
+                    self._discarded("unsolicited")
+            await connection.close()
+        return None
+
+    async def _open(self, timeout_s: float) -> Connection:
+        timeout_s = min(timeout_s, CONNECT_TIMEOUT_S)
+        return await Connection.open(
+            self._spec.host, self._spec.port, LIMITS, timeout_s
+        )
--- a/packages/poplarhilld/tests/dispatch/test_core.py
+++ b/packages/poplarhilld/tests/dispatch/test_core.py
@@ -77,7 +77,8 @@
     unsent = TaskUnsent(send.task, send.worker.name, "refused")
     [again] = of(SendTask, dispatcher.handle(1.0, unsent))
     assert again.task == TaskId("j", 0)
-    lost = TaskLost(again.task, again.worker.name, ErrorKind.WORKER_LOST, "gone")
+    assert again.attempt == 1
+    lost = TaskLost(again.task, again.worker.name, ErrorKind.WORKER_LOST, "gone", 1)
     assert not of(SendTask, dispatcher.handle(2.0, lost))
 
 
