--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -85,9 +85,9 @@
         return len(self._sends)
 
     @property
-    def outstanding(self) -> dict[str, int]:
-        """Count of this host's sends without a report, by worker."""
-        return self._placement.outstanding if self._placement is not None else {}
+    def outstanding(self) -> int:
+        """Count of tasks that placement takes to be on workers."""
+        return self._placement.outstanding if self._placement is not None else 0
 
     @property
     def next_deadline(self) -> float | None:
@@ -128,7 +128,7 @@
             return
         self._jobs.add(spec)
         self._deadlines.add((spec.deadline, spec.job_id))
-        self._placement.enqueue(spec)
+        self._placement.enqueue(now, spec)
 
     def _refusal(self, now: float, spec: JobSpec) -> Failure | None:
         if self._shutting_down:
@@ -205,7 +205,13 @@
             return
         self._configuration = configuration
         if self._placement is None:
-            self._placement = Placement(configuration, self._random)
+            self._placement = Placement(
+                configuration,
+                self._random,
+                self._identity.name,
+                self._identity.data_centre,
+                self._identity.seeds,
+            )
         else:
             self._placement.configure(configuration)
 
