Answer every bad request with one error, and every fault with a stop

Cause: read and provoked over real sockets. The old server, seen red: - a body or header over the limit: "ConnectionResetError" at the caller (closed with unread data), or accepted: "assert b'200' == b'413'" for headers that came in one read; - a handler that raised: no answer at all, the connection just closed; - HEAD: b'' (h11 refuses a body there and the task crashed); - more than 64 KiB pipelined behind a request cancelled it; - `Expect: 100-continue` ran into 408; - requests that arrived while draining were dropped, and draining could wait for ever under steady probes; - half-closed callers got nothing. An accept that failed (no free descriptors) ended the accept loop; a loop that raised died silently with the daemon still up and unable to answer.

A fault of our own in any loop answers all jobs in flight with `internal` (may have run) and exits 1: a dispatcher whose step broke half way must not send again. Going on was weighed and ruled out: actions decided before the fault would be lost, among them answers.

`Job-Id` is the caller's alias; the id that workers see stays unique, so a name that is used again can't match an older job's late replies.

--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/http/session.py
@@ -0,0 +1,195 @@
+"""One accepted HTTP/1.1 connection, by h11."""
+
+import contextlib
+import socket
+
+import curio
+import h11
+
+from poplarhill.exceptions import ErrorKind, Failure, error_body
+from poplarhill.http.messages import (
+    Limits,
+    Request,
+    Response,
+    header_size,
+    json_response,
+)
+
+_READ_BYTES = 65536
+_MAX_PIPELINED_BYTES = 65536
+_MAX_DISCARDED_BYTES = 64 * 1024 * 1024
+_DISCARD_S = 2.0
+_TOO_LARGE_HINTS = (413, 431)
+
+
+class HangUpError(Exception):
+    """The other side closed its connection."""
+
+
+class RefusedError(Exception):
+    """A request that gets an error without reaching the handler.
+
+    Args:
+        failure: The error.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+class Session:
+    """h11 state of one accepted connection.
+
+    Args:
+        client: The accepted socket.
+        limits: Bounds on requests.
+    """
+
+    def __init__(self, client: curio.io.Socket, limits: Limits) -> None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._client = client
+        self._limits = limits
+        self._http = h11.Connection(h11.SERVER, limits.header_bytes)
+        self._pipelined = 0
+        self._bodiless = False
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may come on this connection."""
+        return self._http.our_state is h11.IDLE
+
+    async def wait_for_data(self) -> None:
+        """Return when a request has begun to arrive."""
+        if not self._http.trailing_data[0]:
+            await self._read()
+
+    async def receive(self) -> Request:
+        """Return the next request, whole.
+
+        Raises:
+            RefusedError: It breaks the protocol or a limit.
+            HangUpError: The caller closed first.
+        """
+        limit_s = self._limits.receive_s
+        try:
+            return await curio.timeout_after(limit_s, self._receive)
+        except curio.TaskTimeout as error:
+            detail = f"request not whole within {limit_s:g} s"
+            raise RefusedError(Failure(ErrorKind.REQUEST_TIMEOUT, detail)) from error
+
+    async def _receive(self) -> Request:
+        request: h11.Request | None = None
+        chunks: list[bytes] = []
+        size = 0
+        self._pipelined = 0
+        while True:
+            match event := self._next_event():
+                case h11.NEED_DATA:
+                    await self._continue()
+                    await self._read()
+                case h11.Request():
+                    request = event
+                    self._check_headers(event)
+                case h11.Data():
+                    size += len(event.data)
+                    if size > self._limits.body_bytes:
+                        detail = f"body over {self._limits.body_bytes} bytes"
+                        raise RefusedError(Failure(ErrorKind.TOO_LARGE, detail))
+                    chunks.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    return _to_request(request, b"".join(chunks))
+                case _:
+                    raise HangUpError
+
+    def _check_headers(self, event: h11.Request) -> None:
+        self._bodiless = event.method == b"HEAD"
+        if header_size(event) > self._limits.header_bytes:
+            detail = f"headers over {self._limits.header_bytes} bytes"
+            raise RefusedError(Failure(ErrorKind.TOO_LARGE, detail))
+
+    async def _continue(self) -> None:
+        """Ask for the body of a caller that waits to be asked."""
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._client.sendall(self._http.send(go_on))
+
+    async def watch(self) -> None:
+        """Return when the caller has closed; keep what it pipelines."""
+        while self._pipelined <= _MAX_PIPELINED_BYTES:
+            data = await self._client.recv(_READ_BYTES)
+            if not data:
+                return
+            self._pipelined += len(data)
+            self._http.receive_data(data)
+        await curio.Event().wait()
+
+    async def send(self, response: Response, close: bool = False) -> None:
+        """Send a response.
+
+        Args:
+            response: The response.
+            close: Whether no other request is taken on this connection.
+
+        Raises:
+            TaskTimeout: The caller did not read it in time.
+        """
+        data = self._encode(response, close)
+        await curio.timeout_after(self._limits.receive_s, self._client.sendall, data)
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+
+    async def refuse(self, failure: Failure) -> None:
+        """Send an error and close; what still arrives is discarded.
+
+        A connection that is closed with unread data is reset, and the reset can
+        overtake the response.
+        """
+        body = {"state": "failed", "error": error_body(failure)}
+        await self.send(json_response(failure.answer.status, body), close=True)
+        self._client._socket.shutdown(socket.SHUT_WR)
+        with contextlib.suppress(curio.TaskTimeout):
+            await curio.timeout_after(_DISCARD_S, self._discard)
+        raise HangUpError
+
+    async def _discard(self) -> None:
+        left = _MAX_DISCARDED_BYTES
+        while left > 0 and (data := await self._client.recv(_READ_BYTES)):
+            left -= len(data)
+
+    def _encode(self, response: Response, close: bool) -> bytes:
+        headers = list(response.headers.items())
+        headers.append(("content-length", str(len(response.body))))
+        if close:
+            headers.append(("connection", "close"))
+        body = b"" if self._bodiless else response.body
+        parts = (
+            h11.Response(status_code=response.status, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+        return b"".join(self._http.send(part) for part in parts)
+
+    async def _read(self) -> None:
+        data = await self._client.recv(_READ_BYTES)
+        if not data and not self._http.trailing_data[0]:
+            raise HangUpError
+        self._http.receive_data(data)
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            kind = ErrorKind.BAD_REQUEST
+            if error.error_status_hint in _TOO_LARGE_HINTS:
+                kind = ErrorKind.TOO_LARGE
+            raise RefusedError(Failure(kind, f"not HTTP/1.1: {error}")) from error
+
+
+def _to_request(event: h11.Request | None, body: bytes) -> Request:
+    assert event is not None
+    path, _, query = event.target.decode("ascii").partition("?")
+    headers = {
+        name.decode("ascii"): value.decode("latin-1") for name, value in event.headers
+    }
+    return Request(event.method.decode("ascii"), path, query, headers, body)
--- /dev/null
+++ b/packages/poplarhill/tests/http/test_server.py
@@ -0,0 +1,205 @@
+"""The server against callers that break the rules, over real sockets."""
+
+import socket
+import time
+
+import curio
+import msgspec
+import pytest
+
+from poplarhill.http import HttpServer, Limits, Request, Response, fetch
+
+HOST = "127.0.0.1"
+LIMITS = Limits(header_bytes=4096, body_bytes=10_000, receive_s=0.3, idle_s=5.0)
+
+
+class Served:
+    """A server whose handler echoes, fails, or waits until it is cancelled."""
+
+    def __init__(self) -> None:
+        self.server = HttpServer(HOST, 0, self.handle, LIMITS)
+        self.port = self.server.port
+        self.cancelled = 0
+        self.waiting = 0
+        self.go_on = curio.Event()
+
+    async def handle(self, request: Request) -> Response:
+        """Answer by path."""
+        if request.path == "/fail":
+            raise OSError("a bug")
+        if request.path == "/wait":
+            self.waiting += 1
+            try:
+                await self.go_on.wait()
+            except curio.CancelledError:
+                self.cancelled += 1
+                raise
+        return Response(200, {}, request.body)
+
+    async def talk(self, data: bytes, half_close: bool = False) -> bytes:
+        """Send bytes and return all that comes back until the server closes."""
+        sock = await curio.open_connection(HOST, self.port)
+        async with sock:
+            await sock.sendall(data)
+            if half_close:
+                await sock.shutdown(socket.SHUT_WR)
+            answer = b""
+            while received := await sock.recv(65536):
+                answer += received
+            return answer
+
+
+@pytest.fixture
+def run_served():
+    def run(body):
+        async def main():
+            served = Served()
+            serving = await curio.spawn(served.server.run, daemon=True)
+            try:
+                result = await curio.timeout_after(20, body, served)
+                request = Request("POST", "/", body=b"still here")
+                after = await fetch(HOST, served.port, request, 5.0)
+                assert after.body == b"still here"
+                return result
+            finally:
+                await serving.cancel()
+
+        return curio.run(main)
+
+    return run
+
+
+def post(path: str = "/", body: bytes = b"", *headers: str) -> bytes:
+    lines = [f"POST {path} HTTP/1.1", "host: x", f"content-length: {len(body)}"]
+    return "\r\n".join([*lines, *headers, "", ""]).encode() + body
+
+
+def error_of(answer: bytes) -> dict:
+    return msgspec.json.decode(answer.partition(b"\r\n\r\n")[2])["error"]
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "kind"),
+    [
+        (b"gibberish\r\n\r\n", b"400", "bad_request"),
+        (b"POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\nxx", b"400", "bad_request"),
+        (post("/", b"x" * 10_001), b"413", "too_large"),
+        (post("/", b"x" * 9_000_000), b"413", "too_large"),
+        (post("/", b"", "x: " + "y" * 5000), b"413", "too_large"),
+        (b"POST / HTTP/1.1\r\nx: " + b"y" * 90_000, b"413", "too_large"),
+        (post("/", b"x")[:-1], b"408", "request_timeout"),
+        (b"POST / HT", b"408", "request_timeout"),
+        (post("/fail", b"", "connection: close"), b"500", "internal"),
+    ],
+    ids=lambda value: value[:24] if isinstance(value, bytes) else None,
+)
+def test_bad_input_gets_one_clear_error(run_served, data, status, kind) -> None:
+    async def body(served):
+        return await served.talk(data)
+
+    answer = run_served(body)
+    assert answer.split()[1] == status
+    assert error_of(answer)["kind"] == kind
+
+
+def test_one_byte_at_a_time_is_cut_off(run_served) -> None:
+    async def body(served):
+        sock = await curio.open_connection(HOST, served.port)
+        async with sock:
+            for byte in post("/", b"x" * 500):
+                try:
+                    await sock.sendall(bytes([byte]))
+                except OSError:
+                    break
+                await curio.sleep(0.01)
+            return await sock.recv(65536)
+
+    assert run_served(body).split()[1] == b"408"
+
+
+def test_a_half_closed_caller_is_told_that_it_was_stopped(run_served) -> None:
+    async def body(served):
+        answer = await served.talk(post("/wait"), half_close=True)
+        return answer, served.cancelled
+
+    answer, cancelled = run_served(body)
+    assert error_of(answer)["kind"] == "stopped"
+    assert error_of(answer)["run_state"] == "may_have_run"
+    assert cancelled == 1
+
+
+def test_a_caller_that_hangs_up_cancels_its_request(run_served) -> None:
+    async def body(served):
+        sock = await curio.open_connection(HOST, served.port)
+        await sock.sendall(post("/wait"))
+        while not served.waiting:
+            await curio.sleep(0.01)
+        await sock.close()
+        while not served.cancelled:
+            await curio.sleep(0.01)
+
+    run_served(body)
+
+
+def test_much_pipelined_data_cancels_nothing(run_served) -> None:
+    async def body(served):
+        many = post("/wait") + post("/", b"x" * 9_000) * 40
+        data = many + post("/", b"last", "connection: close")
+        talking = await curio.spawn(served.talk, data)
+        while not served.waiting:
+            await curio.sleep(0.01)
+        await curio.sleep(0.05)
+        assert not served.cancelled
+        await served.go_on.set()
+        return await talking.join()
+
+    assert run_served(body).count(b"HTTP/1.1 200") == 42
+
+
+def test_a_caller_that_waits_to_be_asked_is_asked(run_served) -> None:
+    async def body(served):
+        sock = await curio.open_connection(HOST, served.port)
+        async with sock:
+            await sock.sendall(post("/", b"xx", "expect: 100-continue")[:-2])
+            asked = await sock.recv(65536)
+            await sock.sendall(b"xx")
+            return asked, await sock.recv(65536)
+
+    asked, answer = run_served(body)
+    assert asked.startswith(b"HTTP/1.1 100")
+    assert answer.endswith(b"xx")
+
+
+def test_head_gets_no_body(run_served) -> None:
+    async def body(served):
+        request = post("/", b"body", "connection: close")
+        return await served.talk(request.replace(b"POST", b"HEAD"))
+
+    assert run_served(body).endswith(b"\r\n\r\n")
+
+
+def test_draining_answers_what_is_in_flight_and_waits_for_no_idle_caller() -> None:
+    async def main():
+        served = Served()
+        serving = await curio.spawn(served.server.run, daemon=True)
+        idle = await curio.open_connection(HOST, served.port)
+        await idle.sendall(post("/", b"first"))
+        await idle.recv(65536)
+        waiting = await curio.spawn(served.talk, post("/wait", b"in flight"))
+        while not served.waiting:
+            await curio.sleep(0.01)
+        draining = await curio.spawn(served.server.drain)
+        await curio.sleep(0.05)
+        during = await served.talk(post("/", b"during"))
+        await served.go_on.set()
+        in_flight = await waiting.join()
+        begin = time.monotonic()
+        await draining.join()
+        await serving.cancel()
+        return during, in_flight, time.monotonic() - begin
+
+    during, in_flight, seconds = curio.run(main)
+    assert during.endswith(b"during")
+    assert b"connection: close" in during
+    assert in_flight.endswith(b"in flight")
+    assert seconds < LIMITS.idle_s
--- a/packages/poplarhilld/src/poplarhilld/api/handler.py
+++ b/packages/poplarhilld/src/poplarhilld/api/handler.py
@@ -1,6 +1,7 @@
 """Routes of the callers' interface."""
 
 import math
+import re
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -12,9 +13,12 @@
 from poplarhilld.jobs import Completed, JobOutcome
 
 KEY_HEADER = "idempotency-key"
+JOB_ID_HEADER = "job-id"
 _HTTP_OK = 200
 _HTTP_ACCEPTED = 202
 _HTTP_UNAVAILABLE = 503
+_NAME = re.compile("[A-Za-z0-9._-]{1,64}")
+_CONFLICT_RETRY_S = 1.0
 
 Submit = Callable[[JobSpec], Awaitable[JobOutcome]]
 Cancel = Callable[[str], Awaitable[bool]]
@@ -44,6 +48,7 @@
         self._ready = ready
         self._metrics = metrics
         self._clock = clock
+        self._job_ids: dict[str, str] = {}
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
@@ -70,18 +75,35 @@
         if parsed.is_error():
             return _failed(None, parsed.error)
         spec = parsed.ok
+        name = request.headers.get(JOB_ID_HEADER, spec.job_id)
+        refusal = self._check_name(name)
+        if refusal is not None:
+            return _failed(None, refusal)
+        self._job_ids[name] = spec.job_id
         try:
             outcome = await self._submit(spec)
         except curio.CancelledError:
             await curio.disable_cancellation(self._cancel(spec.job_id))
             raise
+        finally:
+            del self._job_ids[name]
         return _answer(spec.job_id, outcome)
 
-    async def _delete_job(self, job_id: str) -> Response:
-        if await self._cancel(job_id):
+    def _check_name(self, name: str) -> Failure | None:
+        if not _NAME.fullmatch(name):
+            detail = f"Job-Id must match {_NAME.pattern}"
+            return Failure(ErrorKind.BAD_REQUEST, detail)
+        if name in self._job_ids:
+            detail = f"a job with Job-Id {name!r} is in flight here"
+            return Failure(ErrorKind.CONFLICT, detail, _CONFLICT_RETRY_S)
+        return None
+
+    async def _delete_job(self, name: str) -> Response:
+        job_id = self._job_ids.get(name)
+        if job_id is not None and await self._cancel(job_id):
             return json_response(_HTTP_ACCEPTED, {"job_id": job_id})
-        failure = Failure(ErrorKind.UNKNOWN_JOB, f"no job {job_id!r} in flight here")
-        return _failed(job_id, failure)
+        failure = Failure(ErrorKind.UNKNOWN_JOB, f"no job {name!r} in flight here")
+        return _failed(name, failure)
 
 
 def _answer(job_id: str, outcome: JobOutcome) -> Response:
--- a/packages/poplarhilld/src/poplarhilld/api/requests.py
+++ b/packages/poplarhilld/src/poplarhilld/api/requests.py
@@ -15,6 +15,7 @@
 
 _Tasks = Annotated[list[str], msgspec.Meta(min_length=1, max_length=MAX_TASKS_PER_JOB)]
 _Timeout = Annotated[float, msgspec.Meta(le=_MAX_TIMEOUT_S)]
+_Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9._-]{1,64}$")]
 _NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 _Megabytes = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -34,7 +35,7 @@
 
     tasks: _Tasks
     timeout_s: _Timeout = _DEFAULT_TIMEOUT_S
-    customer: str = "default"
+    customer: _Name = "default"
     idempotent: bool = True
     cores: _NotNegative = 0.0
     memory_mb: _Megabytes = 0
@@ -63,7 +64,7 @@
     """
     try:
         request = msgspec.json.decode(body, type=JobRequest)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Error(Failure(ErrorKind.BAD_REQUEST, str(error)))
     if key is not None and not 0 < len(key) <= _MAX_KEY_CHARS:
         detail = f"Idempotency-Key must have 1 to {_MAX_KEY_CHARS} characters"
--- a/packages/poplarhilld/src/poplarhilld/cli.py
+++ b/packages/poplarhilld/src/poplarhilld/cli.py
@@ -30,4 +30,4 @@
             click.echo(f"Error: {problem}", err=True)
         sys.exit(error.exit_code)
     configure_logs(settings.name)
-    curio.run(Daemon.from_config(settings).run)
+    sys.exit(curio.run(Daemon.from_config(settings).run))
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -7,6 +7,7 @@
 import curio
 import structlog
 
+from poplarhill.exceptions import ErrorKind, Failure
 from poplarhill.http import HttpServer
 from poplarhill.platform import HttpPlatform
 from poplarhill.types import JobSpec
@@ -36,10 +37,13 @@
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.settings import Settings
 from poplarhilld.signals import SignalWaiter
+from poplarhilld.supervisor import Supervisor
 from poplarhilld.workers import WorkerLinks
 
 _PLATFORM_TIMEOUT_S = 2.0
 _TICK_S = 0.1
+_FAULT = Failure(ErrorKind.INTERNAL, "a fault of this process")
+EXIT_FAILED = _FAULT.answer.exit_code
 _log = structlog.get_logger()
 
 
@@ -57,6 +61,7 @@
         identity = Identity.from_config(settings, incarnation)
         self._dispatcher = Dispatcher(identity, Random())
         self._metrics = Metrics()
+        self._loops = Supervisor()
         self._links = WorkerLinks(
             self._clock,
             hosts=len(settings.peers) + 1,
@@ -70,7 +75,7 @@
         self._api = Api(
             submit=self.submit,
             cancel=self.cancel,
-            ready=lambda: self._dispatcher.ready,
+            ready=lambda: self._dispatcher.ready and not self._loops.failed,
             metrics=self._metrics.page,
             clock=self._clock,
         )
@@ -81,32 +86,42 @@
         """Return the daemon that the settings describe."""
         return cls(settings)
 
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then answer what is in flight."""
+    async def run(self) -> int:
+        """Serve until SIGTERM or SIGINT, then answer what is in flight.
+
+        A loop that fails leaves the state of the dispatcher unknown. Every job
+        in flight is then answered with an internal error.
+
+        Returns:
+            Exit code of the process.
+        """
         stop = SignalWaiter(signal.SIGTERM, signal.SIGINT)
-        loops = [
-            await curio.spawn(loop, daemon=True)
-            for loop in (
-                self._decide,
-                self._tick,
-                self._reader.run,
-                self._peers.run,
-                self._http.run,
-                self._links.run,
-            )
-        ]
+        await self._loops.start(
+            self._decide,
+            self._tick,
+            self._reader.run,
+            self._peers.run,
+            self._http.run,
+            self._links.run,
+        )
         _log.info("started", port=self._settings.listen.port)
-        await stop.wait()
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(stop.wait)
+            await group.spawn(self._loops.wait_failed)
         _log.info("shutdown started", jobs=self._dispatcher.jobs_in_flight)
         await self._post(ShutdownStarted())
+        abandoning = await curio.spawn(self._abandon_jobs, daemon=True)
         await self._http.drain()
-        for loop in loops:
-            await loop.cancel()
+        await abandoning.cancel()
+        await self._loops.cancel()
         await self._links.close()
         _log.info("stopped")
+        return EXIT_FAILED if self._loops.failed else 0
 
     async def submit(self, spec: JobSpec) -> JobOutcome:
         """Run a job to its outcome."""
+        if self._loops.failed:
+            return _FAULT
         outcome: curio.Queue = curio.Queue()
         self._outcomes[spec.job_id] = outcome
         try:
@@ -121,6 +136,12 @@
         await self._post(JobCancelled(job_id))
         return known
 
+    async def _abandon_jobs(self) -> None:
+        """Answer every job in flight once a loop has failed."""
+        await self._loops.wait_failed()
+        for waiter in list(self._outcomes.values()):
+            await waiter.put(_FAULT)
+
     async def _post(self, event: Event) -> None:
         await self._events.put(event)
 
--- a/packages/poplarhilld/src/poplarhilld/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/settings.py
@@ -30,7 +30,6 @@
         peer_listen: Where other entry hosts reach it.
         platform: Where the platform's log service is.
         peers: Entry hosts known at start, by name; others are learnt from them.
-        drain_s: Longest wait for jobs in flight at shutdown, s; 0 for no limit.
     """
 
     name: str
@@ -39,7 +38,6 @@
     peer_listen: Address
     platform: Address
     peers: dict[str, Address]
-    drain_s: float = 0.0
 
     @classmethod
     def from_config(cls, value: Any) -> "Settings":
@@ -90,6 +88,5 @@
         "peer_listen": _ADDRESS,
         "platform": _ADDRESS,
         "peers": {"type": "object", "additionalProperties": _ADDRESS},
-        "drain_s": {"type": "number", "minimum": 0},
     },
 }
--- a/packages/poplarhilld/src/poplarhilld/workers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/links.py
@@ -55,7 +55,10 @@
 
     async def stop(self, task: TaskId, worker: WorkerSpec) -> None:
         """Ask a worker to stop a task."""
-        await self._link(worker).stop(task)
+        try:
+            await self._link(worker).stop(task)
+        except Exception:
+            _log.exception("stop failed", task=str(task))
 
     async def close(self) -> None:
         """Close every idle connection."""
