--- a/packages/poplarhilld/src/poplarhilld/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/settings.py
@@ -30,6 +30,7 @@
         peer_listen: Where other entry hosts reach it.
         platform: Where the platform's log service is.
         peers: Entry hosts known at start, by name; others are learnt from them.
+        log_retention_s: Shortest time that the platform's log keeps records, s.
     """
 
     name: str
@@ -38,6 +39,7 @@
     peer_listen: Address
     platform: Address
     peers: dict[str, Address]
+    log_retention_s: float = 3600.0
 
     @classmethod
     def from_config(cls, value: Any) -> "Settings":
@@ -88,5 +90,6 @@
         "peer_listen": _ADDRESS,
         "platform": _ADDRESS,
         "peers": {"type": "object", "additionalProperties": _ADDRESS},
+        "log_retention_s": {"type": "number", "exclusiveMinimum": 0},
     },
 }
--- a/packages/poplarhilld/tests/api/test_api.py
+++ b/packages/poplarhilld/tests/api/test_api.py
@@ -19,7 +19,7 @@
     """The interface in front of jobs that end when told to."""
 
     def __init__(self) -> None:
-        api = Api(self.submit, self.cancel, lambda: True, bytes, lambda: NOW)
+        api = Api(self.submit, self.cancel, lambda: True, dict, bytes, lambda: NOW)
         self.server = HttpServer(HOST, 0, api.handle)
         self.specs: dict = {}
         self.outcomes: dict[str, curio.Queue] = {}
