--- a/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
@@ -25,7 +25,7 @@
 from random import Random
 from typing import Any
 
-from poplarhill import ErrorKind, JobSpec, TaskId
+from poplarhill import ErrorKind, JobSpec
 from poplarhill.configuration import Change, encode_record
 from poplarhill.platform import Batch, ReadResult, Record, Truncated, Unavailable
 from poplarhill_dev.golden.render import render
@@ -69,7 +69,7 @@
         self._log: list[Record] = []
         self._end = 0
         self._log_down = False
-        self._sent: dict[str, str] = {}
+        self._sent: dict[str, SendTask] = {}
         self._read_from: int | None = None
         self._dispatcher = _dispatcher()
         list(self._handle(0.0, Started()))
@@ -124,8 +124,8 @@
 
     def _note(self, now: float, action: Action) -> None:
         match action:
-            case SendTask(task, worker):
-                self._sent[str(task)] = worker.name
+            case SendTask(task):
+                self._sent[str(task)] = action
             case ReadLog(offset):
                 self._read_from = offset
             case AppendRecord(body):
@@ -138,14 +138,8 @@
                 return JobSubmitted(_job(now, *words))
             case "cancel":
                 return JobCancelled(arguments)
-            case "done":
-                task = _task(arguments)
-                return TaskSucceeded(task, self._sent[arguments], arguments.encode())
-            case "refused":
-                return TaskUnsent(_task(arguments), self._sent[arguments], "refused")
-            case "lost":
-                kind = ErrorKind(words[1])
-                return TaskLost(_task(words[0]), self._sent[words[0]], kind, "gone")
+            case "done" | "refused" | "lost":
+                return _report(name, self._sent[words[0]], words)
             case "frame":
                 sender, kind_name, fields = arguments.split(" ", 2)
                 return FrameReceived(sender, _message(kind_name, json.loads(fields)))
@@ -156,6 +150,18 @@
         raise ValueError(f"no event {name!r}")
 
 
+def _report(
+    name: str, sent: SendTask, words: list[str]
+) -> TaskSucceeded | TaskUnsent | TaskLost:
+    task, worker, attempt = sent.task, sent.worker.name, sent.attempt
+    match name:
+        case "done":
+            return TaskSucceeded(task, worker, words[0].encode(), attempt)
+        case "refused":
+            return TaskUnsent(task, worker, "refused", attempt)
+    return TaskLost(task, worker, ErrorKind(words[1]), "gone", attempt)
+
+
 _PEERS = tuple((number, f"h{number}") for number in (2, 3))
 
 
@@ -183,11 +189,6 @@
     return JobSpec(name, _SERVICE, customer, bodies, now + float(timeout_s))
 
 
-def _task(text: str) -> TaskId:
-    job, index = text.rsplit("/", 1)
-    return TaskId(job, int(index))
-
-
 _ELEMENTS = {
     "members": messages.MemberState,
     "suspicions": messages.Suspicion,
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -51,6 +51,11 @@
         """Count of queued tasks."""
         return self._queue.waiting
 
+    @property
+    def outstanding(self) -> int:
+        """Count of tasks sent and not ended."""
+        return sum(pool.outstanding for pool in self._pools.values())
+
     def waiting_of(self, service: str) -> int:
         """Return the count of a service's queued tasks."""
         return self._queue.waiting_of(service)
