Make the histories of revisions see what they are to see

Patches that are mostly accepted are added. Now each of four mutations fails test_checking_what_is_touched_is_checking_all: the workers of touched exceptions left out, those of a removed service left out, no search for names used twice, no check of exceptions. Without them it passes (500 histories).

--- a/packages/poplarhill/tests/configuration/test_revision.py
+++ b/packages/poplarhill/tests/configuration/test_revision.py
@@ -49,8 +49,40 @@
         return None
 
 
+GOOD_WORKER = st.fixed_dictionaries(
+    {"host": st.just("10.0.0.1"), "port": st.integers(1, 3)}
+)
+GOOD_SERVICES = st.dictionaries(
+    st.sampled_from(["a", "b"]),
+    st.none()
+    | st.fixed_dictionaries(
+        {"workers": st.dictionaries(WORKERS, st.none() | GOOD_WORKER)}
+    ),
+    min_size=1,
+)
+GOOD_EXCEPTION = st.fixed_dictionaries(
+    {
+        "worker": WORKERS,
+        "reason": st.just("repair"),
+        "set": st.sampled_from([{"draining": True}, {"slots": 2}]),
+    }
+)
+GOOD_EXCEPTIONS = st.dictionaries(
+    st.sampled_from(["e1", "e2"]), st.none() | GOOD_EXCEPTION, min_size=1
+)
+# Mostly patches that are accepted, so that long histories come about.
+STEPS = st.one_of(
+    st.fixed_dictionaries({"services": GOOD_SERVICES}),
+    st.fixed_dictionaries({"exceptions": GOOD_EXCEPTIONS}),
+    st.fixed_dictionaries(
+        {}, optional={"services": st.none(), "exceptions": st.none()}
+    ),
+    PATCHES,
+)
+
+
 @settings(derandomize=True, deadline=None, max_examples=500)
-@given(st.lists(PATCHES, min_size=1, max_size=12))
+@given(st.lists(STEPS, min_size=1, max_size=20))
 def test_checking_what_is_touched_is_checking_all(patches) -> None:
     document: dict = {}
     current = Configuration.from_document(0, document)
