--- a/packages/poplarhill-dev/src/poplarhill_dev/golden/render.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/golden/render.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import Any
 
-from poplarhill import Failure
+from poplarhill import Failure, TaskId
 from poplarhill.configuration import Change, Rejection
 from poplarhilld.dispatch.actions import (
     Action,
@@ -54,6 +54,11 @@
 
 
 def _value(value: Any) -> str:
+    """Return a value as text; workers weighed appear by name alone."""
+    if isinstance(value, TaskId):
+        return str(value)
+    if hasattr(value, "worker") and hasattr(value, "outstanding"):
+        return value.worker
     if isinstance(value, float):
         return f"{round(value, _DECIMALS):g}"
     if isinstance(value, bytes):
