Learn the live entry hosts by gossip of heartbeat counts

Frames went only to the peers in a host's settings, dead or not, and a host that was replaced under another address was lost to its peers.

Each host now sends one heartbeat a second to one peer in shuffled round robin with all it knows of members; a member whose count does not rise is removed after 4 + 3 x ceil(log2 n) rounds (13 s at 8 hosts).

Links drop the oldest frames first, time out a stalled peer, back off between connections and end when idle.

Guards off, one at a time (test_membership.py): accepting any state as newer: 9 red; not noting that the process slept: the woken host test red; not seeking lost hosts: the cut test red; not outbidding a predecessor: its test red; a bound shorter than the gossip's spread: 16 red. Guards on: all green.

--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -27,6 +27,7 @@
     FrameReceived,
     JobCancelled,
     JobSubmitted,
+    PeerRefused,
     ShutdownStarted,
     Ticked,
 )
@@ -34,7 +35,7 @@
 from poplarhilld.metrics import Metrics
 from poplarhilld.peers import PeerLinks
 from poplarhilld.peers.codec import Envelope
-from poplarhilld.settings import Settings
+from poplarhilld.settings import Address, Settings
 from poplarhilld.signals import SignalWaiter
 from poplarhilld.workers import WorkerLinks
 
@@ -62,7 +63,9 @@
         self._events: curio.Queue = curio.Queue()
         self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
         self._reader = ConfigurationReader(self._platform, self._post)
-        self._peers = PeerLinks(settings.name, settings.peer_listen, self._frame)
+        self._peers = PeerLinks(
+            settings.name, settings.peer_listen, self._frame, self._refused
+        )
         self._api = Api(
             submit=self.submit,
             cancel=self.cancel,
@@ -95,6 +98,7 @@
         _log.info("shutdown started", jobs=self._dispatcher.jobs_in_flight)
         await self._post(ShutdownStarted())
         await self._http.drain()
+        await self._peers.flush()
         for loop in loops:
             await loop.cancel()
         await self._links.close()
@@ -122,6 +126,9 @@
     async def _frame(self, envelope: Envelope) -> None:
         await self._post(FrameReceived(envelope.sender, envelope.message))
 
+    async def _refused(self, address: Address) -> None:
+        await self._post(PeerRefused(address))
+
     async def _decide(self) -> None:
         while True:
             event = await self._events.get()
@@ -131,6 +138,7 @@
             for action in self._dispatcher.handle(self._clock(), event):
                 await self._perform(action)
             self._metrics.jobs_in_flight.set(self._dispatcher.jobs_in_flight)
+            self._metrics.live_hosts.set(len(self._dispatcher.hosts.live))
 
     async def _tick(self) -> None:
         while True:
@@ -148,7 +156,9 @@
             case SendFrame(peer, message):
                 kind = type(message).__name__
                 self._metrics.messages.labels(kind).inc()
-                await self._peers.send(self._settings.peers[peer], message)
+                address = self._dispatcher.hosts.address(peer)
+                if address is not None:
+                    await self._peers.send(address, message)
             case AnswerJob(job_id, outcome):
                 await self._give_answer(job_id, outcome)
             case LogDecision(decision):
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -20,12 +20,14 @@
     FrameReceived,
     JobCancelled,
     JobSubmitted,
+    PeerRefused,
     ShutdownStarted,
     TaskLost,
     TaskSucceeded,
     TaskUnsent,
     Ticked,
 )
+from poplarhilld.dispatch.hosts import EntryHosts, Load
 from poplarhilld.dispatch.identity import Identity
 from poplarhilld.jobs import JobOutcome, JobTable
 from poplarhilld.jobs.state import cancellation, expiry
@@ -52,6 +54,7 @@
         self._placement: Placement | None = None
         self._view = EveryWorker()
         self._shutting_down = False
+        self._hosts = EntryHosts(identity, random)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -73,6 +76,11 @@
         """The earliest deadline of a job in flight, s."""
         return self._deadlines[0][0] if self._deadlines else None
 
+    @property
+    def hosts(self) -> EntryHosts:
+        """The entry hosts, as this one sees them."""
+        return self._hosts
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Decide on one event.
 
@@ -94,12 +102,15 @@
                 self._task_lost(task, worker, Failure(kind, detail), actions)
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
-            case FrameReceived():
-                pass
+            case FrameReceived(sender, message):
+                actions += self._hosts.receive(now, sender, message)
+            case PeerRefused(address):
+                self._hosts.connection_refused(address)
             case ShutdownStarted():
                 self._shutting_down = True
+                actions += self._hosts.leave(now)
             case Ticked():
-                pass
+                actions += self._hosts.tick(now, self._load())
         self._expire(now, actions)
         self._place(now, actions)
         return actions
@@ -175,6 +186,11 @@
         else:
             self._placement.configure(configuration)
 
+    def _load(self) -> Load:
+        version = self._configuration.version if self._configuration else 0
+        waiting = self._placement.waiting if self._placement else 0
+        return Load(configuration_version=version, queued_tasks=waiting)
+
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
             _, job_id = self._deadlines[0]
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -6,6 +6,7 @@
 from poplarhill.exceptions import ErrorKind
 from poplarhill.types import JobSpec, TaskId
 from poplarhilld.peers.messages import Message
+from poplarhilld.settings import Address
 
 
 @dataclass(frozen=True)
@@ -65,6 +66,13 @@
     message: Message
 
 
+@dataclass(frozen=True)
+class PeerRefused:
+    """The address of an entry host refused a connection."""
+
+    address: Address
+
+
 @dataclass(frozen=True)
 class ShutdownStarted:
     """The process was asked to stop."""
@@ -83,6 +91,7 @@
     | TaskLost
     | ConfigurationChanged
     | FrameReceived
+    | PeerRefused
     | ShutdownStarted
     | Ticked
 )
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/membership/member.py
@@ -0,0 +1,39 @@
+"""What one host knows of one other member."""
+
+from dataclasses import dataclass, field
+
+from poplarhilld.peers.messages import MemberState
+
+
+@dataclass
+class Member:
+    """Another entry host, as last heard of.
+
+    Attributes:
+        state: The newest state known.
+        live: Whether it is taken to be live.
+        advanced: When its heartbeat count was last seen to rise, s.
+        views: Hosts heard from since then.
+        refused: Whether its address has refused a connection since then.
+    """
+
+    state: MemberState
+    live: bool
+    advanced: float
+    views: set[str] = field(default_factory=set)
+    refused: bool = False
+
+    def advance(self, now: float, state: MemberState) -> None:
+        """Note a newer state."""
+        leaving = state.leaving or (
+            self.state.leaving and self.state.incarnation == state.incarnation
+        )
+        self.state = state._replace(leaving=leaving)
+        self.advanced = now
+        self.views.clear()
+        self.refused = False
+
+
+def is_newer(state: MemberState, known: MemberState) -> bool:
+    """Return whether a state proves life after the known one."""
+    return (state.incarnation, state.heartbeat) > (known.incarnation, known.heartbeat)
--- a/packages/poplarhilld/src/poplarhilld/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/metrics.py
@@ -28,6 +28,11 @@
             "Jobs without an answer",
             registry=self._registry,
         )
+        self.live_hosts = Gauge(
+            "poplarhill_live_hosts",
+            "Entry hosts taken to be live, this one among them",
+            registry=self._registry,
+        )
         self.configuration_version = Gauge(
             "poplarhill_configuration_version",
             "Version of the configuration in force",
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -1,5 +1,6 @@
-"""Codec of frames: Cap'n Proto structs behind the typed messages."""
+"""Codec of frames: packed Cap'n Proto structs behind the typed messages."""
 
+from functools import cache
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -20,6 +21,7 @@
 )
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+_MAX_UNPACKED_WORDS = MAX_FRAME_BYTES // 4
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("frames.capnp")))
@@ -56,7 +58,7 @@
     """Return the bytes of a frame."""
     variant = _VARIANTS[type(envelope.message)]
     fields = {"sender": envelope.sender, variant: _to_fields(envelope.message)}
-    return _SCHEMA.Frame.new_message(**fields).to_bytes()
+    return _SCHEMA.Frame.new_message(**fields).to_bytes_packed()
 
 
 def decode(data: bytes) -> Envelope:
@@ -68,10 +70,10 @@
     if len(data) > MAX_FRAME_BYTES:
         raise FrameError(f"frame over {MAX_FRAME_BYTES} bytes")
     try:
-        with _SCHEMA.Frame.from_bytes(data) as frame:
-            variant = str(frame.which())
-            message = _from_struct(_TYPES[variant], getattr(frame, variant))
-            return Envelope(frame.sender, message)
+        frame = _SCHEMA.Frame.from_bytes_packed(data, _MAX_UNPACKED_WORDS)
+        variant = str(frame.which())
+        message = _from_struct(_TYPES[variant], getattr(frame, variant))
+        return Envelope(frame.sender, message)
     except (capnp.KjException, KeyError, ValueError) as error:
         raise FrameError(f"not a frame: {error}") from error
 
@@ -100,6 +102,7 @@
     return kind(*values)
 
 
+@cache
 def _camel(name: str) -> str:
     first, *rest = name.split("_")
     return first + "".join(part.capitalize() for part in rest)
--- a/packages/poplarhilld/src/poplarhilld/peers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/links.py
@@ -1,7 +1,6 @@
 """TCP links between entry hosts: length-prefixed frames, best effort."""
 
 import contextlib
-import socket
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -14,74 +13,98 @@
     decode,
     encode,
 )
+from poplarhilld.peers.link import LENGTH_BYTES, PeerLink
 from poplarhilld.peers.messages import Message
 from poplarhilld.settings import Address
 
-_LENGTH_BYTES = 4
-_CONNECT_TIMEOUT_S = 1.0
-_QUEUE_FRAMES = 256
+_MAX_INCOMING = 4096
+_FLUSH_S = 0.5
 _log = structlog.get_logger()
 
 Receiver = Callable[[Envelope], Awaitable[None]]
+Refused = Callable[[Address], Awaitable[None]]
+
+
+async def _ignore(address: Address) -> None:
+    """Take no notice of a refused connection."""
 
 
 class PeerLinks:
     """Sends frames to peers and receives theirs.
 
     Frames to a peer that cannot be reached, or that does not keep up, are
-    dropped: no promise rests on them.
+    dropped, the oldest first: no promise rests on them.
 
     Args:
         name: Name of this host.
         listen: Where peers reach this host.
         receiver: Called with each frame received.
+        refused: Called with each address that refuses a connection.
     """
 
-    def __init__(self, name: str, listen: Address, receiver: Receiver) -> None:
+    def __init__(
+        self,
+        name: str,
+        listen: Address,
+        receiver: Receiver,
+        refused: Refused = _ignore,
+    ) -> None:
         self._name = name
         self._receiver = receiver
+        self._refused = refused
         self._sock = curio.tcp_server_socket(*listen)
-        self._queues: dict[Address, curio.Queue] = {}
+        self._links: dict[Address, PeerLink] = {}
+        self._incoming = 0
+
+    @property
+    def dropped(self) -> int:
+        """Count of frames dropped on the links in use."""
+        return sum(link.dropped for link in self._links.values())
 
     async def run(self) -> None:
         """Accept peers' connections until cancelled."""
         async with self._sock:
             while True:
                 client, _ = await self._sock.accept()
+                if self._incoming >= _MAX_INCOMING:
+                    await client.close()
+                    continue
                 await curio.spawn(self._receive, client, daemon=True)
 
     async def send(self, address: Address, message: Message) -> None:
         """Queue a frame for a peer."""
-        queue = self._queues.get(address)
-        if queue is None:
-            queue = curio.Queue(_QUEUE_FRAMES)
-            self._queues[address] = queue
-            await curio.spawn(self._deliver, address, queue, daemon=True)
-        if not queue.full():
-            await queue.put(encode(Envelope(self._name, message)))
-
-    async def _deliver(self, address: Address, queue: curio.Queue) -> None:
-        sock: curio.io.Socket | None = None
-        while True:
-            data = await queue.get()
-            frame = len(data).to_bytes(_LENGTH_BYTES, "big") + data
-            try:
-                sock = sock or await _connect(address)
-                await sock.sendall(frame)
-            except (OSError, curio.TaskTimeout):
-                if sock is not None:
-                    await sock.close()
-                sock = None
+        link = self._links.get(address)
+        if link is None:
+            link = PeerLink(address, self._refused)
+            self._links[address] = link
+            await curio.spawn(self._run_link, link, daemon=True)
+        await link.put(encode(Envelope(self._name, message)))
+
+    async def flush(self) -> None:
+        """Wait a short while for queued frames to leave."""
+        async with curio.ignore_after(_FLUSH_S):
+            for link in list(self._links.values()):
+                await link.flushed()
+
+    async def _run_link(self, link: PeerLink) -> None:
+        try:
+            await link.run()
+        finally:
+            self._links.pop(link.address, None)
 
     async def _receive(self, client: curio.io.Socket) -> None:
+        self._incoming += 1
         stream = client.as_stream()
-        async with client:
-            with contextlib.suppress(OSError, EOFError):
-                while True:
-                    await self._receive_one(stream)
+        try:
+            async with client:
+                with contextlib.suppress(OSError, EOFError):
+                    while True:
+                        await self._receive_one(stream)
+        finally:
+            self._incoming -= 1
 
     async def _receive_one(self, stream: curio.io.SocketStream) -> None:
-        length = int.from_bytes(await stream.read_exactly(_LENGTH_BYTES), "big")
+        length = int.from_bytes(await stream.read_exactly(LENGTH_BYTES), "big")
         if length > MAX_FRAME_BYTES:
             _log.warning("frame refused", reason="too large", bytes=length)
             raise EOFError
@@ -92,11 +115,3 @@
             _log.warning("frame refused", reason=str(error), bytes=length)
             raise EOFError from error
         await self._receiver(envelope)
-
-
-async def _connect(address: Address) -> curio.io.Socket:
-    sock = await curio.timeout_after(
-        _CONNECT_TIMEOUT_S, curio.open_connection, address.host, address.port
-    )
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return sock
