--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -6,11 +6,21 @@
 
 from poplarhill.configuration import Configuration
 from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec, TaskId
+from poplarhilld.configuration.messages import (
+    AppendRecord,
+    LogRead,
+    Output,
+    ReadLog,
+    ToPeer,
+)
+from poplarhilld.configuration.state import ConfigurationState
 from poplarhilld.dispatch.actions import (
     Action,
     AnswerJob,
     LogDecision,
+    SendFrame,
     SendTask,
     StopTask,
 )
@@ -22,6 +32,7 @@
     JobSubmitted,
     PeerRefused,
     ShutdownStarted,
+    Started,
     TaskLost,
     TaskSucceeded,
     TaskUnsent,
@@ -49,6 +60,9 @@
         self._identity = identity
         self._configuration: Configuration | None = None
         self._random = random
+        retention_s = identity.log_retention_s
+        self._following = ConfigurationState(identity.name, retention_s, random)
+        self._following.set_peers(tuple(identity.seeds))
         self._jobs = JobTable()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
@@ -81,6 +95,18 @@
         """The entry hosts, as this one sees them."""
         return self._hosts
 
+    def status(self, now: float) -> HostStatus:
+        """Return what operators see of this host."""
+        return HostStatus(
+            name=self._identity.name,
+            data_centre=self._identity.data_centre,
+            ready=self.ready,
+            configuration_version=self._following.version,
+            configuration_age_s=self._following.age(now),
+            configuration_complete=self._following.complete,
+            jobs_in_flight=self.jobs_in_flight,
+        )
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Decide on one event.
 
@@ -102,8 +128,14 @@
                 self._task_lost(task, worker, Failure(kind, detail), actions)
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
+            case Started():
+                self._follow(self._following.start(), actions)
+            case LogRead(offset, result):
+                self._follow(self._following.read(now, offset, result), actions)
             case FrameReceived(sender, message):
                 actions += self._hosts.receive(now, sender, message)
+                outputs = self._following.receive(now, sender, message)
+                self._follow(outputs, actions)
             case PeerRefused(address):
                 self._hosts.connection_refused(address)
             case ShutdownStarted():
@@ -111,10 +143,19 @@
                 actions += self._hosts.leave(now)
             case Ticked():
                 actions += self._hosts.tick(now, self._load())
+        self._note_live()
         self._expire(now, actions)
         self._place(now, actions)
         return actions
 
+    def _note_live(self) -> None:
+        """Deal slots and news among the hosts that are live now."""
+        live = self._hosts.presumed
+        if self._placement is not None:
+            self._placement.set_hosts(live)
+        name = self._identity.name
+        self._following.set_peers(tuple(peer for peer in live if peer != name))
+
     def _submit(self, now: float, spec: JobSpec, actions: list[Action]) -> None:
         refusal = self._refusal(now, spec)
         if refusal is not None:
@@ -122,7 +163,7 @@
             return
         self._jobs.add(spec)
         self._deadlines.add((spec.deadline, spec.job_id))
-        self._placement.enqueue(spec)
+        self._placement.enqueue(now, spec)
 
     def _refusal(self, now: float, spec: JobSpec) -> Failure | None:
         if self._shutting_down:
@@ -176,13 +217,32 @@
             job.mark_failed(task.index)
             self._end(task.job, failure, actions)
 
+    def _follow(self, outputs: list[Output], actions: list[Action]) -> None:
+        """Carry out what the configuration slice decided."""
+        for output in outputs:
+            match output:
+                case ToPeer(peer, message):
+                    actions.append(SendFrame(peer, message))
+                case ReadLog() | AppendRecord():
+                    actions.append(output)
+                case decision:
+                    actions.append(LogDecision(decision))
+        if self._following.configuration is not None:
+            self._configure(self._following.configuration)
+
     def _configure(self, configuration: Configuration) -> None:
         current = self._configuration
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
         if self._placement is None:
-            self._placement = Placement(configuration, self._random)
+            self._placement = Placement(
+                configuration,
+                self._random,
+                self._identity.name,
+                self._identity.data_centre,
+                self._hosts.presumed,
+            )
         else:
             self._placement.configure(configuration)
 
--- a/packages/poplarhilld/src/poplarhilld/dispatch/hosts.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/hosts.py
@@ -51,6 +51,11 @@
         """Names of the live hosts in order, this one among them."""
         return self._membership.live
 
+    @property
+    def presumed(self) -> tuple[str, ...]:
+        """The live hosts, and for a while after the start the seeds unheard."""
+        return self._membership.presumed
+
     def address(self, name: str) -> Address | None:
         """Return where a host is reached, if that is known."""
         return self._membership.address(name)
--- a/packages/poplarhilld/src/poplarhilld/membership/state.py
+++ b/packages/poplarhilld/src/poplarhilld/membership/state.py
@@ -69,6 +69,7 @@
         self._random = random
         self._members: dict[str, Member] = {}
         self._live: tuple[str, ...] = (me.name,)
+        self._unheard: frozenset[str] = frozenset(seeds)
         self._rotation = Rotation(random)
         self._listed: frozenset[str] = frozenset()
         self._listed_gone: frozenset[str] = frozenset()
@@ -83,6 +84,13 @@
         """Names of the live hosts in order, this one among them."""
         return self._live
 
+    @property
+    def presumed(self) -> tuple[str, ...]:
+        """The live hosts, and for a while after the start the seeds unheard."""
+        if not self._unheard:
+            return self._live
+        return tuple(sorted(self._unheard.union(self._live)))
+
     @property
     def me(self) -> MemberState:
         """This host's own state."""
@@ -98,6 +106,8 @@
     def tick(self, now: float) -> list[Decision]:
         """Remove silent members, and send the heartbeats that are due."""
         decisions = self._remove_silent(now)
+        if self._started is not None and now - self._started > removal_s(0):
+            self._unheard = frozenset()
         if now < self._next_round or self._superseded:
             return decisions
         first = self._started is None
@@ -202,6 +212,7 @@
         if member is None:
             member = Member(state, live=False, advanced=now)
             self._members[state.name] = member
+            self._unheard -= {state.name}
         elif is_newer(state, member.state):
             member.advance(now, state)
         elif state.leaving and state.incarnation == member.state.incarnation:
