--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -10,6 +10,7 @@
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.platform import PlatformStandIn
 from poplarhill_dev.slopes import run_slopes
+from poplarhill_dev.spread import run_spread
 from poplarhill_dev.worker import WorkerStandIn, run_workers
 
 _LOOPBACK = "127.0.0.1"
@@ -26,6 +27,16 @@
     sys.exit(run_demo())
 
 
+@main.command()
+@click.option("--hosts", default=8, help="Daemons to start.")
+@click.option("--cut", default=0, help="How many of them cannot reach the log.")
+@click.option("--changes", default=20, help="Changes to publish.")
+@click.option("--calm", default=30.0, help="Time without changes at the end, s.")
+def spread(hosts: int, cut: int, changes: int, calm: float) -> None:
+    """Measure how soon an accepted change is in force on every daemon."""
+    run_spread(hosts, cut, changes, calm)
+
+
 @main.command()
 @click.option("--host", default="127.0.0.1")
 @click.option("--port", type=int, required=True)
@@ -53,6 +64,15 @@
     curio.run(run_workers, stand_ins)
 
 
+@main.command()
+@click.argument("plan", type=click.Path(exists=True, path_type=Path))
+def relay(plan: Path) -> None:
+    """Run the relay that delays and cuts what passes between data centres."""
+    from poplarhill_dev.relay import run_relay
+
+    curio.run(run_relay, plan)
+
+
 @main.command()
 @click.argument("plan", type=click.Path(exists=True, path_type=Path))
 @click.option("--out", type=click.Path(path_type=Path), required=True)
