--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -29,6 +29,7 @@
     FrameReceived,
     JobCancelled,
     JobSubmitted,
+    PeerRefused,
     ShutdownStarted,
     Started,
     Ticked,
@@ -37,7 +38,7 @@
 from poplarhilld.metrics import Metrics
 from poplarhilld.peers import PeerLinks
 from poplarhilld.peers.codec import Envelope
-from poplarhilld.settings import Settings
+from poplarhilld.settings import Address, Settings
 from poplarhilld.signals import SignalWaiter
 from poplarhilld.supervisor import Supervisor
 from poplarhilld.workers import WorkerLinks
@@ -73,7 +74,9 @@
         self._events: curio.Queue = curio.Queue()
         self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
         self._reader = ConfigurationReader(self._platform, self._post)
-        self._peers = PeerLinks(settings.name, settings.peer_listen, self._frame)
+        self._peers = PeerLinks(
+            settings.name, settings.peer_listen, self._frame, self._refused
+        )
         self._api = Api(
             submit=self.submit,
             cancel=self.cancel,
@@ -117,6 +120,7 @@
         abandoning = await curio.spawn(self._abandon_jobs, daemon=True)
         await self._http.drain()
         await abandoning.cancel()
+        await self._peers.flush()
         await self._loops.cancel()
         await self._links.close()
         _log.info("stopped")
@@ -163,12 +167,16 @@
     async def _frame(self, envelope: Envelope) -> None:
         await self._post(FrameReceived(envelope.sender, envelope.message))
 
+    async def _refused(self, address: Address) -> None:
+        await self._post(PeerRefused(address))
+
     async def _decide(self) -> None:
         while True:
             event = await self._events.get()
             for action in self._dispatcher.handle(self._clock(), event):
                 await self._perform(action)
             self._metrics.jobs_in_flight.set(self._dispatcher.jobs_in_flight)
+            self._metrics.live_hosts.set(len(self._dispatcher.hosts.live))
 
     async def _tick(self) -> None:
         while True:
@@ -186,7 +194,9 @@
             case SendFrame(peer, message):
                 kind = type(message).__name__
                 self._metrics.messages.labels(kind).inc()
-                await self._peers.send(self._settings.peers[peer], message)
+                address = self._dispatcher.hosts.address(peer)
+                if address is not None:
+                    await self._peers.send(address, message)
             case ReadLog() | AppendRecord():
                 kind = type(action).__name__
                 self._metrics.messages.labels(kind).inc()
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -30,6 +30,7 @@
     FrameReceived,
     JobCancelled,
     JobSubmitted,
+    PeerRefused,
     ShutdownStarted,
     Started,
     TaskLost,
@@ -37,6 +38,7 @@
     TaskUnsent,
     Ticked,
 )
+from poplarhilld.dispatch.hosts import EntryHosts, Load
 from poplarhilld.dispatch.identity import Identity
 from poplarhilld.jobs import (
     Backoff,
@@ -77,6 +79,7 @@
         self._placement: Placement | None = None
         self._view = EveryWorker()
         self._shutting_down = False
+        self._hosts = EntryHosts(identity, random)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -108,6 +111,11 @@
         """The earliest deadline of a job in flight, s."""
         return self._deadlines[0][0] if self._deadlines else None
 
+    @property
+    def hosts(self) -> EntryHosts:
+        """The entry hosts, as this one sees them."""
+        return self._hosts
+
     def status(self, now: float) -> HostStatus:
         """Return what operators see of this host."""
         return HostStatus(
@@ -142,16 +150,29 @@
             case LogRead(offset, result):
                 self._follow(self._following.read(now, offset, result), actions)
             case FrameReceived(sender, message):
+                actions += self._hosts.receive(now, sender, message)
                 outputs = self._following.receive(now, sender, message)
                 self._follow(outputs, actions)
+            case PeerRefused(address):
+                self._hosts.connection_refused(address)
             case ShutdownStarted():
                 self._shutting_down = True
+                actions += self._hosts.leave(now)
             case Ticked():
-                pass
+                actions += self._hosts.tick(now, self._load())
+        self._note_live()
         self._expire(now, actions)
         self._place(now, actions)
         return actions
 
+    def _note_live(self) -> None:
+        """Deal slots and news among the hosts that are live now."""
+        live = self._hosts.presumed
+        if self._placement is not None:
+            self._placement.set_hosts(live)
+        name = self._identity.name
+        self._following.set_peers(tuple(peer for peer in live if peer != name))
+
     def _submit(self, now: float, spec: JobSpec, actions: list[Action]) -> None:
         refusal = self._refusal(now, spec)
         if refusal is not None:
@@ -254,11 +275,16 @@
                 self._random,
                 self._identity.name,
                 self._identity.data_centre,
-                self._identity.seeds,
+                self._hosts.presumed,
             )
         else:
             self._placement.configure(configuration)
 
+    def _load(self) -> Load:
+        version = self._configuration.version if self._configuration else 0
+        waiting = self._placement.waiting if self._placement else 0
+        return Load(configuration_version=version, queued_tasks=waiting)
+
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
             _, job_id = self._deadlines[0]
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -7,6 +7,7 @@
 from poplarhill.types import JobSpec, TaskId
 from poplarhilld.configuration.messages import LogRead
 from poplarhilld.peers.messages import Message
+from poplarhilld.settings import Address
 
 
 @dataclass(frozen=True)
@@ -74,6 +75,13 @@
     message: Message
 
 
+@dataclass(frozen=True)
+class PeerRefused:
+    """The address of an entry host refused a connection."""
+
+    address: Address
+
+
 @dataclass(frozen=True)
 class ShutdownStarted:
     """The process was asked to stop."""
@@ -94,6 +102,7 @@
     | ConfigurationChanged
     | LogRead
     | FrameReceived
+    | PeerRefused
     | ShutdownStarted
     | Ticked
 )
