--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -9,6 +9,7 @@
 from poplarhill_dev.demo import run_demo
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.platform import PlatformStandIn
+from poplarhill_dev.replay import replay
 from poplarhill_dev.slopes import run_slopes
 from poplarhill_dev.spread import run_spread
 from poplarhill_dev.worker import WorkerStandIn, run_workers
@@ -118,3 +119,6 @@
 def known_red(arguments: tuple[str, ...]) -> None:
     """Run pytest, passing over just the tests in KNOWN-RED.txt."""
     sys.exit(run_tests(arguments))
+
+
+main.add_command(replay)
--- a/packages/poplarhill-dev/src/poplarhill_dev/worker.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/worker.py
@@ -71,6 +71,7 @@
 
     def __init__(self, name: str, host: str, port: int, slots: int) -> None:
         self._name = name
+        self._slot_count = slots
         self._slots = curio.Semaphore(slots)
         self._starts: Counter[str] = Counter()
         self._trace: list[Start] = []
@@ -121,6 +122,7 @@
                 was_stopped = await curio.ignore_after(run_s, stopped.wait)
         finally:
             self._running.pop(task, None)
+        headers["slots-free"] = str(self._slot_count - len(self._running))
         if was_stopped:
             return Response(_HTTP_STOPPED, headers)
         if failing:
--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -43,6 +43,7 @@
     "worker_cap": _COUNT,
     "queue_tasks": _COUNT,
     "lending": {"type": "boolean"},
+    "beyond_share": {"type": "integer", "minimum": 0},
     "eject_fraction": {"type": "number", "minimum": 0, "maximum": 1},
     "key_window_s": _POSITIVE,
 }
@@ -117,15 +118,18 @@
         worker_cap: Most tasks that one host has outstanding on one worker.
         queue_tasks: Most tasks that one host keeps queued.
         lending: Whether hosts lend each other idle slots.
+        beyond_share: Most tasks that one host sends to a worker beyond its share
+            of the slots, and only while the worker shows that they are free.
         eject_fraction: Largest part of a service's workers ejected at a time.
         key_window_s: How long an idempotency key is remembered, s.
     """
 
-    policy: str = "least_outstanding"
+    policy: str = "shares"
     order: str = "fewest_tasks"
     worker_cap: int = 2
     queue_tasks: int = 20000
-    lending: bool = True
+    lending: bool = False
+    beyond_share: int = 4
     eject_fraction: float = 0.3
     key_window_s: float = 600.0
 
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -112,8 +112,9 @@
                 self._submit(now, spec, actions)
             case JobCancelled(job_id):
                 self._cancel(job_id, actions)
-            case TaskSucceeded(task, worker, body):
+            case TaskSucceeded(task, worker, body, free_slots):
                 self._task_succeeded(task, worker, body, actions)
+                self._placement.note_free_slots(now, worker, free_slots)
             case TaskUnsent(task, worker):
                 self._task_unsent(task, worker)
             case TaskLost(task, worker, kind, detail):
@@ -125,6 +126,8 @@
             case LogRead(offset, result):
                 self._follow(self._following.read(now, offset, result), actions)
             case FrameReceived(sender, message):
+                if self._placement is not None:
+                    self._placement.receive(now, sender, message)
                 outputs = self._following.receive(now, sender, message)
                 self._follow(outputs, actions)
             case ShutdownStarted():
@@ -246,6 +249,8 @@
             return
         for placed in self._placement.place(now, self._view):
             self._send(placed, actions)
+        for peer, message in self._placement.take_messages():
+            actions.append(SendFrame(peer, message))
 
     def _send(self, placed: Placed, actions: list[Action]) -> None:
         job = self._jobs.get(placed.task.job)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -30,11 +30,19 @@
 
 @dataclass(frozen=True)
 class TaskSucceeded:
-    """A worker answered a task."""
+    """A worker answered a task.
+
+    Attributes:
+        task: The task.
+        worker: Name of the worker.
+        body: Its result.
+        free_slots: Slots free on the worker just after, if it shows them.
+    """
 
     task: TaskId
     worker: str
     body: bytes
+    free_slots: int | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/placement/indexed.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/indexed.py
@@ -17,6 +17,9 @@
     def __contains__(self, item: str) -> bool:
         return item in self._positions
 
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._items)
+
     def add(self, item: str) -> None:
         """Put an item in, unless it is in."""
         if item not in self._positions:
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -5,6 +5,14 @@
 
 from poplarhill.configuration import Configuration
 from poplarhill.types import JobSpec, TaskId, WorkerSpec
+from poplarhilld.peers.messages import (
+    Heartbeat,
+    Message,
+    SlotGrant,
+    SlotRequest,
+    SlotReturn,
+)
+from poplarhilld.placement.lending import DEFAULT_TERMS, Lending, LendingTerms, Loan
 from poplarhilld.placement.messages import Candidate, Placed
 from poplarhilld.placement.policies import Shares, choose, draw, policy_from_config
 from poplarhilld.placement.pool import WorkerPool
@@ -25,6 +33,7 @@
         host: Name of this host.
         data_centre: Data centre that it stands in.
         hosts: Live hosts, as far as known.
+        terms: When slots are asked for and lent.
     """
 
     def __init__(
@@ -34,6 +43,7 @@
         host: str = "",
         data_centre: str = "",
         hosts: Iterable[str] = (),
+        terms: LendingTerms = DEFAULT_TERMS,
     ) -> None:
         self._random = random
         self._host = host
@@ -44,6 +54,8 @@
         self._service_of: dict[str, str] = {}
         self._ready: set[str] = set()
         self._next_sweep = 0.0
+        self._lending = Lending(random, terms)
+        self._messages: list[tuple[str, Message]] = []
         self.configure(configuration)
 
     @property
@@ -51,14 +63,52 @@
         """Count of queued tasks."""
         return self._queue.waiting
 
+    @property
+    def idle_slots(self) -> int:
+        """Slots that this host could lend now, over all services."""
+        return sum(
+            pool.idle_slots
+            for service, pool in self._pools.items()
+            if not self._queue.waiting_of(service)
+        )
+
+    def receive(self, now: float, sender: str, message: Message) -> None:
+        """Take a frame of another host; those of other slices change nothing.
+
+        Args:
+            now: The host's own clock, s.
+            sender: Name of the peer.
+            message: What it says.
+        """
+        match message:
+            case Heartbeat(idle_slots=idle):
+                self._lending.observe(sender, idle)
+            case SlotRequest():
+                self._lend(now, sender, message)
+            case SlotGrant():
+                loan = self._lending.accept(now, sender, message)
+                self._allow_loan(loan, 1)
+            case SlotReturn():
+                loan = self._lending.give_back(sender, message)
+                self._allow_loan(loan, 1)
+
+    def take_messages(self) -> list[tuple[str, Message]]:
+        """Take the frames to send, each with its peer."""
+        messages, self._messages = self._messages, []
+        return messages
+
     def waiting_of(self, service: str) -> int:
         """Return the count of a service's queued tasks."""
         return self._queue.waiting_of(service)
 
     def slots(self, service: str) -> int:
-        """Return the tasks that may be outstanding for a service."""
+        """Return the slots of a service in this host's share."""
         pool = self._pools.get(service)
-        return pool.free + pool.outstanding if pool is not None else 0
+        return pool.slots if pool is not None else 0
+
+    def share(self, worker: str) -> int:
+        """Return the slots of a worker that this host may always use."""
+        return self._pool(self._service_of[worker]).share(worker)
 
     def workers(self, service: str) -> list[WorkerSpec]:
         """Return the workers of a service."""
@@ -100,6 +150,19 @@
         self._pool(service).release(worker)
         self._ready.add(service)
 
+    def note_free_slots(self, now: float, worker: str, free_slots: int | None) -> None:
+        """Take the free slots that a worker showed with a response, if it did.
+
+        Args:
+            now: The host's own clock, s.
+            worker: Name of the worker.
+            free_slots: Slots free just after the response; negative when tasks wait.
+        """
+        if free_slots is None or not isinstance(self._policy, Shares):
+            return
+        pool = self._pool(self._service_of[worker])
+        pool.report(now, worker, free_slots, self._defaults.beyond_share)
+
     def put_back(self, task: TaskId) -> None:
         """Queue a task again that was provably not sent."""
         self._queue.put_back(task)
@@ -117,6 +180,7 @@
         if now >= self._next_sweep:
             self._next_sweep = now + _SWEEP_INTERVAL_S
             self._ready.update(self._queue.services)
+        self._expire(now)
         placed: list[Placed] = []
         for service in sorted(self._ready):
             self._place_service(now, service, view, placed)
@@ -127,11 +191,13 @@
         self, now: float, service: str, view: WorkerView, placed: list[Placed]
     ) -> None:
         pool = self._pool(service)
+        pool.expire(now)
         while waiting := self._queue.waiting_of(service):
             candidates = draw(self._policy, pool, now, view, self._random)
             if not candidates:
                 candidates = self._stranded(now, pool, view)
             if not candidates:
+                self._borrow(now, service, waiting)
                 return
             chosen = choose(self._policy, candidates)
             if _better_to_wait(chosen, waiting, pool.outstanding):
@@ -158,6 +224,43 @@
             return ()
         return (pool.candidate(self._random.choice(names), view),)
 
+    def _expire(self, now: float) -> None:
+        held, given = self._lending.expire(now)
+        for loan in held:
+            self._allow_loan(loan, -1)
+        for loan in given:
+            self._allow_loan(loan, 1)
+
+    def _borrow(self, now: float, service: str, waiting: int) -> None:
+        if self._defaults.lending and isinstance(self._policy, Shares):
+            peers = self._hosts - {self._host}
+            self._messages += self._lending.ask(now, service, waiting, peers)
+
+    def _lend(self, now: float, peer: str, request: SlotRequest) -> None:
+        """Lend what is idle, and say nothing when nothing is."""
+        pool = self._pools.get(request.service)
+        if pool is None or self._queue.waiting_of(request.service):
+            return
+        count = min(request.wanted, pool.idle_slots - self._lending.terms.reserve)
+        slots = pool.idle(count)
+        if not slots or peer not in self._hosts:
+            return
+        left = pool.idle_slots - sum(item.count for item in slots)
+        grant = self._lending.lend(now, peer, request, slots, left)
+        if grant is not None:
+            self._allow_loan(self._lending.lent[-1], -1)
+            self._messages.append((peer, grant))
+
+    def _allow_loan(self, loan: Loan | None, sign: int) -> None:
+        """Change allowances by the slots of a loan."""
+        if loan is None:
+            return
+        pool = self._pool(loan.service)
+        for worker, count in loan.slots:
+            if worker in pool.specs:
+                pool.add_share(worker, sign * count)
+        self._ready.add(loan.service)
+
     def _pool(self, service: str) -> WorkerPool:
         if service not in self._pools:
             self._pools[service] = WorkerPool(self._data_centre)
@@ -168,8 +271,12 @@
         for service, pool in self._pools.items():
             allowances = self._allowances(list(pool.specs.values()))
             for worker in pool.specs:
-                pool.set_allowance(worker, allowances.get(worker, 0))
+                pool.set_share(worker, allowances.get(worker, 0))
             self._ready.add(service)
+        for loan in self._lending.borrowed:
+            self._allow_loan(loan, 1)
+        for loan in self._lending.lent:
+            self._allow_loan(loan, -1)
 
     def _allowances(self, workers: list[WorkerSpec]) -> dict[str, int]:
         if isinstance(self._policy, Shares):
--- a/packages/poplarhilld/src/poplarhilld/workers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/link.py
@@ -25,6 +25,7 @@
 TASK_ID_HEADER = "task-id"
 TASK_STARTED_HEADER = "task-started"
 TIMEOUT_HEADER = "task-timeout-s"
+FREE_SLOTS_HEADER = "slots-free"
 
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
@@ -153,9 +154,17 @@
         detail = "response is for another task"
         return TaskLost(task, worker, ErrorKind.BAD_RESPONSE, detail)
     if response.status == _HTTP_OK:
-        return TaskSucceeded(task, worker, response.body)
+        return TaskSucceeded(task, worker, response.body, _free_slots(response))
     refused = response.headers.get(TASK_STARTED_HEADER) == "no"
     if response.status == _HTTP_UNAVAILABLE and refused:
         return TaskUnsent(task, worker, "the worker refused the task")
     detail = f"the worker answered {response.status}"
     return TaskLost(task, worker, ErrorKind.TASK_FAILED, detail)
+
+
+def _free_slots(response: Response) -> int | None:
+    """Return the free slots that a worker shows, or none if it shows none."""
+    try:
+        return int(response.headers[FREE_SLOTS_HEADER])
+    except (KeyError, ValueError):
+        return None
--- a/packages/poplarhilld/tests/dispatch/test_core.py
+++ b/packages/poplarhilld/tests/dispatch/test_core.py
@@ -25,6 +25,7 @@
 
 def document(workers: int) -> dict:
     return {
+        "defaults": {"policy": "least_outstanding", "worker_cap": 2},
         "services": {
             "booking": {
                 "workers": {
@@ -32,7 +33,7 @@
                     for n in range(workers)
                 }
             }
-        }
+        },
     }
 
 
--- a/packages/poplarhilld/tests/placement/conftest.py
+++ b/packages/poplarhilld/tests/placement/conftest.py
@@ -7,6 +7,7 @@
 from poplarhill.configuration import Configuration
 from poplarhill.types import JobSpec, WorkerSpec
 from poplarhilld.placement import Placement
+from poplarhilld.placement.lending import DEFAULT_TERMS, LendingTerms
 
 HOSTS = ("h1", "h2", "h3", "h4")
 
@@ -52,16 +53,26 @@
     return StatedView()
 
 
-@pytest.fixture
+@pytest.fixture(scope="session")
+def all_well() -> StatedView:
+    return StatedView()
+
+
+@pytest.fixture(scope="session")
 def make_placement():
-    def make(host: str = "h1", hosts: tuple = HOSTS, **fields) -> Placement:
+    def make(
+        host: str = "h1",
+        hosts: tuple = HOSTS,
+        terms: LendingTerms = DEFAULT_TERMS,
+        **fields,
+    ) -> Placement:
         configuration = Configuration.from_document(1, document(**fields))
-        return Placement(configuration, Random(1), host, "dc1", hosts)
+        return Placement(configuration, Random(host), host, "dc1", hosts, terms)
 
     return make
 
 
-@pytest.fixture
+@pytest.fixture(scope="session")
 def make_job():
     def make(
         job_id: str, tasks: int, service: str = "booking", deadline: float = 1000.0
--- /dev/null
+++ b/packages/poplarhilld/tests/placement/test_lending.py
@@ -0,0 +1,157 @@
+"""Lending of slots: what holder and lender may rely on."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from poplarhilld.peers.messages import SlotGrant, SlotReturn, WorkerSlots
+from poplarhilld.placement import Placement
+from poplarhilld.placement.lending import LendingTerms
+
+TERMS = LendingTerms(lease_s=0.5, use_s=0.5, min_waiting=1, reserve=0)
+HOSTS = ("h1", "h2", "h3", "h4")
+WORKERS = [f"b{n}" for n in range(4)]
+
+
+@pytest.fixture
+def pair(make_placement, make_job, view):
+    """A host with many tasks, one that is idle, and the first's request."""
+    hosts = ("h1", "h2")
+    holder = make_placement("h1", hosts, lending=True)
+    lender = make_placement("h2", hosts, lending=True)
+    holder.enqueue(0.0, make_job("j", 40))
+    holder.place(0.0, view)
+    [(peer, request)] = holder.take_messages()
+    assert peer == "h2"
+    return holder, lender, request
+
+
+def granted(lender: Placement, now: float, request) -> SlotGrant:
+    lender.receive(now, "h1", request)
+    [(peer, grant)] = lender.take_messages()
+    assert peer == "h1"
+    return grant
+
+
+def shares(placement: Placement) -> int:
+    return sum(placement.share(worker) for worker in WORKERS)
+
+
+def test_a_grant_is_used_at_once_and_only_once(pair, view) -> None:
+    holder, lender, request = pair
+    grant = granted(lender, 0.01, request)
+    count = sum(item.count for item in grant.slots)
+    for _ in range(2):
+        holder.receive(0.02, "h2", grant)
+    assert len(holder.place(0.02, view)) == count
+    assert shares(lender) == 8 - count
+
+
+def test_a_repeated_request_lends_no_more(pair) -> None:
+    _, lender, request = pair
+    granted(lender, 0.01, request)
+    lender.receive(0.02, "h1", request)
+    assert lender.take_messages() == []
+
+
+@pytest.mark.parametrize("wakes_at", [0.5, 60.0])
+def test_a_holder_that_paused_past_its_lease_sends_nothing_on_it(
+    pair, view, wakes_at
+) -> None:
+    holder, lender, request = pair
+    grant = granted(lender, 0.01, request)
+    holder.receive(0.02, "h2", grant)
+    assert holder.place(wakes_at, view) == []
+
+
+def test_a_grant_that_comes_after_its_lease_is_not_used(pair, view) -> None:
+    holder, lender, request = pair
+    grant = granted(lender, 0.01, request)
+    holder.receive(0.51, "h2", grant)
+    assert holder.place(0.51, view) == []
+
+
+def test_a_lender_has_its_slots_back_when_the_holder_died(pair, view) -> None:
+    _, lender, request = pair
+    granted(lender, 0.01, request)
+    lender.place(0.5, view)
+    assert shares(lender) < 8
+    lender.place(0.52, view)
+    assert shares(lender) == 8
+
+
+def test_slots_given_back_are_the_lenders_again_once(pair, view) -> None:
+    _, lender, request = pair
+    grant = granted(lender, 0.01, request)
+    for _ in range(2):
+        lender.receive(0.02, "h1", SlotReturn(grant.request_id, grant.slots))
+    assert shares(lender) == 8
+
+
+def test_a_grant_nobody_asked_for_changes_nothing(pair) -> None:
+    holder, _, _ = pair
+    holder.receive(0.1, "h2", SlotGrant(99, 9.0, (WorkerSlots("b0", 5),), 0))
+    assert shares(holder) == 8
+
+
+class _Exchange:
+    """Hosts whose frames are kept until a step delivers, doubles or drops them."""
+
+    def __init__(self, make_placement, make_job, view) -> None:
+        self.now = 0.0
+        self.hosts = {
+            name: make_placement(name, HOSTS, TERMS, lending=True) for name in HOSTS
+        }
+        self._make_job = make_job
+        self._view = view
+        self.frames: list = []
+        self.running: list = []
+        self.jobs = 0
+
+    def step(self, kind: str, host: str, number: int) -> None:
+        placement = self.hosts[host]
+        if kind == "submit":
+            self.jobs += 1
+            job = self._make_job(f"j{self.jobs}", number % 30 + 1)
+            placement.enqueue(self.now, job)
+        elif kind == "wait":
+            self.now += number / 100
+        elif kind == "end" and self.running:
+            name, worker = self.running.pop(number % len(self.running))
+            self.hosts[name].release(worker)
+        elif kind in ("deliver", "double", "drop") and self.frames:
+            index = number % len(self.frames)
+            sender, to, message = self.frames[index]
+            if kind != "double":
+                self.frames.pop(index)
+            if kind != "drop":
+                self.hosts[to].receive(self.now, sender, message)
+        for placed in placement.place(self.now, self._view):
+            self.running.append((host, placed.worker))
+        for peer, message in placement.take_messages():
+            self.frames.append((host, peer, message))
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(["submit", "wait", "end", "deliver", "double", "drop"]),
+            st.sampled_from(HOSTS),
+            st.integers(0, 59),
+        ),
+        max_size=60,
+    )
+)
+def test_all_hosts_together_never_hold_more_than_a_workers_slots(
+    make_placement, make_job, all_well, steps
+) -> None:
+    exchange = _Exchange(make_placement, make_job, all_well)
+    for kind, host, number in steps:
+        exchange.step(kind, host, number)
+        for placement in exchange.hosts.values():
+            placement.place(exchange.now, all_well)
+        for worker in WORKERS:
+            held = [p.share(worker) for p in exchange.hosts.values()]
+            assert sum(held) <= 4
+            assert min(held) >= 0
--- a/packages/poplarhilld/tests/placement/test_state.py
+++ b/packages/poplarhilld/tests/placement/test_state.py
@@ -160,3 +160,27 @@
         assert len(item.candidates) <= MAX_CANDIDATES
         chosen = choose(policy_from_config(defaults), item.candidates)
         assert chosen.worker == item.worker
+
+
+@pytest.mark.parametrize(
+    ("free_slots", "beyond_share", "sent"), [(3, 4, 3), (9, 2, 3), (9, 0, 1), (0, 4, 1)]
+)
+def test_slots_that_a_worker_shows_free_are_used_up_to_the_bound(
+    make_placement, make_job, view, free_slots, beyond_share, sent
+) -> None:
+    placement = make_placement(workers=1, beyond_share=beyond_share)
+    placement.enqueue(0.0, make_job("j", 100))
+    placement.place(0.0, view)
+    placement.release("b0")
+    placement.note_free_slots(0.0, "b0", free_slots)
+    assert len(placement.place(0.0, view)) == sent
+
+
+def test_slots_shown_too_long_ago_are_not_used(make_placement, make_job, view) -> None:
+    placement = make_placement(workers=1)
+    placement.enqueue(0.0, make_job("j", 1))
+    placement.place(0.0, view)
+    placement.release("b0")
+    placement.note_free_slots(0.0, "b0", 4)
+    placement.enqueue(0.2, make_job("k", 100))
+    assert len(placement.place(0.2, view)) == 1
