--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -42,6 +42,7 @@
     task: TaskId
     worker: str
     body: bytes
+    attempt: int = 0
     free_slots: int | None = None
 
 
@@ -52,6 +53,7 @@
     task: TaskId
     worker: str
     detail: str
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
@@ -62,6 +64,7 @@
     worker: str
     kind: ErrorKind
     detail: str
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -63,6 +63,11 @@
         """Count of queued tasks."""
         return self._queue.waiting
 
+    @property
+    def outstanding(self) -> int:
+        """Count of tasks sent and not ended."""
+        return sum(pool.outstanding for pool in self._pools.values())
+
     @property
     def idle_slots(self) -> int:
         """Slots that this host could lend now, over all services."""
