--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -151,6 +151,8 @@
                 self._follow(self._following.read(now, offset, result), actions)
             case FrameReceived(sender, message):
                 actions += self._hosts.receive(now, sender, message)
+                if self._placement is not None:
+                    self._placement.receive(now, sender, message)
                 outputs = self._following.receive(now, sender, message)
                 self._follow(outputs, actions)
             case PeerRefused(address):
@@ -223,7 +225,10 @@
         match event:
             case TaskUnsent():
                 self._backoff.refused(now, event.worker)
-            case _:
+            case TaskSucceeded():
+                self._backoff.took(event.worker)
+                self._placement.note_free_slots(now, event.worker, event.free_slots)
+            case TaskLost():
                 self._backoff.took(event.worker)
         job = self._jobs.get(event.task.job)
         if job is not None:
@@ -307,6 +312,8 @@
         view = BackoffView(self._view, self._backoff)
         for placed in self._placement.place(now, view):
             self._send(placed, actions)
+        for peer, message in self._placement.take_messages():
+            actions.append(SendFrame(peer, message))
 
     def _send(self, placed: Placed, actions: list[Action]) -> None:
         task = placed.task
