--- a/packages/poplarhill-dev/src/poplarhill_dev/slopes/pure.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/slopes/pure.py
@@ -22,6 +22,7 @@
     memory_kib,
     processor_us,
 )
+from poplarhill_dev.slopes.snapshots import snapshot_slopes
 from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import SendTask
 from poplarhilld.dispatch.events import (
@@ -51,6 +52,7 @@
         _slope("document checked", "us", "worker", _WORKER_COUNTS, _check_us),
         _slope("change of one worker", "us", "worker", _WORKER_COUNTS, _change_us),
         _slope("configuration kept", "KiB", "worker", _WORKER_COUNTS, _worker_kib),
+        *snapshot_slopes(document),
         _slope("customers kept", "KiB", "customer", _CUSTOMER_COUNTS, _customer_kib),
         _slope("heartbeat size", "bytes", "member", _MEMBER_COUNTS, _heartbeat_bytes),
         _slope("heartbeat encoded", "us", "member", _MEMBER_COUNTS, _encode_us),
--- a/packages/poplarhill/src/poplarhill/configuration/fold.py
+++ b/packages/poplarhill/src/poplarhill/configuration/fold.py
@@ -200,6 +200,8 @@
         current = self._configuration.version
         if version < current or (version == current and not at_least):
             return False
+        if version == current and document == self._document:
+            return True
         try:
             configuration = Configuration.from_document(version, document)
         except (SettingsError, RecursionError):
--- a/packages/poplarhilld/src/poplarhilld/configuration/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/configuration/messages.py
@@ -27,10 +27,12 @@
     Attributes:
         offset: Where to begin.
         delay_s: Time to wait first, s.
+        limit: Most records to ask for.
     """
 
     offset: int
     delay_s: float
+    limit: int
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/configuration/reader.py
+++ b/packages/poplarhilld/src/poplarhilld/configuration/reader.py
@@ -5,7 +5,7 @@
 import curio
 import structlog
 
-from poplarhill.configuration import CONFIG_STREAM, READ_LIMIT
+from poplarhill.configuration import CONFIG_STREAM
 from poplarhill.platform import Appended, Platform
 from poplarhilld.configuration.messages import AppendRecord, LogRead, ReadLog
 
@@ -32,7 +32,9 @@
         while True:
             action: ReadLog = await self._reads.get()
             await curio.sleep(action.delay_s)
-            result = await self._platform.read(CONFIG_STREAM, action.offset, READ_LIMIT)
+            result = await self._platform.read(
+                CONFIG_STREAM, action.offset, action.limit
+            )
             await self._post(LogRead(action.offset, result))
 
     async def perform(self, action: ReadLog | AppendRecord) -> None:
--- a/packages/poplarhilld/src/poplarhilld/configuration/state.py
+++ b/packages/poplarhilld/src/poplarhilld/configuration/state.py
@@ -41,6 +41,7 @@
 _PEERS_ASKED = 2
 _NEWS_BYTES = 64 * 1024
 _SNAPSHOTS_PER_RETENTION = 4
+_LIMIT_FACTOR = 4
 _NEVER_S = 1e9
 
 
@@ -56,6 +57,9 @@
     def __init__(self, name: str, retention_s: float, random: Random) -> None:
         self._name = name
         self._snapshot_every_s = retention_s / _SNAPSHOTS_PER_RETENTION
+        self._overdue_s = 2 * self._snapshot_every_s
+        self._first_time: float | None = None
+        self._limit = READ_LIMIT
         self._random = random
         self._fold = Fold()
         self._configuration = self._fold.configuration
@@ -90,7 +94,7 @@
         """Ask every peer, and begin to read the log."""
         request = ConfigurationRequest(0)
         asked = [ToPeer(peer, request) for peer in self._peers]
-        return [*asked, ReadLog(self._fold.next_offset, 0.0)]
+        return [*asked, ReadLog(self._fold.next_offset, 0.0, self._limit)]
 
     def read(self, now: float, offset: int, result: ReadResult) -> list[Output]:
         """Decide on the end of a read, and when to read again.
@@ -107,16 +111,19 @@
             case Batch(end_offset=end) if end < offset:
                 self._fold = Fold()
             case Batch():
+                self._limit = min(self._limit * _LIMIT_FACTOR, READ_LIMIT)
                 at_end = self._fold_batch(result, outputs)
             case Truncated(earliest):
                 self._fold.skip_to(earliest)
             case unavailable:
+                # It may be that so many records make too large an answer.
+                self._limit = max(self._limit // _LIMIT_FACTOR, 1)
                 self._ask_some(offset, unavailable.detail, outputs)
         if at_end:
             self._at_end(now, result, outputs)
         moved = self._fold.next_offset != before
         delay_s = 0.0 if moved and not at_end else self._poll_delay()
-        outputs.append(ReadLog(self._fold.next_offset, delay_s))
+        outputs.append(ReadLog(self._fold.next_offset, delay_s, self._limit))
         return outputs
 
     def receive(self, now: float, sender: str, message: Message) -> list[Output]:
@@ -167,17 +174,33 @@
             self._ask_some(batch.next_offset, "no snapshot after a gap", outputs)
             return
         if self._fold.configuration.version < self.version:
-            snapshot = self._snapshot
-            record = Restoration(snapshot.version, snapshot.document, self._name)
-            self._write(record, outputs)
+            if self._is_chosen():
+                snapshot = self._snapshot
+                record = Restoration(snapshot.version, snapshot.document, self._name)
+                self._write(record, outputs)
             return
         self._confirmed_at = now
-        newest = self._fold.snapshot_time
-        due = newest is None or batch.time - newest > self._snapshot_every_s
         current = self._fold.next_offset == batch.end_offset
-        if due and current and self.version:
+        if self.version and current and self._snapshot_is_due(batch.time):
             self._write(self._snapshot, outputs)
 
+    def _snapshot_is_due(self, time: float) -> bool:
+        """Return whether to write a snapshot, by the log's clock.
+
+        While it is due the hosts share the work by chance; overdue, they don't.
+        """
+        if self._first_time is None:
+            self._first_time = time
+        newest = self._fold.snapshot_time
+        if time - (newest or self._first_time) > self._overdue_s:
+            return True
+        due = newest is None or time - newest > self._snapshot_every_s
+        return due and self._is_chosen()
+
+    def _is_chosen(self) -> bool:
+        """Return by chance whether this host writes what any host may write."""
+        return self._random.random() * (1 + len(self._peers)) < 1.0
+
     def _write(self, record: Snapshot | Restoration, outputs: list[Output]) -> None:
         kind = type(record).__name__
         offset = self._fold.next_offset
