--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -35,6 +35,7 @@
     task: TaskId
     worker: str
     body: bytes
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
@@ -44,6 +45,7 @@
     task: TaskId
     worker: str
     detail: str
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
@@ -54,6 +56,7 @@
     worker: str
     kind: ErrorKind
     detail: str
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/settings.py
@@ -30,7 +30,6 @@
         peer_listen: Where other entry hosts reach it.
         platform: Where the platform's log service is.
         peers: Entry hosts known at start, by name; others are learnt from them.
-        drain_s: Longest wait for jobs in flight at shutdown, s; 0 for no limit.
         log_retention_s: Shortest time that the platform's log keeps records, s.
     """
 
@@ -40,7 +39,6 @@
     peer_listen: Address
     platform: Address
     peers: dict[str, Address]
-    drain_s: float = 0.0
     log_retention_s: float = 3600.0
 
     @classmethod
@@ -92,7 +90,6 @@
         "peer_listen": _ADDRESS,
         "platform": _ADDRESS,
         "peers": {"type": "object", "additionalProperties": _ADDRESS},
-        "drain_s": {"type": "number", "minimum": 0},
         "log_retention_s": {"type": "number", "exclusiveMinimum": 0},
     },
 }
