Admit jobs by quota, queue length and the wait before their deadline

Cause: the limits slice was not wired. Admission composes it with the checks that the dispatcher made, in a module of its own; each refusal is logged. The expected run time is unknown until the health slice learns it: the wait is then taken to be none. The test of a host without configuration expected the answer alone; it now expects the log line of the refusal and the answer, and nothing else.

--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/admission.py
@@ -0,0 +1,94 @@
+"""Admission of jobs: whether this host takes a job, and why not."""
+
+from collections.abc import Callable
+
+from poplarhill.configuration import Configuration
+from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.types import JobSpec
+from poplarhilld.limits import Backlog, Limits
+from poplarhilld.placement import Placement
+
+_NOT_READY_RETRY_S = 1.0
+_SHUTDOWN_RETRY_S = 0.1
+
+
+class Admission:
+    """Decides which jobs are taken in.
+
+    Args:
+        run_time_s: Returns the expected run time of a task of a service, s; 0
+            while none is known.
+    """
+
+    def __init__(self, run_time_s: Callable[[str], float]) -> None:
+        self._run_time_s = run_time_s
+        self._configuration: Configuration | None = None
+        self._limits: Limits | None = None
+        self._closed = False
+
+    @property
+    def open(self) -> bool:
+        """Whether new jobs are taken."""
+        return self._configuration is not None and not self._closed
+
+    def close(self) -> None:
+        """Take no further job."""
+        self._closed = True
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a new configuration."""
+        self._configuration = configuration
+        if self._limits is None:
+            self._limits = Limits(configuration)
+        else:
+            self._limits.configure(configuration)
+
+    def set_hosts(self, hosts: int) -> None:
+        """Set the number of live entry hosts."""
+        if self._limits is not None:
+            self._limits.set_hosts(hosts)
+
+    def admit(
+        self, now: float, spec: JobSpec, placement: Placement | None
+    ) -> Failure | None:
+        """Return why a job is refused, or None and count it as in flight."""
+        if self._closed:
+            detail = "this entry host is shutting down"
+            return Failure(ErrorKind.SHUTTING_DOWN, detail, _SHUTDOWN_RETRY_S)
+        if self._configuration is None or self._limits is None or placement is None:
+            detail = "no configuration is known yet"
+            return Failure(ErrorKind.NOT_READY, detail, _NOT_READY_RETRY_S)
+        if spec.service not in self._configuration.services:
+            return Failure(ErrorKind.UNKNOWN_SERVICE, f"no service {spec.service!r}")
+        if spec.deadline <= now:
+            return Failure(ErrorKind.EXPIRED, "the deadline has passed")
+        if not _fits(spec, placement):
+            detail = "no worker is large enough for a task of this job"
+            return Failure(ErrorKind.IMPOSSIBLE, detail)
+        return self._limits.admit(now, spec, self._backlog(now, spec, placement))
+
+    def release(self, spec: JobSpec) -> None:
+        """Note that an admitted job has its answer."""
+        if self._limits is not None:
+            self._limits.release(spec)
+
+    def _backlog(self, now: float, spec: JobSpec, placement: Placement) -> Backlog:
+        slots = max(1, placement.slots(spec.service))
+        run_time_s = self._run_time_s(spec.service)
+        enough = placement.waiting_of(spec.service)
+        if run_time_s:
+            enough = int((spec.deadline - now) * slots / run_time_s) + 1
+        return Backlog(
+            tasks_queued=placement.waiting,
+            tasks_ahead=placement.tasks_ahead(now, spec, enough),
+            slots=slots,
+            run_time_s=run_time_s,
+        )
+
+
+def _fits(spec: JobSpec, placement: Placement) -> bool:
+    return any(
+        worker.cores >= spec.resources.cores
+        and worker.memory_mb >= spec.resources.memory_mb
+        for worker in placement.workers(spec.service)
+    )
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -5,7 +5,7 @@
 from sortedcontainers import SortedSet
 
 from poplarhill.configuration import Configuration
-from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.exceptions import Failure
 from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
 from poplarhilld.configuration.messages import (
@@ -24,6 +24,7 @@
     SendTask,
     StopTask,
 )
+from poplarhilld.dispatch.admission import Admission
 from poplarhilld.dispatch.events import (
     ConfigurationChanged,
     Event,
@@ -51,11 +52,9 @@
 )
 from poplarhilld.jobs.retries import MAX_TRIES
 from poplarhilld.jobs.state import cancellation, exhaustion, expiry
+from poplarhilld.limits import refused
 from poplarhilld.placement import EveryWorker, Placed, Placement
 
-_NOT_READY_RETRY_S = 1.0
-_SHUTDOWN_RETRY_S = 0.1
-
 
 class Dispatcher:
     """Decides for one entry host; holds no socket and reads no clock.
@@ -80,7 +79,7 @@
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
         self._view = EveryWorker()
-        self._shutting_down = False
+        self._admission = Admission(run_time_s=lambda service: 0.0)
         self._hosts = EntryHosts(identity, random)
 
     @property
@@ -91,7 +90,7 @@
     @property
     def ready(self) -> bool:
         """Whether new jobs are taken."""
-        return self._configuration is not None and not self._shutting_down
+        return self._admission.open
 
     @property
     def jobs_in_flight(self) -> int:
@@ -160,7 +159,7 @@
             case PeerRefused(address):
                 self._hosts.connection_refused(address)
             case ShutdownStarted():
-                self._shutting_down = True
+                self._admission.close()
                 actions += self._hosts.leave(now)
             case Ticked():
                 actions += self._hosts.tick(now, self._load())
@@ -172,43 +171,22 @@
     def _note_live(self) -> None:
         """Deal slots and news among the hosts that are live now."""
         live = self._hosts.presumed
+        self._admission.set_hosts(len(live))
         if self._placement is not None:
             self._placement.set_hosts(live)
         name = self._identity.name
         self._following.set_peers(tuple(peer for peer in live if peer != name))
 
     def _submit(self, now: float, spec: JobSpec, actions: list[Action]) -> None:
-        refusal = self._refusal(now, spec)
+        refusal = self._admission.admit(now, spec, self._placement)
         if refusal is not None:
+            actions.append(LogDecision(refused(spec, refusal)))
             actions.append(AnswerJob(spec.job_id, refusal))
             return
         self._jobs.add(spec)
         self._deadlines.add((spec.deadline, spec.job_id))
         self._placement.enqueue(now, spec)
 
-    def _refusal(self, now: float, spec: JobSpec) -> Failure | None:
-        if self._shutting_down:
-            detail = "this entry host is shutting down"
-            return Failure(ErrorKind.SHUTTING_DOWN, detail, _SHUTDOWN_RETRY_S)
-        if self._configuration is None or self._placement is None:
-            detail = "no configuration is known yet"
-            return Failure(ErrorKind.NOT_READY, detail, _NOT_READY_RETRY_S)
-        if spec.service not in self._configuration.services:
-            return Failure(ErrorKind.UNKNOWN_SERVICE, f"no service {spec.service!r}")
-        if spec.deadline <= now:
-            return Failure(ErrorKind.EXPIRED, "the deadline has passed")
-        if not self._fits(spec):
-            detail = "no worker is large enough for a task of this job"
-            return Failure(ErrorKind.IMPOSSIBLE, detail)
-        return None
-
-    def _fits(self, spec: JobSpec) -> bool:
-        return any(
-            worker.cores >= spec.resources.cores
-            and worker.memory_mb >= spec.resources.memory_mb
-            for worker in self._placement.workers(spec.service)
-        )
-
     def _cancel(self, job_id: str, actions: list[Action]) -> None:
         job = self._jobs.get(job_id)
         if job is not None:
@@ -276,6 +254,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
+        self._admission.configure(configuration)
         if self._placement is None:
             self._placement = Placement(
                 configuration,
@@ -300,6 +279,7 @@
     def _end(self, job_id: str, outcome: JobOutcome, actions: list[Action]) -> None:
         """Answer a job, drop its queued tasks and stop its running ones."""
         job = self._jobs.pop(job_id)
+        self._admission.release(job.spec)
         self._deadlines.discard((job.spec.deadline, job_id))
         self._placement.discard(job_id)
         for task, worker in job.running:
--- a/packages/poplarhilld/src/poplarhilld/limits/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/limits/__init__.py
@@ -2,4 +2,5 @@
 
 from poplarhilld.limits.messages import Backlog as Backlog
 from poplarhilld.limits.messages import Refused as Refused
+from poplarhilld.limits.messages import refused as refused
 from poplarhilld.limits.state import Limits as Limits
--- a/packages/poplarhilld/src/poplarhilld/limits/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/limits/messages.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+from poplarhill.exceptions import Failure
+from poplarhill.types import JobSpec
+
 
 class Backlog(NamedTuple):
     """What stands before a job in the queue of its service.
@@ -54,3 +57,15 @@
     kind: str
     detail: str
     retry_after_s: float | None
+
+
+def refused(spec: JobSpec, failure: Failure) -> Refused:
+    """Return the decision to refuse a job."""
+    return Refused(
+        job=spec.job_id,
+        customer=spec.customer,
+        tasks=len(spec.tasks),
+        kind=failure.kind.value,
+        detail=failure.detail,
+        retry_after_s=failure.retry_after_s,
+    )
--- a/packages/poplarhilld/src/poplarhilld/placement/queue.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/queue.py
@@ -77,6 +77,15 @@
         """Return the job that goes first; there is one."""
         return self._ranked.peekitem(0)[1]
 
+    def tasks_before(self, entry: _Entry, enough: int) -> int:
+        """Count the tasks that go before a job's, up to about `enough`."""
+        count = 0
+        for rank in self._ranked.irange(maximum=self._rank(entry)):
+            count += len(self._ranked[rank].waiting)
+            if count >= enough:
+                break
+        return count
+
     def _rank(self, entry: _Entry) -> _Rank:
         if self._order == "first_come":
             return _Rank(0.0, entry.arrival)
@@ -129,6 +138,11 @@
         self._entries[spec.job_id] = entry
         self._queue(spec.service).put(entry)
 
+    def tasks_before(self, now: float, spec: JobSpec, enough: int) -> int:
+        """Count the tasks that would go before a job's, up to about `enough`."""
+        entry = _Entry(spec, now, self._arrivals + 1)
+        return self._queue(spec.service).tasks_before(entry, enough)
+
     def put_back(self, task: TaskId) -> None:
         """Put a task back that was taken and provably not sent."""
         entry = self._entries.get(task.job)
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -106,6 +106,16 @@
         """Return the count of a service's queued tasks."""
         return self._queue.waiting_of(service)
 
+    def tasks_ahead(self, now: float, spec: JobSpec, enough: int) -> int:
+        """Count the queued tasks that would go before a job's.
+
+        Args:
+            now: The host's own clock, s.
+            spec: A job that is not queued.
+            enough: Count from which on an exact one does not matter.
+        """
+        return self._queue.tasks_before(now, spec, enough)
+
     def slots(self, service: str) -> int:
         """Return the slots of a service in this host's share."""
         pool = self._pools.get(service)
--- a/packages/poplarhilld/tests/configuration/test_state.py
+++ b/packages/poplarhilld/tests/configuration/test_state.py
@@ -24,7 +24,7 @@
     ToPeer,
 )
 from poplarhilld.dispatch import Dispatcher, Identity
-from poplarhilld.dispatch.actions import AnswerJob, SendFrame
+from poplarhilld.dispatch.actions import AnswerJob, LogDecision, SendFrame
 from poplarhilld.dispatch.events import FrameReceived, JobSubmitted, Started
 from poplarhilld.peers import (
     ConfigurationNews,
@@ -162,7 +162,8 @@
     dispatcher.handle(0.0, Started())
     dispatcher.handle(0.0, LogRead(0, Unavailable("down")))
     job = JobSpec("j", "booking", "default", (b"",), 9.0)
-    [answer] = dispatcher.handle(0.0, JobSubmitted(job))
+    logged, answer = dispatcher.handle(0.0, JobSubmitted(job))
+    assert isinstance(logged, LogDecision)
     assert isinstance(answer, AnswerJob)
     assert answer.outcome.kind is ErrorKind.NOT_READY
     assert answer.outcome.retry_after_s > 0
