Send no task by a view from before a pause

A host that stood still kept its old view of the workers, and sent what it had queued to a worker that had been leaving for a minute.

A gap over 1 s between two events, by the host's own clock, now closes the gate right before placement until the configuration and the host list are confirmed by answers to questions asked after waking: the log and the list, or one peer whose own view is fresh (RefreshRequest, RefreshReply). After 1 s without an answer the host is isolated and goes on (metric, log line). Each host reads the list every 2.0 to 3.5 s, so that its own reads keep the bound of 5 s, and the first to see a newer list tells its peers (HostsNews).

--- a/packages/poplarhilld/src/poplarhilld/configuration/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/configuration/messages.py
@@ -14,10 +14,12 @@
     Attributes:
         offset: Offset that was asked for.
         result: The log's answer.
+        asked_at: When the read began, s.
     """
 
     offset: int
     result: ReadResult
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/configuration/reader.py
+++ b/packages/poplarhilld/src/poplarhilld/configuration/reader.py
@@ -18,22 +18,34 @@
     Args:
         platform: The platform.
         post: Called with each answer.
+        clock: Returns the host's own time, s.
     """
 
     def __init__(
-        self, platform: Platform, post: Callable[[LogRead], Awaitable[None]]
+        self,
+        platform: Platform,
+        post: Callable[[LogRead], Awaitable[None]],
+        clock: Callable[[], float],
     ) -> None:
         self._platform = platform
         self._post = post
+        self._clock = clock
+        self._hurry = curio.Event()
         self._reads: curio.Queue = curio.Queue()
 
     async def run(self) -> None:
         """Read, one read at a time, until cancelled."""
         while True:
             action: ReadLog = await self._reads.get()
-            await curio.sleep(action.delay_s)
+            await curio.ignore_after(action.delay_s, self._hurry.wait)
+            self._hurry.clear()
+            asked_at = self._clock()
             result = await self._platform.read(CONFIG_STREAM, action.offset, READ_LIMIT)
-            await self._post(LogRead(action.offset, result))
+            await self._post(LogRead(action.offset, result, asked_at))
+
+    async def hurry(self) -> None:
+        """Begin the next read at once."""
+        await self._hurry.set()
 
     async def perform(self, action: ReadLog | AppendRecord) -> None:
         """Carry out an action without waiting for its end."""
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -33,6 +33,7 @@
     Started,
     Ticked,
 )
+from poplarhilld.freshness import HostsRead, ReadHosts, ReadLogNow
 from poplarhilld.jobs import Completed, JobOutcome
 from poplarhilld.metrics import Metrics
 from poplarhilld.peers import PeerLinks
@@ -64,7 +65,7 @@
         self._outcomes: dict[str, curio.Queue] = {}
         self._events: curio.Queue = curio.Queue()
         self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
-        self._reader = ConfigurationReader(self._platform, self._post)
+        self._reader = ConfigurationReader(self._platform, self._post, self._clock)
         self._peers = PeerLinks(
             settings.name, settings.peer_listen, self._frame, self._refused
         )
@@ -133,6 +134,12 @@
         age_s = status.configuration_age_s
         self._metrics.configuration_version.set(status.configuration_version)
         self._metrics.configuration_age.set(math.inf if age_s is None else age_s)
+        hosts = self._dispatcher.hosts
+        age_s = hosts.freshness.hosts_age(self._clock())
+        self._metrics.live_hosts.set(len(hosts.live))
+        self._metrics.hosts_age.set(math.inf if age_s is None else age_s)
+        self._metrics.isolated.set(hosts.freshness.isolated)
+        self._metrics.peer_frames_dropped.set(self._peers.dropped)
         return self._metrics.page()
 
     async def _post(self, event: Event) -> None:
@@ -150,7 +157,6 @@
             for action in self._dispatcher.handle(self._clock(), event):
                 await self._perform(action)
             self._metrics.jobs_in_flight.set(self._dispatcher.jobs_in_flight)
-            self._metrics.live_hosts.set(len(self._dispatcher.hosts.live))
 
     async def _tick(self) -> None:
         while True:
@@ -175,11 +181,20 @@
                 kind = type(action).__name__
                 self._metrics.messages.labels(kind).inc()
                 await self._reader.perform(action)
+            case ReadLogNow():
+                await self._reader.hurry()
+            case ReadHosts():
+                self._metrics.messages.labels("ReadHosts").inc()
+                await curio.spawn(self._read_hosts, daemon=True)
             case AnswerJob(job_id, outcome):
                 await self._give_answer(job_id, outcome)
             case LogDecision(decision):
                 _log.info(type(decision).__name__, **decision._asdict())
 
+    async def _read_hosts(self) -> None:
+        asked_at = self._clock()
+        await self._post(HostsRead(asked_at, await self._platform.hosts()))
+
     async def _send(self, action: SendTask) -> None:
         await self._post(await self._links.send(action))
 
--- a/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
@@ -5,6 +5,7 @@
 
 from poplarhill.types import TaskId, WorkerSpec
 from poplarhilld.configuration.messages import AppendRecord, ReadLog
+from poplarhilld.freshness.messages import ReadHosts, ReadLogNow
 from poplarhilld.jobs import JobOutcome
 from poplarhilld.peers.messages import Message
 
@@ -56,5 +57,13 @@
 
 
 Action = (
-    SendTask | StopTask | AnswerJob | LogDecision | SendFrame | ReadLog | AppendRecord
+    SendTask
+    | StopTask
+    | AnswerJob
+    | LogDecision
+    | SendFrame
+    | ReadLog
+    | ReadLogNow
+    | ReadHosts
+    | AppendRecord
 )
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -28,6 +28,7 @@
     ConfigurationChanged,
     Event,
     FrameReceived,
+    HostsRead,
     JobCancelled,
     JobSubmitted,
     PeerRefused,
@@ -66,9 +67,9 @@
         self._jobs = JobTable()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
-        self._view = EveryWorker()
         self._shutting_down = False
         self._hosts = EntryHosts(identity, random)
+        self._view = self._hosts.view(EveryWorker())
 
     @property
     def configuration(self) -> Configuration | None:
@@ -90,6 +91,10 @@
         """The earliest deadline of a job in flight, s."""
         return self._deadlines[0][0] if self._deadlines else None
 
+    @property
+    def _version(self) -> int:
+        return self._configuration.version if self._configuration else 0
+
     @property
     def hosts(self) -> EntryHosts:
         """The entry hosts, as this one sees them."""
@@ -115,6 +120,7 @@
             event: What happened.
         """
         actions: list[Action] = []
+        self._hosts.advance(now)
         match event:
             case JobSubmitted(spec):
                 self._submit(now, spec, actions)
@@ -129,9 +135,14 @@
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
             case Started():
+                self._hosts.start(now)
                 self._follow(self._following.start(), actions)
-            case LogRead(offset, result):
+            case LogRead(offset, result, asked_at):
                 self._follow(self._following.read(now, offset, result), actions)
+                if self._following.age(now) == 0:
+                    actions += self._hosts.configuration_confirmed(now, asked_at)
+            case HostsRead():
+                actions += self._hosts.hosts_read(now, event)
             case FrameReceived(sender, message):
                 actions += self._hosts.receive(now, sender, message)
                 outputs = self._following.receive(now, sender, message)
@@ -144,6 +155,7 @@
             case Ticked():
                 actions += self._hosts.tick(now, self._load())
         self._note_live()
+        actions += self._hosts.configuration_in_force(now, self._version)
         self._expire(now, actions)
         self._place(now, actions)
         return actions
@@ -247,9 +259,8 @@
             self._placement.configure(configuration)
 
     def _load(self) -> Load:
-        version = self._configuration.version if self._configuration else 0
         waiting = self._placement.waiting if self._placement else 0
-        return Load(configuration_version=version, queued_tasks=waiting)
+        return Load(self._version, queued_tasks=waiting)
 
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
@@ -268,7 +279,7 @@
         actions.append(AnswerJob(job_id, outcome))
 
     def _place(self, now: float, actions: list[Action]) -> None:
-        if self._placement is None:
+        if self._placement is None or not self._hosts.freshness.may_send:
             return
         for placed in self._placement.place(now, self._view):
             self._send(placed, actions)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -6,6 +6,7 @@
 from poplarhill.exceptions import ErrorKind
 from poplarhill.types import JobSpec, TaskId
 from poplarhilld.configuration.messages import LogRead
+from poplarhilld.freshness.messages import HostsRead
 from poplarhilld.peers.messages import Message
 from poplarhilld.settings import Address
 
@@ -98,6 +99,7 @@
     | TaskLost
     | ConfigurationChanged
     | LogRead
+    | HostsRead
     | FrameReceived
     | PeerRefused
     | ShutdownStarted
--- a/packages/poplarhilld/src/poplarhilld/dispatch/hosts.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/hosts.py
@@ -1,14 +1,31 @@
-"""The entry hosts as the dispatcher sees them: membership turned into actions."""
+"""What this host knows of others, and how fresh it is, turned into actions."""
 
 from random import Random
 from typing import NamedTuple
 
 from poplarhilld.dispatch.actions import Action, LogDecision, SendFrame
 from poplarhilld.dispatch.identity import Identity
+from poplarhilld.freshness import (
+    AskPeer,
+    Freshness,
+    HostsRead,
+    LeavingView,
+    ReadHosts,
+    ReadLogNow,
+)
+from poplarhilld.freshness.messages import Output
 from poplarhilld.membership import HeartbeatDue, Membership
 from poplarhilld.membership.messages import Decision
-from poplarhilld.peers import Goodbye, Heartbeat, MemberState
+from poplarhilld.peers import (
+    Goodbye,
+    Heartbeat,
+    HostsNews,
+    MemberState,
+    RefreshReply,
+    RefreshRequest,
+)
 from poplarhilld.peers.messages import Message
+from poplarhilld.placement import WorkerView
 from poplarhilld.settings import Address
 
 
@@ -27,7 +44,7 @@
 
 
 class EntryHosts:
-    """Membership, and the heartbeats that carry it.
+    """Membership, the platform's host list, and the frames that carry them.
 
     Args:
         identity: Who this host is.
@@ -44,7 +61,9 @@
             leaving=False,
         )
         self._membership = Membership(me, identity.seeds, random)
+        self._freshness = Freshness(random)
         self._load = Load()
+        self._pause_s = 0.0
 
     @property
     def live(self) -> tuple[str, ...]:
@@ -60,22 +79,63 @@
         """Return where a host is reached, if that is known."""
         return self._membership.address(name)
 
+    @property
+    def freshness(self) -> Freshness:
+        """How fresh this host's view is."""
+        return self._freshness
+
+    def view(self, view: WorkerView) -> WorkerView:
+        """Return a view of the workers less those that are leaving."""
+        return LeavingView(view, self._freshness)
+
+    def start(self, now: float) -> None:
+        """Begin to run: no task is sent before the view is confirmed."""
+        self._freshness.start(now)
+
+    def advance(self, now: float) -> None:
+        """Note that the process runs, and whether it had stood still."""
+        pause_s = self._freshness.advance(now)
+        if pause_s:
+            self._pause_s = pause_s
+            self._membership.woke(now)
+
     def tick(self, now: float, load: Load) -> list[Action]:
         """Take the passing of time; `load` goes into the heartbeats."""
         self._load = load
-        return self._actions(self._membership.tick(now))
+        actions = self._actions(self._membership.tick(now))
+        outputs = self._freshness.tick(now, self._pause_s, self._peers)
+        self._pause_s = 0.0
+        return actions + self._outputs(outputs)
+
+    def hosts_read(self, now: float, event: HostsRead) -> list[Action]:
+        """Take the end of a read of the platform's host list."""
+        fresh = self._freshness
+        outputs = fresh.hosts_read(now, event.asked_at, event.result, self._peers)
+        self._membership.hosts_listed(fresh.live, fresh.leaving)
+        return self._outputs(outputs)
+
+    def configuration_confirmed(self, now: float, asked_at: float) -> list[Action]:
+        """Note that the log has nothing newer than what is in force."""
+        return self._outputs(self._freshness.configuration_confirmed(now, asked_at))
+
+    def configuration_in_force(self, now: float, version: int) -> list[Action]:
+        """Note the version in force."""
+        self._load = self._load._replace(configuration_version=version)
+        return self._outputs(self._freshness.configuration_in_force(now, version))
 
     def receive(self, now: float, sender: str, message: Message) -> list[Action]:
         """Take a frame from another host."""
         match message:
             case Heartbeat(members=members):
                 decisions = self._membership.heartbeat_received(now, sender, members)
-                return self._actions(decisions)
+                news = (message.hosts_version, message.leaving_workers)
+                outputs = self._freshness.news_received(sender, *news)
+                return self._actions(decisions) + self._outputs(outputs)
             case Goodbye(incarnation):
                 decisions = self._membership.goodbye_received(now, sender, incarnation)
                 return self._actions(decisions)
         self._membership.heard(now, sender)
-        return []
+        return self._outputs(self._view_received(now, sender, message))
 
     def connection_refused(self, address: Address) -> None:
         """Note that nothing listens at a host's address."""
@@ -86,6 +146,35 @@
         goodbye = Goodbye(self._membership.me.incarnation)
         return [SendFrame(peer, goodbye) for peer in self._membership.leave(now)]
 
+    @property
+    def _peers(self) -> tuple[str, ...]:
+        me = self._membership.me.name
+        return tuple(name for name in self.presumed if name != me)
+
+    def _view_received(self, now: float, sender: str, message: Message) -> list[Output]:
+        version = self._load.configuration_version
+        match message:
+            case HostsNews(hosts_version, leaving):
+                return self._freshness.news_received(sender, hosts_version, leaving)
+            case RefreshRequest():
+                reply = self._freshness.answer(now, message, version)
+                return [AskPeer(sender, reply)]
+            case RefreshReply():
+                return self._freshness.reply_received(now, sender, message, version)
+        return []
+
+    def _outputs(self, outputs: list[Output]) -> list[Action]:
+        actions: list[Action] = []
+        for output in outputs:
+            match output:
+                case AskPeer(peer, message):
+                    actions.append(SendFrame(peer, message))
+                case ReadHosts() | ReadLogNow():
+                    actions.append(output)
+                case decision:
+                    actions.append(LogDecision(decision))
+        return actions
+
     def _actions(self, decisions: list[Decision]) -> list[Action]:
         actions: list[Action] = []
         for decision in decisions:
@@ -102,4 +191,6 @@
             configuration_version=self._load.configuration_version,
             idle_slots=self._load.idle_slots,
             queued_tasks=self._load.queued_tasks,
+            hosts_version=self._freshness.version,
+            leaving_workers=self._freshness.leaving_names,
         )
--- a/packages/poplarhilld/src/poplarhilld/membership/state.py
+++ b/packages/poplarhilld/src/poplarhilld/membership/state.py
@@ -106,8 +106,10 @@
     def tick(self, now: float) -> list[Decision]:
         """Remove silent members, and send the heartbeats that are due."""
         decisions = self._remove_silent(now)
-        if self._started is not None and now - self._started > removal_s(0):
-            self._unheard = frozenset()
+        if self._started is not None:
+            waited = now - max(self._started, self._awake_since)
+            if waited > removal_s(0):
+                self._unheard = frozenset()
         if now < self._next_round or self._superseded:
             return decisions
         first = self._started is None
--- a/packages/poplarhilld/src/poplarhilld/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/metrics.py
@@ -33,6 +33,21 @@
             "Entry hosts taken to be live, this one among them",
             registry=self._registry,
         )
+        self.hosts_age = Gauge(
+            "poplarhill_hosts_age_seconds",
+            "Time since the platform confirmed the host list",
+            registry=self._registry,
+        )
+        self.isolated = Gauge(
+            "poplarhill_isolated",
+            "Whether neither the platform nor a peer confirms this host's view",
+            registry=self._registry,
+        )
+        self.peer_frames_dropped = Gauge(
+            "poplarhill_peer_frames_dropped",
+            "Frames dropped on the links to peers in use",
+            registry=self._registry,
+        )
         self.configuration_version = Gauge(
             "poplarhill_configuration_version",
             "Version of the configuration in force",
--- a/packages/poplarhilld/src/poplarhilld/peers/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/__init__.py
@@ -9,8 +9,11 @@
 from poplarhilld.peers.messages import ConfigurationRequest as ConfigurationRequest
 from poplarhilld.peers.messages import Goodbye as Goodbye
 from poplarhilld.peers.messages import Heartbeat as Heartbeat
+from poplarhilld.peers.messages import HostsNews as HostsNews
 from poplarhilld.peers.messages import MemberState as MemberState
 from poplarhilld.peers.messages import Message as Message
+from poplarhilld.peers.messages import RefreshReply as RefreshReply
+from poplarhilld.peers.messages import RefreshRequest as RefreshRequest
 from poplarhilld.peers.messages import SlotGrant as SlotGrant
 from poplarhilld.peers.messages import SlotRequest as SlotRequest
 from poplarhilld.peers.messages import SlotReturn as SlotReturn
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -12,8 +12,11 @@
     ConfigurationRequest,
     Goodbye,
     Heartbeat,
+    HostsNews,
     MemberState,
     Message,
+    RefreshReply,
+    RefreshRequest,
     SlotGrant,
     SlotRequest,
     SlotReturn,
@@ -36,6 +39,9 @@
     ConfigurationOffer: "configurationOffer",
     ConfigurationNews: "configurationNews",
     Goodbye: "goodbye",
+    HostsNews: "hostsNews",
+    RefreshRequest: "refreshRequest",
+    RefreshReply: "refreshReply",
 }
 _TYPES: dict[str, type] = {variant: kind for kind, variant in _VARIANTS.items()}
 _ELEMENTS: dict[str, type] = {
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -71,6 +71,23 @@
   incarnation @0 :UInt64;
 }
 
+struct HostsNews {
+  hostsVersion @0 :UInt64;
+  leavingWorkers @1 :List(Text);
+}
+
+struct RefreshRequest {
+  requestId @0 :UInt64;
+}
+
+struct RefreshReply {
+  requestId @0 :UInt64;
+  configurationVersion @1 :UInt64;
+  hostsVersion @2 :UInt64;
+  leavingWorkers @3 :List(Text);
+  informed @4 :Bool;
+}
+
 struct Frame {
   sender @0 :Text;
   union {
@@ -82,5 +99,8 @@
     configurationOffer @6 :ConfigurationOffer;
     goodbye @7 :Goodbye;
     configurationNews @8 :ConfigurationNews;
+    hostsNews @9 :HostsNews;
+    refreshRequest @10 :RefreshRequest;
+    refreshReply @11 :RefreshReply;
   }
 }
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -157,6 +157,46 @@
     incarnation: int
 
 
+class HostsNews(NamedTuple):
+    """Passes a newer version of the platform's host list on.
+
+    Attributes:
+        hosts_version: Its version.
+        leaving_workers: Hosts and workers that are leaving.
+    """
+
+    hosts_version: int
+    leaving_workers: tuple[str, ...]
+
+
+class RefreshRequest(NamedTuple):
+    """Asks a peer for what it knows now; sent after a pause.
+
+    Attributes:
+        request_id: Id that the reply repeats.
+    """
+
+    request_id: int
+
+
+class RefreshReply(NamedTuple):
+    """Says what the sender knows now.
+
+    Attributes:
+        request_id: Id of the request.
+        configuration_version: Version in force at the sender.
+        hosts_version: Version of the host list there.
+        leaving_workers: Hosts and workers that are leaving.
+        informed: Whether the sender's own view is fresh.
+    """
+
+    request_id: int
+    configuration_version: int
+    hosts_version: int
+    leaving_workers: tuple[str, ...]
+    informed: bool
+
+
 Message = (
     Heartbeat
     | SlotRequest
@@ -166,4 +206,7 @@
     | ConfigurationOffer
     | ConfigurationNews
     | Goodbye
+    | HostsNews
+    | RefreshRequest
+    | RefreshReply
 )
