--- /dev/null
+++ b/packages/poplarhill-dev/tests/failures/test_membership_under_failure.py
@@ -0,0 +1,117 @@
+"""Entry hosts lost, frozen and replaced, as real processes."""
+
+import json
+import threading
+import time
+
+import pytest
+
+from poplarhill_dev.experiment.submit import submit
+from poplarhill_dev.experiment.workload import PlannedJob
+from poplarhill_dev.fleet import Fleet, get_page, put_json, wait_until
+from poplarhill_dev.trace import check, record
+
+HOSTS = ("h1", "h2", "h3")
+FROZEN = HOSTS.index("h3")
+
+
+def metric(fleet: Fleet, host: str, name: str) -> float:
+    page = get_page(fleet.process(host).port, "/metrics").decode()
+    [value] = [line.split()[1] for line in page.splitlines() if line.startswith(name)]
+    return float(value)
+
+
+def wait_live(fleet: Fleet, count: int, *hosts: str) -> None:
+    for host in hosts:
+        wait_until(
+            lambda host=host: metric(fleet, host, "poplarhill_live_hosts ") == count,
+            f"{host} sees {count} hosts",
+        )
+
+
+def starts_since(fleet: Fleet, worker: str, since: float) -> int:
+    trace = json.loads(get_page(fleet.worker_ports[worker], "/trace"))
+    return sum(time_s >= since for time_s, *_ in trace)
+
+
+def job(name: str, host: int, at_s: float, tasks: int) -> PlannedJob:
+    return PlannedJob(
+        name=name,
+        at_s=at_s,
+        host=host,
+        run_s=(0.2,) * tasks,
+        timeout_s=50.0,
+        declared_s=0.2,
+        customer="default",
+        key=None,
+        hang_up_s=None,
+    )
+
+
+class Load(threading.Thread):
+    """Submits jobs while the test does something else."""
+
+    def __init__(self, fleet: Fleet, jobs: list[PlannedJob]) -> None:
+        super().__init__(daemon=True)
+        self._fleet, self._jobs = fleet, jobs
+        self.answers: list = []
+
+    def run(self) -> None:
+        """Submit every job and keep the answers."""
+        self.answers = submit(self._fleet, self._jobs)
+
+
+@pytest.fixture
+def members(fleet: Fleet) -> Fleet:
+    wait_live(fleet, len(HOSTS), *HOSTS)
+    return fleet
+
+
+def test_a_killed_host_is_dropped_and_its_name_is_free(members) -> None:
+    members.kill("h3")
+    wait_live(members, 2, "h1", "h2")
+    members.restart("h3")
+    members.wait_ready()
+    wait_live(members, 3, *HOSTS)
+
+
+def test_a_woken_host_sends_nothing_to_workers_that_leave(members) -> None:
+    jobs = [job(f"a{n}", FROZEN, 0.1 * n, tasks=160) for n in range(4)]
+    load = Load(members, jobs)
+    load.start()
+    wait_until(lambda: starts_since(members, "w1", 0.0) > 8, "tasks of h3 run")
+    members.freeze("h3")
+    put_json(members.platform_port, "/hosts", [9, list(members.worker_ports), ["w1"]])
+    members.operate("worker", "drain", "w2", "--reason", "its rack is replaced")
+    for host in ("h1", "h2"):
+        wait_until(
+            lambda host=host: metric(members, host, "poplarhill_hosts_version ") == 9,
+            f"{host} knows the list",
+        )
+    wait_live(members, 2, "h1", "h2")
+    woken_at = time.monotonic()
+    members.resume("h3")
+    load.join()
+    assert [answer.outcome for answer in load.answers] == ["complete"] * len(jobs)
+    assert starts_since(members, "w3", woken_at) > 0
+    assert starts_since(members, "w1", woken_at) == 0
+    assert starts_since(members, "w2", woken_at) == 0
+    assert check(record(members, load.answers)) == []
+    wait_live(members, 3, *HOSTS)
+
+
+def test_every_host_replaced_under_load_leaves_each_answer_whole_or_clear(
+    members, steady_jobs, one_answer_each
+) -> None:
+    jobs = steady_jobs(12.0)
+    load = Load(members, jobs)
+    load.start()
+    for name in HOSTS:
+        members.process(name).handle.terminate()
+        assert members.process(name).handle.wait(60.0) == 0
+        members.restart(name)
+        members.wait_ready()
+        wait_live(members, len(HOSTS), *HOSTS)
+    load.join()
+    assert one_answer_each(jobs, load.answers)
+    assert check(record(members, load.answers)) == []
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -8,6 +8,7 @@
 import curio
 import structlog
 
+from poplarhill.exceptions import ErrorKind, Failure
 from poplarhill.http import HttpServer
 from poplarhill.platform import HttpPlatform
 from poplarhill.status import HostStatus
@@ -40,10 +41,13 @@
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.settings import Address, Settings
 from poplarhilld.signals import SignalWaiter
+from poplarhilld.supervisor import Supervisor
 from poplarhilld.workers import WorkerLinks
 
 _PLATFORM_TIMEOUT_S = 2.0
 _TICK_S = 0.1
+_FAULT = Failure(ErrorKind.INTERNAL, "a fault of this process")
+EXIT_FAILED = _FAULT.answer.exit_code
 _log = structlog.get_logger()
 
 
@@ -61,7 +65,12 @@
         identity = Identity.from_config(settings, incarnation)
         self._dispatcher = Dispatcher(identity, Random())
         self._metrics = Metrics()
-        self._links = WorkerLinks(self._clock)
+        self._loops = Supervisor()
+        self._links = WorkerLinks(
+            self._clock,
+            hosts=len(settings.peers) + 1,
+            discarded=lambda r: self._metrics.replies_discarded.labels(r).inc(),
+        )
         self._outcomes: dict[str, curio.Queue] = {}
         self._events: curio.Queue = curio.Queue()
         self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
@@ -72,7 +81,7 @@
         self._api = Api(
             submit=self.submit,
             cancel=self.cancel,
-            ready=lambda: self._dispatcher.ready,
+            ready=lambda: self._dispatcher.ready and not self._loops.failed,
             status=self.status,
             metrics=self._metrics_page,
             clock=self._clock,
@@ -84,30 +93,39 @@
         """Return the daemon that the settings describe."""
         return cls(settings)
 
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then answer what is in flight."""
+    async def run(self) -> int:
+        """Serve until SIGTERM or SIGINT, then answer what is in flight.
+
+        A loop that fails leaves the state of the dispatcher unknown. Every job
+        in flight is then answered with an internal error.
+
+        Returns:
+            Exit code of the process.
+        """
         stop = SignalWaiter(signal.SIGTERM, signal.SIGINT)
-        loops = [
-            await curio.spawn(loop, daemon=True)
-            for loop in (
-                self._decide,
-                self._tick,
-                self._reader.run,
-                self._peers.run,
-                self._http.run,
-            )
-        ]
+        await self._loops.start(
+            self._decide,
+            self._tick,
+            self._reader.run,
+            self._peers.run,
+            self._http.run,
+            self._links.run,
+        )
         await self._post(Started())
         _log.info("started", port=self._settings.listen.port)
-        await stop.wait()
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(stop.wait)
+            await group.spawn(self._loops.wait_failed)
         _log.info("shutdown started", jobs=self._dispatcher.jobs_in_flight)
         await self._post(ShutdownStarted())
+        abandoning = await curio.spawn(self._abandon_jobs, daemon=True)
         await self._http.drain()
         await self._peers.flush()
-        for loop in loops:
-            await loop.cancel()
+        await abandoning.cancel()
+        await self._loops.cancel()
         await self._links.close()
         _log.info("stopped")
+        return EXIT_FAILED if self._loops.failed else 0
 
     def status(self) -> HostStatus:
         """Return what operators see of this host."""
@@ -115,6 +133,8 @@
 
     async def submit(self, spec: JobSpec) -> JobOutcome:
         """Run a job to its outcome."""
+        if self._loops.failed:
+            return _FAULT
         outcome: curio.Queue = curio.Queue()
         self._outcomes[spec.job_id] = outcome
         try:
@@ -129,6 +149,12 @@
         await self._post(JobCancelled(job_id))
         return known
 
+    async def _abandon_jobs(self) -> None:
+        """Answer every job in flight once a loop has failed."""
+        await self._loops.wait_failed()
+        for waiter in list(self._outcomes.values()):
+            await waiter.put(_FAULT)
+
     def _metrics_page(self) -> bytes:
         status = self.status()
         age_s = status.configuration_age_s
@@ -138,6 +164,7 @@
         age_s = hosts.freshness.hosts_age(self._clock())
         self._metrics.live_hosts.set(len(hosts.live))
         self._metrics.hosts_age.set(math.inf if age_s is None else age_s)
+        self._metrics.hosts_version.set(hosts.freshness.version)
         self._metrics.isolated.set(hosts.freshness.isolated)
         self._metrics.peer_frames_dropped.set(self._peers.dropped)
         return self._metrics.page()
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -37,6 +37,7 @@
     task: TaskId
     worker: str
     body: bytes
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
@@ -46,6 +47,7 @@
     task: TaskId
     worker: str
     detail: str
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
@@ -56,6 +58,7 @@
     worker: str
     kind: ErrorKind
     detail: str
+    attempt: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/freshness/state.py
+++ b/packages/poplarhilld/src/poplarhilld/freshness/state.py
@@ -102,9 +102,13 @@
         return None if self._hosts_at is None else now - self._hosts_at
 
     def start(self, now: float) -> None:
-        """Begin with no view: nothing is sent before a refresh."""
+        """Begin without a host list: nothing is sent before there is one.
+
+        A configuration that is in force was read, or had from a peer, just now.
+        """
         self._last = now
         self._woke_at = now
+        self._configuration_by = "start"
 
     def advance(self, now: float) -> float:
         """Note that the process runs; return how long it had stood still, s."""
--- a/packages/poplarhilld/src/poplarhilld/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/metrics.py
@@ -23,6 +23,12 @@
             ["kind"],
             registry=self._registry,
         )
+        self.replies_discarded = Counter(
+            "poplarhill_replies_discarded",
+            "Replies of workers that were not given to a caller, by reason",
+            ["reason"],
+            registry=self._registry,
+        )
         self.jobs_in_flight = Gauge(
             "poplarhill_jobs_in_flight",
             "Jobs without an answer",
@@ -38,6 +44,11 @@
             "Time since the platform confirmed the host list",
             registry=self._registry,
         )
+        self.hosts_version = Gauge(
+            "poplarhill_hosts_version",
+            "Version of the host list that this host knows",
+            registry=self._registry,
+        )
         self.isolated = Gauge(
             "poplarhill_isolated",
             "Whether neither the platform nor a peer confirms this host's view",
