--- a/packages/poplarhilld/src/poplarhilld/configuration/reader.py
+++ b/packages/poplarhilld/src/poplarhilld/configuration/reader.py
@@ -5,7 +5,7 @@
 import curio
 import structlog
 
-from poplarhill.configuration import CONFIG_STREAM, READ_LIMIT
+from poplarhill.configuration import CONFIG_STREAM
 from poplarhill.platform import Appended, Platform
 from poplarhilld.configuration.messages import AppendRecord, LogRead, ReadLog
 
@@ -40,7 +40,9 @@
             await curio.ignore_after(action.delay_s, self._hurry.wait)
             self._hurry.clear()
             asked_at = self._clock()
-            result = await self._platform.read(CONFIG_STREAM, action.offset, READ_LIMIT)
+            result = await self._platform.read(
+                CONFIG_STREAM, action.offset, action.limit
+            )
             await self._post(LogRead(action.offset, result, asked_at))
 
     async def hurry(self) -> None:
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -71,8 +71,10 @@
         self._identity = identity
         self._configuration: Configuration | None = None
         self._random = random
+        # Its random choices are its own: placement's don't hang on the polls.
+        polls = Random(f"{identity.name} {identity.incarnation}")
         retention_s = identity.log_retention_s
-        self._following = ConfigurationState(identity.name, retention_s, random)
+        self._following = ConfigurationState(identity.name, retention_s, polls)
         self._following.set_peers(tuple(identity.seeds))
         self._jobs = JobTable()
         self._sends = SendTable()
@@ -163,6 +165,8 @@
                 actions += self._hosts.hosts_read(now, event)
             case FrameReceived(sender, message):
                 actions += self._hosts.receive(now, sender, message)
+                if self._placement is not None:
+                    self._placement.receive(now, sender, message)
                 outputs = self._following.receive(now, sender, message)
                 self._follow(outputs, actions)
             case PeerRefused(address):
@@ -236,7 +240,10 @@
         match event:
             case TaskUnsent():
                 self._backoff.refused(now, event.worker)
-            case _:
+            case TaskSucceeded():
+                self._backoff.took(event.worker)
+                self._placement.note_free_slots(now, event.worker, event.free_slots)
+            case TaskLost():
                 self._backoff.took(event.worker)
         job = self._jobs.get(event.task.job)
         if job is not None:
@@ -319,6 +326,8 @@
         view = BackoffView(self._view, self._backoff)
         for placed in self._placement.place(now, view):
             self._send(now, placed, actions)
+        for peer, message in self._placement.take_messages():
+            actions.append(SendFrame(peer, message))
 
     def _send(self, now: float, placed: Placed, actions: list[Action]) -> None:
         task = placed.task
