--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -29,6 +29,7 @@
     ConfigurationChanged,
     Event,
     FrameReceived,
+    HostsRead,
     JobCancelled,
     JobSubmitted,
     PeerRefused,
@@ -41,6 +42,7 @@
 )
 from poplarhilld.dispatch.hosts import EntryHosts, Load
 from poplarhilld.dispatch.identity import Identity
+from poplarhilld.freshness import PAUSE_S
 from poplarhilld.jobs import (
     Backoff,
     BackoffView,
@@ -78,9 +80,9 @@
         self._backoff = Backoff()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
-        self._view = EveryWorker()
         self._admission = Admission(run_time_s=lambda service: 0.0)
         self._hosts = EntryHosts(identity, random)
+        self._view = self._hosts.view(EveryWorker())
 
     @property
     def configuration(self) -> Configuration | None:
@@ -112,6 +114,10 @@
         """The earliest deadline of a job in flight, s."""
         return self._deadlines[0][0] if self._deadlines else None
 
+    @property
+    def _version(self) -> int:
+        return self._configuration.version if self._configuration else 0
+
     @property
     def hosts(self) -> EntryHosts:
         """The entry hosts, as this one sees them."""
@@ -137,6 +143,7 @@
             event: What happened.
         """
         actions: list[Action] = []
+        self._hosts.advance(now)
         match event:
             case JobSubmitted(spec):
                 self._submit(now, spec, actions)
@@ -147,9 +154,14 @@
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
             case Started():
+                self._hosts.start(now)
                 self._follow(self._following.start(), actions)
-            case LogRead(offset, result):
+            case LogRead(offset, result, asked_at):
                 self._follow(self._following.read(now, offset, result), actions)
+                if self._following.age(now) == 0:
+                    actions += self._hosts.configuration_confirmed(now, asked_at)
+            case HostsRead():
+                actions += self._hosts.hosts_read(now, event)
             case FrameReceived(sender, message):
                 actions += self._hosts.receive(now, sender, message)
                 if self._placement is not None:
@@ -164,6 +176,7 @@
             case Ticked():
                 actions += self._hosts.tick(now, self._load())
         self._note_live()
+        actions += self._hosts.configuration_in_force(now, self._version)
         self._expire(now, actions)
         self._place(now, actions)
         return actions
@@ -267,9 +280,8 @@
             self._placement.configure(configuration)
 
     def _load(self) -> Load:
-        version = self._configuration.version if self._configuration else 0
         waiting = self._placement.waiting if self._placement else 0
-        return Load(configuration_version=version, queued_tasks=waiting)
+        return Load(self._version, queued_tasks=waiting)
 
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
@@ -289,15 +301,15 @@
         actions.append(AnswerJob(job_id, outcome))
 
     def _place(self, now: float, actions: list[Action]) -> None:
-        if self._placement is None:
+        if self._placement is None or not self._hosts.freshness.may_send:
             return
         view = BackoffView(self._view, self._backoff)
         for placed in self._placement.place(now, view):
-            self._send(placed, actions)
+            self._send(now, placed, actions)
         for peer, message in self._placement.take_messages():
             actions.append(SendFrame(peer, message))
 
-    def _send(self, placed: Placed, actions: list[Action]) -> None:
+    def _send(self, now: float, placed: Placed, actions: list[Action]) -> None:
         task = placed.task
         spec = self._jobs.get(task.job).spec
         attempt = self._jobs.get(task.job).mark_sent(task.index, placed.worker)
@@ -305,5 +317,6 @@
         worker = self._configuration.workers[placed.worker]
         body = spec.tasks[task.index]
         deadline = spec.deadline
+        send_by = min(deadline, now + PAUSE_S)
         actions.append(LogDecision(placed))
-        actions.append(SendTask(task, worker, body, deadline, deadline, attempt))
+        actions.append(SendTask(task, worker, body, deadline, send_by, attempt))
