--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -9,7 +9,7 @@
 from poplarhill_dev.demo import run_demo
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.platform import PlatformStandIn
-from poplarhill_dev.replay import replay
+from poplarhill_dev.replay import placement_cost, replay
 from poplarhill_dev.slopes import run_slopes
 from poplarhill_dev.spread import run_spread
 from poplarhill_dev.worker import WorkerStandIn, run_workers
@@ -132,3 +132,4 @@
 
 
 main.add_command(replay)
+main.add_command(placement_cost)
