--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -287,8 +287,9 @@
 
     def _load(self) -> Load:
         version = self._configuration.version if self._configuration else 0
-        waiting = self._placement.waiting if self._placement else 0
-        return Load(configuration_version=version, queued_tasks=waiting)
+        if self._placement is None:
+            return Load(configuration_version=version)
+        return Load(version, self._placement.idle_slots, self._placement.waiting)
 
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -48,7 +48,8 @@
         self._random = random
         self._host = host
         self._data_centre = data_centre
-        self._hosts = frozenset(hosts) | {host}
+        self._live: tuple[str, ...] = tuple(hosts)
+        self._hosts = frozenset(self._live) | {host}
         self._queue = JobQueue(configuration.defaults.order)
         self._pools: dict[str, WorkerPool] = {}
         self._service_of: dict[str, str] = {}
@@ -135,6 +136,9 @@
 
     def set_hosts(self, live: Iterable[str]) -> None:
         """Take the names of the live hosts; shares are dealt anew."""
+        if self._live == (live := tuple(live)):
+            return
+        self._live = live
         hosts = frozenset(live) | {self._host}
         if hosts != self._hosts:
             self._hosts = hosts
