--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -69,8 +69,10 @@
         self._identity = identity
         self._configuration: Configuration | None = None
         self._random = random
+        # Its random choices are its own: placement's don't hang on the polls.
+        polls = Random(f"{identity.name} {identity.incarnation}")
         retention_s = identity.log_retention_s
-        self._following = ConfigurationState(identity.name, retention_s, random)
+        self._following = ConfigurationState(identity.name, retention_s, polls)
         self._following.set_peers(tuple(identity.seeds))
         self._jobs = JobTable()
         self._sends = SendTable()
