--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -280,8 +280,10 @@
             self._placement.configure(configuration)
 
     def _load(self) -> Load:
-        waiting = self._placement.waiting if self._placement else 0
-        return Load(self._version, queued_tasks=waiting)
+        if self._placement is None:
+            return Load(self._version)
+        placement = self._placement
+        return Load(self._version, placement.idle_slots, placement.waiting)
 
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
