--- a/packages/poplarhill-dev/src/poplarhill_dev/golden/render.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/golden/render.py
@@ -15,6 +15,7 @@
     StopTask,
 )
 from poplarhilld.jobs import Completed
+from poplarhilld.peers import Heartbeat
 
 _DECIMALS = 3
 _LONGEST_TEXT = 80
@@ -31,6 +32,8 @@
             return f"answer {job_id} complete: {_value(results)}"
         case AnswerJob(job_id, Failure() as failure):
             return f"answer {job_id} failed: {_failure(failure)}"
+        case SendFrame(peer, Heartbeat()):
+            return f"frame to {_value(peer)}: Heartbeat"
         case SendFrame(peer, message):
             return f"frame to {_value(peer)}: {_value(message)}"
         case LogDecision(decision):
