--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/load.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/load.py
@@ -15,6 +15,7 @@
 from poplarhill.http import (
     Connection,
     ConnectionLostError,
+    IdleState,
     InvalidResponseError,
     Limits,
     Request,
@@ -158,7 +159,7 @@
         idle = self._idle.setdefault(port, [])
         while idle:
             connection = idle.pop()
-            if not connection.is_stale():
+            if connection.idle_state() is IdleState.USABLE:
                 return connection
             await connection.close()
         return await Connection.open(_HOST, port, _LIMITS, _CONNECT_TIMEOUT_S)
