--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -7,6 +7,7 @@
 from poplarhill.types import JobSpec, TaskId
 from poplarhilld.configuration.messages import LogRead
 from poplarhilld.peers.messages import Message
+from poplarhilld.settings import Address
 
 
 @dataclass(frozen=True)
@@ -30,12 +31,20 @@
 
 @dataclass(frozen=True)
 class TaskSucceeded:
-    """A worker answered a task."""
+    """A worker answered a task.
+
+    Attributes:
+        task: The task.
+        worker: Name of the worker.
+        body: Its result.
+        free_slots: Slots free on the worker just after, if it shows them.
+    """
 
     task: TaskId
     worker: str
     body: bytes
     attempt: int = 0
+    free_slots: int | None = None
 
 
 @dataclass(frozen=True)
@@ -74,6 +83,13 @@
     message: Message
 
 
+@dataclass(frozen=True)
+class PeerRefused:
+    """The address of an entry host refused a connection."""
+
+    address: Address
+
+
 @dataclass(frozen=True)
 class ShutdownStarted:
     """The process was asked to stop."""
@@ -94,6 +110,7 @@
     | ConfigurationChanged
     | LogRead
     | FrameReceived
+    | PeerRefused
     | ShutdownStarted
     | Ticked
 )
--- a/packages/poplarhilld/src/poplarhilld/workers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/link.py
@@ -26,6 +26,7 @@
 TASK_ID_HEADER = "task-id"
 TASK_STARTED_HEADER = "task-started"
 TIMEOUT_HEADER = "task-timeout-s"
+FREE_SLOTS_HEADER = "slots-free"
 
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
@@ -133,7 +134,10 @@
     def _classify(self, action: SendTask, response: Response) -> TaskEvent:
         if response.status == _HTTP_OK:
             worker = action.worker.name
-            return TaskSucceeded(action.task, worker, response.body, action.attempt)
+            free_slots = _free_slots(response)
+            return TaskSucceeded(
+                action.task, worker, response.body, action.attempt, free_slots
+            )
         refused = response.headers.get(TASK_STARTED_HEADER) == "no"
         if response.status == _HTTP_UNAVAILABLE and refused:
             return self._unsent(action, "the worker refused the task")
@@ -171,3 +175,11 @@
         TIMEOUT_HEADER: f"{timeout_s:.3f}",
     }
     return Request("POST", "/tasks", headers=headers, body=action.body)
+
+
+def _free_slots(response: Response) -> int | None:
+    """Return the free slots that a worker shows, or none if it shows none."""
+    try:
+        return int(response.headers[FREE_SLOTS_HEADER])
+    except (KeyError, ValueError):
+        return None
