Share a service's slots between customers by weight

Each service now has a queue a customer and takes the next task from the customer with the least load; inside a customer the order stands. With one customer nothing changes.

Checked: placement, dispatch and golden tests.

--- a/packages/poplarhill-dev/src/poplarhill_dev/replay/cost.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/replay/cost.py
@@ -39,20 +39,20 @@
     for number in range(workers + queued_jobs):
         placement.enqueue(0.0, _job(number, 1 if number < workers else 0, random))
     view = EveryWorker()
-    busy = [placed.worker for placed in placement.place(0.0, view)]
+    busy = placement.place(0.0, view)
     number = workers + queued_jobs
     spent = 0.0
     for turn in range(_ROUNDS):
         now = turn * 1e-4
         job = _job(number + turn, 0, random)
-        worker = busy.pop(random.randrange(len(busy)))
+        ended = busy.pop(random.randrange(len(busy)))
         started = time.process_time()
         placement.enqueue(now, job)
-        placement.release(worker)
-        placement.note_free_slots(now, worker, 1)
+        placement.release(ended.worker, ended.task)
+        placement.note_free_slots(now, ended.worker, 1)
         placed = placement.place(now, view)
         spent += time.process_time() - started
-        busy += [item.worker for item in placed]
+        busy += placed
     return spent / _ROUNDS * 1e6
 
 
--- a/packages/poplarhill-dev/src/poplarhill_dev/replay/model.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/replay/model.py
@@ -188,7 +188,7 @@
         self._call(at, self._result, name, host, task, shown)
 
     def _result(self, name: str, host: int, task: TaskId, shown: int | None) -> None:
-        self._hosts[host].release(name)
+        self._hosts[host].release(name, task)
         self._hosts[host].note_free_slots(self._now, name, shown)
         self._left[task.job] -= 1
         if not self._left[task.job]:
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -223,7 +223,7 @@
         """Decide on a report; only the first on each send counts."""
         if not self._sends.end(event.task, Send(event.worker, event.attempt)):
             return
-        self._placement.release(event.worker)
+        self._placement.release(event.worker, event.task)
         match event:
             case TaskUnsent():
                 self._backoff.refused(now, event.worker)
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -50,7 +50,7 @@
         self._data_centre = data_centre
         self._live: tuple[str, ...] = tuple(hosts)
         self._hosts = frozenset(self._live) | {host}
-        self._queue = JobQueue(configuration.defaults.order)
+        self._queue = JobQueue(configuration.defaults.order, configuration.customers)
         self._pools: dict[str, WorkerPool] = {}
         self._service_of: dict[str, str] = {}
         self._ready: set[str] = set()
@@ -125,7 +125,7 @@
         """Take a new configuration; queued and outstanding tasks stay."""
         self._defaults = configuration.defaults
         self._policy = policy_from_config(configuration.defaults)
-        self._queue.reorder(configuration.defaults.order)
+        self._queue.configure(configuration.defaults.order, configuration.customers)
         by_service: dict[str, dict[str, WorkerSpec]] = {}
         for worker in configuration.workers.values():
             by_service.setdefault(worker.service, {})[worker.name] = worker
@@ -153,8 +153,9 @@
         """Drop the queued tasks of a job."""
         self._queue.discard(job_id)
 
-    def release(self, worker: str) -> None:
-        """Note that an outstanding task has ended."""
+    def release(self, worker: str, task: TaskId) -> None:
+        """Note that an outstanding task has ended on its worker."""
+        self._queue.end(task)
         service = self._service_of[worker]
         self._pool(service).release(worker)
         self._ready.add(service)
--- a/packages/poplarhilld/tests/placement/conftest.py
+++ b/packages/poplarhilld/tests/placement/conftest.py
@@ -12,8 +12,11 @@
 HOSTS = ("h1", "h2", "h3", "h4")
 
 
-def document(workers: int = 4, slots: int = 4, **defaults) -> dict:
+def document(
+    workers: int = 4, slots: int = 4, customers: dict | None = None, **defaults
+) -> dict:
     return {
+        "customers": customers or {},
         "defaults": {"policy": "shares", **defaults},
         "services": {
             service: {
--- a/packages/poplarhilld/tests/placement/test_lending.py
+++ b/packages/poplarhilld/tests/placement/test_lending.py
@@ -117,8 +117,8 @@
         elif kind == "wait":
             self.now += number / 100
         elif kind == "end" and self.running:
-            name, worker = self.running.pop(number % len(self.running))
-            self.hosts[name].release(worker)
+            name, ended = self.running.pop(number % len(self.running))
+            self.hosts[name].release(ended.worker, ended.task)
         elif kind in ("deliver", "double", "drop") and self.frames:
             index = number % len(self.frames)
             sender, to, message = self.frames[index]
@@ -127,7 +127,7 @@
             if kind != "drop":
                 self.hosts[to].receive(self.now, sender, message)
         for placed in placement.place(self.now, self._view):
-            self.running.append((host, placed.worker))
+            self.running.append((host, placed))
         for peer, message in placement.take_messages():
             self.frames.append((host, peer, message))
 
--- a/packages/poplarhilld/tests/placement/test_recorded.py
+++ b/packages/poplarhilld/tests/placement/test_recorded.py
@@ -3,7 +3,7 @@
 A line with `>` is what happened, a line with `<` what was decided:
 
     > time submit job tasks deadline
-    > time end worker free-slots
+    > time end job/index worker free-slots
     > time hosts names
     < job/index on worker of candidates, waiting
 """
@@ -12,6 +12,8 @@
 
 import pytest
 
+from poplarhill.types import TaskId
+
 RECORDED = sorted(Path(__file__).parent.glob("recorded/*.txt"))
 
 
@@ -20,8 +22,9 @@
         case "submit", [job_id, tasks, deadline]:
             job = make_job(job_id, int(tasks), deadline=float(deadline))
             placement.enqueue(now, job)
-        case "end", [worker, free_slots]:
-            placement.release(worker)
+        case "end", [task, worker, free_slots]:
+            job_id, index = task.split("/")
+            placement.release(worker, TaskId(job_id, int(index)))
             shown = None if free_slots == "-" else int(free_slots)
             placement.note_free_slots(now, worker, shown)
         case "hosts", names:
--- a/packages/poplarhilld/tests/placement/test_state.py
+++ b/packages/poplarhilld/tests/placement/test_state.py
@@ -8,6 +8,13 @@
 from poplarhilld.placement.policies import MAX_CANDIDATES, choose, policy_from_config
 
 
+def end(placement, running: list, worker: str) -> None:
+    """End the first task on a worker and take it out of `running`."""
+    item = next(item for item in running if item.worker == worker)
+    running.remove(item)
+    placement.release(worker, item.task)
+
+
 def jobs_of(placed: list) -> list[str]:
     return [item.task.job for item in placed]
 
@@ -18,7 +25,7 @@
     placed = placement.place(0.0, view)
     assert Counter(p.worker for p in placed) == {f"b{n}": 1 for n in range(4)}
     assert placement.place(0.0, view) == []
-    placement.release("b2")
+    end(placement, placed, "b2")
     assert [p.worker for p in placement.place(0.0, view)] == ["b2"]
 
 
@@ -50,7 +57,7 @@
     placement = make_placement("h1", workers=2, slots=2)
     placement.enqueue(0.0, make_job("j", 3))
     [own] = placement.place(0.0, view)
-    placement.release(own.worker)
+    placement.release(own.worker, own.task)
     view.down.add(own.worker)
     assert [p.worker != own.worker for p in placement.place(0.0, view)] == [True]
 
@@ -58,9 +65,9 @@
 def test_the_fewest_tasks_go_first(make_placement, make_job, view) -> None:
     placement = make_placement()
     placement.enqueue(0.0, make_job("large", 100))
-    placement.place(0.0, view)
+    running = placement.place(0.0, view)
     placement.enqueue(0.1, make_job("small", 1))
-    placement.release("b0")
+    end(placement, running, "b0")
     assert jobs_of(placement.place(0.1, view)) == ["small"]
 
 
@@ -70,13 +77,15 @@
 ) -> None:
     placement = make_placement(workers=1)
     placement.enqueue(0.0, make_job("large", 160, deadline=deadline))
-    placement.place(0.0, view)
+    running = placement.place(0.0, view)
     order = []
     for turn in range(200):
         now = turn / 10
         placement.enqueue(now, make_job(f"small{turn}", 1))
-        placement.release("b0")
-        order += jobs_of(placement.place(now, view))
+        end(placement, running, "b0")
+        placed = placement.place(now, view)
+        running += placed
+        order += jobs_of(placed)
     assert order.index("large") <= passed_by
 
 
@@ -84,11 +93,13 @@
     placement = make_placement(order="first_come")
     placement.enqueue(0.0, make_job("large", 6))
     placement.enqueue(0.0, make_job("small", 1))
-    placement.place(0.0, view)
+    running = placement.place(0.0, view)
     order = []
     for _ in range(3):
-        placement.release("b0")
-        order += jobs_of(placement.place(0.0, view))
+        end(placement, running, "b0")
+        placed = placement.place(0.0, view)
+        running += placed
+        order += jobs_of(placed)
     assert order == ["large", "large", "small"]
 
 
@@ -105,10 +116,10 @@
     placement = make_placement()
     placement.enqueue(0.0, make_job("gone", 50))
     placement.enqueue(0.0, make_job("next", 60))
-    placement.place(0.0, view)
+    running = placement.place(0.0, view)
     placement.discard("gone")
     assert placement.waiting == 60
-    placement.release("b0")
+    end(placement, running, "b0")
     assert jobs_of(placement.place(0.0, view)) == ["next"]
 
 
@@ -118,7 +129,7 @@
     placement = make_placement()
     placement.enqueue(0.0, make_job("j", 1))
     [first] = placement.place(0.0, view)
-    placement.release(first.worker)
+    placement.release(first.worker, first.task)
     placement.put_back(first.task)
     view.down.add(first.worker)
     [again] = placement.place(0.0, view)
@@ -170,8 +181,8 @@
 ) -> None:
     placement = make_placement(workers=1, beyond_share=beyond_share)
     placement.enqueue(0.0, make_job("j", 100))
-    placement.place(0.0, view)
-    placement.release("b0")
+    running = placement.place(0.0, view)
+    end(placement, running, "b0")
     placement.note_free_slots(0.0, "b0", free_slots)
     assert len(placement.place(0.0, view)) == sent
 
@@ -179,8 +190,33 @@
 def test_slots_shown_too_long_ago_are_not_used(make_placement, make_job, view) -> None:
     placement = make_placement(workers=1)
     placement.enqueue(0.0, make_job("j", 1))
-    placement.place(0.0, view)
-    placement.release("b0")
+    running = placement.place(0.0, view)
+    end(placement, running, "b0")
     placement.note_free_slots(0.0, "b0", 4)
     placement.enqueue(0.2, make_job("k", 100))
     assert len(placement.place(0.2, view)) == 1
+
+
+def test_slots_go_to_customers_by_weight(make_placement, make_job, view) -> None:
+    customers = {"jacaranda": {"weight": 3}, "kelani": {"weight": 1}}
+    placement = make_placement(workers=2, slots=16, customers=customers)
+    for customer in customers:
+        for number in range(20):
+            job = make_job(f"{customer}{number}", 1)._replace(customer=customer)
+            placement.enqueue(0.0, job)
+    placed = jobs_of(placement.place(0.0, view))
+    assert sum(job.startswith("jacaranda") for job in placed) == 6
+    assert len(placed) == 8
+
+
+def test_a_burst_of_one_customer_does_not_hold_another(
+    make_placement, make_job, view
+) -> None:
+    placement = make_placement()
+    for number in range(500):
+        job = make_job(f"burst{number}", 1)._replace(customer="bursting")
+        placement.enqueue(0.0, job)
+    running = placement.place(0.0, view)
+    placement.enqueue(0.1, make_job("other", 100))
+    end(placement, running, "b0")
+    assert jobs_of(placement.place(0.1, view)) == ["other"]
