--- a/packages/poplarhill/src/poplarhill/cli/status.py
+++ b/packages/poplarhill/src/poplarhill/cli/status.py
@@ -18,6 +18,8 @@
     click.echo(f"ready          {'yes' if answer.ready else 'no'}")
     click.echo(f"configuration  {_format_configuration(answer)}")
     click.echo(f"jobs in flight {answer.jobs_in_flight}")
+    click.echo(f"queued tasks   {answer.queued_tasks}")
+    click.echo(f"live hosts     {answer.live_hosts}")
 
 
 def _format_configuration(answer: HostStatus) -> str:
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -133,6 +133,8 @@
             configuration_age_s=self._following.age(now),
             configuration_complete=self._following.complete,
             jobs_in_flight=self.jobs_in_flight,
+            queued_tasks=self._placement.waiting if self._placement else 0,
+            live_hosts=len(self._hosts.live),
         )
 
     def handle(self, now: float, event: Event) -> list[Action]:
