Cut data centres off through the relay, with real processes

Cause: the relay could not tell who connects, so no cut was shown. A daemon's settings now may name the address that it connects from and the one that peers are told; the fleet gives each daemon a loopback address of its data centre, and the relay tells the data centres by it.

--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/faults.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/faults.py
@@ -7,6 +7,7 @@
 
 from poplarhill_dev.experiment.config import Fault
 from poplarhill_dev.fleet import Fleet, put_json
+from poplarhill_dev.relay_plan import Cut
 
 _PLATFORM_WELL: dict[str, Any] = {}
 _WORKER_WELL: dict[str, Any] = {}
@@ -60,5 +61,8 @@
                 lambda: put_json(port, "/faults", fault.set),
                 lambda: put_json(port, "/faults", _WORKER_WELL),
             )
+        case "cut":
+            cut = Cut(target, fault.direction)
+            return lambda: fleet.cut([cut]), lambda: fleet.cut([])
         case _:
             raise UnknownFaultError(fault.kind)
--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
@@ -18,7 +18,7 @@
     slowdown_of,
     summarize,
 )
-from poplarhill_dev.experiment.workload import PlannedJob, plan_jobs
+from poplarhill_dev.experiment.workload import MIXES, PlannedJob, plan_jobs
 from poplarhill_dev.fleet import Fleet, get_page
 from poplarhill_dev.trace import check, record
 from poplarhill_dev.trace.checker import Trace
@@ -62,6 +62,7 @@
         experiment.workers,
         experiment.policies[case.policy],
         experiment.worker_processes,
+        MIXES[case.firm].between_centres_s if experiment.relay else None,
     )
     try:
         answers = submit(
--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -5,27 +5,28 @@
 
 import json
 import os
-import random
 import shutil
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
-import time
-import urllib.error
-import urllib.request
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
+import msgspec
+
+from poplarhill_dev.loopback import FleetError as FleetError
+from poplarhill_dev.loopback import free_port as free_port
+from poplarhill_dev.loopback import get_page as get_page
+from poplarhill_dev.loopback import get_status as get_status
+from poplarhill_dev.loopback import put_json as put_json
+from poplarhill_dev.loopback import wait_until as wait_until
+from poplarhill_dev.relay_plan import Cut, RelayPlan, Route
+
 _HOST = "127.0.0.1"
-_START_TIMEOUT_S = 60.0
 _STOP_TIMEOUT_S = 60.0
-_POLL_S = 0.05
 _BIN = Path(sys.executable).parent
-# Below the ports that the system gives to outgoing connections.
-_PORTS = range(12000, 32000)
 DATA_CENTRES = ("dc1", "dc2", "dc3")
 
 
@@ -43,20 +44,26 @@
     handle: subprocess.Popen
 
 
-class FleetError(Exception):
-    """The fleet did not come to the state waited for."""
-
-
 class Fleet:
     """Processes of one demo, test or experiment.
 
     Args:
         directory: Where settings and logs are written.
         defaults: Fleet defaults of the configuration.
+        delay_s: One-way delay between data centres that a relay imposes, s; no
+            relay if not given.
     """
 
-    def __init__(self, directory: Path, defaults: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        directory: Path,
+        defaults: dict[str, Any] | None = None,
+        delay_s: float | None = None,
+    ) -> None:
         self._directory = directory
+        self._relay = (
+            RelayPlan(free_port(), delay_s, []) if delay_s is not None else None
+        )
         self._defaults = defaults or {}
         self._processes: dict[str, Process] = {}
         self._worker_ports: dict[str, int] = {}
@@ -70,6 +77,7 @@
         workers: int,
         defaults: dict[str, Any] | None = None,
         worker_processes: int | None = None,
+        delay_s: float | None = None,
     ) -> "Fleet":
         """Start a fleet and publish its configuration.
 
@@ -79,14 +87,17 @@
             defaults: Fleet defaults of the configuration.
             worker_processes: Processes that the workers are spread over; one
                 each if not given.
+            delay_s: One-way delay between data centres that a relay imposes, s;
+                no relay if not given.
         """
-        fleet = cls(Path(tempfile.mkdtemp(prefix="poplarhill-")), defaults)
+        fleet = cls(Path(tempfile.mkdtemp(prefix="poplarhill-")), defaults, delay_s)
         try:
             fleet.start_platform()
             fleet.start_workers(workers, worker_processes or workers)
             peer_ports = {f"h{n}": free_port() for n in range(1, hosts + 1)}
             for number, name in enumerate(peer_ports):
                 fleet.start_daemon(name, data_centre(number), peer_ports)
+            fleet.start_relay()
             fleet.wait_listening()
             fleet.publish(fleet.document(), "first configuration")
             fleet.wait_ready()
@@ -170,12 +181,15 @@
             "data_centre": data_centre,
             "listen": _address(port),
             "peer_listen": _address(peer_ports[name]),
-            "platform": _address(platform_port or self.platform_port),
+            "platform": _address(
+                platform_port or self._reached(self.platform_port, "")
+            ),
             "peers": {
-                peer: _address(peer_port)
+                peer: _address(self._reached(peer_port, host_data_centre(peer)))
                 for peer, peer_port in peer_ports.items()
                 if peer != name
             },
+            **self._behind_relay(name, peer_ports[name]),
             **overrides,
         }
         path = self._directory / f"{name}.json"
@@ -183,6 +197,25 @@
         command = [str(_BIN / "poplarhilld"), "--settings", str(path)]
         self._start(name, port, command)
 
+    def start_relay(self) -> None:
+        """Start the relay, if there is one; its routes must be known."""
+        if self._relay is None:
+            return
+        self.document()
+        path = self._directory / "relay.json"
+        path.write_bytes(msgspec.json.encode(self._relay))
+        self._start_module("relay", self._relay.control, ["relay", str(path)])
+
+    def cut(self, cuts: list[Cut]) -> None:
+        """Set the cuts in force at the relay; none heals them all.
+
+        Raises:
+            FleetError: The fleet has no relay.
+        """
+        if self._relay is None:
+            raise FleetError("the fleet has no relay")
+        put_json(self._relay.control, "/cuts", msgspec.to_builtins(cuts))
+
     def kill(self, name: str) -> None:
         """End a process at once, as a lost host does."""
         handle = self._processes[name].handle
@@ -212,7 +245,7 @@
         """Return a configuration document for the fleet's workers."""
         workers = {
             name: {
-                **_address(port),
+                **_address(self._reached(port, data_centre(number))),
                 "data_centre": data_centre(number),
                 "rack": f"r{number % 3 + 1}",
             }
@@ -273,6 +306,29 @@
         """Remove the settings and logs."""
         shutil.rmtree(self._directory)
 
+    def _reached(self, port: int, data_centre: str) -> int:
+        """Return the port by which daemons reach a process in a data centre."""
+        if self._relay is None:
+            return port
+        for route in self._relay.routes:
+            if route.target == port:
+                return route.port
+        where = data_centre or "platform"
+        route = Route(free_port(), _HOST, port, where)
+        self._relay.routes.append(route)
+        return route.port
+
+    def _behind_relay(self, name: str, peer_port: int) -> dict[str, Any]:
+        """Return the settings by which the relay tells where a daemon stands."""
+        if self._relay is None:
+            return {}
+        where = host_data_centre(name)
+        number = DATA_CENTRES.index(where) + 1
+        return {
+            "source": f"127.0.{number}.{name.removeprefix('h')}",
+            "advertise": _address(self._reached(peer_port, where)),
+        }
+
     def _start_group(self, name: str, workers: list[str]) -> None:
         ports = [self._worker_ports.setdefault(w, free_port()) for w in workers]
         arguments = ["workers"]
@@ -290,74 +346,16 @@
         self._processes[name] = Process(name, port, handle)
 
 
+def host_data_centre(name: str) -> str:
+    """Return the data centre of the entry host `hN`."""
+    return data_centre(int(name.removeprefix("h")) - 1)
+
+
 def data_centre(number: int) -> str:
     """Return the data centre of the host or worker with a number, from 0."""
     return DATA_CENTRES[number % len(DATA_CENTRES)]
 
 
-_given_ports: set[int] = set()
-_random = random.Random()
-
-
-def free_port() -> int:
-    """Return a TCP port that is free now, and that was not returned before."""
-    while True:
-        port = _random.choice(_PORTS)
-        with socket.socket() as sock:
-            if port not in _given_ports and _binds(sock, port):
-                _given_ports.add(port)
-                return port
-
-
-def wait_until(
-    condition: Callable[[], bool], what: str, timeout_s: float = _START_TIMEOUT_S
-) -> None:
-    """Wait until a condition holds.
-
-    Raises:
-        FleetError: It does not hold in time.
-    """
-    give_up = time.monotonic() + timeout_s
-    while not condition():
-        if time.monotonic() > give_up:
-            raise FleetError(f"not within {timeout_s:g} s: {what}")
-        time.sleep(_POLL_S)
-
-
-def get_status(port: int, path: str) -> int | None:
-    """Return the status of a GET, or None without an answer."""
-    try:
-        with urllib.request.urlopen(f"http://{_HOST}:{port}{path}", timeout=5) as reply:
-            return reply.status
-    except urllib.error.HTTPError as error:
-        return error.code
-    except OSError:
-        return None
-
-
-def get_page(port: int, path: str) -> bytes:
-    """Return the body of a GET.
-
-    Raises:
-        OSError: There is no answer, or it is an error.
-    """
-    with urllib.request.urlopen(f"http://{_HOST}:{port}{path}", timeout=10) as reply:
-        return reply.read()
-
-
-def put_json(port: int, path: str, value: Any) -> None:
-    """Send a PUT with a JSON body, such as the faults of a stand-in.
-
-    Raises:
-        OSError: There is no answer, or it is an error.
-    """
-    url = f"http://{_HOST}:{port}{path}"
-    data = json.dumps(value).encode()
-    request = urllib.request.Request(url, data=data, method="PUT")
-    with urllib.request.urlopen(request, timeout=10) as reply:
-        reply.read()
-
-
 def _wait_or_kill(handle: subprocess.Popen) -> None:
     try:
         handle.wait(_STOP_TIMEOUT_S)
@@ -370,14 +368,6 @@
     return {"host": _HOST, "port": port}
 
 
-def _binds(sock: socket.socket, port: int) -> bool:
-    try:
-        sock.bind((_HOST, port))
-    except OSError:
-        return False
-    return True
-
-
 def _listens(port: int) -> bool:
     with socket.socket() as sock:
         return sock.connect_ex((_HOST, port)) == 0
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/loopback.py
@@ -0,0 +1,91 @@
+"""Ports, waits and requests on loopback, for processes that the tool starts."""
+
+import json
+import random
+import socket
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from typing import Any
+
+_HOST = "127.0.0.1"
+START_TIMEOUT_S = 60.0
+_POLL_S = 0.05
+# Below the ports that the system gives to outgoing connections.
+_PORTS = range(12000, 32000)
+
+
+class FleetError(Exception):
+    """The fleet did not come to the state waited for."""
+
+
+_given_ports: set[int] = set()
+_random = random.Random()
+
+
+def free_port() -> int:
+    """Return a TCP port that is free now, and that was not returned before."""
+    while True:
+        port = _random.choice(_PORTS)
+        with socket.socket() as sock:
+            if port not in _given_ports and _binds(sock, port):
+                _given_ports.add(port)
+                return port
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, timeout_s: float = START_TIMEOUT_S
+) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        FleetError: It does not hold in time.
+    """
+    give_up = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > give_up:
+            raise FleetError(f"not within {timeout_s:g} s: {what}")
+        time.sleep(_POLL_S)
+
+
+def get_status(port: int, path: str) -> int | None:
+    """Return the status of a GET, or None without an answer."""
+    try:
+        with urllib.request.urlopen(f"http://{_HOST}:{port}{path}", timeout=5) as reply:
+            return reply.status
+    except urllib.error.HTTPError as error:
+        return error.code
+    except OSError:
+        return None
+
+
+def get_page(port: int, path: str) -> bytes:
+    """Return the body of a GET.
+
+    Raises:
+        OSError: There is no answer, or it is an error.
+    """
+    with urllib.request.urlopen(f"http://{_HOST}:{port}{path}", timeout=10) as reply:
+        return reply.read()
+
+
+def put_json(port: int, path: str, value: Any) -> None:
+    """Send a PUT with a JSON body, such as the faults of a stand-in.
+
+    Raises:
+        OSError: There is no answer, or it is an error.
+    """
+    url = f"http://{_HOST}:{port}{path}"
+    data = json.dumps(value).encode()
+    request = urllib.request.Request(url, data=data, method="PUT")
+    with urllib.request.urlopen(request, timeout=10) as reply:
+        reply.read()
+
+
+def _binds(sock: socket.socket, port: int) -> bool:
+    try:
+        sock.bind((_HOST, port))
+    except OSError:
+        return False
+    return True
--- a/packages/poplarhill-dev/tests/failures/conftest.py
+++ b/packages/poplarhill-dev/tests/failures/conftest.py
@@ -9,11 +9,23 @@
 from poplarhill_dev.fleet import Fleet
 
 HOSTS = 3
+DELAY_S = 0.0005
 
 
 @pytest.fixture
 def fleet() -> Iterator[Fleet]:
-    fleet = Fleet.start(hosts=HOSTS, workers=6, worker_processes=3)
+    yield from running(Fleet.start(hosts=HOSTS, workers=6, worker_processes=3))
+
+
+@pytest.fixture
+def relayed_fleet() -> Iterator[Fleet]:
+    """A fleet whose data centres reach each other and the platform by a relay."""
+    yield from running(
+        Fleet.start(hosts=HOSTS, workers=6, worker_processes=3, delay_s=DELAY_S)
+    )
+
+
+def running(fleet: Fleet) -> Iterator[Fleet]:
     try:
         yield fleet
     finally:
--- a/packages/poplarhill/src/poplarhill/http/__init__.py
+++ b/packages/poplarhill/src/poplarhill/http/__init__.py
@@ -4,6 +4,7 @@
 from poplarhill.http.client import ConnectionLostError as ConnectionLostError
 from poplarhill.http.client import IdleState as IdleState
 from poplarhill.http.client import InvalidResponseError as InvalidResponseError
+from poplarhill.http.client import connect_from as connect_from
 from poplarhill.http.client import fetch as fetch
 from poplarhill.http.messages import Limits as Limits
 from poplarhill.http.messages import Request as Request
--- a/packages/poplarhill/src/poplarhill/http/client.py
+++ b/packages/poplarhill/src/poplarhill/http/client.py
@@ -55,16 +55,28 @@
 
     @classmethod
     async def open(
-        cls, host: str, port: int, limits: Limits, connect_timeout_s: float
+        cls,
+        host: str,
+        port: int,
+        limits: Limits,
+        connect_timeout_s: float,
+        source: str | None = None,
     ) -> "Connection":
         """Connect to a server.
 
+        Args:
+            host: IP address of the server.
+            port: TCP port of the server.
+            limits: Bounds on responses.
+            connect_timeout_s: Longest time to connect, s.
+            source: Own IP address to connect from; any if not given.
+
         Raises:
             ConnectionLostError: No connection came about; nothing was sent.
         """
         try:
             sock = await curio.timeout_after(
-                connect_timeout_s, curio.open_connection, host, port
+                connect_timeout_s, connect_from, source, host, port
             )
         except (OSError, curio.TaskTimeout) as error:
             detail = f"cannot connect to {host}:{port}: {error or 'timeout'}"
@@ -177,12 +189,23 @@
     return {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
 
 
+async def connect_from(source: str | None, host: str, port: int) -> curio.io.Socket:
+    """Connect over TCP, from an own IP address if one is given.
+
+    Raises:
+        OSError: The connection did not come about.
+    """
+    own = (source, 0) if source is not None else None
+    return await curio.open_connection(host, port, source_addr=own)
+
+
 async def fetch(
     host: str,
     port: int,
     request: Request,
     timeout_s: float,
     limits: Limits = _PLATFORM_LIMITS,
+    source: str | None = None,
 ) -> Response:
     """Send one request on a connection of its own.
 
@@ -190,7 +213,7 @@
         ConnectionLostError: No whole response within `timeout_s`.
         InvalidResponseError: The response breaks the protocol or a limit.
     """
-    connection = await Connection.open(host, port, limits, timeout_s)
+    connection = await Connection.open(host, port, limits, timeout_s, source)
     try:
         return await curio.timeout_after(timeout_s, connection.exchange, request)
     except curio.TaskTimeout as error:
--- a/packages/poplarhill/src/poplarhill/platform/client.py
+++ b/packages/poplarhill/src/poplarhill/platform/client.py
@@ -53,12 +53,16 @@
         host: IP address.
         port: TCP port.
         timeout_s: Longest wait for one answer, s.
+        source: Own IP address to connect from; any if not given.
     """
 
-    def __init__(self, host: str, port: int, timeout_s: float) -> None:
+    def __init__(
+        self, host: str, port: int, timeout_s: float, source: str | None = None
+    ) -> None:
         self._host = host
         self._port = port
         self._timeout_s = timeout_s
+        self._source = source
 
     async def append(self, stream: str, body: str) -> AppendResult:
         """Append a record to a stream."""
@@ -106,7 +110,9 @@
         return _decode(response.body, HostList) or Unavailable("broken answer")
 
     async def _fetch(self, request: Request) -> Response:
-        return await fetch(self._host, self._port, request, self._timeout_s)
+        return await fetch(
+            self._host, self._port, request, self._timeout_s, source=self._source
+        )
 
 
 def _decode(body: bytes, kind: type[_Value]) -> _Value | None:
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -69,13 +69,20 @@
             self._clock,
             hosts=len(settings.peers) + 1,
             discarded=lambda r: self._metrics.replies_discarded.labels(r).inc(),
+            source=settings.source,
         )
         self._outcomes: dict[str, curio.Queue] = {}
         self._events: curio.Queue = curio.Queue()
-        self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
+        self._platform = HttpPlatform(
+            *settings.platform, _PLATFORM_TIMEOUT_S, settings.source
+        )
         self._reader = ConfigurationReader(self._platform, self._post)
         self._peers = PeerLinks(
-            settings.name, settings.peer_listen, self._frame, self._refused
+            settings.name,
+            settings.peer_listen,
+            self._frame,
+            self._refused,
+            settings.source,
         )
         self._api = Api(
             submit=self.submit,
--- a/packages/poplarhilld/src/poplarhilld/dispatch/identity.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/identity.py
@@ -30,7 +30,7 @@
         return cls(
             name=settings.name,
             data_centre=settings.data_centre,
-            address=settings.peer_listen,
+            address=settings.advertise or settings.peer_listen,
             incarnation=incarnation,
             seeds=settings.peers,
             log_retention_s=settings.log_retention_s,
--- a/packages/poplarhilld/src/poplarhilld/peers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/link.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from poplarhill.http import connect_from
 from poplarhilld.settings import Address
 
 LENGTH_BYTES = 4
@@ -25,12 +26,17 @@
     Args:
         address: Where the peer listens.
         refused: Called when the address refuses a connection.
+        source: Own IP address to connect from; any if not given.
     """
 
     def __init__(
-        self, address: Address, refused: Callable[[Address], Awaitable[None]]
+        self,
+        address: Address,
+        refused: Callable[[Address], Awaitable[None]],
+        source: str | None = None,
     ) -> None:
         self._address = address
+        self._source = source
         self._refused = refused
         self._frames: deque[bytes] = deque(maxlen=QUEUE_FRAMES)
         self._queued = curio.Event()
@@ -95,7 +101,7 @@
 
     async def _connect(self) -> curio.io.Socket:
         sock = await curio.timeout_after(
-            _CONNECT_TIMEOUT_S, curio.open_connection, *self._address
+            _CONNECT_TIMEOUT_S, connect_from, self._source, *self._address
         )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
--- a/packages/poplarhilld/src/poplarhilld/peers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/links.py
@@ -40,6 +40,7 @@
         listen: Where peers reach this host.
         receiver: Called with each frame received.
         refused: Called with each address that refuses a connection.
+        source: Own IP address to connect from; any if not given.
     """
 
     def __init__(
@@ -48,10 +49,12 @@
         listen: Address,
         receiver: Receiver,
         refused: Refused = _ignore,
+        source: str | None = None,
     ) -> None:
         self._name = name
         self._receiver = receiver
         self._refused = refused
+        self._source = source
         self._sock = curio.tcp_server_socket(*listen)
         self._links: dict[Address, PeerLink] = {}
         self._incoming = 0
@@ -75,7 +78,7 @@
         """Queue a frame for a peer."""
         link = self._links.get(address)
         if link is None:
-            link = PeerLink(address, self._refused)
+            link = PeerLink(address, self._refused, self._source)
             self._links[address] = link
             await curio.spawn(self._run_link, link, daemon=True)
         await link.put(encode(Envelope(self._name, message)))
--- a/packages/poplarhilld/src/poplarhilld/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/settings.py
@@ -30,6 +30,9 @@
         peer_listen: Where other entry hosts reach it.
         platform: Where the platform's log service is.
         peers: Entry hosts known at start, by name; others are learnt from them.
+        source: Own IP address to connect from; any if not given.
+        advertise: Where peers are told to reach this host; `peer_listen` if not
+            given.
         log_retention_s: Shortest time that the platform's log keeps records, s.
     """
 
@@ -39,6 +42,8 @@
     peer_listen: Address
     platform: Address
     peers: dict[str, Address]
+    source: str | None = None
+    advertise: Address | None = None
     log_retention_s: float = 3600.0
 
     @classmethod
@@ -50,8 +55,9 @@
         """
         check(value, SCHEMA)
         fields = dict(value)
-        for name in ("listen", "peer_listen", "platform"):
-            fields[name] = Address(**fields[name])
+        for name in ("listen", "peer_listen", "platform", "advertise"):
+            if name in fields:
+                fields[name] = Address(**fields[name])
         peers = {name: Address(**peer) for name, peer in fields["peers"].items()}
         return cls(**{**fields, "peers": peers})
 
@@ -69,12 +75,17 @@
         return cls.from_config(value)
 
 
+_IP: dict[str, Any] = {
+    "type": "string",
+    "pattern": r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$",
+}
+
 _ADDRESS: dict[str, Any] = {
     "type": "object",
     "additionalProperties": False,
     "required": ["host", "port"],
     "properties": {
-        "host": {"type": "string", "pattern": r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$"},
+        "host": _IP,
         "port": {"type": "integer", "minimum": 1, "maximum": 65535},
     },
 }
@@ -90,6 +101,8 @@
         "peer_listen": _ADDRESS,
         "platform": _ADDRESS,
         "peers": {"type": "object", "additionalProperties": _ADDRESS},
+        "source": _IP,
+        "advertise": _ADDRESS,
         "log_retention_s": {"type": "number", "exclusiveMinimum": 0},
     },
 }
--- a/packages/poplarhilld/src/poplarhilld/workers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/links.py
@@ -23,6 +23,7 @@
         clock: Returns the host's own time, s.
         hosts: Entry hosts among which a worker's connections are shared.
         discarded: Called with the reason for each reply that is not given on.
+        source: Own IP address to connect from; any if not given.
     """
 
     def __init__(
@@ -30,10 +31,12 @@
         clock: Callable[[], float],
         hosts: int,
         discarded: Callable[[str], None],
+        source: str | None = None,
     ) -> None:
         self._clock = clock
         self._hosts = hosts
         self._discarded = discarded
+        self._source = source
         self._links: dict[tuple[str, int], WorkerLink] = {}
 
     async def run(self) -> None:
@@ -70,7 +73,9 @@
         link = self._links.get(address)
         if link is None:
             size = max(1, spec.connections // self._hosts)
-            pool = ConnectionPool(spec, size, self._clock, self._discarded)
+            pool = ConnectionPool(
+                spec, size, self._clock, self._discarded, self._source
+            )
             link = WorkerLink(spec, pool, self._clock, self._discarded)
             self._links[address] = link
         return link
--- a/packages/poplarhilld/src/poplarhilld/workers/pool.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/pool.py
@@ -21,6 +21,7 @@
         size: Most connections open at a time.
         clock: Returns the host's own time, s.
         discarded: Called with the reason for each reply that nobody asked for.
+        source: Own IP address to connect from; any if not given.
     """
 
     def __init__(
@@ -29,10 +30,12 @@
         size: int,
         clock: Callable[[], float],
         discarded: Callable[[str], None],
+        source: str | None = None,
     ) -> None:
         self._spec = spec
         self._clock = clock
         self._discarded = discarded
+        self._source = source
         self._free = curio.Semaphore(size)
         self._idle: list[tuple[float, Connection]] = []
 
@@ -95,5 +98,5 @@
     async def _open(self, timeout_s: float) -> Connection:
         timeout_s = min(timeout_s, CONNECT_TIMEOUT_S)
         return await Connection.open(
-            self._spec.host, self._spec.port, LIMITS, timeout_s
+            self._spec.host, self._spec.port, LIMITS, timeout_s, self._source
         )
