--- a/packages/poplarhilld/src/poplarhilld/configuration/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/configuration/messages.py
@@ -14,10 +14,12 @@
     Attributes:
         offset: Offset that was asked for.
         result: The log's answer.
+        asked_at: When the read began, s.
     """
 
     offset: int
     result: ReadResult
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -27,10 +29,12 @@
     Attributes:
         offset: Where to begin.
         delay_s: Time to wait first, s.
+        limit: Most records to ask for.
     """
 
     offset: int
     delay_s: float
+    limit: int
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -5,7 +5,7 @@
 from sortedcontainers import SortedSet
 
 from poplarhill.configuration import Configuration
-from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.exceptions import Failure
 from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
 from poplarhilld.configuration.messages import (
@@ -24,10 +24,12 @@
     SendTask,
     StopTask,
 )
+from poplarhilld.dispatch.admission import Admission
 from poplarhilld.dispatch.events import (
     ConfigurationChanged,
     Event,
     FrameReceived,
+    HostsRead,
     JobCancelled,
     JobSubmitted,
     PeerRefused,
@@ -40,6 +42,7 @@
 )
 from poplarhilld.dispatch.hosts import EntryHosts, Load
 from poplarhilld.dispatch.identity import Identity
+from poplarhilld.freshness import PAUSE_S
 from poplarhilld.jobs import (
     Backoff,
     BackoffView,
@@ -51,11 +54,9 @@
 )
 from poplarhilld.jobs.retries import MAX_TRIES
 from poplarhilld.jobs.state import cancellation, exhaustion, expiry
+from poplarhilld.limits import refused
 from poplarhilld.placement import EveryWorker, Placed, Placement
 
-_NOT_READY_RETRY_S = 1.0
-_SHUTDOWN_RETRY_S = 0.1
-
 
 class Dispatcher:
     """Decides for one entry host; holds no socket and reads no clock.
@@ -69,17 +70,19 @@
         self._identity = identity
         self._configuration: Configuration | None = None
         self._random = random
+        # Its random choices are its own: placement's don't hang on the polls.
+        polls = Random(f"{identity.name} {identity.incarnation}")
         retention_s = identity.log_retention_s
-        self._following = ConfigurationState(identity.name, retention_s, random)
+        self._following = ConfigurationState(identity.name, retention_s, polls)
         self._following.set_peers(tuple(identity.seeds))
         self._jobs = JobTable()
         self._sends = SendTable()
         self._backoff = Backoff()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
-        self._view = EveryWorker()
-        self._shutting_down = False
+        self._admission = Admission(run_time_s=lambda service: 0.0)
         self._hosts = EntryHosts(identity, random)
+        self._view = self._hosts.view(EveryWorker())
 
     @property
     def configuration(self) -> Configuration | None:
@@ -89,7 +92,7 @@
     @property
     def ready(self) -> bool:
         """Whether new jobs are taken."""
-        return self._configuration is not None and not self._shutting_down
+        return self._admission.open
 
     @property
     def jobs_in_flight(self) -> int:
@@ -111,6 +114,10 @@
         """The earliest deadline of a job in flight, s."""
         return self._deadlines[0][0] if self._deadlines else None
 
+    @property
+    def _version(self) -> int:
+        return self._configuration.version if self._configuration else 0
+
     @property
     def hosts(self) -> EntryHosts:
         """The entry hosts, as this one sees them."""
@@ -136,6 +143,7 @@
             event: What happened.
         """
         actions: list[Action] = []
+        self._hosts.advance(now)
         match event:
             case JobSubmitted(spec):
                 self._submit(now, spec, actions)
@@ -146,9 +154,14 @@
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
             case Started():
+                self._hosts.start(now)
                 self._follow(self._following.start(), actions)
-            case LogRead(offset, result):
+            case LogRead(offset, result, asked_at):
                 self._follow(self._following.read(now, offset, result), actions)
+                if self._following.age(now) == 0:
+                    actions += self._hosts.configuration_confirmed(now, asked_at)
+            case HostsRead():
+                actions += self._hosts.hosts_read(now, event)
             case FrameReceived(sender, message):
                 actions += self._hosts.receive(now, sender, message)
                 if self._placement is not None:
@@ -158,11 +171,12 @@
             case PeerRefused(address):
                 self._hosts.connection_refused(address)
             case ShutdownStarted():
-                self._shutting_down = True
+                self._admission.close()
                 actions += self._hosts.leave(now)
             case Ticked():
                 actions += self._hosts.tick(now, self._load())
         self._note_live()
+        actions += self._hosts.configuration_in_force(now, self._version)
         self._expire(now, actions)
         self._place(now, actions)
         return actions
@@ -170,43 +184,22 @@
     def _note_live(self) -> None:
         """Deal slots and news among the hosts that are live now."""
         live = self._hosts.presumed
+        self._admission.set_hosts(len(live))
         if self._placement is not None:
             self._placement.set_hosts(live)
         name = self._identity.name
         self._following.set_peers(tuple(peer for peer in live if peer != name))
 
     def _submit(self, now: float, spec: JobSpec, actions: list[Action]) -> None:
-        refusal = self._refusal(now, spec)
+        refusal = self._admission.admit(now, spec, self._placement)
         if refusal is not None:
+            actions.append(LogDecision(refused(spec, refusal)))
             actions.append(AnswerJob(spec.job_id, refusal))
             return
         self._jobs.add(spec)
         self._deadlines.add((spec.deadline, spec.job_id))
         self._placement.enqueue(now, spec)
 
-    def _refusal(self, now: float, spec: JobSpec) -> Failure | None:
-        if self._shutting_down:
-            detail = "this entry host is shutting down"
-            return Failure(ErrorKind.SHUTTING_DOWN, detail, _SHUTDOWN_RETRY_S)
-        if self._configuration is None or self._placement is None:
-            detail = "no configuration is known yet"
-            return Failure(ErrorKind.NOT_READY, detail, _NOT_READY_RETRY_S)
-        if spec.service not in self._configuration.services:
-            return Failure(ErrorKind.UNKNOWN_SERVICE, f"no service {spec.service!r}")
-        if spec.deadline <= now:
-            return Failure(ErrorKind.EXPIRED, "the deadline has passed")
-        if not self._fits(spec):
-            detail = "no worker is large enough for a task of this job"
-            return Failure(ErrorKind.IMPOSSIBLE, detail)
-        return None
-
-    def _fits(self, spec: JobSpec) -> bool:
-        return any(
-            worker.cores >= spec.resources.cores
-            and worker.memory_mb >= spec.resources.memory_mb
-            for worker in self._placement.workers(spec.service)
-        )
-
     def _cancel(self, job_id: str, actions: list[Action]) -> None:
         job = self._jobs.get(job_id)
         if job is not None:
@@ -274,6 +267,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
+        self._admission.configure(configuration)
         if self._placement is None:
             self._placement = Placement(
                 configuration,
@@ -286,9 +280,10 @@
             self._placement.configure(configuration)
 
     def _load(self) -> Load:
-        version = self._configuration.version if self._configuration else 0
-        waiting = self._placement.waiting if self._placement else 0
-        return Load(configuration_version=version, queued_tasks=waiting)
+        if self._placement is None:
+            return Load(self._version)
+        placement = self._placement
+        return Load(self._version, placement.idle_slots, placement.waiting)
 
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
@@ -298,6 +293,7 @@
     def _end(self, job_id: str, outcome: JobOutcome, actions: list[Action]) -> None:
         """Answer a job, drop its queued tasks and stop its running ones."""
         job = self._jobs.pop(job_id)
+        self._admission.release(job.spec)
         self._deadlines.discard((job.spec.deadline, job_id))
         self._placement.discard(job_id)
         for task, worker in job.running:
@@ -307,15 +303,15 @@
         actions.append(AnswerJob(job_id, outcome))
 
     def _place(self, now: float, actions: list[Action]) -> None:
-        if self._placement is None:
+        if self._placement is None or not self._hosts.freshness.may_send:
             return
         view = BackoffView(self._view, self._backoff)
         for placed in self._placement.place(now, view):
-            self._send(placed, actions)
+            self._send(now, placed, actions)
         for peer, message in self._placement.take_messages():
             actions.append(SendFrame(peer, message))
 
-    def _send(self, placed: Placed, actions: list[Action]) -> None:
+    def _send(self, now: float, placed: Placed, actions: list[Action]) -> None:
         task = placed.task
         spec = self._jobs.get(task.job).spec
         attempt = self._jobs.get(task.job).mark_sent(task.index, placed.worker)
@@ -323,5 +319,6 @@
         worker = self._configuration.workers[placed.worker]
         body = spec.tasks[task.index]
         deadline = spec.deadline
+        send_by = min(deadline, now + PAUSE_S)
         actions.append(LogDecision(placed))
-        actions.append(SendTask(task, worker, body, deadline, deadline, attempt))
+        actions.append(SendTask(task, worker, body, deadline, send_by, attempt))
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -48,7 +48,8 @@
         self._random = random
         self._host = host
         self._data_centre = data_centre
-        self._hosts = frozenset(hosts) | {host}
+        self._live: tuple[str, ...] = tuple(hosts)
+        self._hosts = frozenset(self._live) | {host}
         self._queue = JobQueue(configuration.defaults.order)
         self._pools: dict[str, WorkerPool] = {}
         self._service_of: dict[str, str] = {}
@@ -106,6 +107,16 @@
         """Return the count of a service's queued tasks."""
         return self._queue.waiting_of(service)
 
+    def tasks_ahead(self, now: float, spec: JobSpec, enough: int) -> int:
+        """Count the queued tasks that would go before a job's.
+
+        Args:
+            now: The host's own clock, s.
+            spec: A job that is not queued.
+            enough: Count from which on an exact one does not matter.
+        """
+        return self._queue.tasks_before(now, spec, enough)
+
     def slots(self, service: str) -> int:
         """Return the slots of a service in this host's share."""
         pool = self._pools.get(service)
@@ -135,6 +146,9 @@
 
     def set_hosts(self, live: Iterable[str]) -> None:
         """Take the names of the live hosts; shares are dealt anew."""
+        if self._live == (live := tuple(live)):
+            return
+        self._live = live
         hosts = frozenset(live) | {self._host}
         if hosts != self._hosts:
             self._hosts = hosts
