--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
@@ -73,6 +73,8 @@
     finally:
         fleet.stop()
     fleet.remove_files()
+    name = f"answers-{case.firm}-{case.load:g}-{case.seed}-{case.policy}.json"
+    (directory / name).write_bytes(msgspec.json.encode(answers))
     violations = check(trace)
     if violations:
         _keep(trace, case, directory)
