--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/run.py
@@ -10,6 +10,7 @@
 from poplarhill_dev.experiment.bounds import ORDERS, central_responses
 from poplarhill_dev.experiment.config import Case, Experiment, cases
 from poplarhill_dev.experiment.plot import plot_results
+from poplarhill_dev.experiment.recovery import answers_name, recovery_table
 from poplarhill_dev.experiment.report import Bound, Results, table
 from poplarhill_dev.experiment.submit import submit
 from poplarhill_dev.experiment.summary import (
@@ -46,7 +47,9 @@
             results.bounds += _bounds(experiment, case, jobs)
         results.summaries.append(_run_case(experiment, case, jobs, directory))
         (directory / "results.json").write_bytes(msgspec.json.encode(results))
-    text = table(results)
+    text = (
+        table(results) + "\n" + recovery_table(experiment, directory, cases(experiment))
+    )
     (directory / "table.md").write_text(text)
     plot_results(results, directory / "plot.png")
     click.echo(text)
@@ -73,8 +76,7 @@
     finally:
         fleet.stop()
     fleet.remove_files()
-    name = f"answers-{case.firm}-{case.load:g}-{case.seed}-{case.policy}.json"
-    (directory / name).write_bytes(msgspec.json.encode(answers))
+    (directory / answers_name(case)).write_bytes(msgspec.json.encode(answers))
     violations = check(trace)
     if violations:
         _keep(trace, case, directory)
