--- a/packages/poplarhill-dev/tests/failures/test_membership_under_failure.py
+++ b/packages/poplarhill-dev/tests/failures/test_membership_under_failure.py
@@ -10,9 +10,12 @@
 from poplarhill_dev.experiment.workload import PlannedJob
 from poplarhill_dev.fleet import Fleet, get_page, put_json, wait_until
 from poplarhill_dev.trace import check, record
+from poplarhilld.health.failures import FEWEST_JOBS
 
 HOSTS = ("h1", "h2", "h3")
 FROZEN = HOSTS.index("h3")
+SLOTS = 8
+PROBES = 3
 
 
 def metric(fleet: Fleet, host: str, name: str) -> float:
@@ -115,3 +118,17 @@
     load.join()
     assert one_answer_each(jobs, load.answers)
     assert check(record(members, load.answers)) == []
+
+
+def test_a_worker_that_fails_everything_gets_little_work(
+    members, steady_jobs, one_answer_each
+) -> None:
+    jobs = steady_jobs(15.0)
+    put_json(members.worker_ports["w1"], "/faults", {"fail": True})
+    answers = submit(members, jobs)
+    assert one_answer_each(jobs, answers)
+    starts = starts_since(members, "w1", 0.0)
+    tasks = sum(len(planned.run_s) for planned in jobs)
+    most = len(HOSTS) * (FEWEST_JOBS + PROBES) + SLOTS
+    assert starts <= most < tasks / len(members.worker_ports)
+    assert sum(answer.outcome == "task_failed" for answer in answers) <= most
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -165,6 +165,7 @@
         self._metrics.live_hosts.set(len(hosts.live))
         self._metrics.hosts_age.set(math.inf if age_s is None else age_s)
         self._metrics.hosts_version.set(hosts.freshness.version)
+        self._metrics.workers_ejected.set(self._dispatcher.workers_ejected)
         self._metrics.isolated.set(hosts.freshness.isolated)
         self._metrics.peer_frames_dropped.set(self._peers.dropped)
         return self._metrics.page()
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -42,10 +42,9 @@
 )
 from poplarhilld.dispatch.hosts import EntryHosts, Load
 from poplarhilld.dispatch.identity import Identity
+from poplarhilld.dispatch.workers import Workers
 from poplarhilld.freshness import PAUSE_S
 from poplarhilld.jobs import (
-    Backoff,
-    BackoffView,
     Job,
     JobOutcome,
     JobTable,
@@ -55,7 +54,7 @@
 from poplarhilld.jobs.retries import MAX_TRIES
 from poplarhilld.jobs.state import cancellation, exhaustion, expiry
 from poplarhilld.limits import refused
-from poplarhilld.placement import EveryWorker, Placed, Placement
+from poplarhilld.placement import Placed, Placement
 
 
 class Dispatcher:
@@ -77,12 +76,11 @@
         self._following.set_peers(tuple(identity.seeds))
         self._jobs = JobTable()
         self._sends = SendTable()
-        self._backoff = Backoff()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
-        self._admission = Admission(run_time_s=lambda service: 0.0)
+        self._workers: Workers | None = None
+        self._admission = Admission(run_time_s=self._run_time_s)
         self._hosts = EntryHosts(identity, random)
-        self._view = self._hosts.view(EveryWorker())
 
     @property
     def configuration(self) -> Configuration | None:
@@ -109,6 +107,11 @@
         """Count of tasks that placement takes to be on workers."""
         return self._placement.outstanding if self._placement is not None else 0
 
+    @property
+    def workers_ejected(self) -> int:
+        """Count of workers that get no work but single probes."""
+        return len(self._workers.health.ejected) if self._workers else 0
+
     @property
     def next_deadline(self) -> float | None:
         """The earliest deadline of a job in flight, s."""
@@ -166,6 +169,7 @@
                 actions += self._hosts.receive(now, sender, message)
                 if self._placement is not None:
                     self._placement.receive(now, sender, message)
+                    self._workers.receive(now, sender, message)
                 outputs = self._following.receive(now, sender, message)
                 self._follow(outputs, actions)
             case PeerRefused(address):
@@ -215,14 +219,9 @@
         if not self._sends.end(event.task, Send(event.worker, event.attempt)):
             return
         self._placement.release(event.worker)
-        match event:
-            case TaskUnsent():
-                self._backoff.refused(now, event.worker)
-            case TaskSucceeded():
-                self._backoff.took(event.worker)
-                self._placement.note_free_slots(now, event.worker, event.free_slots)
-            case TaskLost():
-                self._backoff.took(event.worker)
+        actions += self._workers.report(now, event)
+        if isinstance(event, TaskSucceeded):
+            self._placement.note_free_slots(now, event.worker, event.free_slots)
         job = self._jobs.get(event.task.job)
         if job is not None:
             self._advance(job, event, actions)
@@ -276,14 +275,24 @@
                 self._identity.data_centre,
                 self._hosts.presumed,
             )
+            self._workers = Workers(configuration, self._hosts)
         else:
             self._placement.configure(configuration)
+            self._workers.configure(configuration)
+
+    def _run_time_s(self, service: str) -> float:
+        return self._workers.health.times.mean_s(service) if self._workers else 0.0
 
     def _load(self) -> Load:
         if self._placement is None:
             return Load(self._version)
         placement = self._placement
-        return Load(self._version, placement.idle_slots, placement.waiting)
+        return Load(
+            self._version,
+            placement.idle_slots,
+            placement.waiting,
+            self._workers.suspicions,
+        )
 
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
@@ -305,8 +314,9 @@
     def _place(self, now: float, actions: list[Action]) -> None:
         if self._placement is None or not self._hosts.freshness.may_send:
             return
-        view = BackoffView(self._view, self._backoff)
-        for placed in self._placement.place(now, view):
+        for placed in self._workers.place_probes(now, self._placement, actions):
+            self._send(now, placed, actions)
+        for placed in self._placement.place(now, self._workers.view):
             self._send(now, placed, actions)
         for peer, message in self._placement.take_messages():
             actions.append(SendFrame(peer, message))
@@ -316,6 +326,7 @@
         spec = self._jobs.get(task.job).spec
         attempt = self._jobs.get(task.job).mark_sent(task.index, placed.worker)
         self._sends.begin(task, Send(placed.worker, attempt))
+        self._workers.sent(now, task, placed.worker)
         worker = self._configuration.workers[placed.worker]
         body = spec.tasks[task.index]
         deadline = spec.deadline
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -60,13 +60,23 @@
 
 @dataclass(frozen=True)
 class TaskLost:
-    """A task may have run and gave no usable result."""
+    """A task may have run and gave no usable result.
+
+    Attributes:
+        task: The task.
+        worker: Where it was sent.
+        kind: What went wrong.
+        detail: One sentence for a person.
+        attempt: Count of earlier sends of the task, each proved unsent.
+        stopped: Whether the worker says that it stopped the task.
+    """
 
     task: TaskId
     worker: str
     kind: ErrorKind
     detail: str
     attempt: int = 0
+    stopped: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/hosts.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/hosts.py
@@ -24,7 +24,7 @@
     RefreshReply,
     RefreshRequest,
 )
-from poplarhilld.peers.messages import Message
+from poplarhilld.peers.messages import Message, Suspicion
 from poplarhilld.placement import WorkerView
 from poplarhilld.settings import Address
 
@@ -36,11 +36,13 @@
         configuration_version: Version in force.
         idle_slots: Slots that could be lent now.
         queued_tasks: Tasks queued.
+        suspicions: Workers that this host takes to be failing.
     """
 
     configuration_version: int = 0
     idle_slots: int = 0
     queued_tasks: int = 0
+    suspicions: tuple[Suspicion, ...] = ()
 
 
 class EntryHosts:
@@ -193,4 +195,5 @@
             queued_tasks=self._load.queued_tasks,
             hosts_version=self._freshness.version,
             leaving_workers=self._freshness.leaving_names,
+            suspicions=self._load.suspicions,
         )
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/workers.py
@@ -0,0 +1,90 @@
+"""The workers as the dispatcher sees them: what is learned, turned into actions."""
+
+from poplarhill.configuration import Configuration
+from poplarhill.types import TaskId
+from poplarhilld.dispatch.actions import Action, LogDecision
+from poplarhilld.dispatch.events import TaskLost, TaskSucceeded, TaskUnsent
+from poplarhilld.dispatch.hosts import EntryHosts
+from poplarhilld.health import Health
+from poplarhilld.jobs import Backoff, BackoffView
+from poplarhilld.peers import Heartbeat
+from poplarhilld.peers.messages import Message, Suspicion
+from poplarhilld.placement import Placed, Placement, WorkerView
+
+
+class Workers:
+    """Health, pauses and leaving of the workers.
+
+    Args:
+        configuration: Workers and fleet defaults.
+        hosts: Knows which workers are leaving.
+    """
+
+    def __init__(self, configuration: Configuration, hosts: EntryHosts) -> None:
+        self._health = Health(configuration)
+        self._backoff = Backoff()
+        self._view = BackoffView(hosts.view(self._health), self._backoff)
+        self._leaving = hosts.freshness
+
+    @property
+    def health(self) -> Health:
+        """What is learned of the workers."""
+        return self._health
+
+    @property
+    def view(self) -> WorkerView:
+        """Which workers may be used, and how slow they are."""
+        return self._view
+
+    @property
+    def suspicions(self) -> tuple[Suspicion, ...]:
+        """What this host suspects, for its heartbeats."""
+        return self._health.shared_suspicions()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a new configuration."""
+        self._health.configure(configuration)
+
+    def receive(self, now: float, sender: str, message: Message) -> None:
+        """Take a frame from another host."""
+        if isinstance(message, Heartbeat):
+            self._health.suspected(now, sender, message.suspicions)
+
+    def sent(self, now: float, task: TaskId, worker: str) -> None:
+        """Note that a task was sent."""
+        self._health.sent(now, task, worker)
+
+    def report(
+        self, now: float, event: TaskSucceeded | TaskUnsent | TaskLost
+    ) -> list[Action]:
+        """Learn from what became of a task."""
+        task, worker = event.task, event.worker
+        match event:
+            case TaskUnsent():
+                self._backoff.refused(now, worker)
+                self._health.unsent(now, task, worker)
+                return []
+            case TaskSucceeded():
+                self._backoff.took(worker)
+                decisions = self._health.succeeded(now, task, worker)
+            case TaskLost():
+                self._backoff.took(worker)
+                decisions = self._health.failed(now, task, worker, event.stopped)
+        return [LogDecision(decision) for decision in decisions]
+
+    def place_probes(
+        self, now: float, placement: Placement, actions: list[Action]
+    ) -> list[Placed]:
+        """Place one task each on the ejected workers that are due a probe."""
+        self._health.advance(now)
+        probes = []
+        for spec in self._health.due_probes(now):
+            name = spec.name
+            if self._backoff.paused(now, name) or name in self._leaving.leaving:
+                continue
+            placed = placement.place_probe(name)
+            if placed is not None:
+                decisions = self._health.probe_sent(placed.task, name)
+                actions += [LogDecision(decision) for decision in decisions]
+                probes.append(placed)
+        return probes
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/health/__init__.py
@@ -0,0 +1,6 @@
+"""Health: which workers fail or run slowly, learned from their own answers."""
+
+from poplarhilld.health.messages import WorkerEjected as WorkerEjected
+from poplarhilld.health.messages import WorkerProbed as WorkerProbed
+from poplarhilld.health.messages import WorkerRestored as WorkerRestored
+from poplarhilld.health.state import Health as Health
--- a/packages/poplarhilld/src/poplarhilld/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/metrics.py
@@ -49,6 +49,11 @@
             "Version of the host list that this host knows",
             registry=self._registry,
         )
+        self.workers_ejected = Gauge(
+            "poplarhill_workers_ejected",
+            "Workers that this host sends no work but single probes",
+            registry=self._registry,
+        )
         self.isolated = Gauge(
             "poplarhill_isolated",
             "Whether neither the platform nor a peer confirms this host's view",
--- a/packages/poplarhilld/src/poplarhilld/placement/queue.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/queue.py
@@ -158,6 +158,11 @@
         if entry is not None:
             self._queue(entry.spec.service).remove(entry)
 
+    def first_of(self, service: str) -> JobSpec | None:
+        """Return the job of a service whose task is next, if there is one."""
+        queue = self._queue(service)
+        return queue.first().spec if queue.waiting else None
+
     def take(self, service: str) -> TaskId:
         """Take the next task of a service that has one."""
         queue = self._queue(service)
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -206,6 +206,16 @@
         self._ready.clear()
         return placed
 
+    def place_probe(self, worker: str) -> Placed | None:
+        """Place the next task on a worker out of use, if its job is idempotent."""
+        service = self._service_of[worker]
+        spec = self._queue.first_of(service)
+        if spec is None or not spec.idempotent:
+            return None
+        task = self._queue.take(service)
+        self._pool(service).take(worker)
+        return Placed(task, worker, (), "probe", self._queue.waiting_of(service))
+
     def _place_service(
         self, now: float, service: str, view: WorkerView, placed: list[Placed]
     ) -> None:
--- a/packages/poplarhilld/src/poplarhilld/workers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/link.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import curio
 import structlog
@@ -29,6 +30,7 @@
 FREE_SLOTS_HEADER = "slots-free"
 
 _HTTP_OK = 200
+_HTTP_STOPPED = 409
 _HTTP_UNAVAILABLE = 503
 _STOP_TIMEOUT_S = 2.0
 _log = structlog.get_logger()
@@ -142,7 +144,8 @@
         if response.status == _HTTP_UNAVAILABLE and refused:
             return self._unsent(action, "the worker refused the task")
         detail = f"the worker answered {response.status}"
-        return self._lost(action, ErrorKind.TASK_FAILED, detail)
+        lost = self._lost(action, ErrorKind.TASK_FAILED, detail)
+        return replace(lost, stopped=response.status == _HTTP_STOPPED)
 
     async def _request_stop(self, task: TaskId) -> None:
         try:
--- /dev/null
+++ b/packages/poplarhilld/tests/health/test_probes.py
@@ -0,0 +1,78 @@
+"""The dispatcher keeps work from an ejected worker, and probes it."""
+
+from random import Random
+
+import pytest
+
+from poplarhill import ErrorKind, JobSpec
+from poplarhill.configuration import Configuration
+from poplarhilld.dispatch import Dispatcher, Identity
+from poplarhilld.dispatch.actions import SendTask
+from poplarhilld.dispatch.events import (
+    ConfigurationChanged,
+    JobSubmitted,
+    TaskLost,
+    TaskSucceeded,
+)
+from poplarhilld.health.ejection import FIRST_PAUSE_S
+from poplarhilld.settings import Address
+
+IDENTITY = Identity("h1", "dc1", Address("127.0.0.1", 7001), 1, {})
+
+
+class Bench:
+    """Submits jobs of one task; every task on `bad` fails."""
+
+    def __init__(self) -> None:
+        workers = {f"w{n}": {"host": "127.0.0.1", "port": 1000 + n} for n in range(4)}
+        document = {"services": {"booking": {"workers": workers}}}
+        self.dispatcher = Dispatcher(IDENTITY, Random(1))
+        configured = Configuration.from_document(1, document)
+        self.dispatcher.handle(0.0, ConfigurationChanged(configured))
+        self.now = 0.0
+        self.bad = "w0"
+        self.jobs = 0
+
+    def submit(self, idempotent: bool = True) -> str:
+        """Run one job to its end; return the worker that it ran on."""
+        self.now += 0.01
+        self.jobs += 1
+        name = f"j{self.jobs}"
+        spec = JobSpec(
+            name, "booking", "default", (b"x",), self.now + 5, idempotent=idempotent
+        )
+        actions = self.dispatcher.handle(self.now, JobSubmitted(spec))
+        [send] = [action for action in actions if isinstance(action, SendTask)]
+        worker = send.worker.name
+        event = TaskSucceeded(send.task, worker, b"")
+        if worker == self.bad:
+            event = TaskLost(send.task, worker, ErrorKind.TASK_FAILED, "500")
+        self.dispatcher.handle(self.now, event)
+        return worker
+
+
+@pytest.fixture
+def ejected() -> Bench:
+    bench = Bench()
+    while not bench.dispatcher.workers_ejected:
+        bench.submit()
+        assert bench.jobs < 500
+    return bench
+
+
+def test_an_ejected_worker_gets_no_work(ejected) -> None:
+    assert "w0" not in {ejected.submit() for _ in range(200)}
+
+
+def test_a_probe_is_one_idempotent_job(ejected) -> None:
+    ejected.now += FIRST_PAUSE_S
+    assert "w0" not in {ejected.submit(idempotent=False) for _ in range(50)}
+    assert [ejected.submit() for _ in range(50)].count("w0") == 1
+
+
+def test_a_worker_that_is_well_again_is_used_again(ejected) -> None:
+    ejected.bad = ""
+    ejected.now += FIRST_PAUSE_S
+    used = [ejected.submit() for _ in range(200)]
+    assert not ejected.dispatcher.workers_ejected
+    assert used.count("w0") > 10
