Drain a worker under load, also while a host is frozen or the log is down

Three cases: a worker is drained under load; a host sleeps for longer than the bound and wakes with jobs waiting at its socket; the log is down when it wakes.

--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/faults.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/faults.py
@@ -61,6 +61,8 @@
                 lambda: put_json(port, "/faults", fault.set),
                 lambda: put_json(port, "/faults", _WORKER_WELL),
             )
+        case "drain":
+            return lambda: fleet.drain(target), lambda: None
         case "cut":
             cut = Cut(target, fault.direction)
             return lambda: fleet.cut([cut]), lambda: fleet.cut([])
--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -69,6 +70,7 @@
         self._worker_ports: dict[str, int] = {}
         self._commands: dict[str, list[str]] = {}
         self._exit_codes: list[tuple[str, int]] = []
+        self._leaving: dict[str, float] = {}
 
     @classmethod
     def start(
@@ -116,6 +118,11 @@
         """Names and exit codes of the processes that were started again."""
         return list(self._exit_codes)
 
+    @property
+    def leaving(self) -> dict[str, float]:
+        """When each drained worker's drain was accepted, by the monotonic clock, s."""
+        return dict(self._leaving)
+
     @property
     def platform_port(self) -> int:
         """Port of the platform's stand-in."""
@@ -275,6 +282,11 @@
             env={**os.environ, "POPLARHILL_PLATFORM": platform},
         )
 
+    def drain(self, worker: str) -> None:
+        """Drain a worker by the operators' command."""
+        self.operate("worker", "drain", worker, "--reason", "its rack is replaced")
+        self._leaving[worker] = time.monotonic()
+
     def wait_listening(self) -> None:
         """Wait until every process can be reached."""
         for process in self._processes.values():
--- a/packages/poplarhill-dev/src/poplarhill_dev/trace/record.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/trace/record.py
@@ -14,21 +14,17 @@
 _STARTED = '"event": "started"'
 
 
-def record(
-    fleet: Fleet, answers: Iterable[Answered], leaving: dict[str, float] | None = None
-) -> Trace:
+def record(fleet: Fleet, answers: Iterable[Answered]) -> Trace:
     """Return the trace of a fleet whose workers still run.
 
     Args:
         fleet: The fleet.
         answers: What the load generator asked and got.
-        leaving: When each leaving worker was told, by the machine's monotonic
-            clock, s.
     """
     return {
         "requests": [_request(answered) for answered in answers],
         "starts": _starts(fleet),
-        "leaving": [{"worker": w, "at": at} for w, at in (leaving or {}).items()],
+        "leaving": [{"worker": w, "at": at} for w, at in fleet.leaving.items()],
         "versions": _versions(fleet),
     }
 
--- /dev/null
+++ b/packages/poplarhill-dev/tests/failures/test_leaving.py
@@ -0,0 +1,32 @@
+"""A leaving worker gets no new work, from no host, whatever fails meanwhile."""
+
+import pytest
+
+from poplarhill_dev.experiment.config import Fault
+from poplarhill_dev.experiment.submit import submit
+from poplarhill_dev.trace import check, record
+from poplarhill_dev.trace.checker import LEAVING_BOUND_S
+
+HALF_THE_SLOTS = (0.1,) * 12
+DRAIN = Fault("drain", 1.0, target="w1")
+WAKE_S = 1.5 + LEAVING_BOUND_S + 1.0
+FREEZE_HOST = Fault("freeze_host", 0.5, WAKE_S, "h2")
+PLATFORM_DOWN = Fault("platform", 2.5, WAKE_S, set={"down": True})
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [(DRAIN,), (FREEZE_HOST, DRAIN), (FREEZE_HOST, DRAIN, PLATFORM_DOWN)],
+    ids=["drain", "freeze_host+drain", "freeze_host+drain+platform_down"],
+)
+def test_no_work_after_the_bound(fleet, steady_jobs, one_answer_each, faults) -> None:
+    jobs = [
+        job._replace(timeout_s=20.0, run_s=HALF_THE_SLOTS)
+        for job in steady_jobs(WAKE_S + 1.0)
+    ]
+    answers = submit(fleet, jobs, faults)
+    assert one_answer_each(jobs, answers)
+    trace = record(fleet, answers)
+    assert trace["leaving"]
+    assert any(start["worker"] == "w1" for start in trace["starts"])
+    assert check(trace) == []
