--- a/packages/poplarhill-dev/tests/test_configuration_spread.py
+++ b/packages/poplarhill-dev/tests/test_configuration_spread.py
@@ -100,3 +100,11 @@
     wait_ready(fleet, "h1")
     assert get_version(fleet.process("h1").port) == version
     wait_in_force(fleet, publish_weight(fleet).version)
+
+
+def test_status_shows_the_age_of_the_version(start: Start) -> None:
+    fleet = start(1)
+    host = f"127.0.0.1:{fleet.process('h1').port}"
+    shown = fleet.operate("status", "--host", host).stdout
+    assert "ready          yes" in shown
+    assert "configuration  version 1, confirmed" in shown
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -133,6 +133,8 @@
             configuration_age_s=self._following.age(now),
             configuration_complete=self._following.complete,
             jobs_in_flight=self.jobs_in_flight,
+            queued_tasks=self._placement.waiting if self._placement else 0,
+            live_hosts=len(self._hosts.live),
         )
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -214,7 +216,7 @@
         """Decide on a report; only the first on each send counts."""
         if not self._sends.end(event.task, Send(event.worker, event.attempt)):
             return
-        self._placement.release(event.worker)
+        self._placement.release(event.worker, event.task)
         match event:
             case TaskUnsent():
                 self._backoff.refused(now, event.worker)
