--- a/packages/poplarhill-dev/src/poplarhill_dev/slopes/process.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/slopes/process.py
@@ -11,12 +11,15 @@
 from poplarhill.http import Connection, Limits, Request
 from poplarhill_dev.fleet import Fleet
 from poplarhill_dev.slopes.fit import Point, Slope, fit
+from poplarhill_dev.slopes.pure import document
 
 _JOB_SIZES = (1, 16, 64, 160)
 _TASKS_A_POINT = 1600
 _CALLERS = 8
 _WORKERS = 6
 _IDLE_S = 5.0
+_CHANGES = 3
+_FLEET_SIZES = (24, 2400, 21000)
 _US = 1e6
 _KIB = 1024
 _TICKS = os.sysconf("SC_CLK_TCK")
@@ -64,16 +67,67 @@
         points = [
             _job_point(daemon.handle.pid, daemon.port, size) for size in _JOB_SIZES
         ]
-        before = usage(daemon.handle.pid)
-        time.sleep(_IDLE_S)
-        after = usage(daemon.handle.pid)
+        idle_s, after = _spent(daemon.handle.pid)
     finally:
         fleet.stop()
-    idle_share = (after.processor_s - before.processor_s) / _IDLE_S
+    idle_share = idle_s / _IDLE_S
     job = fit("job carried", "us", "task", points)
     return ProcessCosts(job, idle_share, after.memory_kib)
 
 
+class SizeCosts(NamedTuple):
+    """What a daemon costs with a configuration of some size.
+
+    Attributes:
+        workers: Workers in the configuration.
+        memory_kib: Resident memory, KiB.
+        idle_share: Share of a core that it uses without jobs.
+        change_s: Processor time of one changed worker, s.
+    """
+
+    workers: int
+    memory_kib: float
+    idle_share: float
+    change_s: float
+
+
+def size_costs() -> list[SizeCosts]:
+    """Measure a daemon among three against the size of the configuration."""
+    fleet = Fleet.start(hosts=3, workers=1)
+    try:
+        return [_size_cost(fleet, workers) for workers in _FLEET_SIZES]
+    finally:
+        fleet.stop()
+
+
+def _size_cost(fleet: Fleet, workers: int) -> SizeCosts:
+    pid = fleet.daemons()[0].handle.pid
+    fleet.publish(document(workers), "a fleet of this size")
+    time.sleep(_IDLE_S)
+    idle_s, idle = _spent(pid)
+    spent_s = 0.0
+    for slots in range(_CHANGES):
+        changed = document(workers)
+        changed["services"]["booking"]["workers"]["worker-00001"]["slots"] = slots + 1
+        before = usage(pid)
+        fleet.publish(changed, "one worker")
+        begin = time.monotonic()
+        time.sleep(_IDLE_S)
+        waited_s = time.monotonic() - begin
+        after = usage(pid)
+        spent_s += after.processor_s - before.processor_s
+        spent_s -= idle_s / _IDLE_S * waited_s
+    return SizeCosts(workers, idle.memory_kib, idle_s / _IDLE_S, spent_s / _CHANGES)
+
+
+def _spent(pid: int) -> tuple[float, Usage]:
+    """Return the processor time of a while without jobs, and the use after it."""
+    before = usage(pid)
+    time.sleep(_IDLE_S)
+    after = usage(pid)
+    return after.processor_s - before.processor_s, after
+
+
 def _job_point(pid: int, port: int, size: int) -> Point:
     jobs = _TASKS_A_POINT // size
     curio.run(_load, port, size, _CALLERS)
