--- a/packages/poplarhilld/src/poplarhilld/placement/queue.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/queue.py
@@ -73,6 +73,11 @@
         if job is not None:
             self._queue(job.spec.service).remove(job)
 
+    def first_of(self, service: str) -> JobSpec | None:
+        """Return the job of a service whose task is next, if there is one."""
+        queue = self._queue(service)
+        return queue.first() if queue.waiting else None
+
     def take(self, service: str) -> TaskId:
         """Take the next task of a service that has one; it runs from now."""
         spec, index = self._queue(service).take()
--- a/packages/poplarhilld/src/poplarhilld/placement/service_queue.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/service_queue.py
@@ -112,6 +112,10 @@
             customer.waiting -= len(job.waiting)
         self._refresh(name, customer)
 
+    def first(self) -> JobSpec:
+        """Return the job whose task is next; there is one."""
+        return self._customers[self._turns[0].customer].jobs.peekitem(0)[1].spec
+
     def take(self) -> tuple[JobSpec, int]:
         """Take the next task, which runs from now; there is one."""
         name = self._turns[0].customer
