--- a/packages/poplarhill-dev/tests/failures/test_leaving.py
+++ b/packages/poplarhill-dev/tests/failures/test_leaving.py
@@ -11,13 +11,20 @@
 DRAIN = Fault("drain", 1.0, target="w1")
 WAKE_S = 1.5 + LEAVING_BOUND_S + 1.0
 FREEZE_HOST = Fault("freeze_host", 0.5, WAKE_S, "h2")
+KILL_HOST = Fault("kill_host", 0.9, 3.0, "h2")
+ANSWERS_LOST = Fault("platform", 0.5, 4.0, set={"lose_answers": True})
 PLATFORM_DOWN = Fault("platform", 2.5, WAKE_S, set={"down": True})
 
 
 @pytest.mark.parametrize(
     "faults",
-    [(DRAIN,), (FREEZE_HOST, DRAIN), (FREEZE_HOST, DRAIN, PLATFORM_DOWN)],
-    ids=["drain", "freeze_host+drain", "freeze_host+drain+platform_down"],
+    [
+        (DRAIN,),
+        (FREEZE_HOST, DRAIN),
+        (FREEZE_HOST, DRAIN, PLATFORM_DOWN),
+        (KILL_HOST, ANSWERS_LOST, DRAIN),
+    ],
+    ids=["drain", "freeze_host", "freeze_host+platform_down", "kill_host+lost"],
 )
 def test_no_work_after_the_bound(fleet, steady_jobs, one_answer_each, faults) -> None:
     jobs = [
