Claim idempotency keys in the log before a non-idempotent job is sent

Cause: a key was only remembered within one request; a client that submitted a deposit again through another entry host ran it twice.

A host appends the hashes of keys to the stream `claims` (several a record, one append in flight, 200 appends/s for all hosts together), reads its record back and sends only if it holds the key and has read the whole window before it. The lease (a tenth of the window, from the start of the append by the host's own clock) is checked at the verdict, in the queue, and by the link right before the first byte. Beyond the first design: claims of jobs that were not run are released by a later record, so that "not run, come back" is not followed by `duplicate`; a release also voids copies of the claim that land after it.

Ruled out while building it: trusting the offset of an append without a read (the platform's answer has no time to judge the window by), and dropping a released claim from the own view before the release is in the log (a second claim could then win here and be void elsewhere).

--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -14,6 +14,7 @@
 from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
 from poplarhilld.api import Api
+from poplarhilld.claims import AppendClaims, ClaimLoop, ReadClaims, WakeClaims
 from poplarhilld.configuration import AppendRecord, ConfigurationReader, ReadLog
 from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import (
@@ -73,6 +74,7 @@
         self._events: curio.Queue = curio.Queue()
         self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
         self._reader = ConfigurationReader(self._platform, self._post)
+        self._claim_loop = ClaimLoop(self._platform, self._post)
         self._peers = PeerLinks(settings.name, settings.peer_listen, self._frame)
         self._api = Api(
             submit=self.submit,
@@ -191,6 +193,11 @@
                 kind = type(action).__name__
                 self._metrics.messages.labels(kind).inc()
                 await self._reader.perform(action)
+            case AppendClaims() | ReadClaims() | WakeClaims():
+                if not isinstance(action, WakeClaims):
+                    kind = type(action).__name__
+                    self._metrics.messages.labels(kind).inc()
+                await self._claim_loop.perform(action)
             case AnswerJob(job_id, outcome):
                 await self._give_answer(job_id, outcome)
             case LogDecision(decision):
--- a/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from poplarhill.types import TaskId, WorkerSpec
+from poplarhilld.claims.messages import ClaimRequest
 from poplarhilld.configuration.messages import AppendRecord, ReadLog
 from poplarhilld.jobs import JobOutcome
 from poplarhilld.peers.messages import Message
@@ -67,5 +68,12 @@
 
 
 Action = (
-    SendTask | StopTask | AnswerJob | LogDecision | SendFrame | ReadLog | AppendRecord
+    SendTask
+    | StopTask
+    | AnswerJob
+    | LogDecision
+    | SendFrame
+    | ReadLog
+    | AppendRecord
+    | ClaimRequest
 )
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -4,10 +4,22 @@
 
 from sortedcontainers import SortedSet
 
-from poplarhill.configuration import Configuration
+from poplarhill.configuration import Configuration, Defaults
 from poplarhill.exceptions import ErrorKind, Failure
 from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
+from poplarhilld.claims.keys import needs_claim
+from poplarhilld.claims.messages import (
+    ClaimDecided,
+    ClaimsAppended,
+    ClaimsDue,
+    ClaimsRead,
+    Ended,
+    Joined,
+    Won,
+)
+from poplarhilld.claims.messages import Output as ClaimOutput
+from poplarhilld.claims.state import ClaimState
 from poplarhilld.configuration.messages import (
     AppendRecord,
     LogRead,
@@ -48,7 +60,7 @@
     SendTable,
 )
 from poplarhilld.jobs.retries import MAX_TRIES
-from poplarhilld.jobs.state import cancellation, exhaustion, expiry
+from poplarhilld.jobs.state import cancellation, exhaustion, expiry, lapse
 from poplarhilld.placement import EveryWorker, Placed, Placement
 
 _NOT_READY_RETRY_S = 1.0
@@ -70,6 +82,10 @@
         retention_s = identity.log_retention_s
         self._following = ConfigurationState(identity.name, retention_s, random)
         self._following.set_peers(tuple(identity.seeds))
+        hosts = len(identity.seeds) + 1
+        self._claims = ClaimState(
+            identity.name, identity.incarnation, hosts, Defaults().key_window_s
+        )
         self._jobs = JobTable()
         self._sends = SendTable()
         self._backoff = Backoff()
@@ -132,7 +148,7 @@
             case JobSubmitted(spec):
                 self._submit(now, spec, actions)
             case JobCancelled(job_id):
-                self._cancel(job_id, actions)
+                self._cancel(now, job_id, actions)
             case TaskSucceeded() | TaskUnsent() | TaskLost():
                 self._report(now, event, actions)
             case ConfigurationChanged(configuration):
@@ -146,8 +162,10 @@
                 self._follow(outputs, actions)
             case ShutdownStarted():
                 self._shutting_down = True
+            case ClaimsAppended() | ClaimsRead() | ClaimsDue():
+                self._claim(now, self._claims.receive(now, event), actions)
             case Ticked():
-                pass
+                self._claim(now, self._claims.tick(now), actions)
         self._expire(now, actions)
         self._place(now, actions)
         return actions
@@ -159,7 +177,34 @@
             return
         self._jobs.add(spec)
         self._deadlines.add((spec.deadline, spec.job_id))
-        self._placement.enqueue(now, spec)
+        if needs_claim(spec):
+            self._claim(now, self._claims.request(now, spec), actions)
+        else:
+            self._placement.enqueue(now, spec)
+
+    def _claim(
+        self, now: float, outputs: list[ClaimOutput], actions: list[Action]
+    ) -> None:
+        """Carry out what the claims slice decided."""
+        for output in outputs:
+            match output:
+                case Won(job_id, send_by):
+                    self._start_claimed(now, job_id, send_by)
+                case Joined(job_id):
+                    self._jobs.get(job_id).mark_joined()
+                case Ended(job_id, outcome):
+                    self._end(now, job_id, outcome, actions)
+                case ClaimDecided():
+                    actions.append(LogDecision(output))
+                case request:
+                    actions.append(request)
+
+    def _start_claimed(self, now: float, job_id: str, send_by: float) -> None:
+        job = self._jobs.get(job_id)
+        if send_by < job.send_by:
+            job.send_by = send_by
+            self._deadlines.add((send_by, job_id))
+        self._placement.enqueue(now, job.spec)
 
     def _refusal(self, now: float, spec: JobSpec) -> Failure | None:
         if self._shutting_down:
@@ -184,10 +229,10 @@
             for worker in self._placement.workers(spec.service)
         )
 
-    def _cancel(self, job_id: str, actions: list[Action]) -> None:
+    def _cancel(self, now: float, job_id: str, actions: list[Action]) -> None:
         job = self._jobs.get(job_id)
         if job is not None:
-            self._end(job_id, cancellation(job), actions)
+            self._end(now, job_id, cancellation(job), actions)
 
     def _report(
         self,
@@ -206,10 +251,11 @@
                 self._backoff.took(event.worker)
         job = self._jobs.get(event.task.job)
         if job is not None:
-            self._advance(job, event, actions)
+            self._advance(now, job, event, actions)
 
     def _advance(
         self,
+        now: float,
         job: Job,
         event: TaskSucceeded | TaskUnsent | TaskLost,
         actions: list[Action],
@@ -228,7 +274,7 @@
                 job.mark_failed(task.index)
                 outcome = Failure(event.kind, event.detail)
         if outcome is not None:
-            self._end(task.job, outcome, actions)
+            self._end(now, task.job, outcome, actions)
 
     def _follow(self, outputs: list[Output], actions: list[Action]) -> None:
         """Carry out what the configuration slice decided."""
@@ -248,6 +294,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
+        self._claims.configure(configuration.defaults.key_window_s)
         if self._placement is None:
             self._placement = Placement(
                 configuration,
@@ -261,19 +308,29 @@
 
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
-            _, job_id = self._deadlines[0]
-            self._end(job_id, expiry(self._jobs.get(job_id)), actions)
+            _, job_id = self._deadlines.pop(0)
+            job = self._jobs.get(job_id)
+            if job.spec.deadline <= now:
+                self._end(now, job_id, expiry(job), actions)
+            elif job.has_queued:
+                self._end(now, job_id, lapse(job), actions)
 
-    def _end(self, job_id: str, outcome: JobOutcome, actions: list[Action]) -> None:
+    def _end(
+        self, now: float, job_id: str, outcome: JobOutcome, actions: list[Action]
+    ) -> None:
         """Answer a job, drop its queued tasks and stop its running ones."""
         job = self._jobs.pop(job_id)
+        if job is None:
+            return
         self._deadlines.discard((job.spec.deadline, job_id))
+        self._deadlines.discard((job.send_by, job_id))
         self._placement.discard(job_id)
         for task, worker in job.running:
             spec = self._configuration.workers.get(worker)
             if spec is not None:
                 actions.append(StopTask(task, spec))
         actions.append(AnswerJob(job_id, outcome))
+        self._claim(now, self._claims.ended(now, job_id, outcome), actions)
 
     def _place(self, now: float, actions: list[Action]) -> None:
         if self._placement is None:
@@ -284,11 +341,11 @@
 
     def _send(self, placed: Placed, actions: list[Action]) -> None:
         task = placed.task
-        spec = self._jobs.get(task.job).spec
-        attempt = self._jobs.get(task.job).mark_sent(task.index, placed.worker)
+        job = self._jobs.get(task.job)
+        attempt = job.mark_sent(task.index, placed.worker)
         self._sends.begin(task, Send(placed.worker, attempt))
         worker = self._configuration.workers[placed.worker]
-        body = spec.tasks[task.index]
-        deadline = spec.deadline
+        body = job.spec.tasks[task.index]
+        deadline = job.spec.deadline
         actions.append(LogDecision(placed))
-        actions.append(SendTask(task, worker, body, deadline, deadline, attempt))
+        actions.append(SendTask(task, worker, body, deadline, job.send_by, attempt))
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -5,6 +5,7 @@
 from poplarhill.configuration import Configuration
 from poplarhill.exceptions import ErrorKind
 from poplarhill.types import JobSpec, TaskId
+from poplarhilld.claims.messages import ClaimsAppended, ClaimsDue, ClaimsRead
 from poplarhilld.configuration.messages import LogRead
 from poplarhilld.peers.messages import Message
 
@@ -96,4 +97,7 @@
     | FrameReceived
     | ShutdownStarted
     | Ticked
+    | ClaimsAppended
+    | ClaimsRead
+    | ClaimsDue
 )
--- a/packages/poplarhilld/src/poplarhilld/jobs/state.py
+++ b/packages/poplarhilld/src/poplarhilld/jobs/state.py
@@ -29,6 +29,9 @@
 
     Args:
         spec: The job as submitted.
+
+    Attributes:
+        send_by: Time by which its tasks have to be sent, s.
     """
 
     def __init__(self, spec: JobSpec) -> None:
@@ -39,6 +42,7 @@
         self._tries = [0] * len(spec.tasks)
         self._done = 0
         self._may_have_run = False
+        self.send_by = spec.deadline
 
     @property
     def spec(self) -> JobSpec:
@@ -99,6 +103,10 @@
         self._workers.pop(index, None)
         self._may_have_run = True
 
+    def mark_joined(self) -> None:
+        """Note that its work is done by another job, which may have run."""
+        self._may_have_run = True
+
     def completed(self) -> Completed | None:
         """Return the whole answer, once every task has its result."""
         if self._done < len(self._results):
@@ -148,6 +156,14 @@
     return Failure(ErrorKind.TIMEOUT, "deadline passed while tasks were running")
 
 
+def lapse(job: Job) -> Failure:
+    """Return the failure of a job whose claim's lease ended too soon."""
+    detail = "the lease of the claim ended before every task was sent"
+    if job.run_state is RunState.NOT_RUN:
+        return Failure(ErrorKind.CLAIM_UNAVAILABLE, detail, _EXHAUSTED_RETRY_S)
+    return Failure(ErrorKind.TIMEOUT, detail)
+
+
 def cancellation(job: Job) -> Failure:
     """Return the failure of a job that its caller cancelled."""
     if job.run_state is RunState.NOT_RUN:
--- /dev/null
+++ b/packages/poplarhilld/tests/claims/conftest.py
@@ -0,0 +1,186 @@
+"""Hosts that claim keys over a log in memory, one step at a time."""
+
+import pytest
+
+from poplarhill.platform import (
+    Appended,
+    AppendRefused,
+    AppendUnknown,
+    Batch,
+    Record,
+    Truncated,
+    Unavailable,
+)
+from poplarhill.types import JobSpec
+from poplarhilld.claims import (
+    AppendClaims,
+    ClaimsAppended,
+    ClaimsDue,
+    ClaimsRead,
+    ClaimState,
+    ReadClaims,
+    WakeClaims,
+)
+from poplarhilld.claims.messages import Ended, Won
+from poplarhilld.jobs import Completed
+
+WINDOW_S = 100.0
+READ_LIMIT = 3
+
+
+class Log:
+    """A stream in memory whose clock is the fleet's."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.records: list[Record] = []
+        self.earliest = 0
+        self.down = False
+        self.late: list[str] = []
+
+    def append(self, body: str) -> int:
+        """Append a record and return its offset."""
+        self.records.append(Record(len(self.records), self.now, body))
+        return len(self.records) - 1
+
+    def truncate(self) -> None:
+        """Drop every record."""
+        self.earliest = len(self.records)
+
+    def read(self, offset: int):
+        """Read as the platform does."""
+        if self.down:
+            return Unavailable("down")
+        if offset < self.earliest:
+            return Truncated(self.earliest)
+        found = tuple(self.records[offset : offset + READ_LIMIT])
+        end = len(self.records)
+        return Batch(found, offset + len(found), end, self.now)
+
+
+class Host:
+    """One run of one entry host; it sends what it wins at once, or when told."""
+
+    def __init__(self, log: Log, name: str, incarnation: int, hosts: int = 2) -> None:
+        self.log = log
+        self.name = name
+        self.state = ClaimState(name, incarnation, hosts, WINDOW_S)
+        self.pending: list = []
+        self.specs: dict[str, JobSpec] = {}
+        self.won: dict[str, float] = {}
+        self.outcomes: dict[str, object] = {}
+        self.sent: list[str] = []
+        self.joined: set[str] = set()
+
+    def take(self, outputs: list) -> None:
+        """Note verdicts and queue what is asked of the log."""
+        for output in outputs:
+            match output:
+                case Won(job_id, send_by):
+                    self.won[job_id] = send_by
+                case Ended(job_id, outcome):
+                    self.end(job_id, outcome)
+                case AppendClaims() | ReadClaims() | WakeClaims():
+                    self.pending.append(output)
+
+    def submit(self, job_id: str, key: str = "k", body: bytes = b"x") -> None:
+        """Submit a keyed job."""
+        spec = JobSpec(job_id, "booking", "c", (body,), 1e9, idempotent=False, key=key)
+        self.specs[job_id] = spec
+        self.take(self.state.request(self.log.now, spec))
+
+    def end(self, job_id: str, outcome: object) -> None:
+        """Give a job its outcome."""
+        if job_id not in self.outcomes:
+            self.outcomes[job_id] = outcome
+            self.won.pop(job_id, None)
+            self.take(self.state.ended(self.log.now, job_id, outcome))
+
+    def send(self, job_id: str) -> bool:
+        """Send a job that has won, if its lease still allows it."""
+        send_by = self.won.pop(job_id, None)
+        if send_by is None or self.log.now >= send_by:
+            return False
+        self.sent.append(job_id)
+        return True
+
+    def step(self, append: str = "ok") -> None:
+        """Carry out the oldest request; `append` says how an append ends."""
+        if not self.pending:
+            return
+        match self.pending.pop(0):
+            case AppendClaims(batch, body):
+                event = ClaimsAppended(batch, self._append(append, body))
+            case ReadClaims(offset):
+                event = ClaimsRead(offset, self.log.read(offset))
+            case WakeClaims():
+                event = ClaimsDue()
+        self.take(self.state.receive(self.log.now, event))
+
+    def settle(self, append: str = "ok", steps: int = 60) -> None:
+        """Carry out requests until there are none."""
+        for _ in range(steps):
+            if not self.pending:
+                return
+            if isinstance(self.pending[0], WakeClaims):
+                self.log.now += self.pending[0].delay_s
+            self.step(append)
+
+    def tick(self, append: str = "ok") -> None:
+        """Let the host look at the log."""
+        self.take(self.state.tick(self.log.now))
+        self.settle(append)
+
+    def complete(self, job_id: str) -> None:
+        """Let a job that was sent complete."""
+        self.end(job_id, Completed((b"done",)))
+
+    def kind(self, job_id: str) -> str | None:
+        """Return the kind of a job's failure, `complete`, or None."""
+        outcome = self.outcomes.get(job_id)
+        if isinstance(outcome, Completed):
+            return "complete"
+        return outcome.kind.value if outcome is not None else None
+
+    def _append(self, how: str, body: str):
+        if self.log.down or how == "refused":
+            return AppendRefused("down")
+        match how:
+            case "lost answer":
+                self.log.append(body)
+                return AppendUnknown("timeout")
+            case "lost":
+                return AppendUnknown("timeout")
+            case "late":
+                self.log.late.append(body)
+                return AppendUnknown("timeout")
+        return Appended(self.log.append(body))
+
+
+@pytest.fixture
+def log() -> Log:
+    return Log()
+
+
+@pytest.fixture
+def start(log):
+    """Return a function that starts a host which has read the log."""
+
+    def start_host(name: str = "h1", incarnation: int = 1) -> Host:
+        host = Host(log, name, incarnation)
+        host.tick()
+        return host
+
+    return start_host
+
+
+@pytest.fixture
+def new_log() -> type[Log]:
+    """Return the class of logs, for tests that make several."""
+    return Log
+
+
+@pytest.fixture
+def new_host() -> type[Host]:
+    """Return the class of hosts, for tests that make several."""
+    return Host
