--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -9,7 +9,9 @@
 from poplarhill_dev.demo import run_demo
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.platform import PlatformStandIn
+from poplarhill_dev.replay import placement_cost, replay
 from poplarhill_dev.slopes import run_slopes
+from poplarhill_dev.spread import run_spread
 from poplarhill_dev.worker import WorkerStandIn, run_workers
 
 _LOOPBACK = "127.0.0.1"
@@ -26,6 +28,16 @@
     sys.exit(run_demo())
 
 
+@main.command()
+@click.option("--hosts", default=8, help="Daemons to start.")
+@click.option("--cut", default=0, help="How many of them cannot reach the log.")
+@click.option("--changes", default=20, help="Changes to publish.")
+@click.option("--calm", default=30.0, help="Time without changes at the end, s.")
+def spread(hosts: int, cut: int, changes: int, calm: float) -> None:
+    """Measure how soon an accepted change is in force on every daemon."""
+    run_spread(hosts, cut, changes, calm)
+
+
 @main.command()
 @click.option("--host", default="127.0.0.1")
 @click.option("--port", type=int, required=True)
@@ -53,6 +65,15 @@
     curio.run(run_workers, stand_ins)
 
 
+@main.command()
+@click.argument("plan", type=click.Path(exists=True, path_type=Path))
+def relay(plan: Path) -> None:
+    """Run the relay that delays and cuts what passes between data centres."""
+    from poplarhill_dev.relay import run_relay
+
+    curio.run(run_relay, plan)
+
+
 @main.command()
 @click.argument("plan", type=click.Path(exists=True, path_type=Path))
 @click.option("--out", type=click.Path(path_type=Path), required=True)
@@ -93,8 +114,22 @@
         click.echo(f"changed: {path}")
 
 
+@main.command()
+@click.argument("file", type=click.Path(exists=True, path_type=Path))
+@click.option("--only", default="", help="Run the guards whose name has this in it.")
+def mutations(file: Path, only: str) -> None:
+    """Switch guards off on a copy and show the tests that go red."""
+    from poplarhill_dev.mutations import run_mutations
+
+    sys.exit(1 if run_mutations(file, only) else 0)
+
+
 @main.command("known-red", context_settings={"ignore_unknown_options": True})
 @click.argument("arguments", nargs=-1)
 def known_red(arguments: tuple[str, ...]) -> None:
     """Run pytest, passing over just the tests in KNOWN-RED.txt."""
     sys.exit(run_tests(arguments))
+
+
+main.add_command(replay)
+main.add_command(placement_cost)
--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -61,6 +61,7 @@
         self._processes: dict[str, Process] = {}
         self._worker_ports: dict[str, int] = {}
         self._commands: dict[str, list[str]] = {}
+        self._exit_codes: list[tuple[str, int]] = []
 
     @classmethod
     def start(
@@ -99,6 +100,11 @@
         """Where settings and logs are written."""
         return self._directory
 
+    @property
+    def exit_codes(self) -> list[tuple[str, int]]:
+        """Names and exit codes of the processes that were started again."""
+        return list(self._exit_codes)
+
     @property
     def platform_port(self) -> int:
         """Port of the platform's stand-in."""
@@ -142,21 +148,35 @@
             self._start_group(f"wg{number + 1}", names[number::processes])
 
     def start_daemon(
-        self, name: str, data_centre: str, peer_ports: dict[str, int]
+        self,
+        name: str,
+        data_centre: str,
+        peer_ports: dict[str, int],
+        platform_port: int | None = None,
+        **overrides: Any,
     ) -> None:
-        """Start a daemon with settings of its own."""
+        """Start a daemon with settings of its own.
+
+        Args:
+            name: Its name.
+            data_centre: Its data centre.
+            peer_ports: Ports for peers of every daemon, by name.
+            platform_port: Where it finds the platform, if not at its own port.
+            overrides: Further settings.
+        """
         port = free_port()
         settings = {
             "name": name,
             "data_centre": data_centre,
             "listen": _address(port),
             "peer_listen": _address(peer_ports[name]),
-            "platform": _address(self.platform_port),
+            "platform": _address(platform_port or self.platform_port),
             "peers": {
                 peer: _address(peer_port)
                 for peer, peer_port in peer_ports.items()
                 if peer != name
             },
+            **overrides,
         }
         path = self._directory / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
@@ -169,6 +189,10 @@
         handle.kill()
         handle.wait()
 
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop gracefully."""
+        self._processes[name].handle.terminate()
+
     def freeze(self, name: str) -> None:
         """Stop a process where it stands."""
         self._processes[name].handle.send_signal(signal.SIGSTOP)
@@ -180,7 +204,8 @@
     def restart(self, name: str) -> None:
         """Start a process again that has ended, with the settings it had."""
         process = self._processes[name]
-        process.handle.wait(_STOP_TIMEOUT_S)
+        code = process.handle.wait(_STOP_TIMEOUT_S)
+        self._exit_codes.append((name, code))
         self._start(name, process.port, self._commands[name])
 
     def document(self) -> dict[str, Any]:
--- a/packages/poplarhill-dev/src/poplarhill_dev/slopes/report.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/slopes/report.py
@@ -5,13 +5,14 @@
 from poplarhill_dev.slopes.fit import Slope
 from poplarhill_dev.slopes.process import process_costs
 from poplarhill_dev.slopes.pure import pure_slopes
+from poplarhill_dev.slopes.requests import request_slopes
 
 
 def run_slopes() -> None:
     """Measure every slope and print the table."""
     click.echo("| cost | unit | points (size: cost) | each | fixed | residual |")
     click.echo("| --- | --- | --- | --- | --- | --- |")
-    for slope in pure_slopes():
+    for slope in [*pure_slopes(), *request_slopes()]:
         click.echo(_row(slope))
     costs = process_costs()
     click.echo(_row(costs.job))
--- a/packages/poplarhill/src/poplarhill/cli/jobs.py
+++ b/packages/poplarhill/src/poplarhill/cli/jobs.py
@@ -20,6 +20,7 @@
 @host_option
 @click.option("--timeout", default=10.0, help="Longest wait for the answer, s.")
 @click.option("--customer", default="default", help="Customer it counts against.")
+@click.option("--job-id", help="Name to cancel the job by while it is in flight.")
 @click.option("--key", help="Idempotency key; implies that it may not run twice.")
 def submit(
     service: str,
@@ -27,11 +28,12 @@
     host: tuple[str, int],
     timeout: float,
     customer: str,
+    job_id: str | None,
     key: str | None,
 ) -> None:
     """Submit a job with one task for each of BODIES and print its answer."""
     job_request = {"tasks": bodies, "timeout_s": timeout, "customer": customer}
-    headers = {}
+    headers = {} if job_id is None else {"job-id": job_id}
     if key is not None:
         headers["idempotency-key"] = key
         job_request["idempotent"] = False
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -30,15 +30,17 @@
     FrameReceived,
     JobCancelled,
     JobSubmitted,
+    PeerRefused,
     ShutdownStarted,
     Started,
     Ticked,
 )
+from poplarhilld.freshness import HostsRead, ReadHosts, ReadLogNow
 from poplarhilld.jobs import Completed, JobOutcome
 from poplarhilld.metrics import Metrics
 from poplarhilld.peers import PeerLinks
 from poplarhilld.peers.codec import Envelope
-from poplarhilld.settings import Settings
+from poplarhilld.settings import Address, Settings
 from poplarhilld.signals import SignalWaiter
 from poplarhilld.supervisor import Supervisor
 from poplarhilld.workers import WorkerLinks
@@ -59,7 +61,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._clock = time.monotonic
+        self._clock = _uptime
         incarnation = round(time.time() * 1000)
         identity = Identity.from_config(settings, incarnation)
         self._dispatcher = Dispatcher(identity, Random())
@@ -73,9 +75,11 @@
         self._outcomes: dict[str, curio.Queue] = {}
         self._events: curio.Queue = curio.Queue()
         self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
-        self._reader = ConfigurationReader(self._platform, self._post)
+        self._reader = ConfigurationReader(self._platform, self._post, self._clock)
         self._claim_loop = ClaimLoop(self._platform, self._post)
-        self._peers = PeerLinks(settings.name, settings.peer_listen, self._frame)
+        self._peers = PeerLinks(
+            settings.name, settings.peer_listen, self._frame, self._refused
+        )
         self._api = Api(
             submit=self.submit,
             cancel=self.cancel,
@@ -119,6 +123,7 @@
         abandoning = await curio.spawn(self._abandon_jobs, daemon=True)
         await self._http.drain()
         await abandoning.cancel()
+        await self._peers.flush()
         await self._loops.cancel()
         await self._links.close()
         _log.info("stopped")
@@ -157,6 +162,13 @@
         age_s = status.configuration_age_s
         self._metrics.configuration_version.set(status.configuration_version)
         self._metrics.configuration_age.set(math.inf if age_s is None else age_s)
+        hosts = self._dispatcher.hosts
+        age_s = hosts.freshness.hosts_age(self._clock())
+        self._metrics.live_hosts.set(len(hosts.live))
+        self._metrics.hosts_age.set(math.inf if age_s is None else age_s)
+        self._metrics.hosts_version.set(hosts.freshness.version)
+        self._metrics.isolated.set(hosts.freshness.isolated)
+        self._metrics.peer_frames_dropped.set(self._peers.dropped)
         return self._metrics.page()
 
     async def _post(self, event: Event) -> None:
@@ -165,6 +177,9 @@
     async def _frame(self, envelope: Envelope) -> None:
         await self._post(FrameReceived(envelope.sender, envelope.message))
 
+    async def _refused(self, address: Address) -> None:
+        await self._post(PeerRefused(address))
+
     async def _decide(self) -> None:
         while True:
             event = await self._events.get()
@@ -188,7 +203,9 @@
             case SendFrame(peer, message):
                 kind = type(message).__name__
                 self._metrics.messages.labels(kind).inc()
-                await self._peers.send(self._settings.peers[peer], message)
+                address = self._dispatcher.hosts.address(peer)
+                if address is not None:
+                    await self._peers.send(address, message)
             case ReadLog() | AppendRecord():
                 kind = type(action).__name__
                 self._metrics.messages.labels(kind).inc()
@@ -198,11 +215,20 @@
                     kind = type(action).__name__
                     self._metrics.messages.labels(kind).inc()
                 await self._claim_loop.perform(action)
+            case ReadLogNow():
+                await self._reader.hurry()
+            case ReadHosts():
+                self._metrics.messages.labels("ReadHosts").inc()
+                await curio.spawn(self._read_hosts, daemon=True)
             case AnswerJob(job_id, outcome):
                 await self._give_answer(job_id, outcome)
             case LogDecision(decision):
                 _log.info(type(decision).__name__, **decision._asdict())
 
+    async def _read_hosts(self) -> None:
+        asked_at = self._clock()
+        await self._post(HostsRead(asked_at, await self._platform.hosts()))
+
     async def _send(self, action: SendTask) -> None:
         await self._post(await self._links.send(action))
 
@@ -217,3 +243,8 @@
         waiter = self._outcomes.get(job_id)
         if waiter is not None:
             await waiter.put(outcome)
+
+
+def _uptime() -> float:
+    """Return the time since boot, s; it goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
@@ -6,6 +6,7 @@
 from poplarhill.types import TaskId, WorkerSpec
 from poplarhilld.claims.messages import ClaimRequest
 from poplarhilld.configuration.messages import AppendRecord, ReadLog
+from poplarhilld.freshness.messages import ReadHosts, ReadLogNow
 from poplarhilld.jobs import JobOutcome
 from poplarhilld.peers.messages import Message
 
@@ -74,6 +75,8 @@
     | LogDecision
     | SendFrame
     | ReadLog
+    | ReadLogNow
+    | ReadHosts
     | AppendRecord
     | ClaimRequest
 )
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -5,7 +5,7 @@
 from sortedcontainers import SortedSet
 
 from poplarhill.configuration import Configuration, Defaults
-from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.exceptions import Failure
 from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
 from poplarhilld.claims.keys import needs_claim
@@ -36,12 +36,15 @@
     SendTask,
     StopTask,
 )
+from poplarhilld.dispatch.admission import Admission
 from poplarhilld.dispatch.events import (
     ConfigurationChanged,
     Event,
     FrameReceived,
+    HostsRead,
     JobCancelled,
     JobSubmitted,
+    PeerRefused,
     ShutdownStarted,
     Started,
     TaskLost,
@@ -49,7 +52,9 @@
     TaskUnsent,
     Ticked,
 )
+from poplarhilld.dispatch.hosts import EntryHosts, Load
 from poplarhilld.dispatch.identity import Identity
+from poplarhilld.freshness import PAUSE_S
 from poplarhilld.jobs import (
     Backoff,
     BackoffView,
@@ -61,11 +66,9 @@
 )
 from poplarhilld.jobs.retries import MAX_TRIES
 from poplarhilld.jobs.state import cancellation, exhaustion, expiry, lapse
+from poplarhilld.limits import refused
 from poplarhilld.placement import EveryWorker, Placed, Placement
 
-_NOT_READY_RETRY_S = 1.0
-_SHUTDOWN_RETRY_S = 0.1
-
 
 class Dispatcher:
     """Decides for one entry host; holds no socket and reads no clock.
@@ -79,8 +82,10 @@
         self._identity = identity
         self._configuration: Configuration | None = None
         self._random = random
+        # Its random choices are its own: placement's don't hang on the polls.
+        polls = Random(f"{identity.name} {identity.incarnation}")
         retention_s = identity.log_retention_s
-        self._following = ConfigurationState(identity.name, retention_s, random)
+        self._following = ConfigurationState(identity.name, retention_s, polls)
         self._following.set_peers(tuple(identity.seeds))
         hosts = len(identity.seeds) + 1
         self._claims = ClaimState(
@@ -91,8 +96,9 @@
         self._backoff = Backoff()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
-        self._view = EveryWorker()
-        self._shutting_down = False
+        self._admission = Admission(run_time_s=lambda service: 0.0)
+        self._hosts = EntryHosts(identity, random)
+        self._view = self._hosts.view(EveryWorker())
 
     @property
     def configuration(self) -> Configuration | None:
@@ -102,7 +108,7 @@
     @property
     def ready(self) -> bool:
         """Whether new jobs are taken."""
-        return self._configuration is not None and not self._shutting_down
+        return self._admission.open
 
     @property
     def jobs_in_flight(self) -> int:
@@ -124,6 +130,15 @@
         """The earliest deadline of a job in flight, s."""
         return self._deadlines[0][0] if self._deadlines else None
 
+    @property
+    def _version(self) -> int:
+        return self._configuration.version if self._configuration else 0
+
+    @property
+    def hosts(self) -> EntryHosts:
+        """The entry hosts, as this one sees them."""
+        return self._hosts
+
     def status(self, now: float) -> HostStatus:
         """Return what operators see of this host."""
         return HostStatus(
@@ -144,6 +159,7 @@
             event: What happened.
         """
         actions: list[Action] = []
+        self._hosts.advance(now)
         match event:
             case JobSubmitted(spec):
                 self._submit(now, spec, actions)
@@ -154,25 +170,49 @@
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
             case Started():
+                self._hosts.start(now)
                 self._follow(self._following.start(), actions)
-            case LogRead(offset, result):
+            case LogRead(offset, result, asked_at):
                 self._follow(self._following.read(now, offset, result), actions)
+                if self._following.age(now) == 0:
+                    actions += self._hosts.configuration_confirmed(now, asked_at)
+            case HostsRead():
+                actions += self._hosts.hosts_read(now, event)
             case FrameReceived(sender, message):
+                actions += self._hosts.receive(now, sender, message)
+                if self._placement is not None:
+                    self._placement.receive(now, sender, message)
                 outputs = self._following.receive(now, sender, message)
                 self._follow(outputs, actions)
+            case PeerRefused(address):
+                self._hosts.connection_refused(address)
             case ShutdownStarted():
-                self._shutting_down = True
+                self._admission.close()
+                actions += self._hosts.leave(now)
             case ClaimsAppended() | ClaimsRead() | ClaimsDue():
                 self._claim(now, self._claims.receive(now, event), actions)
             case Ticked():
                 self._claim(now, self._claims.tick(now), actions)
+                actions += self._hosts.tick(now, self._load())
+        self._note_live()
+        actions += self._hosts.configuration_in_force(now, self._version)
         self._expire(now, actions)
         self._place(now, actions)
         return actions
 
+    def _note_live(self) -> None:
+        """Deal slots and news among the hosts that are live now."""
+        live = self._hosts.presumed
+        self._admission.set_hosts(len(live))
+        if self._placement is not None:
+            self._placement.set_hosts(live)
+        name = self._identity.name
+        self._following.set_peers(tuple(peer for peer in live if peer != name))
+
     def _submit(self, now: float, spec: JobSpec, actions: list[Action]) -> None:
-        refusal = self._refusal(now, spec)
+        refusal = self._admission.admit(now, spec, self._placement)
         if refusal is not None:
+            actions.append(LogDecision(refused(spec, refusal)))
             actions.append(AnswerJob(spec.job_id, refusal))
             return
         self._jobs.add(spec)
@@ -206,29 +246,6 @@
             self._deadlines.add((send_by, job_id))
         self._placement.enqueue(now, job.spec)
 
-    def _refusal(self, now: float, spec: JobSpec) -> Failure | None:
-        if self._shutting_down:
-            detail = "this entry host is shutting down"
-            return Failure(ErrorKind.SHUTTING_DOWN, detail, _SHUTDOWN_RETRY_S)
-        if self._configuration is None or self._placement is None:
-            detail = "no configuration is known yet"
-            return Failure(ErrorKind.NOT_READY, detail, _NOT_READY_RETRY_S)
-        if spec.service not in self._configuration.services:
-            return Failure(ErrorKind.UNKNOWN_SERVICE, f"no service {spec.service!r}")
-        if spec.deadline <= now:
-            return Failure(ErrorKind.EXPIRED, "the deadline has passed")
-        if not self._fits(spec):
-            detail = "no worker is large enough for a task of this job"
-            return Failure(ErrorKind.IMPOSSIBLE, detail)
-        return None
-
-    def _fits(self, spec: JobSpec) -> bool:
-        return any(
-            worker.cores >= spec.resources.cores
-            and worker.memory_mb >= spec.resources.memory_mb
-            for worker in self._placement.workers(spec.service)
-        )
-
     def _cancel(self, now: float, job_id: str, actions: list[Action]) -> None:
         job = self._jobs.get(job_id)
         if job is not None:
@@ -245,9 +262,14 @@
             return
         self._placement.release(event.worker)
         match event:
-            case TaskUnsent():
+            case TaskUnsent(by_worker=True):
                 self._backoff.refused(now, event.worker)
-            case _:
+            case TaskUnsent():
+                pass
+            case TaskSucceeded():
+                self._backoff.took(event.worker)
+                self._placement.note_free_slots(now, event.worker, event.free_slots)
+            case TaskLost():
                 self._backoff.took(event.worker)
         job = self._jobs.get(event.task.job)
         if job is not None:
@@ -295,17 +317,24 @@
             return
         self._configuration = configuration
         self._claims.configure(configuration.defaults.key_window_s)
+        self._admission.configure(configuration)
         if self._placement is None:
             self._placement = Placement(
                 configuration,
                 self._random,
                 self._identity.name,
                 self._identity.data_centre,
-                self._identity.seeds,
+                self._hosts.presumed,
             )
         else:
             self._placement.configure(configuration)
 
+    def _load(self) -> Load:
+        if self._placement is None:
+            return Load(self._version)
+        placement = self._placement
+        return Load(self._version, placement.idle_slots, placement.waiting)
+
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
             _, job_id = self._deadlines.pop(0)
@@ -322,6 +351,7 @@
         job = self._jobs.pop(job_id)
         if job is None:
             return
+        self._admission.release(job.spec)
         self._deadlines.discard((job.spec.deadline, job_id))
         self._deadlines.discard((job.send_by, job_id))
         self._placement.discard(job_id)
@@ -333,13 +363,15 @@
         self._claim(now, self._claims.ended(now, job_id, outcome), actions)
 
     def _place(self, now: float, actions: list[Action]) -> None:
-        if self._placement is None:
+        if self._placement is None or not self._hosts.freshness.may_send:
             return
         view = BackoffView(self._view, self._backoff)
         for placed in self._placement.place(now, view):
-            self._send(placed, actions)
+            self._send(now, placed, actions)
+        for peer, message in self._placement.take_messages():
+            actions.append(SendFrame(peer, message))
 
-    def _send(self, placed: Placed, actions: list[Action]) -> None:
+    def _send(self, now: float, placed: Placed, actions: list[Action]) -> None:
         task = placed.task
         job = self._jobs.get(task.job)
         attempt = job.mark_sent(task.index, placed.worker)
@@ -347,5 +379,6 @@
         worker = self._configuration.workers[placed.worker]
         body = job.spec.tasks[task.index]
         deadline = job.spec.deadline
+        send_by = min(job.send_by, now + PAUSE_S)
         actions.append(LogDecision(placed))
-        actions.append(SendTask(task, worker, body, deadline, job.send_by, attempt))
+        actions.append(SendTask(task, worker, body, deadline, send_by, attempt))
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -7,7 +7,9 @@
 from poplarhill.types import JobSpec, TaskId
 from poplarhilld.claims.messages import ClaimsAppended, ClaimsDue, ClaimsRead
 from poplarhilld.configuration.messages import LogRead
+from poplarhilld.freshness.messages import HostsRead
 from poplarhilld.peers.messages import Message
+from poplarhilld.settings import Address
 
 
 @dataclass(frozen=True)
@@ -31,22 +33,39 @@
 
 @dataclass(frozen=True)
 class TaskSucceeded:
-    """A worker answered a task."""
+    """A worker answered a task.
+
+    Attributes:
+        task: The task.
+        worker: Name of the worker.
+        body: Its result.
+        free_slots: Slots free on the worker just after, if it shows them.
+    """
 
     task: TaskId
     worker: str
     body: bytes
     attempt: int = 0
+    free_slots: int | None = None
 
 
 @dataclass(frozen=True)
 class TaskUnsent:
-    """A task was provably not started: nothing left, or the worker says so."""
+    """A task was provably not started: nothing left, or the worker says so.
+
+    Attributes:
+        task: The task.
+        worker: The worker that it was to go to.
+        detail: What happened.
+        attempt: Count of earlier sends of the task.
+        by_worker: Whether the worker, not this host, kept it from being sent.
+    """
 
     task: TaskId
     worker: str
     detail: str
     attempt: int = 0
+    by_worker: bool = True
 
 
 @dataclass(frozen=True)
@@ -75,6 +94,13 @@
     message: Message
 
 
+@dataclass(frozen=True)
+class PeerRefused:
+    """The address of an entry host refused a connection."""
+
+    address: Address
+
+
 @dataclass(frozen=True)
 class ShutdownStarted:
     """The process was asked to stop."""
@@ -94,7 +120,9 @@
     | TaskLost
     | ConfigurationChanged
     | LogRead
+    | HostsRead
     | FrameReceived
+    | PeerRefused
     | ShutdownStarted
     | Ticked
     | ClaimsAppended
--- a/packages/poplarhilld/src/poplarhilld/workers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/link.py
@@ -26,6 +26,7 @@
 TASK_ID_HEADER = "task-id"
 TASK_STARTED_HEADER = "task-started"
 TIMEOUT_HEADER = "task-timeout-s"
+FREE_SLOTS_HEADER = "slots-free"
 
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
@@ -77,7 +78,8 @@
             self._waiting.discard(task)
         if withdrawn or self._clock() >= action.send_by:
             await self._pool.release(connection)
-            return self._unsent(action, "withdrawn" if withdrawn else "too late")
+            detail = "withdrawn" if withdrawn else "too late"
+            return self._unsent(action, detail, by_worker=False)
         self._running[task] = connection
         try:
             return await self._exchange(action, connection)
@@ -133,7 +135,10 @@
     def _classify(self, action: SendTask, response: Response) -> TaskEvent:
         if response.status == _HTTP_OK:
             worker = action.worker.name
-            return TaskSucceeded(action.task, worker, response.body, action.attempt)
+            free_slots = _free_slots(response)
+            return TaskSucceeded(
+                action.task, worker, response.body, action.attempt, free_slots
+            )
         refused = response.headers.get(TASK_STARTED_HEADER) == "no"
         if response.status == _HTTP_UNAVAILABLE and refused:
             return self._unsent(action, "the worker refused the task")
@@ -158,8 +163,11 @@
         worker = self._spec.name
         _log.warning("reply discarded", reason=reason, worker=worker, task=str(task))
 
-    def _unsent(self, action: SendTask, detail: str) -> TaskUnsent:
-        return TaskUnsent(action.task, action.worker.name, detail, action.attempt)
+    def _unsent(
+        self, action: SendTask, detail: str, by_worker: bool = True
+    ) -> TaskUnsent:
+        name = action.worker.name
+        return TaskUnsent(action.task, name, detail, action.attempt, by_worker)
 
     def _lost(self, action: SendTask, kind: ErrorKind, detail: str) -> TaskLost:
         return TaskLost(action.task, action.worker.name, kind, detail, action.attempt)
@@ -171,3 +179,11 @@
         TIMEOUT_HEADER: f"{timeout_s:.3f}",
     }
     return Request("POST", "/tasks", headers=headers, body=action.body)
+
+
+def _free_slots(response: Response) -> int | None:
+    """Return the free slots that a worker shows, or none if it shows none."""
+    try:
+        return int(response.headers[FREE_SLOTS_HEADER])
+    except (KeyError, ValueError):
+        return None
