--- a/packages/poplarhilld/src/poplarhilld/api/handler.py
+++ b/packages/poplarhilld/src/poplarhilld/api/handler.py
@@ -85,14 +85,15 @@
         refusal = self._check_name(name)
         if refusal is not None:
             return _failed(None, refusal)
-        self._job_ids[name] = spec.job_id
+        self._job_ids[name] = self._job_ids[spec.job_id] = spec.job_id
         try:
             outcome = await self._submit(spec)
         except curio.CancelledError:
             await curio.disable_cancellation(self._cancel(spec.job_id))
             raise
         finally:
-            del self._job_ids[name]
+            self._job_ids.pop(name)
+            self._job_ids.pop(spec.job_id, None)
         return _answer(spec.job_id, outcome)
 
     def _check_name(self, name: str) -> Failure | None:
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -14,6 +14,7 @@
 from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
 from poplarhilld.api import Api
+from poplarhilld.claims import AppendClaims, ClaimLoop, ReadClaims, WakeClaims
 from poplarhilld.configuration import AppendRecord, ConfigurationReader, ReadLog
 from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import (
@@ -60,7 +61,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._clock = time.monotonic
+        self._clock = _uptime
         incarnation = round(time.time() * 1000)
         identity = Identity.from_config(settings, incarnation)
         self._dispatcher = Dispatcher(identity, Random())
@@ -78,6 +79,7 @@
             *settings.platform, _PLATFORM_TIMEOUT_S, settings.source
         )
         self._reader = ConfigurationReader(self._platform, self._post, self._clock)
+        self._claim_loop = ClaimLoop(self._platform, self._post)
         self._peers = PeerLinks(
             settings.name,
             settings.peer_listen,
@@ -216,6 +218,11 @@
                 kind = type(action).__name__
                 self._metrics.messages.labels(kind).inc()
                 await self._reader.perform(action)
+            case AppendClaims() | ReadClaims() | WakeClaims():
+                if not isinstance(action, WakeClaims):
+                    kind = type(action).__name__
+                    self._metrics.messages.labels(kind).inc()
+                await self._claim_loop.perform(action)
             case ReadLogNow():
                 await self._reader.hurry()
             case ReadHosts():
@@ -244,3 +251,8 @@
         waiter = self._outcomes.get(job_id)
         if waiter is not None:
             await waiter.put(outcome)
+
+
+def _uptime() -> float:
+    """Return the time since boot, s; it goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from poplarhill.types import TaskId, WorkerSpec
+from poplarhilld.claims.messages import ClaimRequest
 from poplarhilld.configuration.messages import AppendRecord, ReadLog
 from poplarhilld.freshness.messages import ReadHosts, ReadLogNow
 from poplarhilld.jobs import JobOutcome
@@ -77,4 +78,5 @@
     | ReadLogNow
     | ReadHosts
     | AppendRecord
+    | ClaimRequest
 )
--- a/packages/poplarhilld/tests/jobs/test_retries.py
+++ b/packages/poplarhilld/tests/jobs/test_retries.py
@@ -84,3 +84,10 @@
     event = TaskUnsent(second.task, second.worker.name, "refused", 1)
     assert not sends_in(dispatcher.handle(0.0, event))
     assert sends_in(dispatcher.handle(TICK_S, Ticked()))
+
+
+def test_a_send_that_this_host_withdrew_pauses_no_worker() -> None:
+    dispatcher = dispatcher_with(1)
+    [send] = sends_in(dispatcher.handle(0.0, JobSubmitted(job(1))))
+    event = TaskUnsent(send.task, "w0", "withdrawn", by_worker=False)
+    assert sends_in(dispatcher.handle(0.0, event))
