--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -36,3 +36,16 @@
         decode(data)
     except FrameError:
         return
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.data())
+def test_a_damaged_frame_is_a_frame_or_a_frame_error(data) -> None:
+    frame = bytearray(encode(Envelope("h1", peers.Heartbeat((MEMBER,) * 3, 1))))
+    for _ in range(data.draw(st.integers(1, 4))):
+        place = data.draw(st.integers(0, len(frame) - 1))
+        frame[place] = data.draw(st.integers(0, 255))
+    try:
+        decode(bytes(frame[: data.draw(st.integers(0, len(frame)))]))
+    except FrameError:
+        return
--- /dev/null
+++ b/packages/poplarhilld/tests/peers/test_links.py
@@ -0,0 +1,107 @@
+"""Links between entry hosts under peers that misbehave."""
+
+import socket
+from collections.abc import Awaitable, Callable
+
+import curio
+import pytest
+
+from poplarhilld.peers import Goodbye, PeerLinks, encode
+from poplarhilld.peers.codec import MAX_FRAME_BYTES, Envelope
+from poplarhilld.peers.link import LENGTH_BYTES, QUEUE_FRAMES, PeerLink
+from poplarhilld.settings import Address
+
+LIMIT_S = 30.0
+GOOD = encode(Envelope("h9", Goodbye(9)))
+
+
+def framed(data: bytes, length: int | None = None) -> bytes:
+    count = len(data) if length is None else length
+    return count.to_bytes(LENGTH_BYTES, "big") + data
+
+
+class Host:
+    """Links of one host and what they received."""
+
+    def __init__(self) -> None:
+        self.received: list[Envelope] = []
+        self.refused: list[Address] = []
+        self.links = PeerLinks(
+            "h1", Address("127.0.0.1", 0), self._receive, self._note_refused
+        )
+        self.address = Address(*self.links._sock.getsockname())
+
+    async def _receive(self, envelope: Envelope) -> None:
+        self.received.append(envelope)
+
+    async def _note_refused(self, address: Address) -> None:
+        self.refused.append(address)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await curio.sleep(0.01)
+
+
+def run(scene: Callable[[Host], Awaitable[None]]) -> Host:
+    """Run a scene against a host that listens."""
+
+    async def main() -> Host:
+        host = Host()
+        server = await curio.spawn(host.links.run, daemon=True)
+        await curio.timeout_after(LIMIT_S, scene, host)
+        await server.cancel()
+        return host
+
+    return curio.run(main)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        framed(b"", MAX_FRAME_BYTES + 1),
+        framed(b"\xff" * 64),
+        framed(b""),
+        framed(GOOD[:-3]),
+        framed(GOOD, len(GOOD) + 5),
+    ],
+    ids=["oversized", "garbage", "empty", "cut", "short"],
+)
+def test_a_broken_frame_ends_its_connection_alone(data) -> None:
+    async def scene(host: Host) -> None:
+        bad = await curio.open_connection(*host.address)
+        good = await curio.open_connection(*host.address)
+        await bad.sendall(data)
+        await bad.shutdown(socket.SHUT_WR)
+        assert await bad.recv(1) == b""
+        await good.sendall(framed(GOOD))
+        await until(lambda: len(host.received) == 1)
+
+    assert run(scene).received == [Envelope("h9", Goodbye(9))]
+
+
+def test_a_stalled_peer_holds_a_bounded_queue_without_the_oldest() -> None:
+    async def scene(host: Host) -> None:
+        link = PeerLink(host.address, host._note_refused)
+        for number in range(QUEUE_FRAMES + 10):
+            await link.put(encode(Envelope("h1", Goodbye(number))))
+        assert link.dropped == 10
+        runner = await curio.spawn(link.run, daemon=True)
+        await until(lambda: len(host.received) == QUEUE_FRAMES)
+        await runner.cancel()
+
+    first, *_ = run(scene).received
+    assert first.message == Goodbye(10)
+
+
+def test_an_address_that_refuses_is_reported_and_one_that_returns_is_used() -> None:
+    async def scene(host: Host) -> None:
+        with socket.socket() as held:
+            held.bind(("127.0.0.1", 0))
+            await host.links.send(Address(*held.getsockname()), Goodbye(1))
+            await until(lambda: bool(host.refused))
+        assert host.links.dropped == 1
+        await host.links.send(host.address, Goodbye(2))
+        await until(lambda: bool(host.received))
+
+    run(scene)
