--- a/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
@@ -17,6 +17,7 @@
     done TASK, refused TASK, lost TASK KIND: What came back from the worker that
         the task was last sent to.
     frame HOST TYPE JSON: A frame from another entry host.
+    hosts VERSION [NAME ...]: The platform's host list, with the names that leave.
     tick, shutdown: Time passes; the process is asked to stop.
 """
 
@@ -157,6 +158,9 @@
             case "frame":
                 sender, kind_name, fields = arguments.split(" ", 2)
                 return FrameReceived(sender, _message(kind_name, json.loads(fields)))
+            case "hosts":
+                leaving = frozenset(words[1:])
+                return HostsRead(now, HostList(int(words[0]), frozenset(), leaving))
             case "tick":
                 return Ticked()
             case "shutdown":
