--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -9,6 +9,7 @@
 from poplarhill_dev.demo import run_demo
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.platform import PlatformStandIn
+from poplarhill_dev.replay import placement_cost, replay
 from poplarhill_dev.slopes import run_slopes
 from poplarhill_dev.spread import run_spread
 from poplarhill_dev.worker import WorkerStandIn, run_workers
@@ -128,3 +129,7 @@
 def known_red(arguments: tuple[str, ...]) -> None:
     """Run pytest, passing over just the tests in KNOWN-RED.txt."""
     sys.exit(run_tests(arguments))
+
+
+main.add_command(replay)
+main.add_command(placement_cost)
--- a/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
@@ -27,7 +27,14 @@
 
 from poplarhill import ErrorKind, JobSpec
 from poplarhill.configuration import Change, encode_record
-from poplarhill.platform import Batch, ReadResult, Record, Truncated, Unavailable
+from poplarhill.platform import (
+    Batch,
+    HostList,
+    ReadResult,
+    Record,
+    Truncated,
+    Unavailable,
+)
 from poplarhill_dev.golden.render import render
 from poplarhilld.configuration.messages import AppendRecord, LogRead, ReadLog
 from poplarhilld.dispatch import Dispatcher, Identity
@@ -44,11 +51,13 @@
     TaskUnsent,
     Ticked,
 )
+from poplarhilld.freshness import HostsRead
 from poplarhilld.peers import messages
 from poplarhilld.settings import Address
 
 _SEED = 1
 _SERVICE = "booking"
+_HOSTS = HostList(0, frozenset({"h1", "h2", "h3"}), frozenset())
 
 
 def replay(text: str) -> str:
@@ -72,7 +81,7 @@
         self._sent: dict[str, SendTask] = {}
         self._read_from: int | None = None
         self._dispatcher = _dispatcher()
-        list(self._handle(0.0, Started()))
+        list(self._start(0.0))
 
     def step(self, line: str) -> Iterator[str]:
         time, name, *rest = line.split(" ", 2)
@@ -90,11 +99,16 @@
                 del self._log[: int(arguments)]
             case "replace":
                 self._dispatcher = _dispatcher()
-                yield from self._handle(now, Started())
+                yield from self._start(now)
                 yield from self._read(now)
             case _:
                 yield from self._handle(now, self._event(now, name, arguments))
 
+    def _start(self, now: float) -> Iterator[str]:
+        """Start the host; the platform's list has every host live."""
+        yield from self._handle(now, Started())
+        yield from self._handle(now, HostsRead(now, _HOSTS))
+
     def _append(self, now: float, body: str) -> None:
         self._log.append(Record(self._end, now, body))
         self._end += 1
@@ -104,7 +118,7 @@
         offset = None
         while self._read_from != offset:
             offset = self._read_from
-            event = LogRead(offset, self._answer(now, offset))
+            event = LogRead(offset, self._answer(now, offset), now)
             yield from self._handle(now, event)
 
     def _answer(self, now: float, offset: int) -> ReadResult:
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -5,7 +5,7 @@
 from sortedcontainers import SortedSet
 
 from poplarhill.configuration import Configuration
-from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.exceptions import Failure
 from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
 from poplarhilld.configuration.messages import (
@@ -24,10 +24,12 @@
     SendTask,
     StopTask,
 )
+from poplarhilld.dispatch.admission import Admission
 from poplarhilld.dispatch.events import (
     ConfigurationChanged,
     Event,
     FrameReceived,
+    HostsRead,
     JobCancelled,
     JobSubmitted,
     PeerRefused,
@@ -40,9 +42,9 @@
 )
 from poplarhilld.dispatch.hosts import EntryHosts, Load
 from poplarhilld.dispatch.identity import Identity
+from poplarhilld.dispatch.workers import Workers
+from poplarhilld.freshness import PAUSE_S
 from poplarhilld.jobs import (
-    Backoff,
-    BackoffView,
     Job,
     JobOutcome,
     JobTable,
@@ -51,10 +53,8 @@
 )
 from poplarhilld.jobs.retries import MAX_TRIES
 from poplarhilld.jobs.state import cancellation, exhaustion, expiry
-from poplarhilld.placement import EveryWorker, Placed, Placement
-
-_NOT_READY_RETRY_S = 1.0
-_SHUTDOWN_RETRY_S = 0.1
+from poplarhilld.limits import refused
+from poplarhilld.placement import Placed, Placement
 
 
 class Dispatcher:
@@ -76,11 +76,10 @@
         self._following.set_peers(tuple(identity.seeds))
         self._jobs = JobTable()
         self._sends = SendTable()
-        self._backoff = Backoff()
         self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
-        self._view = EveryWorker()
-        self._shutting_down = False
+        self._workers: Workers | None = None
+        self._admission = Admission(run_time_s=self._run_time_s)
         self._hosts = EntryHosts(identity, random)
 
     @property
@@ -91,7 +90,7 @@
     @property
     def ready(self) -> bool:
         """Whether new jobs are taken."""
-        return self._configuration is not None and not self._shutting_down
+        return self._admission.open
 
     @property
     def jobs_in_flight(self) -> int:
@@ -108,11 +107,20 @@
         """Count of tasks that placement takes to be on workers."""
         return self._placement.outstanding if self._placement is not None else 0
 
+    @property
+    def workers_ejected(self) -> int:
+        """Count of workers that get no work but single probes."""
+        return len(self._workers.health.ejected) if self._workers else 0
+
     @property
     def next_deadline(self) -> float | None:
         """The earliest deadline of a job in flight, s."""
         return self._deadlines[0][0] if self._deadlines else None
 
+    @property
+    def _version(self) -> int:
+        return self._configuration.version if self._configuration else 0
+
     @property
     def hosts(self) -> EntryHosts:
         """The entry hosts, as this one sees them."""
@@ -140,6 +148,7 @@
             event: What happened.
         """
         actions: list[Action] = []
+        self._hosts.advance(now)
         match event:
             case JobSubmitted(spec):
                 self._submit(now, spec, actions)
@@ -150,21 +159,30 @@
             case ConfigurationChanged(configuration):
                 self._configure(configuration)
             case Started():
+                self._hosts.start(now)
                 self._follow(self._following.start(), actions)
-            case LogRead(offset, result):
+            case LogRead(offset, result, asked_at):
                 self._follow(self._following.read(now, offset, result), actions)
+                if self._following.age(now) == 0:
+                    actions += self._hosts.configuration_confirmed(now, asked_at)
+            case HostsRead():
+                actions += self._hosts.hosts_read(now, event)
             case FrameReceived(sender, message):
                 actions += self._hosts.receive(now, sender, message)
+                if self._placement is not None:
+                    self._placement.receive(now, sender, message)
+                    self._workers.receive(now, sender, message)
                 outputs = self._following.receive(now, sender, message)
                 self._follow(outputs, actions)
             case PeerRefused(address):
                 self._hosts.connection_refused(address)
             case ShutdownStarted():
-                self._shutting_down = True
+                self._admission.close()
                 actions += self._hosts.leave(now)
             case Ticked():
                 actions += self._hosts.tick(now, self._load())
         self._note_live()
+        actions += self._hosts.configuration_in_force(now, self._version)
         self._expire(now, actions)
         self._place(now, actions)
         return actions
@@ -172,43 +190,22 @@
     def _note_live(self) -> None:
         """Deal slots and news among the hosts that are live now."""
         live = self._hosts.presumed
+        self._admission.set_hosts(len(live))
         if self._placement is not None:
             self._placement.set_hosts(live)
         name = self._identity.name
         self._following.set_peers(tuple(peer for peer in live if peer != name))
 
     def _submit(self, now: float, spec: JobSpec, actions: list[Action]) -> None:
-        refusal = self._refusal(now, spec)
+        refusal = self._admission.admit(now, spec, self._placement)
         if refusal is not None:
+            actions.append(LogDecision(refused(spec, refusal)))
             actions.append(AnswerJob(spec.job_id, refusal))
             return
         self._jobs.add(spec)
         self._deadlines.add((spec.deadline, spec.job_id))
         self._placement.enqueue(now, spec)
 
-    def _refusal(self, now: float, spec: JobSpec) -> Failure | None:
-        if self._shutting_down:
-            detail = "this entry host is shutting down"
-            return Failure(ErrorKind.SHUTTING_DOWN, detail, _SHUTDOWN_RETRY_S)
-        if self._configuration is None or self._placement is None:
-            detail = "no configuration is known yet"
-            return Failure(ErrorKind.NOT_READY, detail, _NOT_READY_RETRY_S)
-        if spec.service not in self._configuration.services:
-            return Failure(ErrorKind.UNKNOWN_SERVICE, f"no service {spec.service!r}")
-        if spec.deadline <= now:
-            return Failure(ErrorKind.EXPIRED, "the deadline has passed")
-        if not self._fits(spec):
-            detail = "no worker is large enough for a task of this job"
-            return Failure(ErrorKind.IMPOSSIBLE, detail)
-        return None
-
-    def _fits(self, spec: JobSpec) -> bool:
-        return any(
-            worker.cores >= spec.resources.cores
-            and worker.memory_mb >= spec.resources.memory_mb
-            for worker in self._placement.workers(spec.service)
-        )
-
     def _cancel(self, job_id: str, actions: list[Action]) -> None:
         job = self._jobs.get(job_id)
         if job is not None:
@@ -223,12 +220,10 @@
         """Decide on a report; only the first on each send counts."""
         if not self._sends.end(event.task, Send(event.worker, event.attempt)):
             return
-        self._placement.release(event.worker)
-        match event:
-            case TaskUnsent():
-                self._backoff.refused(now, event.worker)
-            case _:
-                self._backoff.took(event.worker)
+        self._placement.release(event.worker, event.task)
+        actions += self._workers.report(now, event)
+        if isinstance(event, TaskSucceeded):
+            self._placement.note_free_slots(now, event.worker, event.free_slots)
         job = self._jobs.get(event.task.job)
         if job is not None:
             self._advance(job, event, actions)
@@ -273,6 +268,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
+        self._admission.configure(configuration)
         if self._placement is None:
             self._placement = Placement(
                 configuration,
@@ -281,13 +277,24 @@
                 self._identity.data_centre,
                 self._hosts.presumed,
             )
+            self._workers = Workers(configuration, self._hosts)
         else:
             self._placement.configure(configuration)
+            self._workers.configure(configuration)
+
+    def _run_time_s(self, service: str) -> float:
+        return self._workers.health.times.mean_s(service) if self._workers else 0.0
 
     def _load(self) -> Load:
-        version = self._configuration.version if self._configuration else 0
-        waiting = self._placement.waiting if self._placement else 0
-        return Load(configuration_version=version, queued_tasks=waiting)
+        if self._placement is None:
+            return Load(self._version)
+        placement = self._placement
+        return Load(
+            self._version,
+            placement.idle_slots,
+            placement.waiting,
+            self._workers.suspicions,
+        )
 
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
@@ -297,6 +304,7 @@
     def _end(self, job_id: str, outcome: JobOutcome, actions: list[Action]) -> None:
         """Answer a job, drop its queued tasks and stop its running ones."""
         job = self._jobs.pop(job_id)
+        self._admission.release(job.spec)
         self._deadlines.discard((job.spec.deadline, job_id))
         self._placement.discard(job_id)
         for task, worker in job.running:
@@ -306,19 +314,24 @@
         actions.append(AnswerJob(job_id, outcome))
 
     def _place(self, now: float, actions: list[Action]) -> None:
-        if self._placement is None:
+        if self._placement is None or not self._hosts.freshness.may_send:
             return
-        view = BackoffView(self._view, self._backoff)
-        for placed in self._placement.place(now, view):
-            self._send(placed, actions)
-
-    def _send(self, placed: Placed, actions: list[Action]) -> None:
+        for placed in self._workers.place_probes(now, self._placement, actions):
+            self._send(now, placed, actions)
+        for placed in self._placement.place(now, self._workers.view):
+            self._send(now, placed, actions)
+        for peer, message in self._placement.take_messages():
+            actions.append(SendFrame(peer, message))
+
+    def _send(self, now: float, placed: Placed, actions: list[Action]) -> None:
         task = placed.task
         spec = self._jobs.get(task.job).spec
         attempt = self._jobs.get(task.job).mark_sent(task.index, placed.worker)
         self._sends.begin(task, Send(placed.worker, attempt))
+        self._workers.sent(now, task, placed.worker)
         worker = self._configuration.workers[placed.worker]
         body = spec.tasks[task.index]
         deadline = spec.deadline
+        send_by = min(deadline, now + PAUSE_S)
         actions.append(LogDecision(placed))
-        actions.append(SendTask(task, worker, body, deadline, deadline, attempt))
+        actions.append(SendTask(task, worker, body, deadline, send_by, attempt))
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -6,6 +6,7 @@
 from poplarhill.exceptions import ErrorKind
 from poplarhill.types import JobSpec, TaskId
 from poplarhilld.configuration.messages import LogRead
+from poplarhilld.freshness.messages import HostsRead
 from poplarhilld.peers.messages import Message
 from poplarhilld.settings import Address
 
@@ -31,12 +32,20 @@
 
 @dataclass(frozen=True)
 class TaskSucceeded:
-    """A worker answered a task."""
+    """A worker answered a task.
+
+    Attributes:
+        task: The task.
+        worker: Name of the worker.
+        body: Its result.
+        free_slots: Slots free on the worker just after, if it shows them.
+    """
 
     task: TaskId
     worker: str
     body: bytes
     attempt: int = 0
+    free_slots: int | None = None
 
 
 @dataclass(frozen=True)
@@ -51,13 +60,23 @@
 
 @dataclass(frozen=True)
 class TaskLost:
-    """A task may have run and gave no usable result."""
+    """A task may have run and gave no usable result.
+
+    Attributes:
+        task: The task.
+        worker: Where it was sent.
+        kind: What went wrong.
+        detail: One sentence for a person.
+        attempt: Count of earlier sends of the task, each proved unsent.
+        stopped: Whether the worker says that it stopped the task.
+    """
 
     task: TaskId
     worker: str
     kind: ErrorKind
     detail: str
     attempt: int = 0
+    stopped: bool = False
 
 
 @dataclass(frozen=True)
@@ -101,6 +120,7 @@
     | TaskLost
     | ConfigurationChanged
     | LogRead
+    | HostsRead
     | FrameReceived
     | PeerRefused
     | ShutdownStarted
