Compare customers in steps of 16 running tasks

Cause: compared task by task, a customer with a large job running had its next small jobs wait behind the large jobs of the others. The two tests of fairness keep their exact shares at sizes where a step is small against the host's share: 96 and 32 of 128, and a burst over 32 slots.

--- a/packages/poplarhilld/src/poplarhilld/placement/service_queue.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/service_queue.py
@@ -10,6 +10,7 @@
 from poplarhill.types import JobSpec
 
 AGING_S_PER_TASK = 0.05
+FAIR_STEP_TASKS = 16
 _SLACK_FRACTION = 0.5
 _DEFAULT_CUSTOMER = CustomerSpec()
 
@@ -24,7 +25,7 @@
 class _Turn(NamedTuple):
     """Position of a customer; lower goes first."""
 
-    load: float
+    level: float
     rank: _Rank
     customer: str
 
@@ -60,11 +61,14 @@
 class ServiceQueue:
     """Jobs of one service.
 
-    The customer with the fewest running tasks for its weight goes first. Of its
-    jobs with `fewest_tasks`, each is ranked by a time to start by: its arrival
-    plus an allowance for each of its remaining tasks, and never later than half
-    way to its deadline. Small jobs so pass large ones, but a large job that
-    waits is passed only by jobs that come within its allowance.
+    The customer with the fewest running tasks for its weight goes first, counted
+    in steps of `FAIR_STEP_TASKS`. Between customers in one step jobs go by rank, so
+    that a job of a customer does not hold its next small ones.
+
+    With `fewest_tasks` a job is ranked by a time to start by: its arrival plus an
+    allowance for each of its remaining tasks, and never later than half way to its
+    deadline. Small jobs so pass large ones, but a large job that waits is passed
+    only by jobs that come within its allowance.
 
     Args:
         order: `first_come` or `fewest_tasks`.
@@ -172,8 +176,8 @@
             self._turns.remove(customer.turn)
             customer.turn = None
         if customer.jobs:
-            load = customer.running / customer.weight
-            customer.turn = _Turn(load, customer.jobs.keys()[0], name)
+            level = customer.running // (customer.weight * FAIR_STEP_TASKS)
+            customer.turn = _Turn(level, customer.jobs.keys()[0], name)
             self._turns.add(customer.turn)
         elif not customer.running:
             del self._customers[name]
