See at the first frame that a peer is gone

A killed host was removed only after the whole silence of 13 s: the first frame after its death went into a connection that the peer had closed, the second found it broken, and gossip on its last counts wiped the refusal of the third.

Guard off (no look before sending): the new test of the links times out.

--- a/packages/poplarhilld/src/poplarhilld/membership/member.py
+++ b/packages/poplarhilld/src/poplarhilld/membership/member.py
@@ -14,7 +14,8 @@
         live: Whether it is taken to be live.
         advanced: When its heartbeat count was last seen to rise, s.
         views: Hosts heard from since then.
-        refused: Whether its address has refused a connection since then.
+        refused: Whether its address has refused a connection, and no frame came
+            from it since.
     """
 
     state: MemberState
@@ -25,13 +26,13 @@
 
     def advance(self, now: float, state: MemberState) -> None:
         """Note a newer state."""
-        leaving = state.leaving or (
-            self.state.leaving and self.state.incarnation == state.incarnation
-        )
+        same_run = self.state.incarnation == state.incarnation
+        leaving = state.leaving or (self.state.leaving and same_run)
         self.state = state._replace(leaving=leaving)
         self.advanced = now
         self.views.clear()
-        self.refused = False
+        # Gossip on a dead host's last counts comes after its address refuses.
+        self.refused = self.refused and same_run
 
 
 def is_newer(state: MemberState, known: MemberState) -> bool:
--- a/packages/poplarhilld/src/poplarhilld/membership/state.py
+++ b/packages/poplarhilld/src/poplarhilld/membership/state.py
@@ -25,9 +25,11 @@
 ROUND_S = 1.0
 """Time between two heartbeats that a host sends, s."""
 
-MAX_MEMBERS_PER_FRAME = 50
+MAX_MEMBERS_PER_FRAME = 64
 """Most members that one heartbeat carries; bounds its bytes."""
 
+_MEMBERS_PER_S = 50
+
 _SILENT_ROUNDS = 4
 _SILENT_ROUNDS_PER_DOUBLING = 3
 _EVIDENCE_FACTOR = 0.5
@@ -40,6 +42,17 @@
 _JOIN_FAN_OUT = 8
 
 
+def round_s(hosts: int) -> float:
+    """Return the time between two heartbeats of a host, s.
+
+    It grows with large fleets, so that the bytes a second do not.
+
+    Args:
+        hosts: Count of live hosts.
+    """
+    return ROUND_S * max(1.0, hosts / _MEMBERS_PER_S)
+
+
 def removal_s(hosts: int) -> float:
     """Return the silence after which a member is removed, s.
 
@@ -49,7 +62,8 @@
         hosts: Count of live hosts.
     """
     doublings = math.ceil(math.log2(max(hosts, 2)))
-    return ROUND_S * (_SILENT_ROUNDS + _SILENT_ROUNDS_PER_DOUBLING * doublings)
+    rounds = _SILENT_ROUNDS + _SILENT_ROUNDS_PER_DOUBLING * doublings
+    return round_s(hosts) * rounds
 
 
 class Membership:
@@ -116,7 +130,7 @@
         if first:
             self._started = now
         jitter = 1 + _JITTER * self._random.uniform(-1, 1)
-        self._next_round = now + ROUND_S * jitter
+        self._next_round = now + round_s(len(self._live)) * jitter
         self._me = self._me._replace(heartbeat=self._me.heartbeat + 1)
         self._rounds += 1
         peers = list(self._seeds)[:_JOIN_FAN_OUT] if first else self._next_peer(now)
--- a/packages/poplarhilld/src/poplarhilld/peers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/link.py
@@ -86,6 +86,8 @@
         data = self._frames.popleft()
         frame = len(data).to_bytes(LENGTH_BYTES, "big") + data
         try:
+            if self._sock is not None and _is_closed(self._sock):
+                await self._disconnect()
             if self._sock is None:
                 self._sock = await self._connect()
             await curio.timeout_after(_SEND_TIMEOUT_S, self._sock.sendall, frame)
@@ -111,3 +113,14 @@
         if self._sock is not None:
             await self._sock.close()
             self._sock = None
+
+
+def _is_closed(sock: curio.io.Socket) -> bool:
+    """Return whether the peer has closed; it never sends on this connection."""
+    try:
+        sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
--- a/packages/poplarhilld/tests/peers/test_links.py
+++ b/packages/poplarhilld/tests/peers/test_links.py
@@ -105,3 +105,18 @@
         await until(lambda: bool(host.received))
 
     run(scene)
+
+
+def test_the_first_frame_after_a_peer_is_gone_finds_its_address_refusing() -> None:
+    async def scene(host: Host) -> None:
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        address = Address(*listener.getsockname())
+        await host.links.send(address, Goodbye(1))
+        client, _ = await listener.accept()
+        await client.recv(1)
+        await listener.close()
+        await client.close()
+        await host.links.send(address, Goodbye(2))
+        await until(lambda: host.refused == [address])
+
+    run(scene)
