--- a/packages/poplarhilld/tests/membership/test_membership.py
+++ b/packages/poplarhilld/tests/membership/test_membership.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from poplarhilld.membership import MemberRemoved, RemovalReason
+from poplarhilld.membership import (
+    HeartbeatDue,
+    MemberRemoved,
+    RemovalReason,
+    Superseded,
+)
 from poplarhilld.membership.state import ROUND_S, removal_s
 
 JOIN_LIMIT_S = 30.0
@@ -149,3 +154,14 @@
     eight.states["h0"].heard(eight.now, "h7")
     assert "h7" not in eight.states["h0"].live
     assert any(isinstance(r, MemberRemoved) for _, _, r in eight.removed)
+
+
+def test_a_woken_predecessor_gives_way_to_its_replacement(eight) -> None:
+    eight.run(removal_s(8))
+    old = eight.states["h7"]
+    eight.start("h7", incarnation=2)
+    eight.run(ROUND_S)
+    told = old.heartbeat_received(eight.now, "h0", (eight.states["h7"].me,))
+    assert any(isinstance(decision, Superseded) for decision in told)
+    later = old.tick(eight.now + 2 * ROUND_S)
+    assert not any(isinstance(decision, HeartbeatDue) for decision in later)
