--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -4,10 +4,22 @@
 
 from sortedcontainers import SortedSet
 
-from poplarhill.configuration import Configuration
+from poplarhill.configuration import Configuration, Defaults
 from poplarhill.exceptions import Failure
 from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
+from poplarhilld.claims.keys import needs_claim
+from poplarhilld.claims.messages import (
+    ClaimDecided,
+    ClaimsAppended,
+    ClaimsDue,
+    ClaimsRead,
+    Ended,
+    Joined,
+    Won,
+)
+from poplarhilld.claims.messages import Output as ClaimOutput
+from poplarhilld.claims.state import ClaimState
 from poplarhilld.configuration.messages import (
     AppendRecord,
     LogRead,
@@ -52,7 +64,7 @@
     SendTable,
 )
 from poplarhilld.jobs.retries import MAX_TRIES
-from poplarhilld.jobs.state import cancellation, exhaustion, expiry
+from poplarhilld.jobs.state import cancellation, exhaustion, expiry, lapse
 from poplarhilld.limits import refused
 from poplarhilld.placement import Placed, Placement
 
@@ -74,6 +86,10 @@
         retention_s = identity.log_retention_s
         self._following = ConfigurationState(identity.name, retention_s, polls)
         self._following.set_peers(tuple(identity.seeds))
+        hosts = len(identity.seeds) + 1
+        self._claims = ClaimState(
+            identity.name, identity.incarnation, hosts, Defaults().key_window_s
+        )
         self._jobs = JobTable()
         self._sends = SendTable()
         self._deadlines: SortedSet = SortedSet()
@@ -153,7 +169,7 @@
             case JobSubmitted(spec):
                 self._submit(now, spec, actions)
             case JobCancelled(job_id):
-                self._cancel(job_id, actions)
+                self._cancel(now, job_id, actions)
             case TaskSucceeded() | TaskUnsent() | TaskLost():
                 self._report(now, event, actions)
             case ConfigurationChanged(configuration):
@@ -179,7 +195,10 @@
             case ShutdownStarted():
                 self._admission.close()
                 actions += self._hosts.leave(now)
+            case ClaimsAppended() | ClaimsRead() | ClaimsDue():
+                self._claim(now, self._claims.receive(now, event), actions)
             case Ticked():
+                self._claim(now, self._claims.tick(now), actions)
                 actions += self._hosts.tick(now, self._load())
         self._note_live()
         actions += self._hosts.configuration_in_force(now, self._version)
@@ -204,12 +223,39 @@
             return
         self._jobs.add(spec)
         self._deadlines.add((spec.deadline, spec.job_id))
-        self._placement.enqueue(now, spec)
+        if needs_claim(spec):
+            self._claim(now, self._claims.request(now, spec), actions)
+        else:
+            self._placement.enqueue(now, spec)
+
+    def _claim(
+        self, now: float, outputs: list[ClaimOutput], actions: list[Action]
+    ) -> None:
+        """Carry out what the claims slice decided."""
+        for output in outputs:
+            match output:
+                case Won(job_id, send_by):
+                    self._start_claimed(now, job_id, send_by)
+                case Joined(job_id):
+                    self._jobs.get(job_id).mark_joined()
+                case Ended(job_id, outcome):
+                    self._end(now, job_id, outcome, actions)
+                case ClaimDecided():
+                    actions.append(LogDecision(output))
+                case request:
+                    actions.append(request)
+
+    def _start_claimed(self, now: float, job_id: str, send_by: float) -> None:
+        job = self._jobs.get(job_id)
+        if send_by < job.send_by:
+            job.send_by = send_by
+            self._deadlines.add((send_by, job_id))
+        self._placement.enqueue(now, job.spec)
 
-    def _cancel(self, job_id: str, actions: list[Action]) -> None:
+    def _cancel(self, now: float, job_id: str, actions: list[Action]) -> None:
         job = self._jobs.get(job_id)
         if job is not None:
-            self._end(job_id, cancellation(job), actions)
+            self._end(now, job_id, cancellation(job), actions)
 
     def _report(
         self,
@@ -226,10 +272,11 @@
             self._placement.note_free_slots(now, event.worker, event.free_slots)
         job = self._jobs.get(event.task.job)
         if job is not None:
-            self._advance(job, event, actions)
+            self._advance(now, job, event, actions)
 
     def _advance(
         self,
+        now: float,
         job: Job,
         event: TaskSucceeded | TaskUnsent | TaskLost,
         actions: list[Action],
@@ -248,7 +295,7 @@
                 job.mark_failed(task.index)
                 outcome = Failure(event.kind, event.detail)
         if outcome is not None:
-            self._end(task.job, outcome, actions)
+            self._end(now, task.job, outcome, actions)
 
     def _follow(self, outputs: list[Output], actions: list[Action]) -> None:
         """Carry out what the configuration slice decided."""
@@ -268,6 +315,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
+        self._claims.configure(configuration.defaults.key_window_s)
         self._admission.configure(configuration)
         if self._placement is None:
             self._placement = Placement(
@@ -298,20 +346,30 @@
 
     def _expire(self, now: float, actions: list[Action]) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
-            _, job_id = self._deadlines[0]
-            self._end(job_id, expiry(self._jobs.get(job_id)), actions)
-
-    def _end(self, job_id: str, outcome: JobOutcome, actions: list[Action]) -> None:
+            _, job_id = self._deadlines.pop(0)
+            job = self._jobs.get(job_id)
+            if job.spec.deadline <= now:
+                self._end(now, job_id, expiry(job), actions)
+            elif job.has_queued:
+                self._end(now, job_id, lapse(job), actions)
+
+    def _end(
+        self, now: float, job_id: str, outcome: JobOutcome, actions: list[Action]
+    ) -> None:
         """Answer a job, drop its queued tasks and stop its running ones."""
         job = self._jobs.pop(job_id)
+        if job is None:
+            return
         self._admission.release(job.spec)
         self._deadlines.discard((job.spec.deadline, job_id))
+        self._deadlines.discard((job.send_by, job_id))
         self._placement.discard(job_id)
         for task, worker in job.running:
             spec = self._configuration.workers.get(worker)
             if spec is not None:
                 actions.append(StopTask(task, spec))
         actions.append(AnswerJob(job_id, outcome))
+        self._claim(now, self._claims.ended(now, job_id, outcome), actions)
 
     def _place(self, now: float, actions: list[Action]) -> None:
         if self._placement is None or not self._hosts.freshness.may_send:
@@ -325,13 +383,13 @@
 
     def _send(self, now: float, placed: Placed, actions: list[Action]) -> None:
         task = placed.task
-        spec = self._jobs.get(task.job).spec
-        attempt = self._jobs.get(task.job).mark_sent(task.index, placed.worker)
+        job = self._jobs.get(task.job)
+        attempt = job.mark_sent(task.index, placed.worker)
         self._sends.begin(task, Send(placed.worker, attempt))
         self._workers.sent(now, task, placed.worker)
         worker = self._configuration.workers[placed.worker]
-        body = spec.tasks[task.index]
-        deadline = spec.deadline
-        send_by = min(deadline, now + PAUSE_S)
+        body = job.spec.tasks[task.index]
+        deadline = job.spec.deadline
+        send_by = min(job.send_by, now + PAUSE_S)
         actions.append(LogDecision(placed))
         actions.append(SendTask(task, worker, body, deadline, send_by, attempt))
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -5,6 +5,7 @@
 from poplarhill.configuration import Configuration
 from poplarhill.exceptions import ErrorKind
 from poplarhill.types import JobSpec, TaskId
+from poplarhilld.claims.messages import ClaimsAppended, ClaimsDue, ClaimsRead
 from poplarhilld.configuration.messages import LogRead
 from poplarhilld.freshness.messages import HostsRead
 from poplarhilld.peers.messages import Message
@@ -50,12 +51,21 @@
 
 @dataclass(frozen=True)
 class TaskUnsent:
-    """A task was provably not started: nothing left, or the worker says so."""
+    """A task was provably not started: nothing left, or the worker says so.
+
+    Attributes:
+        task: The task.
+        worker: The worker that it was to go to.
+        detail: What happened.
+        attempt: Count of earlier sends of the task.
+        by_worker: Whether the worker, not this host, kept it from being sent.
+    """
 
     task: TaskId
     worker: str
     detail: str
     attempt: int = 0
+    by_worker: bool = True
 
 
 @dataclass(frozen=True)
@@ -125,4 +135,7 @@
     | PeerRefused
     | ShutdownStarted
     | Ticked
+    | ClaimsAppended
+    | ClaimsRead
+    | ClaimsDue
 )
--- a/packages/poplarhilld/src/poplarhilld/dispatch/workers.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/workers.py
@@ -60,8 +60,9 @@
         """Learn from what became of a task."""
         task, worker = event.task, event.worker
         match event:
-            case TaskUnsent():
-                self._backoff.refused(now, worker)
+            case TaskUnsent(by_worker=by_worker):
+                if by_worker:
+                    self._backoff.refused(now, worker)
                 self._health.unsent(now, task, worker)
                 return []
             case TaskSucceeded():
