--- a/packages/poplarhill/src/poplarhill/status.py
+++ b/packages/poplarhill/src/poplarhill/status.py
@@ -16,6 +16,8 @@
         configuration_complete: Whether it can fold the log from where it is;
             if not, it waits for a snapshot or for a peer.
         jobs_in_flight: Jobs without an answer.
+        queued_tasks: Tasks that wait for a slot.
+        live_hosts: Entry hosts that it takes to be live, itself among them.
     """
 
     name: str
@@ -25,3 +27,5 @@
     configuration_age_s: float | None
     configuration_complete: bool
     jobs_in_flight: int
+    queued_tasks: int
+    live_hosts: int
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -71,14 +71,21 @@
             self._clock,
             hosts=len(settings.peers) + 1,
             discarded=lambda r: self._metrics.replies_discarded.labels(r).inc(),
+            source=settings.source,
         )
         self._outcomes: dict[str, curio.Queue] = {}
         self._events: curio.Queue = curio.Queue()
-        self._platform = HttpPlatform(*settings.platform, _PLATFORM_TIMEOUT_S)
+        self._platform = HttpPlatform(
+            *settings.platform, _PLATFORM_TIMEOUT_S, settings.source
+        )
         self._reader = ConfigurationReader(self._platform, self._post, self._clock)
         self._claim_loop = ClaimLoop(self._platform, self._post)
         self._peers = PeerLinks(
-            settings.name, settings.peer_listen, self._frame, self._refused
+            settings.name,
+            settings.peer_listen,
+            self._frame,
+            self._refused,
+            settings.source,
         )
         self._api = Api(
             submit=self.submit,
@@ -167,6 +174,7 @@
         self._metrics.live_hosts.set(len(hosts.live))
         self._metrics.hosts_age.set(math.inf if age_s is None else age_s)
         self._metrics.hosts_version.set(hosts.freshness.version)
+        self._metrics.workers_ejected.set(self._dispatcher.workers_ejected)
         self._metrics.isolated.set(hosts.freshness.isolated)
         self._metrics.peer_frames_dropped.set(self._peers.dropped)
         return self._metrics.page()
