--- a/packages/poplarhilld/src/poplarhilld/claims/state.py
+++ b/packages/poplarhilld/src/poplarhilld/claims/state.py
@@ -81,6 +81,7 @@
         self._read_again = False
         self._next_poll = 0.0
         self._available = False
+        self._opening = True
         self._log_ahead_s = 0.0
 
     @property
@@ -120,7 +121,7 @@
         self._by_job[spec.job_id] = claim
         self._by_number[claim_id.number] = claim
         self._waiting.append(claim)
-        return self._start_batch(now)
+        return self._read() if self._opening else self._start_batch(now)
 
     def ended(self, now: float, job_id: str, outcome: JobOutcome) -> list[Output]:
         """Note a job's outcome; give it to those that joined it."""
@@ -133,14 +134,13 @@
         del self._by_key[claim.key]
         self._by_number.pop(claim.claim.number, None)
         outputs: list[Output] = []
-        if _may_have_run(outcome):
-            if claim.won:
-                self._answers.keep(now, claim.key, claim.fingerprint, outcome)
-        elif claim in self._waiting:
+        if claim in self._waiting:
             self._waiting.remove(claim)
-        else:
+        elif not _may_have_run(outcome):
             self._releases.append(claim.claim.number)
             outputs = self._start_batch(now)
+        elif claim.won:
+            self._answers.keep(now, claim.key, claim.fingerprint, outcome)
         return outputs + [Ended(joiner, outcome) for joiner in list(claim.joiners)]
 
     def receive(
@@ -217,6 +217,8 @@
         holder = self._ledger.holder(key, log_time)
         if holder is not None and not self._gave_up(holder):
             return _DUPLICATE
+        if self._opening:
+            return None
         if not self._available:
             detail = "the claims stream cannot be reached; nothing was sent"
             return _unavailable(detail, _UNAVAILABLE_RETRY_S)
@@ -237,6 +239,8 @@
     def _start_batch(self, now: float) -> list[Output]:
         if self._batch is not None or not (self._waiting or self._releases):
             return []
+        if self._opening:
+            return []
         if now < self._next_append:
             if self._woken:
                 return []
@@ -282,6 +286,7 @@
         self._ledger.reached(result.time)
         self._log_ahead_s = result.time - now
         self._available = True
+        self._opening = False
         self._next_poll = now + _POLL_S
         return outputs + self._settle(now)
 
@@ -323,6 +328,14 @@
         self._batch = batch._replace(tries=batch.tries + 1)
         return self._append(now)
 
+    def _refuse_uncovered(self, now: float) -> list[Output]:
+        """Refuse claims that waited for the first read, if it was not enough."""
+        log_time = now + self._log_ahead_s
+        if self._ledger.covers(log_time):
+            return []
+        refusals = [(c.job_id, self._refusal(now, c.key)) for c in self._waiting]
+        return [Ended(job_id, refusal) for job_id, refusal in refusals if refusal]
+
     def _undecided(self, batch: ClaimBatch) -> list[Claim]:
         first = batch.record.first
         numbers = range(first, first + len(batch.record.keys))
@@ -336,6 +349,7 @@
 
     def _give_up(self, now: float, detail: str) -> list[Output]:
         """Refuse every claim without a verdict; ending them releases them."""
+        self._opening = False
         self._next_poll = now + _POLL_S
         self._next_append = now + _POLL_S
         claims = self._waiting
