--- a/packages/poplarhill-dev/tests/test_configuration_spread.py
+++ b/packages/poplarhill-dev/tests/test_configuration_spread.py
@@ -1,5 +1,6 @@
 """The configuration reaches every daemon, whatever the log does."""
 
+import json
 import subprocess
 from collections.abc import Callable, Iterator
 
@@ -59,6 +60,12 @@
         return False
 
 
+def versions_in_force(fleet: Fleet, name: str) -> list[int]:
+    lines = (fleet.directory / f"{name}.log").read_text().splitlines()
+    entries = [json.loads(line) for line in lines]
+    return [e["version"] for e in entries if e["event"] == "ConfigurationInForce"]
+
+
 def test_hosts_cut_from_the_log_learn_of_a_change_from_the_one_that_is_not(
     start: Start,
 ) -> None:
@@ -108,3 +115,17 @@
     shown = fleet.operate("status", "--host", host).stdout
     assert "ready          yes" in shown
     assert "configuration  version 1, confirmed" in shown
+
+
+def test_a_host_that_slept_through_a_truncation_comes_to_the_newest_version(
+    start: Start,
+) -> None:
+    fleet = start(2, log_retention_s=_RETENTION_S)
+    fleet.freeze("h2")
+    version = publish_weight(fleet).version
+    wait_until(lambda: keeps_only_snapshots(fleet), "only snapshots kept")
+    fleet.resume("h2")
+    wait_in_force(fleet, version)
+    for process in fleet.daemons():
+        versions = versions_in_force(fleet, process.name)
+        assert versions == sorted(set(versions))
