--- a/packages/poplarhill-dev/src/poplarhill_dev/slopes/report.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/slopes/report.py
@@ -5,6 +5,7 @@
 from poplarhill_dev.slopes.fit import Slope
 from poplarhill_dev.slopes.process import process_costs, size_costs
 from poplarhill_dev.slopes.pure import pure_slopes
+from poplarhill_dev.slopes.requests import request_slopes
 
 _KIB = 1024
 
@@ -13,7 +14,7 @@
     """Measure every slope and print the table."""
     click.echo("| cost | unit | points (size: cost) | each | fixed | residual |")
     click.echo("| --- | --- | --- | --- | --- | --- |")
-    for slope in pure_slopes():
+    for slope in [*pure_slopes(), *request_slopes()]:
         click.echo(_row(slope))
     costs = process_costs()
     click.echo(_row(costs.job))
--- a/packages/poplarhilld/src/poplarhilld/workers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/link.py
@@ -80,7 +80,8 @@
             self._waiting.discard(task)
         if withdrawn or self._clock() >= action.send_by:
             await self._pool.release(connection)
-            return self._unsent(action, "withdrawn" if withdrawn else "too late")
+            detail = "withdrawn" if withdrawn else "too late"
+            return self._unsent(action, detail, by_worker=False)
         self._running[task] = connection
         try:
             return await self._exchange(action, connection)
@@ -165,8 +166,11 @@
         worker = self._spec.name
         _log.warning("reply discarded", reason=reason, worker=worker, task=str(task))
 
-    def _unsent(self, action: SendTask, detail: str) -> TaskUnsent:
-        return TaskUnsent(action.task, action.worker.name, detail, action.attempt)
+    def _unsent(
+        self, action: SendTask, detail: str, by_worker: bool = True
+    ) -> TaskUnsent:
+        name = action.worker.name
+        return TaskUnsent(action.task, name, detail, action.attempt, by_worker)
 
     def _lost(self, action: SendTask, kind: ErrorKind, detail: str) -> TaskLost:
         return TaskLost(action.task, action.worker.name, kind, detail, action.attempt)
