--- a/packages/poplarhilld/src/poplarhilld/configuration/state.py
+++ b/packages/poplarhilld/src/poplarhilld/configuration/state.py
@@ -35,7 +35,8 @@
     Message,
 )
 
-_POLL_S_PER_HOST = 1.0
+_POLL_S_PER_HOST = 0.375
+_UNREADY_POLL_S = 1.0
 _LONGEST_POLL_S = 3.0
 _POLL_SPREAD = 1 / 3
 _PEERS_ASKED = 2
@@ -277,9 +278,9 @@
         outputs.extend(ToPeer(peer, request) for peer in asked)
 
     def _poll_delay(self) -> float:
-        """Return a random delay; all hosts together poll about once a second."""
+        """Return a random delay; a small fleet polls as often as one of 8 hosts."""
         mean_s = min(_POLL_S_PER_HOST * (1 + len(self._peers)), _LONGEST_POLL_S)
         if not self.version:
-            mean_s = _POLL_S_PER_HOST
+            mean_s = _UNREADY_POLL_S
         spread = self._random.uniform(1 - _POLL_SPREAD, 1 + _POLL_SPREAD)
         return mean_s * spread
