--- a/packages/poplarhilld/tests/claims/test_claims.py
+++ b/packages/poplarhilld/tests/claims/test_claims.py
@@ -270,3 +270,19 @@
     host.submit("a")
     host.settle()
     assert host.send("a")
+
+
+@pytest.mark.parametrize("log_is", ["up", "down", "truncated"])
+def test_a_claim_made_before_the_first_read_waits_for_it(new_host, log, log_is) -> None:
+    log.append("older")
+    if log_is == "truncated":
+        log.truncate()
+    log.down = log_is == "down"
+    host = new_host(log, "h1", 1)
+    host.submit("a")
+    assert host.kind("a") is None
+    host.settle()
+    if log_is == "up":
+        assert host.send("a")
+    else:
+        assert host.kind("a") == "claim_unavailable"
