Place tasks only where they fit; lend where workers show no free slots

Cause 1: admission checked that some worker is large enough, but placement then chose any. Unset, lending now follows what the workers of a service show; true and false force it as before.

--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -117,7 +117,8 @@
         order: Which queued job goes first.
         worker_cap: Most tasks that one host has outstanding on one worker.
         queue_tasks: Most tasks that one host keeps queued.
-        lending: Whether hosts lend each other idle slots.
+        lending: Whether hosts lend each other idle slots; unset, they do for
+            services whose workers show no free slots.
         beyond_share: Most tasks that one host sends to a worker beyond its share
             of the slots, and only while the worker shows that they are free.
         eject_fraction: Largest part of a service's workers ejected at a time.
@@ -128,7 +129,7 @@
     order: str = "fewest_tasks"
     worker_cap: int = 2
     queue_tasks: int = 20000
-    lending: bool = False
+    lending: bool | None = None
     beyond_share: int = 4
     eject_fraction: float = 0.3
     key_window_s: float = 600.0
--- a/packages/poplarhilld/src/poplarhilld/dispatch/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/admission.py
@@ -6,7 +6,7 @@
 from poplarhill.exceptions import ErrorKind, Failure
 from poplarhill.types import JobSpec
 from poplarhilld.limits import Backlog, Limits
-from poplarhilld.placement import Placement
+from poplarhilld.placement import Placement, fits
 
 _NOT_READY_RETRY_S = 1.0
 _SHUTDOWN_RETRY_S = 0.1
@@ -87,8 +87,5 @@
 
 
 def _fits(spec: JobSpec, placement: Placement) -> bool:
-    return any(
-        worker.cores >= spec.resources.cores
-        and worker.memory_mb >= spec.resources.memory_mb
-        for worker in placement.workers(spec.service)
-    )
+    workers = placement.workers(spec.service)
+    return any(fits(worker, spec.resources) for worker in workers)
--- a/packages/poplarhilld/src/poplarhilld/placement/pool.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/pool.py
@@ -34,6 +34,7 @@
     def __init__(self, data_centre: str) -> None:
         self._data_centre = data_centre
         self._specs: dict[str, WorkerSpec] = {}
+        self._shows_free_slots = False
         self._share: dict[str, int] = {}
         self._shown: dict[str, tuple[int, float]] = {}
         self._reports: deque[_Report] = deque()
@@ -58,6 +59,11 @@
         """Slots of this host's share of all workers together."""
         return self._total_share
 
+    @property
+    def shows_free_slots(self) -> bool:
+        """Whether a worker of the service has shown its free slots."""
+        return self._shows_free_slots
+
     @property
     def idle_slots(self) -> int:
         """Slots of the share that are not in use."""
@@ -107,6 +113,7 @@
         """
         if worker not in self._specs:
             return
+        self._shows_free_slots = True
         before = self.headroom(worker)
         shown = self._outstanding.get(worker, 0) + free_slots
         bound = self._share.get(worker, 0) + most_beyond
--- a/packages/poplarhilld/src/poplarhilld/placement/state.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/state.py
@@ -18,7 +18,7 @@
 from poplarhilld.placement.pool import WorkerPool
 from poplarhilld.placement.queue import JobQueue
 from poplarhilld.placement.shares import share_of
-from poplarhilld.placement.view import WorkerView
+from poplarhilld.placement.view import FittingView, WorkerView, fits
 
 _SWEEP_INTERVAL_S = 0.1
 _SLOWDOWN_LIMIT = 2.0
@@ -213,6 +213,8 @@
         spec = self._queue.first_of(service)
         if spec is None or not spec.idempotent:
             return None
+        if not fits(self._pool(service).specs[worker], spec.resources):
+            return None
         task = self._queue.take(service)
         self._pool(service).take(worker)
         return Placed(task, worker, (), "probe", self._queue.waiting_of(service))
@@ -223,9 +225,10 @@
         pool = self._pool(service)
         pool.expire(now)
         while waiting := self._queue.waiting_of(service):
-            candidates = draw(self._policy, pool, now, view, self._random)
+            fitting = self._fitting(service, view)
+            candidates = draw(self._policy, pool, now, fitting, self._random)
             if not candidates:
-                candidates = self._stranded(now, pool, view)
+                candidates = self._stranded(now, pool, fitting)
             if not candidates:
                 self._borrow(now, service, waiting)
                 return
@@ -238,6 +241,11 @@
                 Placed(task, chosen.worker, candidates, self._policy.name, waiting - 1)
             )
 
+    def _fitting(self, service: str, view: WorkerView) -> WorkerView:
+        """Return the view of the workers that fit the task that is next."""
+        resources = self._queue.first_of(service).resources
+        return FittingView(view, resources) if any(resources) else view
+
     def _stranded(
         self, now: float, pool: WorkerPool, view: WorkerView
     ) -> tuple[Candidate, ...]:
@@ -262,10 +270,16 @@
             self._allow_loan(loan, 1)
 
     def _borrow(self, now: float, service: str, waiting: int) -> None:
-        if self._defaults.lending and isinstance(self._policy, Shares):
+        if self._lends(service) and isinstance(self._policy, Shares):
             peers = self._hosts - {self._host}
             self._messages += self._lending.ask(now, service, waiting, peers)
 
+    def _lends(self, service: str) -> bool:
+        """Return whether to ask for slots: by default where workers show none."""
+        if self._defaults.lending is not None:
+            return self._defaults.lending
+        return not self._pool(service).shows_free_slots
+
     def _lend(self, now: float, peer: str, request: SlotRequest) -> None:
         """Lend what is idle, and say nothing when nothing is."""
         pool = self._pools.get(request.service)
--- a/packages/poplarhilld/src/poplarhilld/placement/view.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/view.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from poplarhill.types import WorkerSpec
+from poplarhill.types import Resources, WorkerSpec
 
 
 class WorkerView(Protocol):
@@ -25,3 +25,29 @@
     def slowdown(self, worker: str) -> float:
         """Return how slow a worker runs against its service; 1 is normal."""
         return 1.0
+
+
+class FittingView:
+    """A view of the workers that are large enough for a task.
+
+    Args:
+        inner: The view that holds otherwise.
+        resources: What the task declares that it needs.
+    """
+
+    def __init__(self, inner: WorkerView, resources: Resources) -> None:
+        self._inner = inner
+        self._resources = resources
+
+    def may_use(self, now: float, worker: WorkerSpec) -> bool:
+        """Return whether new tasks may go to a worker."""
+        return fits(worker, self._resources) and self._inner.may_use(now, worker)
+
+    def slowdown(self, worker: str) -> float:
+        """Return how slow a worker runs against its service; 1 is normal."""
+        return self._inner.slowdown(worker)
+
+
+def fits(worker: WorkerSpec, resources: Resources) -> bool:
+    """Return whether a worker is large enough for a task."""
+    return worker.cores >= resources.cores and worker.memory_mb >= resources.memory_mb
--- a/packages/poplarhilld/tests/placement/test_lending.py
+++ b/packages/poplarhilld/tests/placement/test_lending.py
@@ -155,3 +155,22 @@
             held = [p.share(worker) for p in exchange.hosts.values()]
             assert sum(held) <= 4
             assert min(held) >= 0
+
+
+@pytest.mark.parametrize(
+    ("defaults", "shown", "asks"),
+    [
+        ({}, False, True),
+        ({}, True, False),
+        ({"lending": True}, True, True),
+        ({"lending": False}, False, False),
+    ],
+)
+def test_hosts_ask_for_slots_where_workers_show_none(
+    make_placement, make_job, view, defaults, shown, asks
+) -> None:
+    holder = make_placement("h1", ("h1", "h2"), **defaults)
+    holder.note_free_slots(0.0, WORKERS[0], 0 if shown else None)
+    holder.enqueue(0.0, make_job("j", 160))
+    holder.place(0.0, view)
+    assert bool(holder.take_messages()) is asks
--- a/packages/poplarhilld/tests/placement/test_recorded.py
+++ b/packages/poplarhilld/tests/placement/test_recorded.py
@@ -42,7 +42,7 @@
 def test_a_recorded_log_gives_the_same_decisions(
     make_placement, make_job, view, path
 ) -> None:
-    placement = make_placement()
+    placement = make_placement(lending=False)
     recorded = path.read_text(encoding="utf-8").splitlines()
     replayed = []
     for line in recorded:
