Bound the expected wait in a host's queue

Cause: admission refused only what would miss its deadline, so an overload left tens of seconds of work queued, and jobs came back to normal not within 20 s after it (docs/MEASUREMENTS.md, overload). The bound is a setting, 5 s unless set. Its effect is not measured yet.

--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -42,6 +42,7 @@
     "order": {"enum": ["first_come", "fewest_tasks"]},
     "worker_cap": _COUNT,
     "queue_tasks": _COUNT,
+    "queue_wait_s": _POSITIVE,
     "lending": {"type": "boolean"},
     "beyond_share": {"type": "integer", "minimum": 0},
     "eject_fraction": {"type": "number", "minimum": 0, "maximum": 1},
@@ -117,6 +118,8 @@
         order: Which queued job goes first.
         worker_cap: Most tasks that one host has outstanding on one worker.
         queue_tasks: Most tasks that one host keeps queued.
+        queue_wait_s: Longest expected wait in a host's queue, s; a job that
+            would wait longer is refused.
         lending: Whether hosts lend each other idle slots; unset, they do for
             services whose workers show no free slots.
         beyond_share: Most tasks that one host sends to a worker beyond its share
@@ -129,6 +132,7 @@
     order: str = "fewest_tasks"
     worker_cap: int = 2
     queue_tasks: int = 20000
+    queue_wait_s: float = 5.0
     lending: bool | None = None
     beyond_share: int = 4
     eject_fraction: float = 0.3
--- a/packages/poplarhilld/src/poplarhilld/limits/state.py
+++ b/packages/poplarhilld/src/poplarhilld/limits/state.py
@@ -55,6 +55,7 @@
         failure = (
             self._over_quota(spec, backlog)
             or self._over_queue(spec, backlog)
+            or self._over_wait(spec, backlog)
             or self._too_late(now, spec, backlog)
         )
         if failure is None:
@@ -88,6 +89,13 @@
         detail = f"{backlog.tasks_queued} tasks queued of {most} allowed"
         return _refuse(ErrorKind.OVERLOADED, detail, spec, backlog.wait_s())
 
+    def _over_wait(self, spec: JobSpec, backlog: Backlog) -> Failure | None:
+        excess_s = backlog.wait_s() - self._configuration.defaults.queue_wait_s
+        if excess_s <= 0:
+            return None
+        detail = f"the wait is expected to be {backlog.wait_s():.3f} s"
+        return _refuse(ErrorKind.OVERLOADED, detail, spec, excess_s)
+
     def _too_late(self, now: float, spec: JobSpec, backlog: Backlog) -> Failure | None:
         response_s = backlog.response_s(len(spec.tasks))
         excess_s = now + response_s - spec.deadline
--- a/packages/poplarhilld/tests/limits/test_admission.py
+++ b/packages/poplarhilld/tests/limits/test_admission.py
@@ -11,8 +11,10 @@
 IDLE = Backlog(tasks_queued=0, tasks_ahead=0, slots=24, run_time_s=0.25)
 
 
-def job(tasks: int, job_id: str = "j", customer: str = "kelani") -> JobSpec:
-    return JobSpec(job_id, "verdict", customer, (b"",) * tasks, deadline=1.0)
+def job(
+    tasks: int, job_id: str = "j", customer: str = "kelani", deadline: float = 1.0
+) -> JobSpec:
+    return JobSpec(job_id, "verdict", customer, (b"",) * tasks, deadline)
 
 
 @pytest.fixture
@@ -62,6 +64,13 @@
         assert failure.retry_after_s > 0
 
 
+@pytest.mark.parametrize(("ahead", "refused"), [(480, False), (481, True)])
+def test_a_queue_longer_than_is_set_takes_no_job(limits, ahead, refused) -> None:
+    backlog = IDLE._replace(tasks_ahead=ahead)
+    failure = limits.admit(0.0, job(1, deadline=60.0), backlog)
+    assert bool(failure) is refused
+
+
 def test_returns_of_refused_jobs_are_spread(limits) -> None:
     full = IDLE._replace(tasks_queued=1000, tasks_ahead=1200)
     times = [
