Take the log down only after a host has read of the drain

Cause of the listed red test (freeze_host+platform_down): the platform went down at a set time, on a loaded machine before any host had read of the drain. The bound holds while the log or an informed peer can be reached, so nothing could meet it. Shown by a trial: with the platform down right after the drain was accepted, the checker names 28 tasks sent to the worker up to the next read; the traces show both hosts at the old version meanwhile. Ruled out: the frozen host, which is the one that the test is about. The test now waits until h1 has the drain in force and then takes the log down: the frozen host can learn of it from h1 alone. Left: an operator whose drain is accepted by a log that then goes down before any poll is not warned; publish could tell an entry host to read at once.

--- a/packages/poplarhill-dev/src/poplarhill_dev/experiment/faults.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/experiment/faults.py
@@ -63,6 +63,8 @@
             )
         case "drain":
             return lambda: fleet.drain(target), lambda: None
+        case "informed":
+            return lambda: fleet.wait_informed(target), lambda: None
         case "cut":
             cut = Cut(target, fault.direction)
             return lambda: fleet.cut([cut]), lambda: fleet.cut([])
--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -21,6 +21,7 @@
 from poplarhill_dev.loopback import free_port as free_port
 from poplarhill_dev.loopback import get_page as get_page
 from poplarhill_dev.loopback import get_status as get_status
+from poplarhill_dev.loopback import get_version as get_version
 from poplarhill_dev.loopback import put_json as put_json
 from poplarhill_dev.loopback import wait_until as wait_until
 from poplarhill_dev.relay_plan import Cut, RelayPlan, Route
@@ -287,6 +288,12 @@
         self.operate("worker", "drain", worker, "--reason", "its rack is replaced")
         self._leaving[worker] = time.monotonic()
 
+    def wait_informed(self, host: str) -> None:
+        """Wait until a daemon has the newest configuration in the log in force."""
+        newest = int(self.operate("config", "show").stderr.split()[-1])
+        port = self.process(host).port
+        wait_until(lambda: get_version(port) >= newest, f"{host} informed")
+
     def wait_listening(self) -> None:
         """Wait until every process can be reached."""
         for process in self._processes.values():
--- a/packages/poplarhill-dev/src/poplarhill_dev/loopback.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/loopback.py
@@ -89,3 +89,8 @@
     except OSError:
         return False
     return True
+
+
+def get_version(port: int) -> int:
+    """Return the version of the configuration in force on a daemon."""
+    return json.loads(get_page(port, "/v1/status"))["configuration_version"]
--- a/packages/poplarhill-dev/src/poplarhill_dev/spread.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/spread.py
@@ -24,6 +24,7 @@
     data_centre,
     free_port,
     get_page,
+    get_version,
     wait_until,
 )
 
@@ -119,11 +120,6 @@
         )
 
 
-def get_version(port: int) -> int:
-    """Return the version in force on a daemon."""
-    return json.loads(get_page(port, "/v1/status"))["configuration_version"]
-
-
 def _measure(fleet: Fleet, changes: int, calm_s: float) -> Spread:
     random = Random(1)
     begin = _messages(fleet)
