--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -24,6 +24,7 @@
     "connections": _COUNT,
     "cores": _POSITIVE,
     "memory_mb": _COUNT,
+    "accelerators": {"type": "integer", "minimum": 0},
     "rack": {"type": "string"},
     "data_centre": {"type": "string"},
     "draining": {"type": "boolean"},
--- a/packages/poplarhill/src/poplarhill/types.py
+++ b/packages/poplarhill/src/poplarhill/types.py
@@ -26,10 +26,12 @@
     Attributes:
         cores: Processor cores.
         memory_mb: Memory in megabytes.
+        accelerators: Accelerators.
     """
 
     cores: float = 0.0
     memory_mb: int = 0
+    accelerators: int = 0
 
 
 class JobSpec(NamedTuple):
@@ -70,6 +72,7 @@
         connections: Connections it accepts from all entry hosts together.
         cores: Processor cores.
         memory_mb: Memory in megabytes.
+        accelerators: Accelerators.
         rack: Rack it stands in.
         data_centre: Data centre it stands in.
         draining: Whether it gets no new work.
@@ -83,6 +86,7 @@
     connections: int = 64
     cores: float = 16.0
     memory_mb: int = 32768
+    accelerators: int = 0
     rack: str = ""
     data_centre: str = ""
     draining: bool = False
--- a/packages/poplarhilld/src/poplarhilld/api/requests.py
+++ b/packages/poplarhilld/src/poplarhilld/api/requests.py
@@ -17,7 +17,7 @@
 _Timeout = Annotated[float, msgspec.Meta(le=_MAX_TIMEOUT_S)]
 _Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9._-]{1,64}$")]
 _NotNegative = Annotated[float, msgspec.Meta(ge=0)]
-_Megabytes = Annotated[int, msgspec.Meta(ge=0)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class JobRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -30,6 +30,7 @@
         idempotent: Whether running it again does no harm.
         cores: Processor cores that each task needs.
         memory_mb: Memory that each task needs, MB.
+        accelerators: Accelerators that each task needs.
         run_time_s: Expected run time of a task, s.
     """
 
@@ -38,7 +39,8 @@
     customer: _Name = "default"
     idempotent: bool = True
     cores: _NotNegative = 0.0
-    memory_mb: _Megabytes = 0
+    memory_mb: _Count = 0
+    accelerators: _Count = 0
     run_time_s: _NotNegative | None = None
 
 
@@ -78,7 +80,7 @@
             deadline=now + request.timeout_s,
             idempotent=request.idempotent,
             key=key,
-            resources=Resources(request.cores, request.memory_mb),
+            resources=Resources(request.cores, request.memory_mb, request.accelerators),
             run_time_s=request.run_time_s,
         )
     )
--- a/packages/poplarhilld/src/poplarhilld/placement/view.py
+++ b/packages/poplarhilld/src/poplarhilld/placement/view.py
@@ -50,4 +50,8 @@
 
 def fits(worker: WorkerSpec, resources: Resources) -> bool:
     """Return whether a worker is large enough for a task."""
-    return worker.cores >= resources.cores and worker.memory_mb >= resources.memory_mb
+    return (
+        worker.cores >= resources.cores
+        and worker.memory_mb >= resources.memory_mb
+        and worker.accelerators >= resources.accelerators
+    )
--- a/packages/poplarhilld/tests/placement/test_resources.py
+++ b/packages/poplarhilld/tests/placement/test_resources.py
@@ -9,8 +9,8 @@
 from poplarhilld.placement import EveryWorker, Placement
 
 
-def job(cores: float, memory_mb: int, tasks: int = 1) -> JobSpec:
-    resources = Resources(cores, memory_mb)
+def job(*needs: float, tasks: int = 1) -> JobSpec:
+    resources = Resources(*needs)
     return JobSpec("j", "a", "c", (b"",) * tasks, 9.0, resources=resources)
 
 
@@ -20,7 +20,7 @@
     workers = {
         "small": {**address, "cores": 2, "memory_mb": 1000},
         "wide": {**address, "cores": 16, "memory_mb": 1000},
-        "large": {**address, "cores": 16, "memory_mb": 64000},
+        "large": {**address, "cores": 16, "memory_mb": 64000, "accelerators": 1},
     }
     document = {"services": {"a": {"workers": workers}}}
     return Placement(Configuration.from_document(1, document), Random(1), "h1")
@@ -33,6 +33,7 @@
         ((2, 1000), {"small", "wide", "large"}),
         ((3, 0), {"wide", "large"}),
         ((0, 1001), {"large"}),
+        ((0, 0, 1), {"large"}),
     ],
 )
 def test_tasks_use_every_worker_that_fits_and_no_other(
