--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -2,8 +2,6 @@
 
 from random import Random
 
-from sortedcontainers import SortedSet
-
 from poplarhill.configuration import Configuration, Defaults
 from poplarhill.exceptions import Failure
 from poplarhill.status import HostStatus
@@ -21,11 +19,8 @@
 from poplarhilld.claims.messages import Output as ClaimOutput
 from poplarhilld.claims.state import ClaimState
 from poplarhilld.configuration.messages import (
-    AppendRecord,
     LogRead,
     Output,
-    ReadLog,
-    ToPeer,
 )
 from poplarhilld.configuration.state import ConfigurationState
 from poplarhilld.dispatch.actions import (
@@ -52,6 +47,7 @@
     TaskUnsent,
     Ticked,
 )
+from poplarhilld.dispatch.following import to_actions
 from poplarhilld.dispatch.hosts import EntryHosts, Load
 from poplarhilld.dispatch.identity import Identity
 from poplarhilld.dispatch.workers import Workers
@@ -64,7 +60,7 @@
     SendTable,
 )
 from poplarhilld.jobs.retries import MAX_TRIES
-from poplarhilld.jobs.state import cancellation, exhaustion, expiry, lapse
+from poplarhilld.jobs.state import cancellation, exhaustion
 from poplarhilld.limits import refused
 from poplarhilld.placement import Placed, Placement
 
@@ -92,7 +88,6 @@
         )
         self._jobs = JobTable()
         self._sends = SendTable()
-        self._deadlines: SortedSet = SortedSet()
         self._placement: Placement | None = None
         self._workers: Workers | None = None
         self._admission = Admission(run_time_s=self._run_time_s)
@@ -128,11 +123,6 @@
         """Count of workers that get no work but single probes."""
         return len(self._workers.health.ejected) if self._workers else 0
 
-    @property
-    def next_deadline(self) -> float | None:
-        """The earliest deadline of a job in flight, s."""
-        return self._deadlines[0][0] if self._deadlines else None
-
     @property
     def _version(self) -> int:
         return self._configuration.version if self._configuration else 0
@@ -223,7 +213,6 @@
             actions.append(AnswerJob(spec.job_id, refusal))
             return
         self._jobs.add(spec)
-        self._deadlines.add((spec.deadline, spec.job_id))
         if needs_claim(spec):
             self._claim(now, self._claims.request(now, spec), actions)
         else:
@@ -236,7 +225,8 @@
         for output in outputs:
             match output:
                 case Won(job_id, send_by):
-                    self._start_claimed(now, job_id, send_by)
+                    job = self._jobs.limit_sends(job_id, send_by)
+                    self._placement.enqueue(now, job.spec)
                 case Joined(job_id):
                     self._jobs.get(job_id).mark_joined()
                 case Ended(job_id, outcome):
@@ -246,13 +236,6 @@
                 case request:
                     actions.append(request)
 
-    def _start_claimed(self, now: float, job_id: str, send_by: float) -> None:
-        job = self._jobs.get(job_id)
-        if send_by < job.send_by:
-            job.send_by = send_by
-            self._deadlines.add((send_by, job_id))
-        self._placement.enqueue(now, job.spec)
-
     def _cancel(self, now: float, job_id: str, actions: list[Action]) -> None:
         job = self._jobs.get(job_id)
         if job is not None:
@@ -300,14 +283,7 @@
 
     def _follow(self, outputs: list[Output], actions: list[Action]) -> None:
         """Carry out what the configuration slice decided."""
-        for output in outputs:
-            match output:
-                case ToPeer(peer, message):
-                    actions.append(SendFrame(peer, message))
-                case ReadLog() | AppendRecord():
-                    actions.append(output)
-                case decision:
-                    actions.append(LogDecision(decision))
+        actions += to_actions(outputs)
         if self._following.configuration is not None:
             self._configure(self._following.configuration)
 
@@ -346,13 +322,8 @@
         )
 
     def _expire(self, now: float, actions: list[Action]) -> None:
-        while self._deadlines and self._deadlines[0][0] <= now:
-            _, job_id = self._deadlines.pop(0)
-            job = self._jobs.get(job_id)
-            if job.spec.deadline <= now:
-                self._end(now, job_id, expiry(job), actions)
-            elif job.has_queued:
-                self._end(now, job_id, lapse(job), actions)
+        for job, failure in self._jobs.overdue(now):
+            self._end(now, job.spec.job_id, failure, actions)
 
     def _end(
         self, now: float, job_id: str, outcome: JobOutcome, actions: list[Action]
@@ -362,8 +333,6 @@
         if job is None:
             return
         self._admission.release(job.spec)
-        self._deadlines.discard((job.spec.deadline, job_id))
-        self._deadlines.discard((job.send_by, job_id))
         self._placement.discard(job_id)
         for task, worker in job.running:
             spec = self._configuration.workers.get(worker)
--- a/packages/poplarhilld/src/poplarhilld/jobs/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/jobs/__init__.py
@@ -7,5 +7,5 @@
 from poplarhilld.jobs.sends import Send as Send
 from poplarhilld.jobs.sends import SendTable as SendTable
 from poplarhilld.jobs.state import Job as Job
-from poplarhilld.jobs.state import JobTable as JobTable
 from poplarhilld.jobs.state import TaskState as TaskState
+from poplarhilld.jobs.table import JobTable as JobTable
--- a/packages/poplarhilld/src/poplarhilld/jobs/state.py
+++ b/packages/poplarhilld/src/poplarhilld/jobs/state.py
@@ -10,7 +10,7 @@
 
 from poplarhill.exceptions import ErrorKind, Failure, RunState
 from poplarhill.types import JobSpec, TaskId
-from poplarhilld.jobs.messages import Completed, JobOutcome
+from poplarhilld.jobs.messages import Completed
 from poplarhilld.jobs.retries import MAX_TRIES
 
 _EXHAUSTED_RETRY_S = 1.0
@@ -114,41 +114,6 @@
         return Completed(tuple(self._results))
 
 
-class JobTable:
-    """The jobs in flight on this host."""
-
-    def __init__(self) -> None:
-        self._jobs: dict[str, Job] = {}
-
-    def __len__(self) -> int:
-        return len(self._jobs)
-
-    def __contains__(self, job_id: str) -> bool:
-        return job_id in self._jobs
-
-    def get(self, job_id: str) -> Job | None:
-        """Return a job in flight."""
-        return self._jobs.get(job_id)
-
-    def add(self, spec: JobSpec) -> Job:
-        """Take a job in."""
-        job = Job(spec)
-        self._jobs[spec.job_id] = job
-        return job
-
-    def pop(self, job_id: str) -> Job | None:
-        """Take a job out, whatever its state."""
-        return self._jobs.pop(job_id, None)
-
-    def finish_task(self, task: TaskId, result: bytes) -> JobOutcome | None:
-        """Note a task's result; return the job's outcome if that was the last."""
-        job = self._jobs.get(task.job)
-        if job is None:
-            return None
-        job.mark_done(task.index, result)
-        return job.completed()
-
-
 def expiry(job: Job) -> Failure:
     """Return the failure of a job whose deadline has passed."""
     if job.run_state is RunState.NOT_RUN:
