Look at the clock right before the first byte of a task

The link looked at the clock, then set a time-out and encoded the request, some 200 us, and wrote: a freeze in between let the task out with the view of before. Ruled out: the freshness gate (the placement was older than the freeze), the isolated state (its second had not passed). Red before: test_nothing_leaves_after_a_pause_behind_any_look_at_the_clock[1, 2]. The look is now between the encoding and the write. What stays is a freeze between that look and the system call; only the worker could judge that.

--- a/packages/poplarhill/src/poplarhill/http/client.py
+++ b/packages/poplarhill/src/poplarhill/http/client.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 import curio
@@ -109,14 +109,23 @@
         with contextlib.suppress(OSError):
             self._sock._socket.shutdown(socket.SHUT_RDWR)
 
-    async def exchange(self, request: Request) -> Response:
+    async def exchange(
+        self, request: Request, may_send: Callable[[], bool] | None = None
+    ) -> Response:
         """Send a request and return the whole response.
 
+        Args:
+            request: The request.
+            may_send: Asked right before the first byte is written.
+
         Raises:
-            ConnectionLostError: The connection ended first.
+            ConnectionLostError: The connection ended first, or the request was
+                held back by `may_send`, which leaves the connection of no use.
             InvalidResponseError: The response breaks the protocol or a limit.
         """
         data = self._encode(request)
+        if may_send is not None and not may_send():
+            raise ConnectionLostError("held back", sent=False)
         try:
             await self._sock.sendall(data)
             return await self._receive()
--- a/packages/poplarhilld/src/poplarhilld/workers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/link.py
@@ -107,10 +107,15 @@
         request = _task_request(action, timeout_s)
         try:
             response = await curio.timeout_after(
-                timeout_s + _STOP_TIMEOUT_S, connection.exchange, request
+                timeout_s + _STOP_TIMEOUT_S,
+                connection.exchange,
+                request,
+                lambda: self._clock() < action.send_by,
             )
         except ConnectionLostError as error:
             await self._pool.discard(connection)
+            if not error.sent:
+                return self._unsent(action, "too late", by_worker=False)
             return self._lost(action, ErrorKind.WORKER_LOST, str(error))
         except (InvalidResponseError, curio.TaskTimeout) as error:
             await self._pool.discard(connection)
--- a/packages/poplarhilld/tests/workers/test_send_rule.py
+++ b/packages/poplarhilld/tests/workers/test_send_rule.py
@@ -6,8 +6,10 @@
 import curio
 import pytest
 
-from poplarhill import ErrorKind
+from poplarhill import ErrorKind, TaskId, WorkerSpec
+from poplarhilld.dispatch.actions import SendTask
 from poplarhilld.dispatch.events import TaskLost, TaskSucceeded, TaskUnsent
+from poplarhilld.workers import WorkerLinks
 
 OK = "HTTP/1.1 200 OK\r\ntask-id: {task}\r\n"
 
@@ -164,6 +166,24 @@
     assert requests == []
 
 
+@pytest.mark.parametrize("looks", [0, 1, 2])
+def test_nothing_leaves_after_a_pause_behind_any_look_at_the_clock(
+    run_with, looks
+) -> None:
+    times = iter([0.0] * looks)
+    links = WorkerLinks(lambda: next(times, 60.0), 8, lambda reason: None)
+
+    async def body(worker):
+        spec = WorkerSpec("w1", "booking", "127.0.0.1", worker.port)
+        action = SendTask(TaskId("j", 0), spec, b"x", deadline=99.0, send_by=1.0)
+        return await links.send(action), worker.requests
+
+    event, requests = run_with(refuse, body)
+    assert isinstance(event, TaskUnsent)
+    assert not event.by_worker
+    assert requests == []
+
+
 def test_an_error_of_our_own_is_reported_as_internal(run_with, bench) -> None:
     async def body(worker):
         return await bench.send(worker.port, body="not bytes")
