--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -40,6 +40,7 @@
 from poplarhilld.metrics import Metrics
 from poplarhilld.peers import PeerLinks
 from poplarhilld.peers.codec import Envelope
+from poplarhilld.peers.messages import Message
 from poplarhilld.settings import Address, Settings
 from poplarhilld.signals import SignalWaiter
 from poplarhilld.supervisor import Supervisor
@@ -209,30 +210,35 @@
                 self._metrics.messages.labels("stop").inc()
                 await curio.spawn(self._links.stop, task, worker, daemon=True)
             case SendFrame(peer, message):
-                kind = type(message).__name__
-                self._metrics.messages.labels(kind).inc()
-                address = self._dispatcher.hosts.address(peer)
-                if address is not None:
-                    await self._peers.send(address, message)
+                await self._send_frame(peer, message)
             case ReadLog() | AppendRecord():
-                kind = type(action).__name__
-                self._metrics.messages.labels(kind).inc()
+                self._count(action)
                 await self._reader.perform(action)
-            case AppendClaims() | ReadClaims() | WakeClaims():
-                if not isinstance(action, WakeClaims):
-                    kind = type(action).__name__
-                    self._metrics.messages.labels(kind).inc()
+            case AppendClaims() | ReadClaims():
+                self._count(action)
+                await self._claim_loop.perform(action)
+            case WakeClaims():
                 await self._claim_loop.perform(action)
             case ReadLogNow():
                 await self._reader.hurry()
             case ReadHosts():
-                self._metrics.messages.labels("ReadHosts").inc()
+                self._count(action)
                 await curio.spawn(self._read_hosts, daemon=True)
             case AnswerJob(job_id, outcome):
                 await self._give_answer(job_id, outcome)
             case LogDecision(decision):
                 _log.info(type(decision).__name__, **decision._asdict())
 
+    def _count(self, message: Message | Action) -> None:
+        """Count a message beyond those of tasks and jobs."""
+        self._metrics.messages.labels(type(message).__name__).inc()
+
+    async def _send_frame(self, peer: str, message: Message) -> None:
+        self._count(message)
+        address = self._dispatcher.hosts.address(peer)
+        if address is not None:
+            await self._peers.send(address, message)
+
     async def _read_hosts(self) -> None:
         asked_at = self._clock()
         await self._post(HostsRead(asked_at, await self._platform.hosts()))
