Deal slots and peers anew only when the live hosts change

Cause: each event built the names of the live hosts and handed them to placement, admission and configuration. Ruled out: the draw of candidates, which is the larger part of what stays. The figures of docs/CAPACITY.md are from before.

--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -92,6 +92,7 @@
         self._workers: Workers | None = None
         self._admission = Admission(run_time_s=self._run_time_s)
         self._hosts = EntryHosts(identity, random)
+        self._live: tuple[str, ...] = ()
 
     @property
     def configuration(self) -> Configuration | None:
@@ -200,6 +201,9 @@
     def _note_live(self) -> None:
         """Deal slots and news among the hosts that are live now."""
         live = self._hosts.presumed
+        if live == self._live:
+            return
+        self._live = live
         self._admission.set_hosts(len(live))
         if self._placement is not None:
             self._placement.set_hosts(live)
@@ -303,6 +307,7 @@
                 self._hosts.presumed,
             )
             self._workers = Workers(configuration, self._hosts)
+            self._live = ()
         else:
             self._placement.configure(configuration)
             self._workers.configure(configuration)
