--- a/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/golden/session.py
@@ -36,6 +36,7 @@
     Truncated,
     Unavailable,
 )
+from poplarhill.types import Address
 from poplarhill_dev.golden.render import render
 from poplarhilld.configuration.messages import AppendRecord, LogRead, ReadLog
 from poplarhilld.dispatch import Dispatcher, Identity
@@ -54,7 +55,6 @@
 )
 from poplarhilld.freshness import HostsRead
 from poplarhilld.peers import messages
-from poplarhilld.settings import Address
 
 _SEED = 1
 _SERVICE = "booking"
--- a/packages/poplarhill-dev/src/poplarhill_dev/slopes/pure.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/slopes/pure.py
@@ -14,7 +14,7 @@
     encode_record,
 )
 from poplarhill.platform import Record
-from poplarhill.types import JobSpec
+from poplarhill.types import Address, JobSpec
 from poplarhill_dev.slopes.fit import (
     Point,
     Slope,
@@ -32,7 +32,6 @@
 )
 from poplarhilld.peers import Heartbeat, MemberState
 from poplarhilld.peers.codec import Envelope, decode, encode
-from poplarhilld.settings import Address
 
 _JOB_SIZES = (1, 16, 64, 160)
 _WORKER_COUNTS = (24, 240, 2400, 21000)
--- a/packages/poplarhill-dev/tests/failures/test_membership_under_failure.py
+++ b/packages/poplarhill-dev/tests/failures/test_membership_under_failure.py
@@ -10,7 +10,7 @@
 from poplarhill_dev.experiment.workload import PlannedJob
 from poplarhill_dev.fleet import Fleet, get_page, put_json, wait_until
 from poplarhill_dev.trace import check, record
-from poplarhilld.health.failures import FEWEST_JOBS
+from poplarhilld.outliers.failures import FEWEST_JOBS
 
 HOSTS = ("h1", "h2", "h3")
 FROZEN = HOSTS.index("h3")
--- a/packages/poplarhill/src/poplarhill/types.py
+++ b/packages/poplarhill/src/poplarhill/types.py
@@ -5,6 +5,18 @@
 MAX_TASKS_PER_JOB = 160
 
 
+class Address(NamedTuple):
+    """Where a process listens.
+
+    Attributes:
+        host: IP address.
+        port: TCP port.
+    """
+
+    host: str
+    port: int
+
+
 class TaskId(NamedTuple):
     """One task of one submission.
 
--- a/packages/poplarhilld/src/poplarhilld/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/__init__.py
@@ -1,4 +1,6 @@
-"""Entry host daemon of the poplarhill dispatcher."""
+"""Entry host daemon of the poplarhill dispatcher.
 
-from poplarhilld.dispatch import Dispatcher as Dispatcher
-from poplarhilld.settings import Settings as Settings
+The daemon is `poplarhilld.daemon.Daemon`, its decisions are
+`poplarhilld.dispatch.Dispatcher`. Nothing is imported here: hosts restart often,
+and each of the two kinds of entry host loads only its own slices.
+"""
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/catalogue/__init__.py
@@ -0,0 +1,6 @@
+"""What the operators and the workers say: routes, services, workers."""
+
+from poplarhilld.catalogue.messages import Catalogue as Catalogue
+from poplarhilld.catalogue.messages import Route as Route
+from poplarhilld.catalogue.messages import WorkerEntry as WorkerEntry
+from poplarhilld.catalogue.registry import Registry as Registry
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -12,7 +12,7 @@
 from poplarhill.http import HttpServer
 from poplarhill.platform import HttpPlatform
 from poplarhill.status import HostStatus
-from poplarhill.types import JobSpec
+from poplarhill.types import Address, JobSpec
 from poplarhilld.api import Api
 from poplarhilld.claims import AppendClaims, ClaimLoop, ReadClaims, WakeClaims
 from poplarhilld.configuration import AppendRecord, ConfigurationReader, ReadLog
@@ -41,7 +41,7 @@
 from poplarhilld.peers import PeerLinks
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.peers.messages import Message
-from poplarhilld.settings import Address, Settings
+from poplarhilld.settings import Settings
 from poplarhilld.signals import SignalWaiter
 from poplarhilld.supervisor import Supervisor
 from poplarhilld.workers import WorkerLinks
--- a/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/actions.py
@@ -1,11 +1,11 @@
 """Actions that the dispatcher asks of its process."""
 
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from poplarhill.types import TaskId, WorkerSpec
 from poplarhilld.claims.messages import ClaimRequest
 from poplarhilld.configuration.messages import AppendRecord, ReadLog
+from poplarhilld.decisions import LogDecision
 from poplarhilld.freshness.messages import ReadHosts, ReadLogNow
 from poplarhilld.jobs import JobOutcome
 from poplarhilld.peers.messages import Message
@@ -48,18 +48,6 @@
     outcome: JobOutcome
 
 
-@dataclass(frozen=True)
-class LogDecision:
-    """Write the log line of a decision.
-
-    Attributes:
-        decision: A named tuple; its type names the line, its fields are the
-            inputs and the choice, enough to replay the decision.
-    """
-
-    decision: NamedTuple
-
-
 @dataclass(frozen=True)
 class SendFrame:
     """Send a frame to another entry host, best effort."""
--- a/packages/poplarhilld/src/poplarhilld/dispatch/events.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/events.py
@@ -4,12 +4,11 @@
 
 from poplarhill.configuration import Configuration
 from poplarhill.exceptions import ErrorKind
-from poplarhill.types import JobSpec, TaskId
+from poplarhill.types import Address, JobSpec, TaskId
 from poplarhilld.claims.messages import ClaimsAppended, ClaimsDue, ClaimsRead
 from poplarhilld.configuration.messages import LogRead
 from poplarhilld.freshness.messages import HostsRead
 from poplarhilld.peers.messages import Message
-from poplarhilld.settings import Address
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/dispatch/hosts.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/hosts.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import NamedTuple
 
+from poplarhill.types import Address
 from poplarhilld.dispatch.actions import Action, LogDecision, SendFrame
 from poplarhilld.dispatch.identity import Identity
 from poplarhilld.freshness import (
@@ -26,7 +27,6 @@
 )
 from poplarhilld.peers.messages import Message, Suspicion
 from poplarhilld.placement import WorkerView
-from poplarhilld.settings import Address
 
 
 class Load(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/dispatch/identity.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/identity.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from poplarhilld.settings import Address, Settings
+from poplarhill.types import Address
+from poplarhilld.settings import Settings
 
 
 class Identity(NamedTuple):
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/entry/__init__.py
@@ -0,0 +1,6 @@
+"""The process of an entry host whose workers grant leases."""
+
+from poplarhilld.entry.host import EntryHost as EntryHost
+from poplarhilld.entry.ports import Directory as Directory
+from poplarhilld.entry.ports import WorkerPort as WorkerPort
+from poplarhilld.entry.settings import EntrySettings as EntrySettings
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -0,0 +1,499 @@
+"""The process of an entry host: runs its decisions on one loop."""
+
+import signal
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
+
+import curio
+import structlog
+
+from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.http import HttpServer, Request, Response, json_response
+from poplarhill.types import Address
+from poplarhilld.catalogue import Catalogue, Registry, Route
+from poplarhilld.decisions import LogDecision
+from poplarhilld.entry.logs import LogBuffer
+from poplarhilld.entry.metrics import EntryMetrics
+from poplarhilld.entry.ports import Directory, UnavailableError, WorkerPort
+from poplarhilld.entry.settings import EntrySettings
+from poplarhilld.leading import (
+    Leader,
+    LookAtWorker,
+    RenewLease,
+    ReportJob,
+    StartRun,
+    StopRun,
+)
+from poplarhilld.leases import LeaseReply, TokenSource
+from poplarhilld.peers import PeerLinks
+from poplarhilld.peers.codec import Envelope
+from poplarhilld.peers.messages import (
+    Beat,
+    Claim,
+    JobEnded,
+    JobProgress,
+    JobWithdrawn,
+    Message,
+    OfferedJob,
+)
+from poplarhilld.shards import HostLost, Hosts, Self, SendBeat, partition
+from poplarhilld.signals import SignalWaiter
+from poplarhilld.submissions import (
+    AnswerCaller,
+    OfferToLeader,
+    ShardView,
+    Submission,
+    Submissions,
+    WithdrawFromLeader,
+)
+from poplarhilld.supervisor import Supervisor
+
+_TICK_S = 0.05  # a third of a heartbeat
+_LEADER_REFRESH_S = 0.7  # a draining worker is seen well within 2 s
+_REFRESH_S = 2.0  # a host that leads nothing needs the list for a takeover only
+_HOSTS_REFRESH_S = 5.0  # heartbeats carry addresses; the store helps strangers
+_STORE_RETRY_S = 0.3  # eight hosts stay far below the store's rates
+_TEND_S = 5.0  # an idle connection costs a descriptor
+_EXIT_MARGIN_S = 1.0  # leaves time to write the last lines
+_HTTP_OK = 200
+_HTTP_UNAVAILABLE = 503
+_log = structlog.get_logger()
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class EntryHost:
+    """One entry host.
+
+    Args:
+        settings: Settings of the process.
+        workers: How workers are told.
+        directory: What the platform's store knows.
+        logs: Where log lines wait.
+        metrics: Counters of this process.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        workers: WorkerPort,
+        directory: Directory,
+        logs: LogBuffer,
+        metrics: EntryMetrics,
+    ) -> None:
+        self._settings = settings
+        self._ports = workers
+        self._directory = directory
+        self._logs = logs
+        self._metrics = metrics
+        self._tokens = TokenSource(settings.peers)
+        now = uptime()
+        incarnation = round(time.time() * 1000)
+        me = Self(
+            settings.name,
+            settings.peers,
+            settings.data_centre,
+            incarnation,
+            settings.cores,
+        )
+        self._hosts = Hosts(me, settings.seeds, self._tokens, now)
+        self._catalogue = Catalogue()
+        self._registry = Registry()
+        self._shards: dict[str, dict] = {}
+        self._leaders: dict[str, Leader] = {}
+        self._submissions = Submissions()
+        self._outcomes: dict[int, curio.Queue] = {}
+        self._count = 0
+        self._loops = Supervisor()
+        self._peers = PeerLinks(
+            settings.name,
+            settings.peers,
+            self._frame,
+            self._refused,
+            settings.peers.host,
+        )
+        self._known_registry = False
+        self._store_lost: dict[str, str] = {}
+        self._leaving = False
+        self._http: HttpServer | None = None
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """The catalogue in force; version 0 before the first one."""
+        return self._catalogue
+
+    @property
+    def ready(self) -> bool:
+        """Whether new jobs are welcome here."""
+        return (
+            self._catalogue.version > 0
+            and not self._leaving
+            and not self._loops.failed
+            and any(self._view())
+        )
+
+    async def run(self, handler: Handler) -> int:
+        """Serve until SIGTERM or SIGINT, then answer what is in flight.
+
+        Args:
+            handler: Answers callers' requests.
+
+        Returns:
+            Exit code of the process.
+        """
+        stop = SignalWaiter(signal.SIGTERM, signal.SIGINT)
+        settings = self._settings
+        self._http = HttpServer(*settings.callers, handler)
+        readiness = HttpServer(*settings.readiness, self._answer_readiness)
+        metrics = HttpServer(*settings.metrics, self._answer_metrics)
+        _log.info("Started", data_centre=settings.data_centre, cores=settings.cores)
+        await self._loops.start(
+            self._logs.run,
+            self._peers.run,
+            self._tick_loop,
+            self._catalogue_loop,
+            self._registry_loop,
+            self._hosts_loop,
+            self._tend_loop,
+            self._http.run,
+            readiness.run,
+            metrics.run,
+        )
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(stop.wait)
+            await group.spawn(self._loops.wait_failed)
+        await self._drain()
+        await self._loops.cancel()
+        await self._ports.close()
+        _log.info("Stopped", failed=self._loops.failed)
+        self._logs.flush()
+        return 1 if self._loops.failed else 0
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, if there is one."""
+        return self._catalogue.route(host, path)
+
+    def waiting(self, route: str) -> int:
+        """Return how many jobs of a route wait here without a started task."""
+        return sum(leader.waiting.get(route, 0) for leader in self._leaders.values())
+
+    def knows(self, job_id: str) -> bool:
+        """Return whether a job is in flight here."""
+        return self._submissions.knows(job_id) or any(
+            job_id in leader.jobs for leader in self._leaders.values()
+        )
+
+    async def submit(self, submission: Submission) -> Failure | None:
+        """Run a job to its outcome; `None` says that it is complete."""
+        if self._loops.failed:
+            return Failure(ErrorKind.NOT_READY, "this process is stopping")
+        self._count += 1
+        number = self._count
+        outcome = self._outcomes[number] = curio.Queue()
+        begin = uptime()
+        route = submission.route.name
+        try:
+            await self._perform(self._submissions.submit(begin, number, submission))
+            failure = await outcome.get()
+        except curio.CancelledError:
+            left = self._submissions.caller_left(uptime(), number)
+            await curio.disable_cancellation(self._perform(left))
+            raise
+        finally:
+            del self._outcomes[number]
+        self._metrics.latency.labels(route).observe(uptime() - begin)
+        kind = failure.kind.value if failure else "complete"
+        self._metrics.jobs.labels(route, kind).inc()
+        return failure
+
+    async def cancel(self, job_id: str) -> bool:
+        """Cancel a job wherever it is; return whether it was in flight here."""
+        known = self.knows(job_id)
+        withdrawn = JobWithdrawn(job_id, cancelled=True)
+        for name in self._hosts.live:
+            await self._send(name, withdrawn)
+        await self._take_withdrawal(self._settings.name, withdrawn)
+        return known
+
+    # Loops
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await curio.sleep(_TICK_S)
+            await self._tick()
+
+    async def _tick(self) -> None:
+        now = uptime()
+        loads = {
+            name: Claim(name, 0, *leader.load(now))
+            for name, leader in self._leaders.items()
+        }
+        actions = self._hosts.tick(
+            now,
+            time.time(),
+            self._shards,
+            self._known_registry,
+            loads,
+            self._catalogue.version,
+        )
+        await self._perform(actions)
+        await self._lead()
+        for leader in list(self._leaders.values()):
+            await self._perform(leader.tick(uptime()), leader)
+        await self._perform(self._submissions.view(uptime(), self._view()))
+        await self._perform(self._submissions.tick(uptime()))
+
+    async def _lead(self) -> None:
+        """Make the leaders that this host's claims call for."""
+        for shard in self._leaders.keys() - self._hosts.claims.keys():
+            leader = self._leaders.pop(shard)
+            await self._perform(leader.lead(uptime(), time.time(), {}), leader)
+        for shard in self._hosts.claims:
+            if shard not in self._leaders:
+                self._leaders[shard] = Leader(self._tokens, self._settings.lease_s)
+            leader = self._leaders[shard]
+            entries = self._shards.get(shard, {})
+            await self._perform(leader.lead(uptime(), time.time(), entries), leader)
+
+    def _view(self) -> dict[str, ShardView]:
+        view = {}
+        for shard in self._shards:
+            found = self._hosts.leader(shard)
+            if found is None:
+                continue
+            name, claim = found
+            near = shard.rpartition("/")[0] == self._settings.data_centre
+            view[shard] = ShardView(
+                name,
+                claim.epoch,
+                near,
+                claim.cores,
+                claim.free_cores,
+                claim.queued_core_s,
+            )
+        return view
+
+    async def _catalogue_loop(self) -> None:
+        while True:
+            try:
+                catalogue = await self._directory.next_catalogue()
+            except UnavailableError as error:
+                self._note_store("catalogue", str(error))
+                await curio.sleep(_STORE_RETRY_S)
+                continue
+            self._note_store("catalogue")
+            if catalogue is not None and catalogue.version > self._catalogue.version:
+                _log.info(
+                    "CatalogueTaken",
+                    version=catalogue.version,
+                    before=self._catalogue.version,
+                    routes=len(catalogue.routes),
+                )
+                self._catalogue = catalogue
+
+    async def _registry_loop(self) -> None:
+        while True:
+            try:
+                workers = await self._directory.workers()
+            except UnavailableError as error:
+                self._note_store("workers", str(error))
+                await curio.sleep(_STORE_RETRY_S)
+                continue
+            self._note_store("workers")
+            if self._registry.read(uptime(), workers) or not self._known_registry:
+                self._known_registry = True
+                self._shards = partition(self._registry.workers.values())
+                _log.info("WorkersRead", workers=len(workers), shards=len(self._shards))
+                await self._lead()
+            await curio.sleep(_LEADER_REFRESH_S if self._leaders else _REFRESH_S)
+
+    async def _hosts_loop(self) -> None:
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._directory.register(
+                        self._settings.name, self._settings.peers
+                    )
+                    registered = True
+                self._hosts.learn(uptime(), await self._directory.hosts())
+            except UnavailableError as error:
+                self._note_store("hosts", str(error))
+                await curio.sleep(_STORE_RETRY_S)
+                continue
+            self._note_store("hosts")
+            await curio.sleep(_HOSTS_REFRESH_S)
+
+    async def _tend_loop(self) -> None:
+        while True:
+            await curio.sleep(_TEND_S)
+            await self._ports.tend()
+
+    def _note_store(self, call: str, problem: str = "") -> None:
+        """Log when the store is lost to a call, and when it is back."""
+        self._metrics.store_calls.labels(call, "failed" if problem else "ok").inc()
+        before = self._store_lost.get(call, "")
+        if problem and not before:
+            _log.warning("StoreLost", call=call, reason=problem)
+        elif before and not problem:
+            _log.info("StoreBack", call=call, reason=before)
+        self._store_lost[call] = problem
+
+    # Actions
+
+    async def _perform(self, actions: Iterable, leader: Leader | None = None) -> None:
+        todo = deque((action, leader) for action in actions)
+        while todo:
+            action, source = todo.popleft()
+            match action:
+                case LogDecision(decision):
+                    _log.info(type(decision).__name__, **decision._asdict())
+                case StartRun():
+                    await curio.spawn(self._start, source, action, daemon=True)
+                case StopRun():
+                    await curio.spawn(self._stop, source, action, daemon=True)
+                case RenewLease():
+                    await curio.spawn(self._renew, source, action, daemon=True)
+                case LookAtWorker():
+                    await curio.spawn(self._look, source, action, daemon=True)
+                case ReportJob(host, report):
+                    more = await self._send(host, report)
+                    todo.extend((each, None) for each in more)
+                case OfferToLeader(host, offered):
+                    more = await self._send(host, offered)
+                    todo.extend(
+                        (each, self._leaders.get(offered.shard)) for each in more
+                    )
+                case WithdrawFromLeader(host, withdrawn):
+                    await self._send(host, withdrawn)
+                case AnswerCaller(number, failure):
+                    waiter = self._outcomes.get(number)
+                    if waiter is not None:
+                        await waiter.put(failure)
+                case SendBeat(address, beat):
+                    self._metrics.frames.labels("Beat").inc()
+                    await self._peers.send(address, beat)
+                case HostLost(host):
+                    for each in list(self._leaders.values()):
+                        lost = each.host_lost(uptime(), host)
+                        todo.extend((more, each) for more in lost)
+
+    async def _send(self, host: str, message: Message) -> list:
+        """Send a message to a host; to this one, take it in at once."""
+        if host == self._settings.name:
+            match message:
+                case OfferedJob(shard, number, offer):
+                    leader = self._leaders.get(shard)
+                    if leader is None:
+                        return []
+                    return leader.offer(uptime(), host, number, offer)
+                case JobProgress() | JobEnded():
+                    return self._submissions.reported(uptime(), host, message)
+                case JobWithdrawn():
+                    await self._take_withdrawal(host, message)
+            return []
+        address = self._hosts.address(host)
+        if address is not None:
+            self._metrics.frames.labels(type(message).__name__).inc()
+            await self._peers.send(address, message)
+        return []
+
+    async def _take_withdrawal(self, host: str, withdrawn: JobWithdrawn) -> None:
+        now = uptime()
+        for leader in list(self._leaders.values()):
+            await self._perform(leader.withdraw(now, host, withdrawn), leader)
+        if withdrawn.cancelled:
+            await self._perform(self._submissions.cancelled(now, withdrawn.job_id))
+
+    async def _frame(self, envelope: Envelope) -> None:
+        sender, message = envelope
+        match message:
+            case Beat():
+                await self._perform(self._hosts.heard(uptime(), sender, message))
+            case OfferedJob(shard, number, offer):
+                leader = self._leaders.get(shard)
+                if leader is not None:
+                    actions = leader.offer(uptime(), sender, number, offer)
+                    await self._perform(actions, leader)
+            case JobWithdrawn():
+                await self._take_withdrawal(sender, message)
+            case JobProgress() | JobEnded():
+                now = uptime()
+                await self._perform(self._submissions.reported(now, sender, message))
+            case _:
+                _log.warning("FrameIgnored", kind=type(message).__name__, peer=sender)
+
+    async def _refused(self, address: Address) -> None:
+        await self._perform(self._hosts.refused(uptime(), address))
+
+    async def _start(self, leader: Leader, action: StartRun) -> None:
+        begin = uptime()
+        reply = await self._ports.start(action.worker, action.order)
+        self._metrics.order_latency.observe(uptime() - begin)
+        self._metrics.orders.labels(reply.outcome.value).inc()
+        name = action.worker.name
+        actions = leader.ordered(uptime(), name, action.order.run, reply)
+        await self._perform(actions, leader)
+
+    async def _stop(self, leader: Leader, action: StopRun) -> None:
+        answered = await self._ports.stop(action.worker, action.run, action.token)
+        self._metrics.stops.labels(str(answered).lower()).inc()
+        name = action.worker.name
+        actions = leader.stopped(uptime(), name, action.run, answered)
+        await self._perform(actions, leader)
+
+    async def _renew(self, leader: Leader, action: RenewLease) -> None:
+        renewal = action.renewal
+        name = action.worker.name
+        if action.pause_s:
+            await curio.sleep(action.pause_s)
+            worker = leader.workers.get(name)
+            if worker is None or worker.token != renewal.token:
+                return
+            renewal = worker.renew(uptime())
+        reply = await self._ports.renew(action.worker, renewal)
+        outcome = "ok" if isinstance(reply, LeaseReply) else reply.value
+        self._metrics.renewals.labels(outcome).inc()
+        await self._perform(leader.renewed(uptime(), name, renewal, reply), leader)
+
+    async def _look(self, leader: Leader, action: LookAtWorker) -> None:
+        reply = await self._ports.renew(action.worker, action.renewal)
+        name = action.worker.name
+        actions = leader.looked(uptime(), name, action.renewal, reply)
+        await self._perform(actions, leader)
+
+    # Ends
+
+    async def _drain(self) -> None:
+        """Hand over what this host leads and answer what is in flight."""
+        self._leaving = True
+        self._hosts.leave()
+        _log.info("ShutdownStarted", jobs=len(self._submissions))
+        await self._tick()
+        limit_s = max(0.0, self._settings.grace_s - _EXIT_MARGIN_S)
+        async with curio.ignore_after(limit_s):
+            await self._http.drain()
+        await self._peers.flush()
+
+    async def _answer_readiness(self, request: Request) -> Response:
+        ready = self.ready
+        return json_response(_HTTP_OK if ready else _HTTP_UNAVAILABLE, {"ready": ready})
+
+    async def _answer_metrics(self, request: Request) -> Response:
+        metrics = self._metrics
+        metrics.in_flight.set(len(self._submissions))
+        leaders = self._leaders.values()
+        metrics.led_workers.set(sum(len(leader.workers) for leader in leaders))
+        metrics.led_jobs.set(sum(len(leader.jobs) for leader in leaders))
+        metrics.live_hosts.set(len(self._hosts.live) + 1)
+        metrics.version.set(self._catalogue.version)
+        metrics.lines_dropped.set(self._logs.dropped)
+        metrics.frames_dropped.set(self._peers.dropped)
+        headers = {"content-type": "text/plain; version=0.0.4"}
+        return Response(_HTTP_OK, headers, metrics.page())
+
+
+def uptime() -> float:
+    """Return the time since boot, s; it goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -0,0 +1,57 @@
+"""Counters and latency histograms of an entry host."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+# Objectives lie from 150 ms to 1.5 s, deadlines at 1.5 s.
+_LATENCY_S = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.9, 1.2, 1.5, 2.0, 5.0)
+
+
+class EntryMetrics:
+    """The metrics of one process, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self.jobs = self._counter("jobs", "Jobs answered", ["route", "outcome"])
+        self.latency = Histogram(
+            "poplarhill_job_seconds",
+            "Time from a job's arrival to its answer",
+            ["route"],
+            buckets=_LATENCY_S,
+            registry=self._registry,
+        )
+        self.orders = self._counter("orders", "Orders to start a run", ["outcome"])
+        self.order_latency = Histogram(
+            "poplarhill_order_seconds",
+            "Time until a worker answers an order",
+            buckets=_LATENCY_S,
+            registry=self._registry,
+        )
+        self.renewals = self._counter("renewals", "Renewals of leases", ["outcome"])
+        self.stops = self._counter("stops", "Orders to stop a run", ["answered"])
+        self.frames = self._counter("frames", "Frames sent to peers", ["kind"])
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the platform's store", ["call", "outcome"]
+        )
+        self.in_flight = self._gauge("jobs_in_flight", "Jobs without an answer")
+        self.led_workers = self._gauge("led_workers", "Workers that this host leads")
+        self.led_jobs = self._gauge("led_jobs", "Jobs at this host as their leader")
+        self.live_hosts = self._gauge("live_hosts", "Live entry hosts, this one too")
+        self.version = self._gauge("catalogue_version", "Version in force")
+        self.lines_dropped = self._gauge("log_lines_dropped", "Log lines dropped")
+        self.frames_dropped = self._gauge("peer_frames_dropped", "Frames dropped")
+
+    def page(self) -> bytes:
+        """Return the metrics page."""
+        return generate_latest(self._registry)
+
+    def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
+        return Counter(f"poplarhill_{name}", text, labels, registry=self._registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"poplarhill_{name}", text, registry=self._registry)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -0,0 +1,123 @@
+"""Settings of an entry host whose workers grant leases."""
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from poplarhill.exceptions import SettingsError
+from poplarhill.types import Address
+
+_LONGEST_LEASE_S = 60.0  # a lease that is longer leaves a lost worker unused for long
+
+
+class _File(msgspec.Struct, forbid_unknown_fields=True):
+    name: str
+    data_centre: str
+    callers: str
+    readiness: str
+    peers: str
+    metrics: str
+    store: str
+    seeds: str = ""
+    cores: float = 1.0
+    lease_s: float = 1.0
+    grace_s: float = 6.0
+
+
+class EntrySettings(NamedTuple):
+    """Settings of an entry host.
+
+    Attributes:
+        name: Name of this host, unique in the fleet.
+        data_centre: Data centre that it stands in.
+        callers: Where callers reach it.
+        readiness: Where the balancer asks whether it is ready.
+        peers: Where other entry hosts reach it.
+        metrics: Where its metrics are read.
+        store: Where the platform's store is.
+        seeds: Where other entry hosts may be found at start.
+        cores: Processor cores that this host has.
+        lease_s: Longest lease that a worker grants, s.
+        grace_s: Time from SIGTERM until the process is killed, s.
+    """
+
+    name: str
+    data_centre: str
+    callers: Address
+    readiness: Address
+    peers: Address
+    metrics: Address
+    store: Address
+    seeds: tuple[Address, ...] = ()
+    cores: float = 1.0
+    lease_s: float = 1.0
+    grace_s: float = 6.0
+
+    @classmethod
+    def from_config(cls, value: Any) -> "EntrySettings":
+        """Check a decoded JSON value and return the settings.
+
+        Raises:
+            SettingsError: Names the problem by its path.
+        """
+        try:
+            fields = msgspec.convert(value, _File)
+        except msgspec.ValidationError as error:
+            raise SettingsError((str(error),)) from error
+        problems = []
+        addresses: dict[str, Address] = {}
+        for name in ("callers", "readiness", "peers", "metrics", "store"):
+            try:
+                addresses[name] = parse_address(getattr(fields, name))
+            except ValueError as error:
+                problems.append(f"$.{name}: {error}")
+        seeds = []
+        for text in filter(None, fields.seeds.split(",")):
+            try:
+                seeds.append(parse_address(text))
+            except ValueError as error:
+                problems.append(f"$.seeds: {error}")
+        if not 0 < fields.lease_s <= _LONGEST_LEASE_S:
+            problems.append(f"$.lease_s: not above 0 and up to {_LONGEST_LEASE_S:g}")
+        if not fields.cores > 0:
+            problems.append("$.cores: not above 0")
+        if problems:
+            raise SettingsError(tuple(problems))
+        return cls(
+            name=fields.name,
+            data_centre=fields.data_centre,
+            seeds=tuple(seeds),
+            cores=fields.cores,
+            lease_s=fields.lease_s,
+            grace_s=fields.grace_s,
+            **addresses,
+        )
+
+    @classmethod
+    def from_file(cls, path: Path) -> "EntrySettings":
+        """Read and check a settings file.
+
+        Raises:
+            SettingsError: The file cannot be read or does not pass its checks.
+        """
+        try:
+            value = msgspec.json.decode(path.read_bytes())
+        except (OSError, msgspec.DecodeError) as error:
+            raise SettingsError((f"{path}: {error}",)) from error
+        return cls.from_config(value)
+
+
+def parse_address(text: str) -> Address:
+    """Return the address written as `ip:port`.
+
+    Raises:
+        ValueError: It is not written so.
+    """
+    host, _, port = text.rpartition(":")
+    parts = host.split(".")
+    if len(parts) != 4 or not all(p.isdecimal() and int(p) < 256 for p in parts):
+        raise ValueError(f"{text!r} is not an IP address and a port")
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} has no port from 1 to 65535")
+    return Address(host, int(port))
--- a/packages/poplarhilld/src/poplarhilld/health/state.py
+++ b/packages/poplarhilld/src/poplarhilld/health/state.py
@@ -2,8 +2,6 @@
 
 from poplarhill.configuration import Configuration
 from poplarhill.types import TaskId, WorkerSpec
-from poplarhilld.health.ejection import FIRST_PAUSE_S, LONGEST_PAUSE_S, Ejection
-from poplarhilld.health.failures import FEWEST_JOBS, THRESHOLD, Failures
 from poplarhilld.health.messages import (
     Decision,
     WorkerEjected,
@@ -12,6 +10,8 @@
 )
 from poplarhilld.health.suspicions import Suspicions
 from poplarhilld.health.times import RunTimes
+from poplarhilld.outliers.ejection import FIRST_PAUSE_S, LONGEST_PAUSE_S, Ejection
+from poplarhilld.outliers.failures import FEWEST_JOBS, THRESHOLD, Failures
 from poplarhilld.peers.messages import Suspicion
 
 _SUSPECTED_FACTOR = 0.5
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -0,0 +1,116 @@
+"""One job at its leader: its tasks and what is known of them."""
+
+from dataclasses import dataclass, field
+
+from poplarhilld.leases import Run
+from poplarhilld.peers.messages import JobOffer, StepSpec
+
+
+def task_name(job_id: str, step: int, index: int) -> str:
+    """Return the name of a task in the fleet."""
+    return f"{job_id}.0.{step}.{index}"
+
+
+@dataclass
+class LedTask:
+    """One task.
+
+    Attributes:
+        number: Its position in the job, from 0.
+        name: Its name in the fleet.
+        step: Number of its step.
+        spec: Its step.
+        done: Whether it is done.
+        run: The run that is under way or may be, if any.
+        worker: Worker of that run.
+        ordered_at: When that run was ordered or found, by the leader's clock, s.
+        next_number: Number of its next run.
+        failures: Count of runs that ended as failed.
+        avoid: Workers on which a run of it did not end well.
+    """
+
+    number: int
+    name: str
+    step: int
+    spec: StepSpec
+    done: bool = False
+    run: Run | None = None
+    worker: str = ""
+    ordered_at: float = 0.0
+    next_number: int = 1
+    failures: int = 0
+    avoid: set[str] = field(default_factory=set)
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it is to be started."""
+        return not self.done and self.run is None
+
+
+class LedJob:
+    """A job that was offered to this leader.
+
+    Args:
+        offer: The offer.
+        host: The entry host that offered it.
+        now: The leader's clock, s.
+    """
+
+    def __init__(self, offer: JobOffer, host: str, now: float) -> None:
+        self.offer = offer
+        self.host = host
+        self.taken_at = now - offer.elapsed_s
+        self.deadline = now + offer.left_s
+        self.runs = 0
+        self.stopping = False
+        self.tasks: list[LedTask] = []
+        for number, step in enumerate(offer.steps):
+            for index in range(step.count):
+                name = task_name(offer.job_id, number, index)
+                self.tasks.append(LedTask(len(self.tasks), name, number, step))
+        for number in offer.done:
+            if number < len(self.tasks):
+                self.tasks[number].done = True
+        self._pending = [0] * len(offer.steps)
+        for task in self.tasks:
+            self._pending[task.step] += not task.done
+
+    @property
+    def job_id(self) -> str:
+        """Its id."""
+        return self.offer.job_id
+
+    @property
+    def complete(self) -> bool:
+        """Whether all its tasks are done."""
+        return not any(self._pending)
+
+    @property
+    def not_run(self) -> bool:
+        """Whether no run of it was ever ordered, here or elsewhere."""
+        return not self.runs and not self.offer.handovers and not self.offer.done
+
+    @property
+    def under_way(self) -> list[LedTask]:
+        """Tasks with a run that is under way or may be."""
+        return [task for task in self.tasks if task.run is not None]
+
+    def ready_tasks(self) -> list[LedTask]:
+        """Return the tasks that may be started now."""
+        if self.stopping:
+            return []
+        open_steps = [
+            all(not self._pending[earlier] for earlier in step.after)
+            for step in self.offer.steps
+        ]
+        return [task for task in self.tasks if task.waiting and open_steps[task.step]]
+
+    def finish(self, task: LedTask) -> None:
+        """Note that a task is done."""
+        if not task.done:
+            task.done = True
+            self._pending[task.step] -= 1
+
+    def on_worker(self, step: int, worker: str) -> int:
+        """Return how many tasks of a step run on a worker."""
+        return sum(t.worker == worker and t.step == step for t in self.under_way)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -0,0 +1,802 @@
+"""What the leader of some workers decides."""
+
+from collections import OrderedDict
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from poplarhill.exceptions import ErrorKind
+from poplarhill.types import Resources
+from poplarhilld.catalogue import WorkerEntry
+from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.estimates import RunTimes
+from poplarhilld.leading.fitness import SILENT_S, Fitness
+from poplarhilld.leading.job import LedJob, LedTask
+from poplarhilld.leading.messages import (
+    JobClosed,
+    JobTaken,
+    LeaderAction,
+    LookAtWorker,
+    Order,
+    RenewLease,
+    ReportJob,
+    RunOrdered,
+    RunResolved,
+    StartRun,
+    StopRun,
+    WorkerConfirmed,
+    WorkerReleased,
+    WorkerState,
+    WorkerTaken,
+)
+from poplarhilld.leading.order import expected_run_s, open_room_s, rank
+from poplarhilld.leases import (
+    LeasedWorker,
+    LeaseLost,
+    LeaseReply,
+    OrderOutcome,
+    OrderReply,
+    Renewal,
+    Run,
+    RunClosed,
+    RunFate,
+    RunFound,
+    RunState,
+    TokenSource,
+)
+from poplarhilld.peers.messages import JobEnded, JobOffer, JobProgress, JobWithdrawn
+
+ORPHAN_S = 0.5  # entry hosts offer their jobs anew within two heartbeats
+HANDOVER_S = 1.8  # 0.6 s until the leader before notices a cut, and a lease of 1 s
+_REPORT_KEPT_S = 5.0  # callers repeat a request within some seconds
+_CANCEL_KEPT_S = 10.0  # longest delay of an offer that was on its way
+_RENEWAL_RETRY_S = 0.05  # 20 tries within a lease of 1 s
+_LONGEST_RETRY_S = 0.5  # a worker that is back is found within half a second
+_REFUSED_RETRY_S = 0.2  # the process is gone; its successor has another name
+_FENCED_PAUSE_S = 0.5  # lets the other leader's claim arrive first
+_STOP_RETRY_S = 0.2  # a stop answers within a few ms
+_STALL_FACTOR = 4.0  # work varies by a factor of 4 at most
+_STALL_S = 0.25  # shorter stalls cost less than a second start
+_TOLERANCE = 1e-6  # cores are sums of thousandths
+_REMEMBERED_ENDS = 4096  # tasks that ended before their job was offered here
+
+
+class Load(NamedTuple):
+    """How busy a leader is, as entry hosts need to know it.
+
+    Attributes:
+        cores: Cores of the workers in use.
+        free_cores: Cores that nothing holds.
+        queued_core_s: Room that waiting jobs will take, core-seconds.
+    """
+
+    cores: float
+    free_cores: float
+    queued_core_s: float
+
+
+class _Listener(NamedTuple):
+    host: str
+    offer_number: int
+
+
+class Leader:
+    """Leads some workers: holds their leases, places tasks, resolves doubts.
+
+    Args:
+        tokens: Source of fencing tokens.
+        lease_s: Longest lease that a worker grants, s.
+    """
+
+    def __init__(self, tokens: TokenSource, lease_s: float) -> None:
+        self._tokens = tokens
+        self._lease_s = lease_s
+        self._workers: dict[str, LeasedWorker] = {}
+        self._entries: Mapping[str, WorkerEntry] = {}
+        self._retry_s: dict[str, float] = {}
+        self._paused: dict[str, float] = {}
+        self._lost: set[str] = set()
+        self._jobs: dict[str, LedJob] = {}
+        self._listeners: dict[str, set[_Listener]] = {}
+        self._runs: dict[Run, LedTask] = {}
+        self._task_jobs: dict[str, LedJob] = {}
+        self._orphans: dict[Run, tuple[str, float]] = {}
+        self._done_orphans: OrderedDict[str, None] = OrderedDict()
+        self._reports: OrderedDict[str, tuple[float, JobEnded]] = OrderedDict()
+        self._cancelled: OrderedDict[str, float] = OrderedDict()
+        self._stop_due: dict[tuple[str, Run], float] = {}
+        self._taken_at = 0.0
+        self._times = RunTimes()
+        self._fitness = Fitness()
+
+    @property
+    def workers(self) -> Mapping[str, LeasedWorker]:
+        """Workers that this host leads, by name."""
+        return self._workers
+
+    @property
+    def jobs(self) -> Mapping[str, LedJob]:
+        """Jobs that were taken and are not closed, by id."""
+        return self._jobs
+
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Count of jobs of which nothing has started, by route."""
+        counts: dict[str, int] = {}
+        for job in self._jobs.values():
+            if not job.runs and not job.stopping:
+                counts[job.offer.route] = counts.get(job.offer.route, 0) + 1
+        return counts
+
+    def load(self, now: float) -> Load:
+        """Return how busy this leader is."""
+        usable = [w for w in self._workers.values() if self._is_usable(now, w)]
+        cores = sum(worker.entry.room.cores for worker in usable)
+        free = sum(max(0.0, worker.free().cores) for worker in usable)
+        queued = sum(
+            open_room_s(job, self._times) for job in self._jobs.values() if not job.runs
+        )
+        return Load(cores, free, queued)
+
+    def lead(
+        self, now: float, time_s: float, entries: Mapping[str, WorkerEntry]
+    ) -> list[LeaderAction]:
+        """Lead just these workers from now on.
+
+        Args:
+            now: The leader's clock, s.
+            time_s: Time of day, s since the epoch.
+            entries: The workers by name.
+        """
+        actions: list[LeaderAction] = []
+        if not self._workers and not self._entries and entries:
+            self._taken_at = now
+        self._entries = entries
+        for name in self._workers.keys() - entries.keys():
+            actions += self._release(now, name, "not led here")
+        for name, entry in entries.items():
+            worker = self._workers.get(name)
+            if worker is not None:
+                if worker.entry != entry:
+                    worker.entry = entry
+            elif now >= self._paused.get(name, 0.0):
+                actions += self._take(now, time_s, entry)
+        return actions + self._assign(now)
+
+    def offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
+        """Take a job from an entry host, or refuse it."""
+        listener = _Listener(host, number)
+        job = self._jobs.get(offer.job_id)
+        if job is not None:
+            return self._join(now, job, listener, offer)
+        if self._cancelled.get(offer.job_id, -_CANCEL_KEPT_S) > now - _CANCEL_KEPT_S:
+            return self._refuse(
+                now, host, offer, ErrorKind.CANCELLED, "the job was cancelled"
+            )
+        kept = self._reports.get(offer.job_id)
+        if kept is not None and not kept[1].error:
+            return [ReportJob(host, kept[1])]
+        job = LedJob(offer, host, now)
+        for task in job.tasks:
+            if task.name in self._done_orphans:
+                job.finish(task)
+        refusal = self._check(now, job)
+        if refusal is not None and not self._has_orphans(job):
+            return self._refuse(now, host, offer, *refusal)
+        self._jobs[offer.job_id] = job
+        self._listeners[offer.job_id] = {listener}
+        for task in job.tasks:
+            self._task_jobs[task.name] = job
+        self._adopt_orphans(job)
+        actions: list[LeaderAction] = [LogDecision(self._taken(now, job, "taken"))]
+        if job.complete:
+            return actions + self._close(now, job, JobEnded(job.job_id))
+        return actions + self._assign(now)
+
+    def withdraw(self, now: float, host: str, withdrawn: JobWithdrawn) -> list:
+        """Stop a job whose caller has left or has cancelled it."""
+        if withdrawn.cancelled:
+            self._cancelled[withdrawn.job_id] = now
+            _trim(self._cancelled, now - _CANCEL_KEPT_S)
+        job = self._jobs.get(withdrawn.job_id)
+        if job is None:
+            return []
+        listeners = self._listeners[withdrawn.job_id]
+        if withdrawn.cancelled:
+            report = _ended(job, ErrorKind.CANCELLED, "the job was cancelled")
+            return self._close(now, job, report)
+        listeners -= {one for one in listeners if one.host == host}
+        if listeners:
+            return []
+        report = _ended(job, ErrorKind.STOPPED, "the caller has left")
+        return self._close(now, job, report)
+
+    def host_lost(self, now: float, host: str) -> list[LeaderAction]:
+        """Stop the jobs of an entry host that is not heard any more."""
+        actions: list[LeaderAction] = []
+        for job_id in list(self._jobs):
+            actions += self.withdraw(now, host, JobWithdrawn(job_id))
+        return actions
+
+    def renewed(
+        self, now: float, name: str, renewal: Renewal, reply: LeaseReply | LeaseLost
+    ) -> list[LeaderAction]:
+        """Take in the answer to the renewal that waits, and send the next."""
+        worker = self._workers.get(name)
+        if worker is None or worker.token != renewal.token:
+            return []
+        if not isinstance(reply, LeaseReply):
+            return self._not_renewed(now, worker, reply)
+        self._retry_s.pop(name, None)
+        actions = self._take_state(now, worker, renewal, reply)
+        actions.append(RenewLease(worker.entry, worker.renew(now)))
+        return actions + self._assign(now)
+
+    def looked(
+        self, now: float, name: str, renewal: Renewal, reply: LeaseReply | LeaseLost
+    ) -> list[LeaderAction]:
+        """Take in the answer to a look beside the renewal that waits."""
+        worker = self._workers.get(name)
+        if worker is None or worker.token != renewal.token:
+            return []
+        if not isinstance(reply, LeaseReply):
+            return []
+        return self._take_state(now, worker, renewal, reply) + self._assign(now)
+
+    def ordered(
+        self, now: float, name: str, run: Run, reply: OrderReply
+    ) -> list[LeaderAction]:
+        """Take in the answer to an order to start a run."""
+        worker = self._workers.get(name)
+        if worker is None:
+            return []
+        actions: list[LeaderAction] = []
+        changes = worker.ordered(now, run, reply)
+        match reply.outcome:
+            case OrderOutcome.OUTDATED:
+                task = self._runs.get(run)
+                if task is not None:
+                    # The worker has seen a higher number under an earlier leader.
+                    task.next_number += 8
+            case OrderOutcome.UNKNOWN:
+                self._fitness.suspect(now, name)
+                actions += self._stop(now, worker, run)
+            case OrderOutcome.UNHEALTHY | OrderOutcome.INVALID:
+                if self._fitness.unhealthy(now, name):
+                    actions.append(_state(now, worker, "ejected", reply.outcome.value))
+            case OrderOutcome.FENCED:
+                actions += self._release(now, name, "another leader has taken it")
+                self._paused[name] = now + _FENCED_PAUSE_S
+            case OrderOutcome.REPLACED:
+                self._fitness.suspect(now, name)
+        for change in changes:
+            actions += self._apply(now, worker, change)
+        return actions + self._assign(now)
+
+    def stopped(self, now: float, name: str, run: Run, answered: bool) -> list:
+        """Take in the answer to an order to stop a run."""
+        worker = self._workers.get(name)
+        if worker is None or not answered:
+            return []
+        worker.stopped(now, run)
+        if worker.find(run) is None:
+            return []
+        return [LookAtWorker(worker.entry, worker.renew(now)._replace(wait_s=0.0))]
+
+    def tick(self, now: float) -> list[LeaderAction]:
+        """Do what time alone makes due."""
+        actions: list[LeaderAction] = []
+        for worker in list(self._workers.values()):
+            actions += self._watch(now, worker)
+        for run, (name, since) in list(self._orphans.items()):
+            if now >= since + ORPHAN_S and name in self._workers:
+                actions += self._stop(now, self._workers[name], run)
+        for job in list(self._jobs.values()):
+            actions += self._expire(now, job)
+        return actions + self._assign(now)
+
+    # Workers
+
+    def _take(self, now: float, time_s: float, entry: WorkerEntry) -> list:
+        token = self._tokens.next(time_s)
+        worker = LeasedWorker(entry, token, self._lease_s, now)
+        self._workers[entry.name] = worker
+        address = f"{entry.address.host}:{entry.address.port}"
+        taken = WorkerTaken(entry.name, address, token, "led here")
+        return [LogDecision(taken), RenewLease(entry, worker.renew(now))]
+
+    def _release(self, now: float, name: str, reason: str) -> list[LeaderAction]:
+        """Let a worker go; its runs are another leader's, or nobody's."""
+        worker = self._workers.pop(name)
+        self._lost.discard(name)
+        held = list(worker.reservations)
+        for reservation in held:
+            self._forget_run(reservation.run)
+        released = WorkerReleased(name, worker.token, reason, len(held))
+        return [LogDecision(released)]
+
+    def _forget_run(self, run: Run) -> None:
+        self._orphans.pop(run, None)
+        task = self._runs.pop(run, None)
+        if task is not None and task.run == run:
+            task.run, task.worker = None, ""
+            task.next_number = max(task.next_number, run.number + 1)
+
+    def _not_renewed(
+        self, now: float, worker: LeasedWorker, lost: LeaseLost
+    ) -> list[LeaderAction]:
+        name = worker.entry.name
+        match lost:
+            case LeaseLost.FENCED:
+                self._paused[name] = now + _FENCED_PAUSE_S
+                return self._release(now, name, "another leader has taken it")
+            case LeaseLost.REFUSED | LeaseLost.REPLACED:
+                actions = self._lose(now, worker, lost.value, dead=True)
+                pause_s = _REFUSED_RETRY_S
+            case _:
+                actions = []
+                pause_s = self._retry_s.get(name, _RENEWAL_RETRY_S)
+                self._retry_s[name] = min(2 * pause_s, _LONGEST_RETRY_S)
+        actions.append(RenewLease(worker.entry, worker.renew(now), pause_s))
+        return actions
+
+    def _lose(
+        self, now: float, worker: LeasedWorker, reason: str, dead: bool = False
+    ) -> list[LeaderAction]:
+        """Start elsewhere what cannot be running on a worker any more."""
+        name = worker.entry.name
+        actions: list[LeaderAction] = []
+        if name not in self._lost:
+            self._lost.add(name)
+            actions.append(_state(now, worker, "lost", reason))
+        if dead or worker.has_lapsed(now):
+            for run in worker.lapse():
+                task = self._runs.get(run)
+                if task is not None and task.run == run:
+                    self._forget_run(run)
+                    task.avoid.add(name)
+        return actions
+
+    def _watch(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
+        name = worker.entry.name
+        if worker.confirmed and now - worker.silent_since > SILENT_S:
+            return self._lose(now, worker, "silent")
+        actions: list[LeaderAction] = []
+        for held in list(worker.reservations):
+            if (name, held.run) in self._stop_due:
+                actions += self._stop(now, worker, held.run)
+            elif held.state is RunState.RUNNING and held.run in self._runs:
+                actions += self._check_stall(now, worker, held.run, held.seen_at)
+        return actions
+
+    def _check_stall(
+        self, now: float, worker: LeasedWorker, run: Run, since: float
+    ) -> list[LeaderAction]:
+        """Move a task that stands still, unless the worker is just slow."""
+        task = self._runs[run]
+        job = self._task_jobs[task.name]
+        expected_s = self._times.expected_s(job.offer.route, task.spec.run_time_s)
+        limit_s = max(_STALL_FACTOR * expected_s, expected_s + _STALL_S)
+        if now - since < limit_s or now + expected_s > job.deadline:
+            return []
+        name = worker.entry.name
+        self._fitness.stalled(name, run)
+        task.avoid.add(name)
+        return self._stop(now, worker, run)
+
+    def _take_state(
+        self, now: float, worker: LeasedWorker, renewal: Renewal, reply: LeaseReply
+    ) -> list[LeaderAction]:
+        name = worker.entry.name
+        actions: list[LeaderAction] = []
+        was_confirmed = worker.confirmed
+        changes = worker.renewed(now, renewal, reply)
+        if not was_confirmed:
+            confirmed = WorkerConfirmed(
+                name, worker.token, len(reply.running), now - renewal.asked_at
+            )
+            actions.append(LogDecision(confirmed))
+        if name in self._lost:
+            self._lost.discard(name)
+            actions.append(_state(now, worker, "back", "it answers"))
+        for change in changes:
+            actions += self._apply(now, worker, change)
+        return actions
+
+    def _is_usable(self, now: float, worker: LeasedWorker) -> bool:
+        return (
+            worker.confirmed
+            and not worker.entry.draining
+            and worker.entry.name not in self._lost
+        )
+
+    # Runs
+
+    def _apply(
+        self, now: float, worker: LeasedWorker, change: RunClosed | RunFound
+    ) -> list[LeaderAction]:
+        match change:
+            case RunFound(run):
+                return self._found(now, worker, run)
+            case RunClosed(run, fate):
+                return self._closed(now, worker, run, fate)
+
+    def _found(self, now: float, worker: LeasedWorker, run: Run) -> list:
+        name = worker.entry.name
+        task = self._runs.get(run)
+        if task is not None and task.run == run:
+            return []
+        job = self._task_jobs.get(run.task)
+        if job is None:
+            self._orphans[run] = (name, now)
+            return []
+        task = next(task for task in job.tasks if task.name == run.task)
+        worker.fit(run, task.spec.needs)
+        if task.waiting and not job.stopping:
+            self._adopt(task, run, name)
+            return []
+        return self._stop(now, worker, run)
+
+    def _adopt(self, task: LedTask, run: Run, worker: str) -> None:
+        task.run, task.worker = run, worker
+        task.next_number = max(task.next_number, run.number + 1)
+        self._runs[run] = task
+
+    def _adopt_orphans(self, job: LedJob) -> None:
+        names = {task.name: task for task in job.tasks}
+        for run, (name, _) in list(self._orphans.items()):
+            task = names.get(run.task)
+            worker = self._workers.get(name)
+            if task is None or worker is None:
+                continue
+            worker.fit(run, task.spec.needs)
+            if task.waiting:
+                del self._orphans[run]
+                self._adopt(task, run, name)
+                job.runs += 1
+
+    def _has_orphans(self, job: LedJob) -> bool:
+        names = {task.name for task in job.tasks}
+        return any(run.task in names for run in self._orphans)
+
+    def _closed(
+        self, now: float, worker: LeasedWorker, run: Run, fate: RunFate
+    ) -> list[LeaderAction]:
+        name = worker.entry.name
+        self._stop_due.pop((name, run), None)
+        self._orphans.pop(run, None)
+        task = self._runs.get(run)
+        if task is None:
+            return self._closed_unknown(now, run, fate)
+        job = self._task_jobs[task.name]
+        self._forget_run(run)
+        took_s = now - task.ordered_at
+        resolved = RunResolved(task.name, run.number, name, fate.value, took_s)
+        actions: list[LeaderAction] = [LogDecision(resolved)]
+        route = job.offer.route
+        match fate:
+            case RunFate.DONE:
+                job.finish(task)
+                self._times.ran(route, name, task.spec.run_time_s, took_s)
+                if self._fitness.succeeded(now, name, run):
+                    actions.append(_state(now, worker, "restored", "probes were done"))
+            case RunFate.FAILED:
+                task.failures += 1
+                task.avoid.add(name)
+                if self._fitness.failed(now, name, run, job.job_id, len(self._workers)):
+                    actions.append(_state(now, worker, "ejected", "tasks failed"))
+            case RunFate.ENDED | RunFate.NEVER_STARTED:
+                self._fitness.ended(now, name, run)
+        return actions + self._advance(now, job, task)
+
+    def _closed_unknown(self, now: float, run: Run, fate: RunFate) -> list:
+        """Take in the end of a run whose job is not known here yet."""
+        if fate is RunFate.DONE:
+            job = self._task_jobs.get(run.task)
+            if job is None:
+                self._done_orphans[run.task] = None
+                if len(self._done_orphans) > _REMEMBERED_ENDS:
+                    self._done_orphans.popitem(last=False)
+        return []
+
+    def _advance(self, now: float, job: LedJob, task: LedTask) -> list:
+        """Report what the end of a run means for its job."""
+        if job.stopping:
+            if not job.under_way:
+                self._drop(job)
+            return []
+        if job.complete:
+            return self._close(now, job, JobEnded(job.job_id))
+        if task.failures >= job.offer.max_attempts:
+            detail = f"task {task.number} failed {task.failures} times"
+            return self._close(now, job, _ended(job, ErrorKind.TASK_FAILED, detail))
+        if task.done and len(job.tasks) > 1:
+            return self._report(job, JobProgress(job.job_id, (task.number,)))
+        return []
+
+    def _stop(self, now: float, worker: LeasedWorker, run: Run) -> list:
+        """Tell a worker to stop a run, now and again until it is closed."""
+        key = (worker.entry.name, run)
+        due = self._stop_due.get(key, 0.0)
+        if now < due:
+            return []
+        self._stop_due[key] = now + _STOP_RETRY_S
+        return [StopRun(worker.entry, run, worker.token)]
+
+    # Jobs
+
+    def _join(
+        self, now: float, job: LedJob, listener: _Listener, offer: JobOffer
+    ) -> list[LeaderAction]:
+        """Let another offer of a job share its one outcome."""
+        listeners = self._listeners[job.job_id]
+        if listener in listeners and not job.stopping:
+            return []
+        if job.stopping:
+            job.stopping = False
+            job.taken_at = now - offer.elapsed_s
+            listeners.clear()
+        listeners.add(listener)
+        job.deadline = max(job.deadline, now + offer.left_s)
+        joined = LogDecision(self._taken(now, job, "joined"))
+        return [joined, *self._assign(now)]
+
+    def _check(self, now: float, job: LedJob) -> tuple | None:
+        """Return why a job cannot be served, if so: kind, detail, when to come back."""
+        offer = job.offer
+        usable = [w for w in self._workers.values() if self._is_usable(now, w)]
+        ours = [w for w in usable if w.entry.service == offer.service]
+        if not ours:
+            detail = f"no worker of {offer.service!r} answers"
+            return ErrorKind.NO_WORKERS, detail, 1.0
+        for step in offer.steps:
+            if not any(_could_run(worker, step) for worker in ours):
+                return ErrorKind.IMPOSSIBLE, "no worker is large enough for a task", 0.0
+        wait_s = self._expected_wait_s(now, job, ours)
+        run_s = expected_run_s(job, self._times)
+        if wait_s > 0 and now + wait_s + run_s > job.deadline:
+            detail = f"expected to wait {wait_s:.2f} s and to run {run_s:.2f} s"
+            return ErrorKind.OVERLOADED, detail, max(wait_s, 1.0)
+        return None
+
+    def _expected_wait_s(
+        self, now: float, job: LedJob, workers: list[LeasedWorker]
+    ) -> float:
+        """Return how long a job will wait for room, roughly, s."""
+        cores = sum(worker.entry.room.cores for worker in workers)
+        free = sum(max(0.0, worker.free().cores) for worker in workers)
+        own = rank(now, job, self._times)
+        ahead = 0.0
+        for other in self._jobs.values():
+            if other.ready_tasks() and rank(now, other, self._times) < own:
+                ahead += open_room_s(other, self._times)
+        if not ahead and free >= sum(t.spec.needs.cores for t in job.ready_tasks()):
+            return 0.0
+        return ahead / cores
+
+    def _refuse(
+        self,
+        now: float,
+        host: str,
+        offer: JobOffer,
+        kind: ErrorKind,
+        detail: str,
+        retry_after_s: float = 0.0,
+    ) -> list[LeaderAction]:
+        job = LedJob(offer, host, now)
+        report = _ended(job, kind, detail, retry_after_s)
+        taken = self._taken(now, job, f"refused: {kind.value}: {detail}")
+        return [LogDecision(taken), ReportJob(host, report)]
+
+    def _taken(self, now: float, job: LedJob, outcome: str) -> JobTaken:
+        offer = job.offer
+        workers = [w for w in self._workers.values() if self._is_usable(now, w)]
+        wait_s = self._expected_wait_s(now, job, workers) if workers else 0.0
+        return JobTaken(
+            offer.job_id,
+            offer.route,
+            job.host,
+            len(job.tasks),
+            offer.handovers,
+            round(offer.elapsed_s, 4),
+            round(wait_s, 4),
+            round(expected_run_s(job, self._times), 4),
+            len(self._jobs),
+            outcome,
+        )
+
+    def _expire(self, now: float, job: LedJob) -> list[LeaderAction]:
+        """Give up a job that cannot be done in time any more, at once."""
+        if job.stopping:
+            if not job.under_way:
+                self._drop(job)
+            return []
+        if now >= job.deadline:
+            kind = ErrorKind.EXPIRED if job.not_run else ErrorKind.TIMEOUT
+            return self._close(now, job, _ended(job, kind, "its caller has left"))
+        if job.not_run:
+            run_s = expected_run_s(job, self._times)
+            if now + run_s > job.deadline:
+                detail = f"no room in time for work of {run_s:.2f} s"
+                report = _ended(job, ErrorKind.OVERLOADED, detail, 1.0)
+                return self._close(now, job, report)
+        return []
+
+    def _close(self, now: float, job: LedJob, report: JobEnded) -> list:
+        """Report a job's outcome and stop what is left of it."""
+        actions = self._report(job, report)
+        self._reports[job.job_id] = (now, report)
+        while self._reports:
+            since, _ = next(iter(self._reports.values()))
+            if since > now - _REPORT_KEPT_S:
+                break
+            self._reports.popitem(last=False)
+        closed = JobClosed(
+            job.job_id,
+            report.error or "complete",
+            report.detail,
+            round(now - job.taken_at, 4),
+            job.runs,
+        )
+        actions.append(LogDecision(closed))
+        job.stopping = True
+        self._listeners[job.job_id].clear()
+        for task in job.under_way:
+            worker = self._workers.get(task.worker)
+            if worker is not None:
+                actions += self._stop(now, worker, task.run)
+        if not job.under_way:
+            self._drop(job)
+        return actions
+
+    def _report(self, job: LedJob, report: JobEnded | JobProgress) -> list:
+        hosts = {listener.host for listener in self._listeners[job.job_id]}
+        return [ReportJob(host, report) for host in sorted(hosts)]
+
+    def _drop(self, job: LedJob) -> None:
+        self._jobs.pop(job.job_id, None)
+        self._listeners.pop(job.job_id, None)
+        for task in job.tasks:
+            self._task_jobs.pop(task.name, None)
+
+    # Placement
+
+    def _assign(self, now: float) -> list[LeaderAction]:
+        """Start what fits, in the order of the queue."""
+        usable = [w for w in self._workers.values() if self._may_start(now, w)]
+        if not usable:
+            return []
+        waiting = [job for job in self._jobs.values() if self._may_run(now, job)]
+        waiting.sort(key=lambda job: rank(now, job, self._times))
+        actions: list[LeaderAction] = []
+        free = {worker.entry.name: worker.free() for worker in usable}
+        largest = max(room.cores for room in free.values())
+        for job in waiting:
+            for task in job.ready_tasks():
+                if task.spec.needs.cores > largest + _TOLERANCE:
+                    continue
+                worker = self._choose(now, job, task, usable, free)
+                if worker is None:
+                    break
+                actions += self._start(now, job, task, worker, free, len(usable))
+        return actions
+
+    def _may_start(self, now: float, worker: LeasedWorker) -> bool:
+        return self._is_usable(now, worker) and self._fitness.may_start(
+            now, worker.entry.name
+        )
+
+    def _may_run(self, now: float, job: LedJob) -> bool:
+        """Return whether a job's tasks may start, wherever it was before."""
+        if job.stopping:
+            return False
+        if not job.offer.handovers or now >= self._taken_at + HANDOVER_S:
+            return True
+        return all(
+            worker.confirmed or name in self._lost
+            for name, worker in self._workers.items()
+        )
+
+    def _choose(
+        self,
+        now: float,
+        job: LedJob,
+        task: LedTask,
+        usable: list[LeasedWorker],
+        free: dict[str, Resources],
+    ) -> LeasedWorker | None:
+        best: tuple | None = None
+        chosen: LeasedWorker | None = None
+        for worker in usable:
+            name = worker.entry.name
+            if worker.entry.service != job.offer.service:
+                continue
+            if not _fits(free[name], task.spec.needs):
+                continue
+            if task.spec.label and task.spec.label not in worker.entry.labels:
+                continue
+            most = task.spec.max_per_worker
+            if most and job.on_worker(task.step, name) >= most:
+                continue
+            if not self._fitness.may_start(now, name):
+                continue
+            left = free[name].cores - task.spec.needs.cores
+            key = (
+                name in task.avoid,
+                bool(task.spec.data_rack) and worker.entry.rack != task.spec.data_rack,
+                round(self._times.slowdown(name), 1),
+                left,
+                name,
+            )
+            if best is None or key < best:
+                best, chosen = key, worker
+        return chosen
+
+    def _start(
+        self,
+        now: float,
+        job: LedJob,
+        task: LedTask,
+        worker: LeasedWorker,
+        free: dict[str, Resources],
+        candidates: int,
+    ) -> list[LeaderAction]:
+        name = worker.entry.name
+        needs = task.spec.needs
+        run = Run(task.name, task.next_number)
+        deadline_s = worker.order(now, run, needs)
+        task.run, task.worker, task.ordered_at = run, name, now
+        task.next_number += 1
+        job.runs += 1
+        self._runs[run] = task
+        self._fitness.started(name, run)
+        before = free[name]
+        free[name] = Resources(
+            before.cores - needs.cores,
+            before.memory_mb - needs.memory_mb,
+            before.accelerators - needs.accelerators,
+        )
+        placed = RunOrdered(
+            job.job_id,
+            task.name,
+            run.number,
+            name,
+            round(before.cores, 3),
+            round(now - job.taken_at, 4),
+            candidates,
+        )
+        order = Order(run, job.offer.body, deadline_s, worker.token)
+        return [LogDecision(placed), StartRun(worker.entry, order)]
+
+
+def _ended(
+    job: LedJob, kind: ErrorKind, detail: str, retry_after_s: float = 0.0
+) -> JobEnded:
+    return JobEnded(job.job_id, kind.value, detail, retry_after_s, job.not_run)
+
+
+def _fits(free: Resources, needs: Resources) -> bool:
+    return (
+        needs.cores <= free.cores + _TOLERANCE
+        and needs.memory_mb <= free.memory_mb
+        and needs.accelerators <= free.accelerators
+    )
+
+
+def _could_run(worker: LeasedWorker, step) -> bool:
+    label = step.label
+    return _fits(worker.entry.room, step.needs) and (
+        not label or label in worker.entry.labels
+    )
+
+
+def _state(now: float, worker: LeasedWorker, state: str, reason: str) -> LogDecision:
+    heard_s = round(now - worker.silent_since, 3)
+    return LogDecision(WorkerState(worker.entry.name, state, reason, heard_s))
+
+
+def _trim(times: OrderedDict[str, float], oldest: float) -> None:
+    while times:
+        name, since = next(iter(times.items()))
+        if since > oldest:
+            return
+        del times[name]
--- a/packages/poplarhilld/src/poplarhilld/membership/state.py
+++ b/packages/poplarhilld/src/poplarhilld/membership/state.py
@@ -9,6 +9,7 @@
 import math
 from random import Random
 
+from poplarhill.types import Address
 from poplarhilld.membership.member import Member, is_newer
 from poplarhilld.membership.messages import (
     Decision,
@@ -20,7 +21,6 @@
 )
 from poplarhilld.membership.rotation import Rotation
 from poplarhilld.peers.messages import MemberState
-from poplarhilld.settings import Address
 
 ROUND_S = 1.0
 """Time between two heartbeats that a host sends, s."""
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -6,20 +6,29 @@
 
 import capnp
 
+from poplarhill.types import Resources
 from poplarhilld.peers.messages import (
+    Beat,
+    Claim,
     ConfigurationNews,
     ConfigurationOffer,
     ConfigurationRequest,
     Goodbye,
     Heartbeat,
     HostsNews,
+    JobEnded,
+    JobOffer,
+    JobProgress,
+    JobWithdrawn,
     MemberState,
     Message,
+    OfferedJob,
     RefreshReply,
     RefreshRequest,
     SlotGrant,
     SlotRequest,
     SlotReturn,
+    StepSpec,
     Suspicion,
     WorkerSlots,
 )
@@ -42,16 +51,24 @@
     HostsNews: "hostsNews",
     RefreshRequest: "refreshRequest",
     RefreshReply: "refreshReply",
+    Beat: "beat",
+    OfferedJob: "offeredJob",
+    JobWithdrawn: "jobWithdrawn",
+    JobProgress: "jobProgress",
+    JobEnded: "jobEnded",
 }
 _TYPES: dict[str, type] = {variant: kind for kind, variant in _VARIANTS.items()}
 _ELEMENTS: dict[str, type] = {
     "members": MemberState,
     "suspicions": Suspicion,
     "slots": WorkerSlots,
+    "claims": Claim,
+    "steps": StepSpec,
 }
-
-
-_TEXTS = frozenset({"leaving_workers", "records"})
+_STRUCTS: dict[str, type] = {"needs": Resources, "offer": JobOffer}
+_PLAIN_LISTS = frozenset(
+    {"leaving_workers", "records", "heard", "known", "after", "done"}
+)
 
 
 class FrameError(Exception):
@@ -107,7 +124,9 @@
         value = getattr(struct, _camel(name))
         if name in _ELEMENTS:
             value = tuple(_from_struct(_ELEMENTS[name], item) for item in value)
-        elif name in _TEXTS:
+        elif name in _STRUCTS:
+            value = _from_struct(_STRUCTS[name], value)
+        elif name in _PLAIN_LISTS:
             value = tuple(value)
         values.append(value)
     return kind(*values)
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -88,6 +88,84 @@
   informed @4 :Bool;
 }
 
+struct Resources {
+  cores @0 :Float64;
+  memoryMb @1 :UInt32;
+  accelerators @2 :UInt32;
+}
+
+struct StepSpec {
+  count @0 :UInt16;
+  needs @1 :Resources;
+  runTimeS @2 :Float64;
+  after @3 :List(UInt16);
+  label @4 :Text;
+  maxPerWorker @5 :UInt16;
+  dataRack @6 :Text;
+}
+
+struct JobOffer {
+  jobId @0 :Text;
+  route @1 :Text;
+  service @2 :Text;
+  body @3 :Text;
+  steps @4 :List(StepSpec);
+  priority @5 :Int32;
+  maxAttempts @6 :UInt16;
+  stretch @7 :Float64;
+  allowanceS @8 :Float64;
+  elapsedS @9 :Float64;
+  leftS @10 :Float64;
+  handovers @11 :UInt16;
+  done @12 :List(UInt16);
+}
+
+struct OfferedJob {
+  shard @0 :Text;
+  number @1 :UInt64;
+  offer @2 :JobOffer;
+}
+
+struct JobWithdrawn {
+  jobId @0 :Text;
+  cancelled @1 :Bool;
+}
+
+struct JobProgress {
+  jobId @0 :Text;
+  done @1 :List(UInt16);
+}
+
+struct JobEnded {
+  jobId @0 :Text;
+  error @1 :Text;
+  detail @2 :Text;
+  retryAfterS @3 :Float64;
+  notRun @4 :Bool;
+}
+
+struct Claim {
+  shard @0 :Text;
+  epoch @1 :UInt64;
+  cores @2 :Float32;
+  freeCores @3 :Float32;
+  queuedCoreS @4 :Float32;
+}
+
+struct Beat {
+  host @0 :Text;
+  port @1 :UInt16;
+  dataCentre @2 :Text;
+  incarnation @3 :UInt64;
+  weight @4 :Float64;
+  able @5 :Bool;
+  leaving @6 :Bool;
+  heard @7 :List(Text);
+  claims @8 :List(Claim);
+  known @9 :List(Text);
+  version @10 :UInt64;
+}
+
 struct Frame {
   sender @0 :Text;
   union {
@@ -102,5 +180,10 @@
     hostsNews @9 :HostsNews;
     refreshRequest @10 :RefreshRequest;
     refreshReply @11 :RefreshReply;
+    beat @12 :Beat;
+    offeredJob @13 :OfferedJob;
+    jobWithdrawn @14 :JobWithdrawn;
+    jobProgress @15 :JobProgress;
+    jobEnded @16 :JobEnded;
   }
 }
--- a/packages/poplarhilld/src/poplarhilld/peers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/link.py
@@ -7,7 +7,7 @@
 import curio
 
 from poplarhill.http import connect_from
-from poplarhilld.settings import Address
+from poplarhill.types import Address
 
 LENGTH_BYTES = 4
 QUEUE_FRAMES = 256
--- a/packages/poplarhilld/src/poplarhilld/peers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/links.py
@@ -6,6 +6,7 @@
 import curio
 import structlog
 
+from poplarhill.types import Address
 from poplarhilld.peers.codec import (
     MAX_FRAME_BYTES,
     Envelope,
@@ -15,7 +16,6 @@
 )
 from poplarhilld.peers.link import LENGTH_BYTES, PeerLink
 from poplarhilld.peers.messages import Message
-from poplarhilld.settings import Address
 
 _MAX_INCOMING = 4096
 _FLUSH_S = 0.5
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from poplarhill.types import Resources
+
 
 class MemberState(NamedTuple):
     """What one host says of another, or of itself.
@@ -197,6 +199,169 @@
     informed: bool
 
 
+class StepSpec(NamedTuple):
+    """One step of a job: equal tasks.
+
+    Attributes:
+        count: Count of its tasks.
+        needs: Room that each of them takes.
+        run_time_s: Declared run time of a task, a rough guess, s.
+        after: Numbers of the steps whose tasks must all be done first.
+        label: Label that a worker must have; empty for any.
+        max_per_worker: Most tasks of the step on one worker; 0 for any.
+        data_rack: Rack where its data lies; empty for none.
+    """
+
+    count: int
+    needs: Resources
+    run_time_s: float
+    after: tuple[int, ...] = ()
+    label: str = ""
+    max_per_worker: int = 0
+    data_rack: str = ""
+
+
+class JobOffer(NamedTuple):
+    """Hands a job to the leader of some workers.
+
+    Attributes:
+        job_id: Id that the caller chose.
+        route: Name of its route.
+        service: Service that runs it.
+        body: What its tasks are given.
+        steps: Its steps.
+        priority: 0 goes first.
+        max_attempts: Failed runs after which a task has failed.
+        stretch: Factor on the work within which an answer is in time.
+        allowance_s: Time on top of the work for that, s.
+        elapsed_s: Time since the entry host has read it, s.
+        left_s: Time until its caller leaves, s.
+        handovers: Count of earlier leaders that it was offered to.
+        done: Numbers of its tasks that are known to be done.
+    """
+
+    job_id: str
+    route: str
+    service: str
+    body: str
+    steps: tuple[StepSpec, ...]
+    priority: int
+    max_attempts: int
+    stretch: float
+    allowance_s: float
+    elapsed_s: float
+    left_s: float
+    handovers: int = 0
+    done: tuple[int, ...] = ()
+
+
+class JobWithdrawn(NamedTuple):
+    """Takes a job back: nothing of it may start any more.
+
+    Attributes:
+        job_id: Its id.
+        cancelled: Whether its caller cancelled it, whoever carries it.
+    """
+
+    job_id: str
+    cancelled: bool = False
+
+
+class JobProgress(NamedTuple):
+    """Tells an entry host which tasks of its job are done.
+
+    Attributes:
+        job_id: Id of the job.
+        done: Numbers of tasks that have ended since the last report.
+    """
+
+    job_id: str
+    done: tuple[int, ...] = ()
+
+
+class JobEnded(NamedTuple):
+    """Tells an entry host the outcome of its job.
+
+    Attributes:
+        job_id: Id of the job.
+        error: Kind of its failure; empty when it is complete.
+        detail: One sentence on the failure.
+        retry_after_s: When to come back, s; 0 if that does not help.
+        not_run: Whether no task of it was ever started.
+    """
+
+    job_id: str
+    error: str = ""
+    detail: str = ""
+    retry_after_s: float = 0.0
+    not_run: bool = False
+
+
+JobReport = JobProgress | JobEnded
+
+
+class OfferedJob(NamedTuple):
+    """A job for the leader of a shard.
+
+    Attributes:
+        shard: Name of the shard.
+        number: Count of the sender's submissions; tells offers of one id apart.
+        offer: The job.
+    """
+
+    shard: str
+    number: int
+    offer: JobOffer
+
+
+class Claim(NamedTuple):
+    """A shard that the sender leads.
+
+    Attributes:
+        shard: Name of the shard.
+        epoch: Rises with each change of leader.
+        cores: Cores of its workers in use.
+        free_cores: Cores that nothing holds.
+        queued_core_s: Room that waiting jobs will take, core-seconds.
+    """
+
+    shard: str
+    epoch: int
+    cores: float = 0.0
+    free_cores: float = 0.0
+    queued_core_s: float = 0.0
+
+
+class Beat(NamedTuple):
+    """Tells a host that the sender lives, and what it leads.
+
+    Attributes:
+        host: IP address for peers.
+        port: TCP port for peers.
+        data_centre: Data centre that it stands in.
+        incarnation: Start time of the process, ms since the epoch.
+        weight: Cores that it has for its work.
+        able: Whether it knows enough to lead.
+        leaving: Whether it is shutting down.
+        heard: Names of the hosts that it hears.
+        claims: Shards that it leads.
+        known: Addresses of hosts that it knows, as `ip:port`; now and then.
+        version: Version of the catalogue in force at the sender.
+    """
+
+    host: str
+    port: int
+    data_centre: str
+    incarnation: int
+    weight: float
+    able: bool
+    leaving: bool = False
+    heard: tuple[str, ...] = ()
+    claims: tuple[Claim, ...] = ()
+    known: tuple[str, ...] = ()
+    version: int = 0
+
+
 Message = (
     Heartbeat
     | SlotRequest
@@ -209,4 +374,9 @@
     | HostsNews
     | RefreshRequest
     | RefreshReply
+    | Beat
+    | OfferedJob
+    | JobWithdrawn
+    | JobProgress
+    | JobEnded
 )
--- a/packages/poplarhilld/src/poplarhilld/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/settings.py
@@ -6,18 +6,7 @@
 
 from poplarhill.exceptions import SettingsError
 from poplarhill.schema import check
-
-
-class Address(NamedTuple):
-    """Where a process listens.
-
-    Attributes:
-        host: IP address.
-        port: TCP port.
-    """
-
-    host: str
-    port: int
+from poplarhill.types import Address
 
 
 class Settings(NamedTuple):
--- a/packages/poplarhilld/tests/configuration/test_state.py
+++ b/packages/poplarhilld/tests/configuration/test_state.py
@@ -16,6 +16,7 @@
     encode_record,
 )
 from poplarhill.platform import Batch, Record, Truncated, Unavailable
+from poplarhill.types import Address
 from poplarhilld.configuration import (
     AppendRecord,
     ConfigurationState,
@@ -32,7 +33,6 @@
     ConfigurationRequest,
     Heartbeat,
 )
-from poplarhilld.settings import Address
 
 RETENTION_S = 100.0
 NAMES = ("h1", "h2", "h3")
--- a/packages/poplarhilld/tests/dispatch/test_core.py
+++ b/packages/poplarhilld/tests/dispatch/test_core.py
@@ -6,6 +6,7 @@
 
 from poplarhill import ErrorKind, JobSpec, TaskId
 from poplarhill.configuration import Configuration
+from poplarhill.types import Address
 from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import AnswerJob, SendTask, StopTask
 from poplarhilld.dispatch.events import (
@@ -18,7 +19,6 @@
     Ticked,
 )
 from poplarhilld.jobs import Completed
-from poplarhilld.settings import Address
 
 IDENTITY = Identity("h1", "dc1", Address("127.0.0.1", 7001), 1, {})
 
--- a/packages/poplarhilld/tests/dispatch/test_pause.py
+++ b/packages/poplarhilld/tests/dispatch/test_pause.py
@@ -4,6 +4,7 @@
 
 from poplarhill import JobSpec
 from poplarhill.configuration import Configuration
+from poplarhill.types import Address
 from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import AnswerJob, SendTask
 from poplarhilld.dispatch.events import (
@@ -12,7 +13,6 @@
     TaskSucceeded,
     Ticked,
 )
-from poplarhilld.settings import Address
 
 IDENTITY = Identity("h1", "dc1", Address("127.0.0.1", 7001), 1, {})
 DOCUMENT = {"services": {"a": {"workers": {"w": {"host": "127.0.0.1", "port": 1}}}}}
--- a/packages/poplarhilld/tests/dispatch/test_promises.py
+++ b/packages/poplarhilld/tests/dispatch/test_promises.py
@@ -9,6 +9,7 @@
 from poplarhill import ErrorKind, JobSpec
 from poplarhill.configuration import Configuration
 from poplarhill.exceptions import RunState
+from poplarhill.types import Address
 from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import AnswerJob, SendTask, StopTask
 from poplarhilld.dispatch.events import (
@@ -22,7 +23,6 @@
     Ticked,
 )
 from poplarhilld.jobs import Completed
-from poplarhilld.settings import Address
 
 IDENTITY = Identity("h1", "dc1", Address("127.0.0.1", 7001), 1, {})
 WORKERS = {f"w{n}": {"host": "127.0.0.1", "port": 1000 + n} for n in range(3)}
--- a/packages/poplarhilld/tests/health/test_health.py
+++ b/packages/poplarhilld/tests/health/test_health.py
@@ -7,8 +7,8 @@
 from poplarhill import TaskId
 from poplarhill.configuration import Configuration
 from poplarhilld.health import Health, WorkerEjected, WorkerRestored
-from poplarhilld.health.ejection import FIRST_PAUSE_S, PROBES_TO_RESTORE
-from poplarhilld.health.failures import FEWEST_JOBS
+from poplarhilld.outliers.ejection import FIRST_PAUSE_S, PROBES_TO_RESTORE
+from poplarhilld.outliers.failures import FEWEST_JOBS
 from poplarhilld.peers.messages import Suspicion
 
 WORKERS = 24
--- a/packages/poplarhilld/tests/health/test_probes.py
+++ b/packages/poplarhilld/tests/health/test_probes.py
@@ -6,6 +6,7 @@
 
 from poplarhill import ErrorKind, JobSpec
 from poplarhill.configuration import Configuration
+from poplarhill.types import Address
 from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import SendTask
 from poplarhilld.dispatch.events import (
@@ -14,8 +15,7 @@
     TaskLost,
     TaskSucceeded,
 )
-from poplarhilld.health.ejection import FIRST_PAUSE_S
-from poplarhilld.settings import Address
+from poplarhilld.outliers.ejection import FIRST_PAUSE_S
 
 IDENTITY = Identity("h1", "dc1", Address("127.0.0.1", 7001), 1, {})
 
--- a/packages/poplarhilld/tests/jobs/test_retries.py
+++ b/packages/poplarhilld/tests/jobs/test_retries.py
@@ -6,6 +6,7 @@
 
 from poplarhill import ErrorKind, JobSpec
 from poplarhill.configuration import Configuration
+from poplarhill.types import Address
 from poplarhilld.dispatch import Dispatcher, Identity
 from poplarhilld.dispatch.actions import AnswerJob, SendTask
 from poplarhilld.dispatch.events import (
@@ -16,7 +17,6 @@
     Ticked,
 )
 from poplarhilld.jobs.retries import MAX_TRIES
-from poplarhilld.settings import Address
 
 IDENTITY = Identity("h1", "dc1", Address("127.0.0.1", 7001), 1, {})
 TICK_S = 0.1
--- a/packages/poplarhilld/tests/membership/conftest.py
+++ b/packages/poplarhilld/tests/membership/conftest.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from poplarhill.types import Address
 from poplarhilld.membership import HeartbeatDue, MemberRemoved, Membership
 from poplarhilld.peers import MemberState
-from poplarhilld.settings import Address
 
 STEP_S = 0.1
 
--- a/packages/poplarhilld/tests/peers/test_links.py
+++ b/packages/poplarhilld/tests/peers/test_links.py
@@ -6,10 +6,10 @@
 import curio
 import pytest
 
+from poplarhill.types import Address
 from poplarhilld.peers import Goodbye, PeerLinks, encode
 from poplarhilld.peers.codec import MAX_FRAME_BYTES, Envelope
 from poplarhilld.peers.link import LENGTH_BYTES, QUEUE_FRAMES, PeerLink
-from poplarhilld.settings import Address
 
 LIMIT_S = 30.0
 GOOD = encode(Envelope("h9", Goodbye(9)))
