Keep the room of runs on a fenced worker; take a cut data centre's workers late

It lost the worker because a host of another data centre had claimed the shard during a cut and confirmed its token the moment the cut healed. Now a fenced worker keeps its runs until it is taken back, a leaderless shard of another data centre is taken only after its workers have answered for 2 s, and links to lost hosts are tried again every 0.5 s.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -8,10 +8,10 @@
 import curio
 import structlog
 
-from poplarhill.exceptions import ErrorKind, Failure
+from poplarhill.exceptions import ErrorKind, Failure, SettingsError
 from poplarhill.http import HttpServer, Request, Response, json_response
 from poplarhill.types import Address
-from poplarhilld.catalogue import Catalogue, Registry, Route
+from poplarhilld.catalogue import Catalogue, Registry, Route, WorkerEntry
 from poplarhilld.decisions import LogDecision
 from poplarhilld.entry.logs import LogBuffer
 from poplarhilld.entry.metrics import EntryMetrics
@@ -25,7 +25,7 @@
     StartRun,
     StopRun,
 )
-from poplarhilld.leases import LeaseReply, TokenSource
+from poplarhilld.leases import LeaseLost, LeaseReply, Renewal, TokenSource
 from poplarhilld.peers import PeerLinks
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.peers.messages import (
@@ -55,6 +55,7 @@
 _HOSTS_REFRESH_S = 5.0  # heartbeats carry addresses; the store helps strangers
 _STORE_RETRY_S = 0.3  # eight hosts stay far below the store's rates
 _TEND_S = 5.0  # an idle connection costs a descriptor
+_SCOUT_S = 0.5  # a quarter of the time for which a data centre must be empty
 _EXIT_MARGIN_S = 1.0  # leaves time to write the last lines
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
@@ -72,6 +73,7 @@
         directory: What the platform's store knows.
         logs: Where log lines wait.
         metrics: Counters of this process.
+        reload: Reads the settings anew.
     """
 
     def __init__(
@@ -81,7 +83,9 @@
         directory: Directory,
         logs: LogBuffer,
         metrics: EntryMetrics,
+        reload: Callable[[], EntrySettings],
     ) -> None:
+        self._reload = reload
         self._settings = settings
         self._ports = workers
         self._directory = directory
@@ -114,6 +118,7 @@
             settings.peers.host,
         )
         self._known_registry = False
+        self._reachable: dict[str, float] = {}
         self._store_lost: dict[str, str] = {}
         self._leaving = False
         self._http: HttpServer | None = None
@@ -142,7 +147,7 @@
         Returns:
             Exit code of the process.
         """
-        stop = SignalWaiter(signal.SIGTERM, signal.SIGINT)
+        signals = SignalWaiter(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         settings = self._settings
         self._http = HttpServer(*settings.callers, handler)
         readiness = HttpServer(*settings.readiness, self._answer_readiness)
@@ -156,12 +161,13 @@
             self._registry_loop,
             self._hosts_loop,
             self._tend_loop,
+            self._scout_loop,
             self._http.run,
             readiness.run,
             metrics.run,
         )
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(stop.wait)
+            await group.spawn(self._wait_for_stop, signals)
             await group.spawn(self._loops.wait_failed)
         await self._drain()
         await self._loops.cancel()
@@ -236,6 +242,7 @@
             self._known_registry,
             loads,
             self._catalogue.version,
+            self._reachable,
         )
         await self._perform(actions)
         await self._lead()
@@ -248,7 +255,7 @@
         """Make the leaders that this host's claims call for."""
         for shard in self._leaders.keys() - self._hosts.claims.keys():
             leader = self._leaders.pop(shard)
-            await self._perform(leader.lead(uptime(), time.time(), {}), leader)
+            await self._perform(leader.resign(), leader)
         for shard in self._hosts.claims:
             if shard not in self._leaders:
                 self._leaders[shard] = Leader(self._tokens, self._settings.lease_s)
@@ -330,6 +337,52 @@
             await curio.sleep(_TEND_S)
             await self._ports.tend()
 
+    async def _scout_loop(self) -> None:
+        """Find out which leaderless shards of other data centres are reached."""
+        while True:
+            await curio.sleep(_SCOUT_S)
+            leaderless = {
+                shard: entries
+                for shard, entries in self._shards.items()
+                if self._hosts.leader(shard) is None
+            }
+            for shard in self._reachable.keys() - leaderless.keys():
+                del self._reachable[shard]
+            for shard, entries in leaderless.items():
+                worker = entries[min(entries)]
+                if await self._answers(worker):
+                    self._reachable.setdefault(shard, uptime())
+                else:
+                    self._reachable.pop(shard, None)
+
+    async def _answers(self, worker: WorkerEntry) -> bool:
+        """Return whether a worker answers; the lowest token changes nothing."""
+        look = Renewal(0, 0, None, 0.0, uptime())
+        reply = await self._ports.renew(worker, look)
+        return reply not in (LeaseLost.SILENT, LeaseLost.REFUSED)
+
+    async def _wait_for_stop(self, signals: SignalWaiter) -> None:
+        """Return when the process is to stop; reload on SIGHUP meanwhile."""
+        while await signals.wait() is signal.SIGHUP:
+            self._take_settings()
+
+    def _take_settings(self) -> None:
+        """Read the settings again; what cannot change in a run stays."""
+        before = self._settings
+        try:
+            settings = self._reload()
+        except SettingsError as error:
+            _log.error("ReloadRefused", reason=str(error))
+            return
+        changed = [
+            name
+            for name, value in settings._asdict().items()
+            if value != getattr(before, name)
+        ]
+        self._hosts.learn(uptime(), settings.seeds)
+        self._settings = before._replace(seeds=settings.seeds, grace_s=settings.grace_s)
+        _log.info("Reloaded", changed=changed)
+
     def _note_store(self, call: str, problem: str = "") -> None:
         """Log when the store is lost to a call, and when it is back."""
         self._metrics.store_calls.labels(call, "failed" if problem else "ok").inc()
--- a/packages/poplarhilld/src/poplarhilld/leading/fitness.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/fitness.py
@@ -71,12 +71,14 @@
         if record is None:
             return False
         record.stalled.discard(run)
-        if record.ejection is not None and record.ejection.probe == run:
-            if record.ejection.probe_succeeded():
-                record.ejection = None
-                self._failures.forget(worker)
-                return True
-        return False
+        ejection = record.ejection
+        if ejection is None or ejection.probe != run:
+            return False
+        if not ejection.probe_succeeded():
+            return False
+        record.ejection = None
+        self._failures.forget(worker)
+        return True
 
     def failed(self, now: float, worker: str, run: Run, job: str, of: int) -> bool:
         """Note a task that failed; return whether the worker is ejected now.
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -151,17 +151,23 @@
         if not self._workers and not self._entries and entries:
             self._taken_at = now
         self._entries = entries
-        for name in self._workers.keys() - entries.keys():
-            actions += self._release(now, name, "not led here")
         for name, entry in entries.items():
             worker = self._workers.get(name)
-            if worker is not None:
-                if worker.entry != entry:
-                    worker.entry = entry
-            elif now >= self._paused.get(name, 0.0):
+            if worker is None:
                 actions += self._take(now, time_s, entry)
+                continue
+            worker.entry = entry
+            if worker.fenced and now >= self._paused[name]:
+                actions += self._retake(now, time_s, worker)
         return actions + self._assign(now)
 
+    def resign(self) -> list[LeaderAction]:
+        """Lead nothing any more; what runs is the next leader's."""
+        actions: list[LeaderAction] = []
+        for name in list(self._workers):
+            actions += self._release(name, "this host does not lead it any more")
+        return actions
+
     def offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
         """Take a job from an entry host, or refuse it."""
         listener = _Listener(host, number)
@@ -264,8 +270,7 @@
                 if self._fitness.unhealthy(now, name):
                     actions.append(_state(now, worker, "ejected", reply.outcome.value))
             case OrderOutcome.FENCED:
-                actions += self._release(now, name, "another leader has taken it")
-                self._paused[name] = now + _FENCED_PAUSE_S
+                actions += self._fence(now, worker)
             case OrderOutcome.REPLACED:
                 self._fitness.suspect(now, name)
         for change in changes:
@@ -304,10 +309,28 @@
         taken = WorkerTaken(entry.name, address, token, "led here")
         return [LogDecision(taken), RenewLease(entry, worker.renew(now))]
 
-    def _release(self, now: float, name: str, reason: str) -> list[LeaderAction]:
-        """Let a worker go; its runs are another leader's, or nobody's."""
+    def _retake(self, now: float, time_s: float, worker: LeasedWorker) -> list:
+        """Take a worker back from a leader that should not lead it."""
+        worker.retake(self._tokens.next(time_s))
+        entry = worker.entry
+        address = f"{entry.address.host}:{entry.address.port}"
+        taken = WorkerTaken(entry.name, address, worker.token, "taken back")
+        return [LogDecision(taken), RenewLease(entry, worker.renew(now))]
+
+    def _fence(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
+        """Order nothing there; what runs goes on under the other leader."""
+        name = worker.entry.name
+        worker.fenced = True
+        self._paused[name] = now + _FENCED_PAUSE_S
+        return [_state(now, worker, "fenced", "another leader has taken it")]
+
+    def _release(self, name: str, reason: str) -> list[LeaderAction]:
+        """Let a worker go."""
         worker = self._workers.pop(name)
         self._lost.discard(name)
+        self._paused.pop(name, None)
+        self._fitness.forget(name)
+        self._times.forget(name)
         held = list(worker.reservations)
         for reservation in held:
             self._forget_run(reservation.run)
@@ -327,11 +350,14 @@
         name = worker.entry.name
         match lost:
             case LeaseLost.FENCED:
-                self._paused[name] = now + _FENCED_PAUSE_S
-                return self._release(now, name, "another leader has taken it")
-            case LeaseLost.REFUSED | LeaseLost.REPLACED:
+                return self._fence(now, worker)
+            case LeaseLost.REPLACED:
                 actions = self._lose(now, worker, lost.value, dead=True)
                 pause_s = _REFUSED_RETRY_S
+            case LeaseLost.REFUSED:
+                # A cut may refuse connections as well: the lease decides.
+                actions = self._lose(now, worker, lost.value)
+                pause_s = _REFUSED_RETRY_S
             case _:
                 actions = []
                 pause_s = self._retry_s.get(name, _RENEWAL_RETRY_S)
@@ -358,6 +384,11 @@
 
     def _watch(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
         name = worker.entry.name
+        if worker.fenced:
+            return []
+        idle = not any(True for _ in worker.reservations)
+        if name not in self._entries and (idle or worker.has_lapsed(now)):
+            return self._release(name, "it is gone")
         if worker.confirmed and now - worker.silent_since > SILENT_S:
             return self._lose(now, worker, "silent")
         actions: list[LeaderAction] = []
@@ -405,6 +436,8 @@
     def _is_usable(self, now: float, worker: LeasedWorker) -> bool:
         return (
             worker.confirmed
+            and not worker.fenced
+            and worker.entry.name in self._entries
             and not worker.entry.draining
             and worker.entry.name not in self._lost
         )
@@ -691,10 +724,7 @@
             return False
         if not job.offer.handovers or now >= self._taken_at + HANDOVER_S:
             return True
-        return all(
-            worker.confirmed or name in self._lost
-            for name, worker in self._workers.items()
-        )
+        return all(worker.confirmed for worker in self._workers.values())
 
     def _choose(
         self,
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -65,6 +65,11 @@
     Room is given back only on proof: the worker lists the end, refuses the
     order, or can no longer carry it out.
 
+    Attributes:
+        entry: The worker, as it registered itself.
+        token: Fencing token of this host for it.
+        fenced: Whether it obeys a newer token.
+
     Args:
         entry: The worker.
         token: Fencing token of this host for it.
@@ -77,6 +82,7 @@
     ) -> None:
         self.entry = entry
         self.token = token
+        self.fenced = False
         self._lease_s = lease_s
         self._taken_at = now
         self._born: int | None = None
@@ -128,6 +134,12 @@
         """Return the worker's clock, at most a little early, s."""
         return self._clock_s + now - self._clock_at
 
+    def retake(self, token: int) -> None:
+        """Claim the worker under a new token."""
+        self.token = token
+        self.fenced = False
+        self._confirmed_at = None
+
     def has_lapsed(self, now: float) -> bool:
         """Return whether nothing can be running on a worker that is silent."""
         if self._born is None:
--- a/packages/poplarhilld/src/poplarhilld/peers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/link.py
@@ -11,13 +11,13 @@
 
 LENGTH_BYTES = 4
 QUEUE_FRAMES = 256
-_CONNECT_TIMEOUT_S = 1.0
-_SEND_TIMEOUT_S = 2.0
-_UNACKNOWLEDGED_MS = 5000
+_CONNECT_TIMEOUT_S = 0.5  # a lost opening packet is sent again after seconds
+_SEND_TIMEOUT_S = 0.5  # a peer that does not read for so long is taken to be lost
+_UNACKNOWLEDGED_MS = 600  # as long as a host is silent until it is taken to be lost
 _IDLE_S = 60.0
 _FLUSH_POLL_S = 0.01
 _FIRST_BACKOFF_S = 0.1
-_LONGEST_BACKOFF_S = 5.0
+_LONGEST_BACKOFF_S = 0.5  # a cut that heals is seen within a second
 
 
 class PeerLink:
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -180,6 +180,7 @@
         able: bool,
         loads: Mapping[str, Claim],
         version: int,
+        reachable: Mapping[str, float],
     ) -> list[ShardAction]:
         """Do what time makes due.
 
@@ -190,6 +191,7 @@
             able: Whether this host knows enough to lead.
             loads: Claims of this host with its present load, by shard.
             version: Version of the catalogue in force.
+            reachable: Since when workers of a leaderless shard answer, s.
         """
         actions: list[ShardAction] = []
         if now - self._last_tick > _PAUSED_S:
@@ -203,7 +205,7 @@
         for shard, claim in loads.items():
             if shard in self._claims:
                 self._claims[shard] = claim._replace(epoch=self._claims[shard].epoch)
-        changed = self._settle(now, time_s, shards, able)
+        changed = self._settle(now, time_s, shards, able, reachable)
         actions += changed
         actions += self._beats(now, able, version, bool(changed))
         return actions
@@ -211,7 +213,12 @@
     # Leadership
 
     def _settle(
-        self, now: float, time_s: float, shards: Iterable[str], able: bool
+        self,
+        now: float,
+        time_s: float,
+        shards: Iterable[str],
+        able: bool,
+        reachable: Mapping[str, float],
     ) -> list[ShardAction]:
         actions: list[ShardAction] = []
         wanted = set(shards)
@@ -221,7 +228,7 @@
             if shard in self._claims:
                 actions += self._defend(shard)
             elif able and not self._leaving and now >= self._settled_at:
-                actions += self._seek(now, time_s, shard)
+                actions += self._seek(now, time_s, shard, reachable.get(shard))
         return actions
 
     def _defend(self, shard: str) -> list[ShardAction]:
@@ -238,8 +245,14 @@
                 return self._yield(shard, heirs[0], "it stands nearer")
         return []
 
-    def _seek(self, now: float, time_s: float, shard: str) -> list[ShardAction]:
-        """Take a shard that nobody leads, if this host is the one to do so."""
+    def _seek(
+        self, now: float, time_s: float, shard: str, reached_since: float | None
+    ) -> list[ShardAction]:
+        """Take a shard that nobody leads, if this host is the one to do so.
+
+        A data centre without hosts may be cut off. Its workers are taken only
+        when they have answered for a while and still no host there is heard.
+        """
         if self.leader(shard) is not None:
             self._empty_since.pop(shard, None)
             return []
@@ -250,6 +263,8 @@
             since = self._empty_since.setdefault(shard, now)
             if now - since < _EMPTY_S:
                 return []
+            if reached_since is None or now - reached_since < _EMPTY_S:
+                return []
             heirs = self._candidates(None)
             reason = "no host lives in its data centre"
         number = int(shard.rpartition("/")[2])
--- a/packages/poplarhilld/src/poplarhilld/signals.py
+++ b/packages/poplarhilld/src/poplarhilld/signals.py
@@ -24,9 +24,9 @@
         for number in signals:
             signal.signal(number, _ignore)
 
-    async def wait(self) -> None:
-        """Return when a signal has come."""
-        await self._reading.recv(1)
+    async def wait(self) -> signal.Signals:
+        """Return a signal when it has come."""
+        return signal.Signals((await self._reading.recv(1))[0])
 
 
 def _ignore(number: int, frame: object) -> None:
