Test leaders and hosts in a simulated world; let leases of silent workers lapse

Cause: a renewal that went unanswered still counted as an extension, so a silent worker was never known to have lapsed and its tasks never ran again (the test of a silent worker failed first). Renewals extend a lease only within 0.5 s of the last answer.

--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -0,0 +1,397 @@
+"""A stand-in for workers that grant leases, and a world of leaders around them.
+
+Nothing here waits or connects: time is given, and what leaders ask for is
+carried out after the delay of the link. The world keeps a list of promises that
+were broken.
+"""
+
+import heapq
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from poplarhill.types import Address, Resources
+from poplarhilld.catalogue import WorkerEntry
+from poplarhilld.leading import (
+    Leader,
+    LookAtWorker,
+    Order,
+    RenewLease,
+    ReportJob,
+    StartRun,
+    StopRun,
+)
+from poplarhilld.leases import (
+    EndKind,
+    LeaseLost,
+    LeaseReply,
+    OrderOutcome,
+    OrderReply,
+    Renewal,
+    Run,
+    RunEnd,
+    TokenSource,
+)
+from poplarhilld.peers.messages import JobEnded, JobOffer, StepSpec
+
+LEASE_S = 1.0
+LINK_S = 0.001
+ANSWER_LIMIT_S = 0.25
+TICK_S = 0.05
+
+
+@dataclass
+class _Running:
+    run: Run
+    needs: Resources
+    until: float
+    fails: bool
+
+
+@dataclass
+class SimulatedWorker:
+    """One worker: obeys the highest token, kills all when its lease ends.
+
+    Attributes:
+        entry: How it registered itself.
+        born: Start of this life, ms.
+        token: Highest token seen.
+        lease_until: End of the lease, s.
+        running: What runs, by run.
+        ends: Ends that no leader has taken in.
+        mute: Whether it answers nothing.
+        broken: Whether every task fails.
+        stuck: Whether tasks never end.
+        slowdown: Factor on run times.
+    """
+
+    entry: WorkerEntry
+    born: int = 1
+    token: int = 0
+    lease_until: float = 0.0
+    running: dict[Run, _Running] = field(default_factory=dict)
+    ends: list[RunEnd] = field(default_factory=list)
+    mute: bool = False
+    broken: bool = False
+    stuck: bool = False
+    slowdown: float = 1.0
+    _sequence: int = 0
+    _closed: dict[str, int] = field(default_factory=dict)
+
+    def advance(self, now: float) -> None:
+        """End what has run its time or lost its lease."""
+        for running in list(self.running.values()):
+            until = running.until
+            if until <= min(now, self.lease_until):
+                kind = EndKind.FAILED if running.fails else EndKind.DONE
+                self._end(running.run, kind)
+        if now > self.lease_until:
+            for run in list(self.running):
+                self._end(run, EndKind.LAPSED)
+
+    def renew(self, now: float, renewal: Renewal) -> LeaseReply | LeaseLost:
+        """Take a renewal; the answer does not wait for an end."""
+        self.advance(now)
+        if renewal.token < self.token:
+            return LeaseLost.FENCED
+        self.token = renewal.token
+        self._extend(now, renewal.deadline_s)
+        self.ends = [end for end in self.ends if end.sequence > renewal.last_seen]
+        return LeaseReply(now, self.born, tuple(self.running), tuple(self.ends))
+
+    def start(self, now: float, order: Order, job: "SimulatedJob") -> OrderReply:
+        """Take an order to start a run; room is not looked at."""
+        self.advance(now)
+        if order.token < self.token:
+            return OrderReply(OrderOutcome.FENCED, now)
+        self.token = order.token
+        if now > order.deadline_s:
+            return OrderReply(OrderOutcome.EXPIRED, now)
+        if order.run.number <= self._closed.get(order.run.task, 0):
+            return OrderReply(OrderOutcome.OUTDATED, now)
+        self._extend(now, order.deadline_s)
+        if order.run not in self.running:
+            until = now + job.run_s * self.slowdown
+            self.running[order.run] = _Running(
+                order.run,
+                job.needs,
+                float("inf") if self.stuck else until,
+                self.broken or job.poison,
+            )
+        return OrderReply(OrderOutcome.ACCEPTED, now)
+
+    def stop(self, now: float, run: Run, token: int) -> bool:
+        """Take an order to stop a run."""
+        self.advance(now)
+        if token < self.token:
+            return True
+        self.token = token
+        if run in self.running:
+            self._end(run, EndKind.STOPPED)
+        self._closed[run.task] = max(run.number, self._closed.get(run.task, 0))
+        return True
+
+    def restart(self, now: float) -> None:
+        """Begin a new life under the same name."""
+        self.born += 1
+        self.token = 0
+        self.lease_until = now
+        self.running.clear()
+        self.ends.clear()
+        self._sequence = 0
+        self._closed.clear()
+
+    def _extend(self, now: float, deadline_s: float | None) -> None:
+        if deadline_s is not None:
+            until = min(deadline_s, now + LEASE_S)
+            self.lease_until = max(self.lease_until, until)
+
+    def _end(self, run: Run, kind: EndKind) -> None:
+        del self.running[run]
+        self._sequence += 1
+        self._closed[run.task] = max(run.number, self._closed.get(run.task, 0))
+        self.ends.append(RunEnd(self._sequence, run, kind))
+
+
+@dataclass(frozen=True)
+class SimulatedJob:
+    """A job and how its tasks really are."""
+
+    offer: JobOffer
+    run_s: float
+    needs: Resources
+    poison: bool = False
+
+
+class World:
+    """Workers, leaders and the links between them, in simulated time.
+
+    Args:
+        workers: The workers.
+        seed: Seed of every random choice.
+    """
+
+    def __init__(self, workers: Iterable[SimulatedWorker], seed: int = 1) -> None:
+        self.now = 100.0
+        self.random = Random(seed)
+        self.workers = {worker.entry.name: worker for worker in workers}
+        self.leaders: dict[str, Leader] = {}
+        self.paused: set[str] = set()
+        self.cut: Callable[[str, str], bool] = lambda leader, worker: False
+        self.late_orders = 0.0
+        self.jobs: dict[str, SimulatedJob] = {}
+        self.reports: list[tuple[float, str, object]] = []
+        self.broken: list[str] = []
+        self.starts = 0
+        self._mail: list = []
+        self._order = itertools.count()
+
+    @property
+    def entries(self) -> dict[str, WorkerEntry]:
+        """Registered workers by name."""
+        return {name: worker.entry for name, worker in self.workers.items()}
+
+    def add_leader(self, name: str, number: int) -> Leader:
+        """Make a leader of all workers, with tokens of its own."""
+        leader = Leader(TokenSource(Address(f"10.0.0.{number}", 1)), LEASE_S)
+        self.leaders[name] = leader
+        self.perform(name, leader.lead(self.now, self.now, self.entries))
+        return leader
+
+    def ended(self, job_id: str) -> JobEnded | None:
+        """Return the last outcome that was reported of a job."""
+        found = [r for _, _, r in self.reports if isinstance(r, JobEnded)]
+        found = [report for report in found if report.job_id == job_id]
+        return found[-1] if found else None
+
+    def submit(self, leader: str, job: SimulatedJob, host: str = "e1") -> None:
+        """Offer a job to a leader."""
+        self.jobs[job.offer.job_id] = job
+        self.perform(leader, self.leaders[leader].offer(self.now, host, 1, job.offer))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        next_tick = self.now + TICK_S
+        while self.now < end:
+            due = self._mail[0][0] if self._mail else end
+            self.now = max(self.now, min(due, next_tick, end))
+            while self._mail and self._mail[0][0] <= self.now:
+                _, _, deliver = heapq.heappop(self._mail)
+                deliver()
+            if self.now >= next_tick:
+                next_tick += TICK_S
+                for name, leader in list(self.leaders.items()):
+                    if name not in self.paused:
+                        self.perform(name, leader.tick(self.now))
+            self._check()
+
+    def perform(self, leader: str, actions: Iterable) -> None:
+        """Carry out what a leader asks for."""
+        for action in actions:
+            match action:
+                case RenewLease(worker, renewal, pause_s):
+                    self._later(pause_s + LINK_S, self._renew, leader, worker, renewal)
+                case LookAtWorker(worker, renewal):
+                    self._later(LINK_S, self._look, leader, worker, renewal)
+                case StartRun(worker, order):
+                    self._send_start(leader, worker, order)
+                case StopRun(worker, run, token):
+                    self._later(LINK_S, self._stop, leader, worker, run, token)
+                case ReportJob(host, report):
+                    self.reports.append((self.now, host, report))
+
+    def _later(self, delay_s: float, call: Callable, *args: object) -> None:
+        due = self.now + delay_s
+        heapq.heappush(self._mail, (due, next(self._order), lambda: call(*args)))
+
+    def _deliver(self, leader: str, method: str, *args: object) -> None:
+        """Give a leader an answer; one that stands still gets it later."""
+        if leader in self.paused:
+            self._later(TICK_S, self._deliver, leader, method, *args)
+            return
+        self.perform(leader, getattr(self.leaders[leader], method)(self.now, *args))
+
+    def _silent(self, leader: str, name: str) -> bool:
+        return self.workers[name].mute or self.cut(leader, name)
+
+    def _renew(self, leader: str, entry: WorkerEntry, renewal: Renewal) -> None:
+        name = entry.name
+        if leader in self.paused:
+            self._later(TICK_S, self._renew, leader, entry, renewal)
+            return
+        if self._silent(leader, name):
+            lost = LeaseLost.SILENT
+            self._later(0.3, self._deliver, leader, "renewed", name, renewal, lost)
+            return
+        reply = self.workers[name].renew(self.now, renewal)
+        # A worker answers at once when it has ends to tell, else after a wait.
+        wait_s = 0.0 if isinstance(reply, LeaseLost) or reply.ends else 0.02
+        self._later(wait_s, self._answer_renewal, leader, name, renewal)
+
+    def _answer_renewal(self, leader: str, name: str, renewal: Renewal) -> None:
+        if self._silent(leader, name):
+            reply: LeaseReply | LeaseLost = LeaseLost.SILENT
+        else:
+            reply = self.workers[name].renew(self.now, renewal)
+        self._later(LINK_S, self._deliver, leader, "renewed", name, renewal, reply)
+
+    def _look(self, leader: str, entry: WorkerEntry, renewal: Renewal) -> None:
+        if not self._silent(leader, entry.name):
+            reply = self.workers[entry.name].renew(self.now, renewal)
+            self._later(
+                LINK_S, self._deliver, leader, "looked", entry.name, renewal, reply
+            )
+
+    def _send_start(self, leader: str, entry: WorkerEntry, order: Order) -> None:
+        name = entry.name
+        unknown = OrderReply(OrderOutcome.UNKNOWN)
+        if self.random.random() < self.late_orders:
+            delay_s = self.random.uniform(2.0, 12.0)
+            self._later(delay_s, self._start_late, leader, name, order)
+            self._later(
+                ANSWER_LIMIT_S,
+                self._deliver,
+                leader,
+                "ordered",
+                name,
+                order.run,
+                unknown,
+            )
+            return
+        self._later(LINK_S, self._start, leader, name, order)
+
+    def _start_late(self, leader: str, name: str, order: Order) -> None:
+        if not self._silent(leader, name):
+            self._take_start(name, order)
+
+    def _start(self, leader: str, name: str, order: Order) -> None:
+        if self._silent(leader, name):
+            reply = OrderReply(OrderOutcome.UNKNOWN)
+            delay_s = ANSWER_LIMIT_S
+        else:
+            reply = self._take_start(name, order)
+            delay_s = LINK_S
+        self._later(delay_s, self._deliver, leader, "ordered", name, order.run, reply)
+
+    def _take_start(self, name: str, order: Order) -> OrderReply:
+        job = self.jobs[order.run.task.split(".")[0]]
+        reply = self.workers[name].start(self.now, order, job)
+        self.starts += reply.outcome is OrderOutcome.ACCEPTED
+        return reply
+
+    def _stop(self, leader: str, entry: WorkerEntry, run: Run, token: int) -> None:
+        answered = False
+        if not self._silent(leader, entry.name):
+            answered = self.workers[entry.name].stop(self.now, run, token)
+        delay_s = LINK_S if answered else ANSWER_LIMIT_S
+        self._later(
+            delay_s, self._deliver, leader, "stopped", entry.name, run, answered
+        )
+
+    def _check(self) -> None:
+        """Note promises that are broken now."""
+        seen: dict[str, str] = {}
+        for name, worker in self.workers.items():
+            worker.advance(self.now)
+            cores = sum(running.needs.cores for running in worker.running.values())
+            if cores > worker.entry.room.cores + 1e-6:
+                self._break(f"{name} over its room: {cores:g} cores")
+            for run in worker.running:
+                if run.task in seen:
+                    self._break(f"{run.task} twice: on {seen[run.task]} and {name}")
+                seen[run.task] = name
+
+    def _break(self, what: str) -> None:
+        if what not in self.broken:
+            self.broken.append(what)
+
+
+def worker_entry(name: str, cores: float = 16.0, rack: str = "r1") -> WorkerEntry:
+    """Return a worker of the usual size."""
+    return WorkerEntry(
+        name=name,
+        service="booking",
+        address=Address("127.0.0.1", 1000 + int(name.strip("w") or 0)),
+        data_centre="dc1",
+        rack=rack,
+        labels=frozenset(("a", rack)),
+        room=Resources(cores, 32768, 0),
+    )
+
+
+def job_offer(
+    job_id: str,
+    tasks: int = 2,
+    run_s: float = 0.2,
+    cores: float = 6.8,
+    left_s: float = 1.5,
+    handovers: int = 0,
+    **fields: object,
+) -> JobOffer:
+    """Return a job of one step."""
+    step = StepSpec(tasks, Resources(cores, 64, 0), run_s)
+    offer = JobOffer(
+        job_id=job_id,
+        route="deposit",
+        service="booking",
+        body="{}",
+        steps=(step,),
+        priority=1,
+        max_attempts=2,
+        stretch=1.6,
+        allowance_s=0.06,
+        elapsed_s=0.0,
+        left_s=left_s,
+        handovers=handovers,
+    )
+    return offer._replace(**fields)
+
+
+def simulated_job(
+    job_id: str, run_s: float = 0.2, poison: bool = False, **fields: object
+) -> SimulatedJob:
+    """Return a job whose tasks take just what they declare."""
+    offer = job_offer(job_id, run_s=run_s, **fields)
+    return SimulatedJob(offer, run_s, offer.steps[0].needs, poison)
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -600,7 +600,7 @@
         own = rank(now, job, self._times)
         ahead = 0.0
         for other in self._jobs.values():
-            if other.ready_tasks() and rank(now, other, self._times) < own:
+            if other.ready_tasks() and rank(now, other, self._times) <= own:
                 ahead += open_room_s(other, self._times)
         if not ahead and free >= sum(t.spec.needs.cores for t in job.ready_tasks()):
             return 0.0
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -21,6 +21,7 @@
 
 ORDER_LIFE_S = 0.5  # an unanswered order holds its room for at least this long
 RENEWAL_WAIT_S = 0.4  # two renewals may fail within a lease of 1 s
+EXTENSION_S = 0.5  # a renewal that is answered comes within 0.4 s of the last one
 _REMEMBERED_ENDS = 256  # more than a worker ends between two overlapping replies
 _CLOCK_RATE = 0.97  # a worker's clock may be 2 % slow; 1 % for rounding
 _TOLERANCE = 1e-6  # cores are sums of thousandths
@@ -150,7 +151,8 @@
     def renew(self, now: float) -> Renewal:
         """Return the renewal to send now."""
         deadline_s = None
-        if self._born is not None:
+        if self._born is not None and now - self._clock_at <= EXTENSION_S:
+            # A lease that is extended unheard would never be known to have lapsed.
             deadline_s = self.clock_s(now) + self._lease_s
             self._latest_deadline_s = max(self._latest_deadline_s, deadline_s)
         wait_s = RENEWAL_WAIT_S if self.confirmed else 0.0
--- /dev/null
+++ b/packages/poplarhilld/tests/leading/test_jobs.py
@@ -0,0 +1,103 @@
+"""Jobs from offer to outcome at one leader."""
+
+from poplarhill import ErrorKind
+from poplarhill_dev.leased import World, simulated_job
+from poplarhilld.peers.messages import JobWithdrawn
+
+
+def test_a_job_is_complete_when_all_its_tasks_are_done(world: World) -> None:
+    world.submit("h1", simulated_job("a", tasks=8))
+    world.run(0.4)
+    assert world.ended("a").error == ""
+    assert world.starts == 8
+    assert not world.broken
+
+
+def test_tasks_beyond_the_room_wait_for_it(world: World) -> None:
+    world.submit("h1", simulated_job("a", tasks=8, left_s=5.0))
+    world.submit("h1", simulated_job("b", tasks=8, left_s=5.0))
+    world.run(0.1)
+    assert world.starts == 8
+    world.run(0.6)
+    assert world.ended("b").error == ""
+    assert not world.broken
+
+
+def test_a_job_that_cannot_be_in_time_is_refused_at_once(world: World) -> None:
+    for number in range(30):
+        world.submit("h1", simulated_job(f"j{number}", tasks=8, left_s=1.5))
+    refused = world.ended("j29")
+    assert refused.error == ErrorKind.OVERLOADED.value
+    assert refused.not_run
+    assert refused.retry_after_s >= 1.0
+
+
+def test_a_job_is_given_up_when_its_work_does_not_fit_any_more(world: World) -> None:
+    world.submit("h1", simulated_job("long", tasks=8, run_s=1.0, left_s=9.0))
+    world.submit("h1", simulated_job("a", tasks=1, run_s=0.5, left_s=9.0, cores=16.0))
+    job = world.leaders["h1"].jobs["a"]
+    job.deadline = world.now + 0.7
+    world.run(0.4)
+    report = world.ended("a")
+    assert report.error == ErrorKind.OVERLOADED.value
+    assert report.not_run
+
+
+def test_a_poison_job_fails_after_its_attempts(world: World) -> None:
+    world.submit("h1", simulated_job("bad", tasks=1, poison=True))
+    world.run(1.0)
+    assert world.ended("bad").error == ErrorKind.TASK_FAILED.value
+    assert world.starts == 2
+
+
+def test_a_job_too_large_for_any_worker_is_refused(world: World) -> None:
+    world.submit("h1", simulated_job("huge", cores=64.0))
+    assert world.ended("huge").error == ErrorKind.IMPOSSIBLE.value
+    assert world.ended("huge").not_run
+
+
+def test_a_job_whose_caller_has_left_is_stopped(world: World) -> None:
+    world.submit("h1", simulated_job("a", run_s=5.0, left_s=9.0))
+    world.run(0.1)
+    leader = world.leaders["h1"]
+    world.perform("h1", leader.withdraw(world.now, "e1", JobWithdrawn("a")))
+    world.run(0.1)
+    assert not any(worker.running for worker in world.workers.values())
+    assert not leader.jobs
+
+
+def test_a_cancelled_job_is_not_taken_again(world: World) -> None:
+    leader = world.leaders["h1"]
+    world.perform("h1", leader.withdraw(world.now, "e2", JobWithdrawn("a", True)))
+    world.submit("h1", simulated_job("a"))
+    assert world.ended("a").error == ErrorKind.CANCELLED.value
+    world.run(0.2)
+    assert world.starts == 0
+
+
+def test_the_same_job_from_two_hosts_runs_once(world: World) -> None:
+    job = simulated_job("a")
+    world.submit("h1", job, "e1")
+    world.submit("h1", job, "e2")
+    world.run(0.5)
+    assert world.starts == 2
+    assert {host for _, host, _ in world.reports} == {"e1", "e2"}
+    assert not world.broken
+
+
+def test_the_outcome_is_told_again_to_who_missed_it(world: World) -> None:
+    job = simulated_job("a")
+    world.submit("h1", job)
+    world.run(0.5)
+    world.reports.clear()
+    world.submit("h1", job)
+    assert world.ended("a").error == ""
+    assert world.starts == 2
+
+
+def test_the_jobs_of_a_lost_host_are_stopped(world: World) -> None:
+    world.submit("h1", simulated_job("a", run_s=5.0, left_s=9.0))
+    world.run(0.1)
+    world.perform("h1", world.leaders["h1"].host_lost(world.now, "e1"))
+    world.run(0.2)
+    assert not any(worker.running for worker in world.workers.values())
--- /dev/null
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -0,0 +1,94 @@
+"""Two leaders of the same workers: the higher token decides."""
+
+from poplarhill_dev.leased import World, simulated_job
+from poplarhilld.leases import Run
+
+
+def test_a_takeover_adopts_what_runs(world: World) -> None:
+    job = simulated_job("a", tasks=4, run_s=0.5, left_s=3.0)
+    world.submit("h1", job)
+    world.run(0.1)
+    world.paused.add("h1")
+    world.now += 0.1
+    world.add_leader("h2", 2)
+    world.run(0.05)
+    offer = job.offer._replace(handovers=1)
+    world.perform("h2", world.leaders["h2"].offer(world.now, "e1", 1, offer))
+    world.run(1.0)
+    assert world.ended("a").error == ""
+    assert world.starts == 4
+    assert not world.broken
+
+
+def test_the_woken_leader_starts_nothing(world: World) -> None:
+    world.paused.add("h1")
+    world.run(1.0)
+    world.add_leader("h2", 2)
+    world.run(0.1)
+    world.paused.clear()
+    world.submit("h1", simulated_job("a"))
+    world.run(0.3)
+    assert world.starts == 0
+    assert not world.broken
+
+
+def test_runs_on_a_fenced_worker_are_not_started_elsewhere(world: World) -> None:
+    # Seen on trouble-2 of a site: two leaders after a cut had healed.
+    world.submit("h1", simulated_job("a", tasks=4, run_s=0.8, left_s=3.0))
+    world.run(0.1)
+    world.add_leader("h2", 2)
+    world.run(0.45)
+    assert not world.broken
+    assert world.starts == 4
+
+
+def test_a_leader_takes_its_workers_back(world: World) -> None:
+    world.add_leader("h2", 2)
+    world.run(0.1)
+    world.perform("h2", world.leaders["h2"].resign())
+    leader = world.leaders["h1"]
+    for _ in range(20):
+        world.perform("h1", leader.lead(world.now, world.now, world.entries))
+        world.run(0.05)
+    world.submit("h1", simulated_job("a"))
+    world.run(0.5)
+    assert world.ended("a").error == ""
+    assert not world.broken
+
+
+def test_runs_that_nobody_claims_are_stopped(world: World) -> None:
+    world.submit("h1", simulated_job("a", tasks=4, run_s=5.0, left_s=9.0))
+    world.run(0.1)
+    world.paused.add("h1")
+    world.add_leader("h2", 2)
+    world.run(1.0)
+    assert not any(worker.running for worker in world.workers.values())
+
+
+def test_a_task_that_was_done_before_the_takeover_is_not_run_again(
+    world: World,
+) -> None:
+    job = simulated_job("a", tasks=2, run_s=0.1, left_s=3.0)
+    world.submit("h1", job)
+    world.run(0.05)
+    world.paused.add("h1")
+    world.run(0.3)
+    world.add_leader("h2", 2)
+    world.run(0.05)
+    offer = job.offer._replace(handovers=1)
+    world.perform("h2", world.leaders["h2"].offer(world.now, "e1", 1, offer))
+    assert world.ended("a").error == ""
+    assert world.starts == 2
+
+
+def test_a_worker_of_which_nothing_is_known_gets_nothing(world: World) -> None:
+    worker = world.workers["w0"]
+    world.submit("h1", simulated_job("a", tasks=8, run_s=0.5, left_s=3.0))
+    world.run(0.1)
+    assert Run("a.0.0.0", 1) in {r for w in world.workers.values() for r in w.running}
+    world.paused.add("h1")
+    world.add_leader("h2", 2)
+    world.run(0.05)
+    held = world.leaders["h2"].workers[worker.entry.name]
+    assert held.has_unknown_runs
+    assert held.free().cores == 0
--- /dev/null
+++ b/packages/poplarhilld/tests/leading/test_workers_lost.py
@@ -0,0 +1,89 @@
+"""Workers that fall silent, lie, stall or come back."""
+
+import pytest
+
+from poplarhill_dev.leased import World, simulated_job
+
+
+def test_tasks_of_a_silent_worker_run_again_after_its_lease(world: World) -> None:
+    world.submit("h1", simulated_job("a", tasks=2, run_s=0.5, left_s=5.0))
+    world.run(0.1)
+    name = next(n for n, worker in world.workers.items() if worker.running)
+    world.workers[name].mute = True
+    world.run(3.0)
+    assert world.ended("a").error == ""
+    assert not world.broken
+
+
+def test_orders_that_come_late_start_nothing_twice(world: World) -> None:
+    world.late_orders = 0.3
+    for number in range(20):
+        world.submit("h1", simulated_job(f"j{number}", left_s=6.0))
+        world.run(0.3)
+    world.run(15.0)
+    assert not world.broken
+    outcomes = [world.ended(f"j{number}").error for number in range(20)]
+    assert outcomes.count("") == 20
+
+
+def test_a_worker_born_again_has_lost_its_runs(world: World) -> None:
+    world.submit("h1", simulated_job("a", tasks=2, run_s=0.5, left_s=5.0))
+    world.run(0.1)
+    for worker in world.workers.values():
+        worker.restart(world.now)
+    world.run(2.0)
+    assert world.ended("a").error == ""
+    assert world.starts == 4
+    assert not world.broken
+
+
+def test_a_worker_that_fails_everything_gets_no_more_work(world: World) -> None:
+    bad = world.workers["w0"]
+    bad.broken = True
+    for number in range(40):
+        world.submit("h1", simulated_job(f"j{number}", run_s=0.05))
+        world.run(0.06)
+    failed = [n for n in range(40) if world.ended(f"j{n}").error]
+    assert not failed
+    leader = world.leaders["h1"]
+    world.submit("h1", simulated_job("last", tasks=4))
+    world.run(0.02)
+    assert not bad.running
+    assert leader.jobs
+
+
+def test_tasks_that_stand_still_are_moved(world: World) -> None:
+    world.workers["w0"].stuck = True
+    world.workers["w1"].stuck = True
+    world.submit("h1", simulated_job("a", tasks=8, run_s=0.1, left_s=3.0))
+    world.run(2.0)
+    assert world.ended("a").error == ""
+    assert not world.broken
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_no_promise_is_broken_under_mixed_trouble(seed: int, world: World) -> None:
+    world.random.seed(seed)
+    random = world.random
+    world.late_orders = 0.05
+    for number in range(60):
+        job = simulated_job(
+            f"j{number}",
+            tasks=random.randint(1, 8),
+            run_s=random.choice((0.06, 0.2, 0.9)),
+        )
+        world.submit("h1", job)
+        worker = random.choice(list(world.workers.values()))
+        match random.randrange(12):
+            case 0:
+                worker.mute = True
+            case 1:
+                worker.restart(world.now)
+            case 2:
+                worker.stuck = not worker.stuck
+            case _:
+                worker.mute = False
+        world.run(0.1)
+    world.run(3.0)
+    assert not world.broken
+    assert all(world.ended(f"j{number}") for number in range(60))
