Test the adapter over real connections against stand-ins of store and workers

A cancelled job's caller got 502: a job that was cancelled after it had started is now reported as stopped (the test of a cancelled job failed first).

--- /dev/null
+++ b/packages/poplarhill-dev/tests/adapter/test_whole_path.py
@@ -0,0 +1,171 @@
+"""Jobs through one entry host, over real connections, in the platform's words."""
+
+import curio
+import msgspec
+
+from poplarhill.http import Request, Response, fetch
+from poplarhill.types import Address
+
+JOB_ID = "5c0e7a21d94b36f8"
+PATH = f"/r0/{JOB_ID}"
+
+
+def job(tasks: int = 3, run_s: float = 0.05, **fields: object) -> bytes:
+    step = {"count": tasks, "cpu": 6800, "mem_mb": 64, "estimated_ms": run_s * 1000}
+    spec = msgspec.json.encode({"run_s": run_s}).decode()
+    return msgspec.json.encode(
+        {"spec": spec, "steps": [step], "best_effort": True, **fields}
+    )
+
+
+async def call(platform, method: str, path: str, body: bytes = b"") -> Response:
+    return await fetch(
+        *platform.settings.callers, Request(method, path, "", {}, body), 10.0
+    )
+
+
+async def is_ready(address: Address) -> bool:
+    try:
+        return (
+            await fetch(*address, Request("GET", "/v1/readiness"), 5.0)
+        ).status == 200
+    except Exception:  # The host may not listen yet.
+        return False
+
+
+async def ready(platform) -> None:
+    while not await is_ready(platform.settings.readiness):
+        await curio.sleep(0.02)
+
+
+def test_a_job_is_complete_over_the_whole_path(platform) -> None:
+    async def scene(platform) -> None:
+        await ready(platform)
+        answer = await call(platform, "POST", PATH, job(tasks=8))
+        assert (answer.status, answer.body) == (200, b'{"state":"completed"}')
+        assert all(worker.most_cores <= 16.0 for worker in platform.workers)
+
+    platform.play(scene)
+
+
+def test_without_a_configuration_nothing_is_taken(platform) -> None:
+    async def scene(platform) -> None:
+        platform.store.failing = 503
+        while not platform.store.calls:
+            await curio.sleep(0.02)
+        answer = await call(platform, "POST", PATH, job())
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+        assert not await is_ready(platform.settings.readiness)
+        platform.store.failing = 0
+        await ready(platform)
+        assert (await call(platform, "POST", PATH, job())).status == 200
+
+    platform.play(scene)
+
+
+def test_serving_goes_on_while_the_store_is_away(platform) -> None:
+    async def scene(platform) -> None:
+        await ready(platform)
+        platform.store.failing = 503
+        await curio.sleep(1.5)
+        assert (await call(platform, "POST", PATH, job())).status == 200
+
+    platform.play(scene)
+
+
+def test_routes_are_added_and_dropped(platform) -> None:
+    async def scene(platform) -> None:
+        await ready(platform)
+        path = f"/r5/{JOB_ID}"
+        assert (await call(platform, "POST", path, job())).status == 404
+        platform.store.put("keyed.op", "config", platform.configuration(5, routes=9))
+        while (await call(platform, "POST", path, job())).status != 200:
+            await curio.sleep(0.02)
+        platform.store.put("keyed.op", "config", platform.configuration(4, routes=1))
+        platform.store.put("keyed.op", "config", platform.configuration(8, routes=2))
+        platform.store.forget_history("keyed.op")
+        while (await call(platform, "POST", path, job())).status != 404:
+            await curio.sleep(0.02)
+        assert platform.host.catalogue.version == 8
+
+    platform.play(scene)
+
+
+def test_entries_that_cannot_be_read_hide_no_others(platform) -> None:
+    async def scene(platform) -> None:
+        await ready(platform)
+        store = platform.store
+        store.put_bytes("keyed.servers", "odd", b"\xff\x00")
+        store.put("keyed.servers", "strange", {"state": 7})
+        store.put("keyed.servers", "w0", None)
+        await curio.sleep(1.0)
+        assert (await call(platform, "POST", PATH, job())).status == 200
+
+    platform.play(scene)
+
+
+def test_what_is_not_served_is_refused_as_not_run(platform) -> None:
+    async def scene(platform) -> None:
+        await ready(platform)
+        for fields in ({"best_effort": False}, {"long_running": True}):
+            answer = await call(platform, "POST", PATH, job(**fields))
+            assert answer.status == 503
+            error = msgspec.json.decode(answer.body)["error"]
+            assert error["run_state"] == "not_run"
+        for body in (
+            b"",
+            b"{",
+            b'{"spec":"x","steps":[]}',
+            job(tasks=0),
+            job(tasks=999),
+        ):
+            assert (await call(platform, "POST", PATH, body)).status == 400
+        assert (await call(platform, "PUT", PATH, job())).status == 400
+        assert (await call(platform, "POST", "/r0/short", job())).status == 400
+        assert (await call(platform, "GET", PATH)).status == 410
+        assert (await call(platform, "DELETE", PATH)).status == 410
+        waiting = await call(platform, "GET", "/r0/")
+        assert waiting.body == b'{"waiting":0}'
+
+    platform.play(scene)
+
+
+def test_a_cancelled_job_is_stopped_and_answered(platform) -> None:
+    async def scene(platform) -> None:
+        await ready(platform)
+        async with curio.TaskGroup() as group:
+            posting = await group.spawn(call, platform, "POST", PATH, job(run_s=1.0))
+            while not any(w.worker.running for w in platform.workers):
+                await curio.sleep(0.01)
+            assert (await call(platform, "DELETE", PATH)).status == 200
+            await posting.join()
+        assert posting.result.body == b'{"state":"cancelled"}'
+        while any(w.worker.running for w in platform.workers):
+            await curio.sleep(0.01)
+
+    platform.play(scene)
+
+
+def test_work_of_a_caller_that_left_is_stopped(platform) -> None:
+    async def scene(platform) -> None:
+        await ready(platform)
+        posting = await curio.spawn(call, platform, "POST", PATH, job(run_s=1.0))
+        while not any(w.worker.running for w in platform.workers):
+            await curio.sleep(0.01)
+        await posting.cancel()
+        while any(w.worker.running for w in platform.workers):
+            await curio.sleep(0.01)
+
+    platform.play(scene)
+
+
+def test_metrics_are_served(platform) -> None:
+    async def scene(platform) -> None:
+        await ready(platform)
+        await call(platform, "POST", PATH, job())
+        page = await fetch(*platform.settings.metrics, Request("GET", "/metrics"), 5.0)
+        assert b'poplarhill_jobs_total{outcome="complete",route="r-0"} 1.0' in page.body
+        assert b"poplarhill_job_seconds_bucket" in page.body
+
+    platform.play(scene)
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -216,7 +216,8 @@
             # An earlier leader may have started some of it.
             report = report._replace(not_run=False)
         if not report.not_run and ANSWERS[kind].run_state is RunState.NOT_RUN:
-            kind = ErrorKind.WORKER_LOST
+            cancelled = kind is ErrorKind.CANCELLED
+            kind = ErrorKind.STOPPED if cancelled else ErrorKind.WORKER_LOST
         failure = Failure(kind, report.detail, report.retry_after_s or None)
         return self._answer(now, job, failure, withdraw=False)
 
