--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
@@ -0,0 +1,229 @@
+"""Replays the sheets' mix of jobs through real leaders, in simulated time.
+
+Three data centres of eight workers each; arrivals, work, declarations and worker
+speeds are drawn as the sheets state them. It shows who is in time at a load, and
+what a perfect view of one queue would reach is left to the bound in `bounds`.
+"""
+
+import math
+from dataclasses import dataclass
+from random import Random
+from typing import NamedTuple
+
+import click
+
+from poplarhill.types import Resources
+from poplarhill_dev.leased import SimulatedJob, SimulatedWorker, World, worker_entry
+from poplarhilld.peers.messages import JobOffer, StepSpec
+
+_DEADLINE_S = 1.5
+_LATE_WORTH = 0.2
+_LATE_FACTOR = 3.0
+_STEP_S = 0.02
+
+
+class Kind(NamedTuple):
+    """One kind of job of the sheets.
+
+    Attributes:
+        name: Its name here.
+        share: Jobs a second at a load of 1.
+        tasks: Mean count of tasks.
+        most_tasks: Largest count.
+        run_s: Mean run time of a task, s.
+        priority: 0 goes first.
+        worth: What one is worth in time.
+        max_attempts: Failed runs after which a task has failed.
+    """
+
+    name: str
+    share: float
+    tasks: float
+    most_tasks: int
+    run_s: float
+    priority: int
+    worth: float
+    max_attempts: int
+
+
+KINDS = (
+    Kind("short wide", 17.2, 8, 32, 0.06, 0, 0.0291, 4),
+    Kind("long", 3.12, 4, 16, 0.9, 2, 0.16, 2),
+    Kind("short narrow", 50.0, 2, 8, 0.2, 1, 0.01, 2),
+)
+
+
+@dataclass
+class _Submitted:
+    kind: Kind
+    at: float
+    objective_s: float
+    size: float
+
+
+class KindScore(NamedTuple):
+    """How jobs of a kind fared.
+
+    Attributes:
+        jobs: Count of jobs.
+        in_time: Share inside their objective.
+        served: Share that was complete before the caller left.
+        credit: Worth earned of the worth asked for.
+        large: Share of the largest tenth, and of the fifth below it, served.
+    """
+
+    jobs: int
+    in_time: float
+    served: float
+    credit: float
+    large: tuple[float, float]
+
+
+def replay(load: float, seconds: float, seed: int) -> dict[str, KindScore]:
+    """Play a load through three leaders and return how each kind fared.
+
+    Args:
+        load: Factor on the sheets' arrivals; heavy days have 1.1 to 1.4.
+        seconds: How long jobs arrive, s.
+        seed: Seed of every random choice.
+    """
+    random = Random(seed)
+    world = World(_workers(random), seed)
+    places = ("dc1", "dc2", "dc3")
+    for number, place in enumerate(places):
+        world.add_leader(
+            place,
+            number + 1,
+            {n: e for n, e in world.entries.items() if e.data_centre == place},
+        )
+    world.run(0.3)
+    submitted: dict[str, _Submitted] = {}
+    begin = world.now
+    for number, (at, kind) in enumerate(_arrivals(random, load, seconds)):
+        if begin + at > world.now:
+            world.run(begin + at - world.now)
+        place = random.choices(places, (50.2, 38.2, 52.2))[0]
+        job, chain_s = _job(random, kind, f"j{number}")
+        objective_s = 1.6 * chain_s + 0.06
+        size = sum(step.count for step in job.offer.steps) * job.run_s
+        submitted[job.offer.job_id] = _Submitted(kind, world.now, objective_s, size)
+        world.submit(_choose(world, place, places), job)
+    world.run(2.0)
+    return _score(world, submitted)
+
+
+def _choose(world: World, near: str, places: tuple[str, ...]) -> str:
+    """Choose a leader as an entry host does, with a fresh view."""
+    loads = {place: world.leaders[place].load(world.now) for place in places}
+
+    def key(place: str) -> tuple:
+        load = loads[place]
+        wait_s = load.queued_core_s / load.cores if load.cores else 60.0
+        if place == near:
+            return (wait_s if wait_s > 0.05 else 0.0, -load.free_cores)
+        return (0.05 + 2 * wait_s, -load.free_cores)
+
+    return min(places, key=key)
+
+
+def _workers(random: Random) -> list[SimulatedWorker]:
+    workers = []
+    for number in range(24):
+        cores = 24.0 if number % 3 == 2 else 16.0
+        entry = worker_entry(f"w{number}", cores)._replace(
+            data_centre=f"dc{number // 8 + 1}"
+        )
+        speed = random.choice((0.8, 1.0, 1.25))
+        workers.append(SimulatedWorker(entry, slowdown=1 / speed))
+    return workers
+
+
+def _arrivals(random: Random, load: float, seconds: float) -> list[tuple[float, Kind]]:
+    found = []
+    for kind in KINDS:
+        at = 0.0
+        while True:
+            at += random.expovariate(kind.share * load)
+            if at > seconds:
+                break
+            found.append((at, kind))
+    return sorted(found, key=lambda arrival: arrival[0])
+
+
+def _around(random: Random, mean: float, spread: float, most: float) -> float:
+    """Draw from a lognormal distribution with a given mean."""
+    sigma = math.sqrt(math.log(1 + spread * spread))
+    return min(most, random.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma))
+
+
+def _job(random: Random, kind: Kind, name: str) -> tuple[SimulatedJob, float]:
+    count = max(1, round(_around(random, kind.tasks, 0.4, kind.most_tasks)))
+    run_s = _around(random, kind.run_s, 0.4, 4 * kind.run_s)
+    cores = round(min(10.0, max(1.0, _around(random, 6.8, 0.2, 10.0))), 3)
+    declared_s = run_s * math.exp(random.uniform(-0.4, 0.4))
+    needs = Resources(cores, 64, 0)
+    offer = JobOffer(
+        job_id=name,
+        route=kind.name,
+        service="booking",
+        body="{}",
+        steps=(StepSpec(count, needs, declared_s),),
+        priority=kind.priority,
+        max_attempts=kind.max_attempts,
+        stretch=1.6,
+        allowance_s=0.06,
+        elapsed_s=0.0,
+        left_s=_DEADLINE_S,
+    )
+    runs = {
+        f"{name}.0.0.{index}": run_s * random.uniform(0.85, 1.15)
+        for index in range(count)
+    }
+    job = SimulatedJob(offer, run_s, needs, runs=runs)
+    return job, max(runs.values())
+
+
+def _score(world: World, submitted: dict[str, _Submitted]) -> dict[str, KindScore]:
+    ended: dict[str, float] = {}
+    for at, _, report in world.reports:
+        if getattr(report, "error", None) == "":
+            ended.setdefault(report.job_id, at)
+    scores = {}
+    for kind in KINDS:
+        jobs = {n: job for n, job in submitted.items() if job.kind is kind}
+        took = {n: ended[n] - jobs[n].at for n in jobs if n in ended}
+        good = sum(took[n] <= jobs[n].objective_s for n in took)
+        late = sum(
+            jobs[n].objective_s < took[n] <= _LATE_FACTOR * jobs[n].objective_s
+            for n in took
+        )
+        by_size = sorted(jobs, key=lambda n: -jobs[n].size)
+        tenth = max(1, len(by_size) // 10)
+        parts = (by_size[:tenth], by_size[tenth : 3 * tenth])
+        scores[kind.name] = KindScore(
+            len(jobs),
+            good / len(jobs),
+            len(took) / len(jobs),
+            (good + _LATE_WORTH * late) / len(jobs),
+            tuple(sum(n in took for n in part) / len(part) for part in parts),
+        )
+    return scores
+
+
+@click.command()
+@click.option("--load", default=1.0, help="Factor on the sheets' arrivals.")
+@click.option("--seconds", default=20.0, help="How long jobs arrive, s.")
+@click.option("--seeds", default=3, help="Count of seeds.")
+def heavy(load: float, seconds: float, seeds: int) -> None:
+    """Show who is in time at a load, by kind of job."""
+    for seed in range(seeds):
+        scores = replay(load, seconds, seed)
+        for name, score in scores.items():
+            large = " ".join(f"{share:.2f}" for share in score.large)
+            click.echo(
+                f"load {load:g} seed {seed} {name:12s} jobs {score.jobs:4d} "
+                f"in time {score.in_time:.3f} served {score.served:.3f} "
+                f"credit {score.credit:.3f} large {large}"
+            )
+        mean = sum(score.credit for score in scores.values()) / len(scores)
+        click.echo(f"load {load:g} seed {seed} mean credit {mean:.3f}")
--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -39,6 +39,7 @@
 LINK_S = 0.001
 ANSWER_LIMIT_S = 0.25
 TICK_S = 0.05
+_POLL_S = 0.005
 
 
 @dataclass
@@ -112,7 +113,7 @@
             return OrderReply(OrderOutcome.OUTDATED, now)
         self._extend(now, order.deadline_s)
         if order.run not in self.running:
-            until = now + job.run_s * self.slowdown
+            until = now + job.time_of(order.run.task) * self.slowdown
             self.running[order.run] = _Running(
                 order.run,
                 job.needs,
@@ -156,12 +157,25 @@
 
 @dataclass(frozen=True)
 class SimulatedJob:
-    """A job and how its tasks really are."""
+    """A job and how its tasks really are.
+
+    Attributes:
+        offer: What its entry host offers.
+        run_s: Run time of its tasks on a usual worker, s.
+        needs: Room that each task takes.
+        poison: Whether its tasks fail.
+        runs: Run times of single tasks that differ, s.
+    """
 
     offer: JobOffer
     run_s: float
     needs: Resources
     poison: bool = False
+    runs: dict[str, float] = field(default_factory=dict)
+
+    def time_of(self, task: str) -> float:
+        """Return how long a task really runs, s."""
+        return self.runs.get(task, self.run_s)
 
 
 class World:
@@ -192,11 +206,13 @@
         """Registered workers by name."""
         return {name: worker.entry for name, worker in self.workers.items()}
 
-    def add_leader(self, name: str, number: int) -> Leader:
-        """Make a leader of all workers, with tokens of its own."""
+    def add_leader(
+        self, name: str, number: int, entries: dict[str, WorkerEntry] | None = None
+    ) -> Leader:
+        """Make a leader of some workers, or all, with tokens of its own."""
         leader = Leader(TokenSource(Address(f"10.0.0.{number}", 1)), LEASE_S)
         self.leaders[name] = leader
-        self.perform(name, leader.lead(self.now, self.now, self.entries))
+        self.perform(name, leader.lead(self.now, self.now, entries or self.entries))
         return leader
 
     def ended(self, job_id: str) -> JobEnded | None:
@@ -265,16 +281,24 @@
             lost = LeaseLost.SILENT
             self._later(0.3, self._deliver, leader, "renewed", name, renewal, lost)
             return
-        reply = self.workers[name].renew(self.now, renewal)
-        # A worker answers at once when it has ends to tell, else after a wait.
-        wait_s = 0.0 if isinstance(reply, LeaseLost) or reply.ends else 0.02
-        self._later(wait_s, self._answer_renewal, leader, name, renewal)
-
-    def _answer_renewal(self, leader: str, name: str, renewal: Renewal) -> None:
-        if self._silent(leader, name):
-            reply: LeaseReply | LeaseLost = LeaseLost.SILENT
-        else:
-            reply = self.workers[name].renew(self.now, renewal)
+        self.workers[name].renew(self.now, renewal)
+        self._wait_for_end(leader, name, renewal, self.now + renewal.wait_s)
+
+    def _wait_for_end(
+        self, leader: str, name: str, renewal: Renewal, until: float
+    ) -> None:
+        """Answer a renewal when the worker has an end to tell, or in time."""
+        reply: LeaseReply | LeaseLost = LeaseLost.SILENT
+        if not self._silent(leader, name):
+            # Only its arrival extends a lease.
+            reply = self.workers[name].renew(
+                self.now, renewal._replace(deadline_s=None)
+            )
+            if isinstance(reply, LeaseReply) and not reply.ends and self.now < until:
+                self._later(
+                    _POLL_S, self._wait_for_end, leader, name, renewal, until
+                )
+                return
         self._later(LINK_S, self._deliver, leader, "renewed", name, renewal, reply)
 
     def _look(self, leader: str, entry: WorkerEntry, renewal: Renewal) -> None:
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -282,7 +282,7 @@
                 changes.append(self._close(held.run, RunFate.ENDED))
             elif (
                 held.state is RunState.UNCERTAIN
-                and renewal.asked_at > held.since
+                and renewal.asked_at >= held.since
                 and reply.clock_s > held.deadline_s
             ):
                 changes.append(self._close(held.run, RunFate.NEVER_STARTED))
