Let one host lead all workers of a small fleet

Cause: three leaders with a third of the workers each refuse or delay wide jobs while others have room.

--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -295,9 +295,7 @@
                 self.now, renewal._replace(deadline_s=None)
             )
             if isinstance(reply, LeaseReply) and not reply.ends and self.now < until:
-                self._later(
-                    _POLL_S, self._wait_for_end, leader, name, renewal, until
-                )
+                self._later(_POLL_S, self._wait_for_end, leader, name, renewal, until)
                 return
         self._later(LINK_S, self._deliver, leader, "renewed", name, renewal, reply)
 
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -30,19 +30,25 @@
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.peers.messages import (
     Beat,
-    Claim,
     JobEnded,
     JobProgress,
     JobWithdrawn,
     Message,
     OfferedJob,
 )
-from poplarhilld.shards import HostLost, Hosts, Self, SendBeat, partition
+from poplarhilld.shards import (
+    HostLost,
+    Hosts,
+    Self,
+    SendBeat,
+    data_centre,
+    partition,
+)
 from poplarhilld.signals import SignalWaiter
 from poplarhilld.submissions import (
     AnswerCaller,
+    LeaderView,
     OfferToLeader,
-    ShardView,
     Submission,
     Submissions,
     WithdrawFromLeader,
@@ -105,7 +111,7 @@
         self._catalogue = Catalogue()
         self._registry = Registry()
         self._shards: dict[str, dict] = {}
-        self._leaders: dict[str, Leader] = {}
+        self._leader = Leader(self._tokens, settings.lease_s)
         self._submissions = Submissions()
         self._outcomes: dict[int, curio.Queue] = {}
         self._count = 0
@@ -182,13 +188,11 @@
 
     def waiting(self, route: str) -> int:
         """Return how many jobs of a route wait here without a started task."""
-        return sum(leader.waiting.get(route, 0) for leader in self._leaders.values())
+        return self._leader.waiting.get(route, 0)
 
     def knows(self, job_id: str) -> bool:
         """Return whether a job is in flight here."""
-        return self._submissions.knows(job_id) or any(
-            job_id in leader.jobs for leader in self._leaders.values()
-        )
+        return self._submissions.knows(job_id) or job_id in self._leader.jobs
 
     async def submit(self, submission: Submission) -> Failure | None:
         """Run a job to its outcome; `None` says that it is complete."""
@@ -219,7 +223,7 @@
         withdrawn = JobWithdrawn(job_id, cancelled=True)
         for name in self._hosts.live:
             await self._send(name, withdrawn)
-        await self._take_withdrawal(self._settings.name, withdrawn)
+        await self._perform(self._take(self._settings.name, withdrawn))
         return known
 
     # Loops
@@ -231,54 +235,62 @@
 
     async def _tick(self) -> None:
         now = uptime()
-        loads = {
-            name: Claim(name, 0, *leader.load(now))
-            for name, leader in self._leaders.items()
-        }
         actions = self._hosts.tick(
             now,
             time.time(),
-            self._shards,
+            {shard: len(entries) for shard, entries in self._shards.items()},
             self._known_registry,
-            loads,
+            self._leader.load(now),
             self._catalogue.version,
-            self._reachable,
+            {**self._reachable, **self._reached()},
         )
         await self._perform(actions)
         await self._lead()
-        for leader in list(self._leaders.values()):
-            await self._perform(leader.tick(uptime()), leader)
+        await self._perform(self._leader.tick(uptime()))
         await self._perform(self._submissions.view(uptime(), self._view()))
         await self._perform(self._submissions.tick(uptime()))
 
     async def _lead(self) -> None:
-        """Make the leaders that this host's claims call for."""
-        for shard in self._leaders.keys() - self._hosts.claims.keys():
-            leader = self._leaders.pop(shard)
-            await self._perform(leader.resign(), leader)
+        """Lead the workers that this host's claims call for."""
+        if not self._hosts.claims:
+            if self._leader.workers:
+                await self._perform(self._leader.resign())
+            return
+        ours: dict[str, WorkerEntry] = {}
+        elsewhere: set[str] = set()
+        for shard, entries in self._shards.items():
+            if shard in self._hosts.claims:
+                ours.update(entries)
+            else:
+                elsewhere.update(entries)
+        await self._perform(
+            self._leader.lead(uptime(), time.time(), ours, frozenset(elsewhere))
+        )
+
+    def _reached(self) -> dict[str, float]:
+        """Return since when workers of the shards led here answer, s."""
+        found: dict[str, float] = {}
         for shard in self._hosts.claims:
-            if shard not in self._leaders:
-                self._leaders[shard] = Leader(self._tokens, self._settings.lease_s)
-            leader = self._leaders[shard]
-            entries = self._shards.get(shard, {})
-            await self._perform(leader.lead(uptime(), time.time(), entries), leader)
-
-    def _view(self) -> dict[str, ShardView]:
-        view = {}
-        for shard in self._shards:
-            found = self._hosts.leader(shard)
-            if found is None:
-                continue
-            name, claim = found
-            near = shard.rpartition("/")[0] == self._settings.data_centre
-            view[shard] = ShardView(
-                name,
-                claim.epoch,
-                near,
-                claim.cores,
-                claim.free_cores,
-                claim.queued_core_s,
-            )
+            for name in self._shards.get(shard, ()):
+                worker = self._leader.workers.get(name)
+                if worker is not None and worker.answers(uptime()):
+                    found[shard] = worker.silent_since
+                    break
+        return found
+
+    def _view(self) -> dict[str, LeaderView]:
+        """Return the leaders that this host knows."""
+        place = self._settings.data_centre
+        view: dict[str, LeaderView] = {}
+        claims = self._hosts.claims
+        if claims:
+            near = any(data_centre(shard) == place for shard in claims)
+            load = self._leader.load(uptime())
+            view[self._settings.name] = LeaderView(self._hosts.tenure, near, load)
+        for name, beat in self._hosts.live.items():
+            if beat.claims and not beat.leaving:
+                near = any(data_centre(c.shard) == place for c in beat.claims)
+                view[name] = LeaderView(beat.tenure, near, beat.load)
         return view
 
     async def _catalogue_loop(self) -> None:
@@ -313,7 +325,7 @@
                 self._shards = partition(self._registry.workers.values())
                 _log.info("WorkersRead", workers=len(workers), shards=len(self._shards))
                 await self._lead()
-            await curio.sleep(_LEADER_REFRESH_S if self._leaders else _REFRESH_S)
+            await curio.sleep(_LEADER_REFRESH_S if self._leader.workers else _REFRESH_S)
 
     async def _hosts_loop(self) -> None:
         registered = False
@@ -395,31 +407,27 @@
 
     # Actions
 
-    async def _perform(self, actions: Iterable, leader: Leader | None = None) -> None:
-        todo = deque((action, leader) for action in actions)
+    async def _perform(self, actions: Iterable) -> None:
+        todo = deque(actions)
         while todo:
-            action, source = todo.popleft()
+            action = todo.popleft()
             match action:
                 case LogDecision(decision):
                     _log.info(type(decision).__name__, **decision._asdict())
                 case StartRun():
-                    await curio.spawn(self._start, source, action, daemon=True)
+                    await curio.spawn(self._start, action, daemon=True)
                 case StopRun():
-                    await curio.spawn(self._stop, source, action, daemon=True)
+                    await curio.spawn(self._stop, action, daemon=True)
                 case RenewLease():
-                    await curio.spawn(self._renew, source, action, daemon=True)
+                    await curio.spawn(self._renew, action, daemon=True)
                 case LookAtWorker():
-                    await curio.spawn(self._look, source, action, daemon=True)
+                    await curio.spawn(self._look, action, daemon=True)
                 case ReportJob(host, report):
-                    more = await self._send(host, report)
-                    todo.extend((each, None) for each in more)
+                    todo.extend(await self._send(host, report))
                 case OfferToLeader(host, offered):
-                    more = await self._send(host, offered)
-                    todo.extend(
-                        (each, self._leaders.get(offered.shard)) for each in more
-                    )
+                    todo.extend(await self._send(host, offered))
                 case WithdrawFromLeader(host, withdrawn):
-                    await self._send(host, withdrawn)
+                    todo.extend(await self._send(host, withdrawn))
                 case AnswerCaller(number, failure):
                     waiter = self._outcomes.get(number)
                     if waiter is not None:
@@ -428,93 +436,76 @@
                     self._metrics.frames.labels("Beat").inc()
                     await self._peers.send(address, beat)
                 case HostLost(host):
-                    for each in list(self._leaders.values()):
-                        lost = each.host_lost(uptime(), host)
-                        todo.extend((more, each) for more in lost)
+                    todo.extend(self._leader.host_lost(uptime(), host))
 
     async def _send(self, host: str, message: Message) -> list:
         """Send a message to a host; to this one, take it in at once."""
         if host == self._settings.name:
-            match message:
-                case OfferedJob(shard, number, offer):
-                    leader = self._leaders.get(shard)
-                    if leader is None:
-                        return []
-                    return leader.offer(uptime(), host, number, offer)
-                case JobProgress() | JobEnded():
-                    return self._submissions.reported(uptime(), host, message)
-                case JobWithdrawn():
-                    await self._take_withdrawal(host, message)
-            return []
+            return self._take(host, message)
         address = self._hosts.address(host)
         if address is not None:
             self._metrics.frames.labels(type(message).__name__).inc()
             await self._peers.send(address, message)
         return []
 
-    async def _take_withdrawal(self, host: str, withdrawn: JobWithdrawn) -> None:
+    def _take(self, sender: str, message: Message) -> list:
+        """Take a message in and return what it calls for."""
         now = uptime()
-        for leader in list(self._leaders.values()):
-            await self._perform(leader.withdraw(now, host, withdrawn), leader)
-        if withdrawn.cancelled:
-            await self._perform(self._submissions.cancelled(now, withdrawn.job_id))
-
-    async def _frame(self, envelope: Envelope) -> None:
-        sender, message = envelope
         match message:
             case Beat():
-                await self._perform(self._hosts.heard(uptime(), sender, message))
-            case OfferedJob(shard, number, offer):
-                leader = self._leaders.get(shard)
-                if leader is not None:
-                    actions = leader.offer(uptime(), sender, number, offer)
-                    await self._perform(actions, leader)
-            case JobWithdrawn():
-                await self._take_withdrawal(sender, message)
+                return self._hosts.heard(now, sender, message)
+            case OfferedJob(number, offer):
+                if not self._hosts.claims:
+                    return []
+                return self._leader.offer(now, sender, number, offer)
+            case JobWithdrawn(job_id, cancelled):
+                actions = self._leader.withdraw(now, sender, message)
+                if cancelled:
+                    actions = actions + self._submissions.cancelled(now, job_id)
+                return actions
             case JobProgress() | JobEnded():
-                now = uptime()
-                await self._perform(self._submissions.reported(now, sender, message))
-            case _:
-                _log.warning("FrameIgnored", kind=type(message).__name__, peer=sender)
+                return self._submissions.reported(now, sender, message)
+        _log.warning("FrameIgnored", kind=type(message).__name__, peer=sender)
+        return []
+
+    async def _frame(self, envelope: Envelope) -> None:
+        await self._perform(self._take(envelope.sender, envelope.message))
 
     async def _refused(self, address: Address) -> None:
         await self._perform(self._hosts.refused(uptime(), address))
 
-    async def _start(self, leader: Leader, action: StartRun) -> None:
+    async def _start(self, action: StartRun) -> None:
         begin = uptime()
         reply = await self._ports.start(action.worker, action.order)
         self._metrics.order_latency.observe(uptime() - begin)
         self._metrics.orders.labels(reply.outcome.value).inc()
-        name = action.worker.name
-        actions = leader.ordered(uptime(), name, action.order.run, reply)
-        await self._perform(actions, leader)
+        name, run = action.worker.name, action.order.run
+        await self._perform(self._leader.ordered(uptime(), name, run, reply))
 
-    async def _stop(self, leader: Leader, action: StopRun) -> None:
+    async def _stop(self, action: StopRun) -> None:
         answered = await self._ports.stop(action.worker, action.run, action.token)
         self._metrics.stops.labels(str(answered).lower()).inc()
         name = action.worker.name
-        actions = leader.stopped(uptime(), name, action.run, answered)
-        await self._perform(actions, leader)
+        await self._perform(self._leader.stopped(uptime(), name, action.run, answered))
 
-    async def _renew(self, leader: Leader, action: RenewLease) -> None:
+    async def _renew(self, action: RenewLease) -> None:
         renewal = action.renewal
         name = action.worker.name
         if action.pause_s:
             await curio.sleep(action.pause_s)
-            worker = leader.workers.get(name)
-            if worker is None or worker.token != renewal.token:
+            worker = self._leader.workers.get(name)
+            if worker is None or worker.token != renewal.token or worker.fenced:
                 return
             renewal = worker.renew(uptime())
         reply = await self._ports.renew(action.worker, renewal)
         outcome = "ok" if isinstance(reply, LeaseReply) else reply.value
         self._metrics.renewals.labels(outcome).inc()
-        await self._perform(leader.renewed(uptime(), name, renewal, reply), leader)
+        await self._perform(self._leader.renewed(uptime(), name, renewal, reply))
 
-    async def _look(self, leader: Leader, action: LookAtWorker) -> None:
+    async def _look(self, action: LookAtWorker) -> None:
         reply = await self._ports.renew(action.worker, action.renewal)
         name = action.worker.name
-        actions = leader.looked(uptime(), name, action.renewal, reply)
-        await self._perform(actions, leader)
+        await self._perform(self._leader.looked(uptime(), name, action.renewal, reply))
 
     # Ends
 
@@ -536,9 +527,8 @@
     async def _answer_metrics(self, request: Request) -> Response:
         metrics = self._metrics
         metrics.in_flight.set(len(self._submissions))
-        leaders = self._leaders.values()
-        metrics.led_workers.set(sum(len(leader.workers) for leader in leaders))
-        metrics.led_jobs.set(sum(len(leader.jobs) for leader in leaders))
+        metrics.led_workers.set(len(self._leader.workers))
+        metrics.led_jobs.set(len(self._leader.jobs))
         metrics.live_hosts.set(len(self._hosts.live) + 1)
         metrics.version.set(self._catalogue.version)
         metrics.lines_dropped.set(self._logs.dropped)
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -43,10 +43,16 @@
     RunState,
     TokenSource,
 )
-from poplarhilld.peers.messages import JobEnded, JobOffer, JobProgress, JobWithdrawn
+from poplarhilld.peers.messages import (
+    JobEnded,
+    JobOffer,
+    JobProgress,
+    JobWithdrawn,
+    Load,
+)
 
 ORPHAN_S = 0.5  # entry hosts offer their jobs anew within two heartbeats
-HANDOVER_S = 1.8  # 0.6 s until the leader before notices a cut, and a lease of 1 s
+HANDOVER_S = 1.2  # the leader before notices a cut as late, and stops what it started
 _REPORT_KEPT_S = 5.0  # callers repeat a request within some seconds
 _CANCEL_KEPT_S = 10.0  # longest delay of an offer that was on its way
 _RENEWAL_RETRY_S = 0.05  # 20 tries within a lease of 1 s
@@ -60,20 +66,6 @@
 _REMEMBERED_ENDS = 4096  # tasks that ended before their job was offered here
 
 
-class Load(NamedTuple):
-    """How busy a leader is, as entry hosts need to know it.
-
-    Attributes:
-        cores: Cores of the workers in use.
-        free_cores: Cores that nothing holds.
-        queued_core_s: Room that waiting jobs will take, core-seconds.
-    """
-
-    cores: float
-    free_cores: float
-    queued_core_s: float
-
-
 class _Listener(NamedTuple):
     host: str
     offer_number: int
@@ -92,6 +84,7 @@
         self._lease_s = lease_s
         self._workers: dict[str, LeasedWorker] = {}
         self._entries: Mapping[str, WorkerEntry] = {}
+        self._elsewhere: frozenset[str] = frozenset()
         self._retry_s: dict[str, float] = {}
         self._paused: dict[str, float] = {}
         self._lost: set[str] = set()
@@ -138,7 +131,11 @@
         return Load(cores, free, queued)
 
     def lead(
-        self, now: float, time_s: float, entries: Mapping[str, WorkerEntry]
+        self,
+        now: float,
+        time_s: float,
+        entries: Mapping[str, WorkerEntry],
+        elsewhere: frozenset[str] = frozenset(),
     ) -> list[LeaderAction]:
         """Lead just these workers from now on.
 
@@ -146,11 +143,16 @@
             now: The leader's clock, s.
             time_s: Time of day, s since the epoch.
             entries: The workers by name.
+            elsewhere: Names of the workers that other hosts lead.
         """
         actions: list[LeaderAction] = []
         if not self._workers and not self._entries and entries:
             self._taken_at = now
         self._entries = entries
+        self._elsewhere = elsewhere
+        for name in self._workers.keys() & elsewhere:
+            if not self._workers[name].fenced:
+                actions += self._fence(now, self._workers[name])
         for name, entry in entries.items():
             worker = self._workers.get(name)
             if worker is None:
@@ -165,7 +167,10 @@
         """Lead nothing any more; what runs is the next leader's."""
         actions: list[LeaderAction] = []
         for name in list(self._workers):
-            actions += self._release(name, "this host does not lead it any more")
+            actions += self._release(name, "this host leads nothing any more")
+        self._entries = {}
+        for job in list(self._jobs.values()):
+            self._drop(job)
         return actions
 
     def offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
@@ -385,6 +390,9 @@
     def _watch(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
         name = worker.entry.name
         if worker.fenced:
+            if name in self._elsewhere and now - self._paused[name] > HANDOVER_S:
+                # Its leader has stopped or adopted by now what ran there.
+                return self._release(name, "another host leads it")
             return []
         idle = not any(True for _ in worker.reservations)
         if name not in self._entries and (idle or worker.has_lapsed(now)):
@@ -724,6 +732,8 @@
             return False
         if not job.offer.handovers or now >= self._taken_at + HANDOVER_S:
             return True
+        if self._elsewhere:
+            return False
         return all(worker.confirmed for worker in self._workers.values())
 
     def _choose(
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -111,6 +111,10 @@
         """When the worker was last heard of, by the leader's clock, s."""
         return self._clock_at
 
+    def answers(self, now: float) -> bool:
+        """Return whether the worker was heard of under this token lately."""
+        return self.confirmed and now - self._clock_at < 2 * EXTENSION_S
+
     @property
     def has_unknown_runs(self) -> bool:
         """Whether runs of unknown size hold room."""
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -20,6 +20,7 @@
     JobOffer,
     JobProgress,
     JobWithdrawn,
+    Load,
     MemberState,
     Message,
     OfferedJob,
@@ -65,7 +66,11 @@
     "claims": Claim,
     "steps": StepSpec,
 }
-_STRUCTS: dict[str, type] = {"needs": Resources, "offer": JobOffer}
+_STRUCTS: dict[str, type] = {
+    "needs": Resources,
+    "offer": JobOffer,
+    "load": Load,
+}
 _PLAIN_LISTS = frozenset(
     {"leaving_workers", "records", "heard", "known", "after", "done"}
 )
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -121,9 +121,8 @@
 }
 
 struct OfferedJob {
-  shard @0 :Text;
-  number @1 :UInt64;
-  offer @2 :JobOffer;
+  number @0 :UInt64;
+  offer @1 :JobOffer;
 }
 
 struct JobWithdrawn {
@@ -147,9 +146,13 @@
 struct Claim {
   shard @0 :Text;
   epoch @1 :UInt64;
-  cores @2 :Float32;
-  freeCores @3 :Float32;
-  queuedCoreS @4 :Float32;
+  workers @2 :UInt16;
+}
+
+struct Load {
+  cores @0 :Float32;
+  freeCores @1 :Float32;
+  queuedCoreS @2 :Float32;
 }
 
 struct Beat {
@@ -164,6 +167,8 @@
   claims @8 :List(Claim);
   known @9 :List(Text);
   version @10 :UInt64;
+  tenure @11 :UInt64;
+  load @12 :Load;
 }
 
 struct Frame {
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -301,15 +301,13 @@
 
 
 class OfferedJob(NamedTuple):
-    """A job for the leader of a shard.
+    """A job for a leader.
 
     Attributes:
-        shard: Name of the shard.
         number: Count of the sender's submissions; tells offers of one id apart.
         offer: The job.
     """
 
-    shard: str
     number: int
     offer: JobOffer
 
@@ -320,13 +318,23 @@
     Attributes:
         shard: Name of the shard.
         epoch: Rises with each change of leader.
+        workers: Count of its workers.
+    """
+
+    shard: str
+    epoch: int
+    workers: int = 0
+
+
+class Load(NamedTuple):
+    """How busy a leader is.
+
+    Attributes:
         cores: Cores of its workers in use.
         free_cores: Cores that nothing holds.
         queued_core_s: Room that waiting jobs will take, core-seconds.
     """
 
-    shard: str
-    epoch: int
     cores: float = 0.0
     free_cores: float = 0.0
     queued_core_s: float = 0.0
@@ -347,6 +355,8 @@
         claims: Shards that it leads.
         known: Addresses of hosts that it knows, as `ip:port`; now and then.
         version: Version of the catalogue in force at the sender.
+        tenure: Epoch since which it leads without a break; 0 if it leads nothing.
+        load: How busy it is as a leader.
     """
 
     host: str
@@ -360,6 +370,8 @@
     claims: tuple[Claim, ...] = ()
     known: tuple[str, ...] = ()
     version: int = 0
+    tenure: int = 0
+    load: Load = Load()
 
 
 Message = (
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -11,7 +11,7 @@
 from poplarhill.types import Address
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leases import TokenSource
-from poplarhilld.peers.messages import Beat, Claim
+from poplarhilld.peers.messages import Beat, Claim, Load
 from poplarhilld.shards.messages import (
     HostFound,
     HostGone,
@@ -24,9 +24,13 @@
 from poplarhilld.shards.partition import data_centre
 
 BEAT_S = 0.15  # a quarter of the time to notice a silent host
-FAR_BEAT_S = 0.3  # hosts of other data centres decide nothing in a hurry
 LOST_S = 0.6  # four heartbeats; below half of the time until callers come back
-FAR_LOST_S = 0.9  # three heartbeats
+SLOW_BEAT_S = 0.5  # between hosts that lead nothing, in a large fleet
+SLOW_LOST_S = 2.0  # four of these
+MOST_WORKERS = 40  # of one leader; each takes two renewals a second and its tasks
+_SMALL_FLEET = 12  # hosts, below which all beat to each other quickly
+_MERGE_S = 3.0  # a leader is heard for so long before it gets what is led apart
+_CUT_S = 1.0  # a leader that reaches none of a shard's workers for so long drops it
 _RETRY_S = 1.0  # to addresses that do not answer
 _FORGOTTEN_S = 60.0  # a host that is replaced comes at another address
 _KNOWN_BEATS = 10  # every tenth heartbeat names all known addresses
@@ -59,6 +63,7 @@
     beat: Beat
     heard_at: float
     live: bool = False
+    live_since: float = 0.0
 
 
 @dataclass
@@ -90,6 +95,8 @@
         self._targets: dict[Address, _Target] = {}
         self._claims: dict[str, Claim] = {}
         self._empty_since: dict[str, float] = {}
+        self._unreached_since: dict[str, float] = {}
+        self._tenure = 0
         self._leaving = False
         self.learn(now, seeds)
 
@@ -114,10 +121,15 @@
             if address != self._me.address and address not in self._targets:
                 self._targets[address] = _Target(now, now)
 
-    def leader(self, shard: str) -> tuple[str, Claim] | None:
-        """Return who leads a shard, as far as is known here, and its claim."""
+    @property
+    def tenure(self) -> int:
+        """Epoch since which this host leads without a break; 0 if it does not."""
+        return self._tenure
+
+    def leader(self, shard: str) -> str | None:
+        """Return who leads a shard, as far as is known here: the newest claim."""
         found = [
-            (peer.name, peer.beat.data_centre, claim)
+            (claim.epoch, peer.name)
             for peer in self._peers.values()
             if peer.live and not peer.beat.leaving
             for claim in peer.beat.claims
@@ -125,12 +137,8 @@
         ]
         own = self._claims.get(shard)
         if own is not None:
-            found.append((self._me.name, self._me.data_centre, own))
-        if not found:
-            return None
-        place = data_centre(shard)
-        name, _, claim = max(found, key=lambda f: (f[1] == place, f[2].epoch))
-        return name, claim
+            found.append((own.epoch, self._me.name))
+        return max(found)[1] if found else None
 
     def heard(self, now: float, name: str, beat: Beat) -> list[ShardAction]:
         """Take in a heartbeat."""
@@ -148,10 +156,10 @@
         address = Address(beat.host, beat.port)
         self.learn(now, [address])
         target = self._targets[address]
-        target.next_beat = min(target.next_beat, now + FAR_BEAT_S)
+        target.next_beat = min(target.next_beat, now + self._period_s(beat))
         self.learn(now, [_parse(text) for text in beat.known])
         if not known.live and self._me.name in beat.heard:
-            known.live = True
+            known.live, known.live_since = True, now
             found = HostFound(
                 name, f"{beat.host}:{beat.port}", beat.data_centre, beat.incarnation
             )
@@ -176,22 +184,22 @@
         self,
         now: float,
         time_s: float,
-        shards: Iterable[str],
+        shards: Mapping[str, int],
         able: bool,
-        loads: Mapping[str, Claim],
+        load: Load,
         version: int,
-        reachable: Mapping[str, float],
+        reached: Mapping[str, float],
     ) -> list[ShardAction]:
         """Do what time makes due.
 
         Args:
             now: This host's clock, s.
             time_s: Time of day, s since the epoch.
-            shards: Names of all shards.
+            shards: Count of the workers of each shard.
             able: Whether this host knows enough to lead.
-            loads: Claims of this host with its present load, by shard.
+            load: How busy this host is as a leader.
             version: Version of the catalogue in force.
-            reachable: Since when workers of a leaderless shard answer, s.
+            reached: Since when workers of a shard answer this host, s.
         """
         actions: list[ShardAction] = []
         if now - self._last_tick > _PAUSED_S:
@@ -199,15 +207,13 @@
             self._settled_at = max(self._settled_at, now + BEAT_S)
         self._last_tick = now
         for peer in list(self._peers.values()):
-            limit_s = LOST_S if self._is_near(peer.beat) else FAR_LOST_S
-            if peer.live and now - peer.heard_at > limit_s:
+            if peer.live and now - peer.heard_at > self._limit_s(peer.beat):
                 actions += self._lose(now, peer, "silent")
-        for shard, claim in loads.items():
-            if shard in self._claims:
-                self._claims[shard] = claim._replace(epoch=self._claims[shard].epoch)
-        changed = self._settle(now, time_s, shards, able, reachable)
+        changed = self._settle(now, time_s, shards, able, reached)
+        if not self._claims:
+            self._tenure = 0
         actions += changed
-        actions += self._beats(now, able, version, bool(changed))
+        actions += self._beats(now, able, load, version, bool(changed))
         return actions
 
     # Leadership
@@ -216,37 +222,68 @@
         self,
         now: float,
         time_s: float,
-        shards: Iterable[str],
+        shards: Mapping[str, int],
         able: bool,
-        reachable: Mapping[str, float],
+        reached: Mapping[str, float],
     ) -> list[ShardAction]:
         actions: list[ShardAction] = []
-        wanted = set(shards)
-        for shard in self._claims.keys() - wanted:
+        for shard in self._claims.keys() - shards.keys():
             actions += self._yield(shard, "", "it has no workers")
-        for shard in sorted(wanted):
+        for shard in sorted(shards):
             if shard in self._claims:
-                actions += self._defend(shard)
+                self._claims[shard] = self._claims[shard]._replace(
+                    workers=shards[shard]
+                )
+                actions += self._defend(now, shard, reached.get(shard))
             elif able and not self._leaving and now >= self._settled_at:
-                actions += self._seek(now, time_s, shard, reachable.get(shard))
+                actions += self._seek(now, time_s, shard, shards, reached.get(shard))
         return actions
 
-    def _defend(self, shard: str) -> list[ShardAction]:
+    def _defend(
+        self, now: float, shard: str, reached_since: float | None
+    ) -> list[ShardAction]:
         """Give a shard up to whom it should belong."""
         if self._leaving:
             return self._yield(shard, "", "shutting down")
-        leader, _ = self.leader(shard)
+        leader = self.leader(shard)
         if leader != self._me.name:
-            return self._yield(shard, leader, "its claim is newer or nearer")
-        place = data_centre(shard)
-        if place != self._me.data_centre:
-            heirs = self._candidates(place)
-            if heirs:
-                return self._yield(shard, heirs[0], "it stands nearer")
+            return self._yield(shard, leader or "", "its claim is newer")
+        if reached_since is None:
+            since = self._unreached_since.setdefault(shard, now)
+            # Its own hosts, cut off with them, may lead the workers by now.
+            place = data_centre(shard)
+            far = place != self._me.data_centre and not self._hosts_of(place)
+            if far and now - since > _CUT_S:
+                del self._unreached_since[shard]
+                return self._yield(shard, "", "its data centre is cut off")
+        else:
+            self._unreached_since.pop(shard, None)
+        heir = self._merges_into(now)
+        if heir is not None:
+            return self._yield(shard, heir, "it leads more")
         return []
 
+    def _merges_into(self, now: float) -> str | None:
+        """Return the leader that should get all that this host leads, if any."""
+        own = sum(claim.workers for claim in self._claims.values())
+        mine = (own, self._me.name)
+        for peer in self._peers.values():
+            if not peer.live or peer.beat.leaving or not peer.beat.able:
+                continue
+            theirs = sum(claim.workers for claim in peer.beat.claims)
+            if not theirs or own + theirs > MOST_WORKERS:
+                continue
+            if (theirs, peer.name) > mine and now - peer.live_since > _MERGE_S:
+                return peer.name
+        return None
+
     def _seek(
-        self, now: float, time_s: float, shard: str, reached_since: float | None
+        self,
+        now: float,
+        time_s: float,
+        shard: str,
+        shards: Mapping[str, int],
+        reached_since: float | None,
     ) -> list[ShardAction]:
         """Take a shard that nobody leads, if this host is the one to do so.
 
@@ -257,36 +294,62 @@
             self._empty_since.pop(shard, None)
             return []
         place = data_centre(shard)
-        heirs = self._candidates(place)
         reason = "nobody leads it"
-        if not heirs:
+        far = place != self._me.data_centre
+        if far and self._hosts_of(place) and not self._hosts_of(place, now):
+            return []  # hosts that were found just now may lead it
+        if far and not self._hosts_of(place):
             since = self._empty_since.setdefault(shard, now)
             if now - since < _EMPTY_S:
                 return []
             if reached_since is None or now - reached_since < _EMPTY_S:
                 return []
-            heirs = self._candidates(None)
             reason = "no host lives in its data centre"
-        number = int(shard.rpartition("/")[2])
-        if not heirs or heirs[number % len(heirs)] != self._me.name:
+        if self._heir(place, shards[shard], sum(shards.values())) != self._me.name:
             return []
         self._empty_since.pop(shard, None)
         epoch = self._tokens.next(time_s)
-        self._claims[shard] = Claim(shard, epoch)
+        self._tenure = self._tenure or epoch
+        self._claims[shard] = Claim(shard, epoch, shards[shard])
         taken = LeadershipTaken(shard, epoch, reason, len(self.live) + 1)
         return [LogDecision(taken)]
 
-    def _candidates(self, place: str | None) -> list[str]:
-        """Return the hosts that may lead, the fittest first."""
-        found = [
-            (-peer.beat.weight, peer.name)
+    def _heir(self, place: str, workers: int, all_workers: int) -> str:
+        """Return the host that should lead a shard that nobody leads.
+
+        One leader with a view of all workers places best, so shards gather at
+        one host as long as it can bear them.
+
+        Args:
+            place: Data centre of the shard.
+            workers: Count of its workers.
+            all_workers: Count of the workers of all shards.
+        """
+        spread = all_workers > MOST_WORKERS
+        found = []
+        candidates = [
+            (peer.name, peer.beat.data_centre, peer.beat.weight, peer.beat.claims)
             for peer in self._peers.values()
             if peer.live and peer.beat.able and not peer.beat.leaving
-            if place is None or peer.beat.data_centre == place
         ]
-        if place is None or self._me.data_centre == place:
-            found.append((-self._me.weight, self._me.name))
-        return [name for _, name in sorted(found)]
+        own = tuple(self._claims.values())
+        candidates.append((self._me.name, self._me.data_centre, self._me.weight, own))
+        for name, data_centre_, weight, claims in candidates:
+            led = sum(claim.workers for claim in claims)
+            fits = led + workers <= MOST_WORKERS
+            gathers = led if fits else -led
+            away = spread and data_centre_ != place
+            found.append((-gathers, away, -weight, name))
+        return min(found)[-1]
+
+    def _hosts_of(self, place: str, settled_by: float | None = None) -> bool:
+        """Return whether a host of a data centre is heard, and was for a while."""
+        return any(
+            peer.live
+            and peer.beat.data_centre == place
+            and (settled_by is None or settled_by - peer.live_since >= LOST_S)
+            for peer in self._peers.values()
+        )
 
     def _yield(self, shard: str, to: str, reason: str) -> list[ShardAction]:
         claim = self._claims.pop(shard)
@@ -294,26 +357,30 @@
 
     # Life
 
-    def _is_near(self, beat: Beat) -> bool:
-        return beat.data_centre == self._me.data_centre
+    def _period_s(self, beat: Beat) -> float:
+        """Return how often this host beats to another."""
+        quick = self._claims or beat.claims or len(self._peers) < _SMALL_FLEET
+        return BEAT_S if quick else SLOW_BEAT_S
+
+    def _limit_s(self, beat: Beat) -> float:
+        """Return for how long another host may be silent."""
+        return LOST_S if self._period_s(beat) == BEAT_S else SLOW_LOST_S
 
     def _lose(self, now: float, peer: _Peer, reason: str) -> list[ShardAction]:
         peer.live = False
         gone = HostGone(peer.name, reason, round(now - peer.heard_at, 3))
         return [LogDecision(gone), HostLost(peer.name)]
 
-    def _beats(self, now: float, able: bool, version: int, hurry: bool) -> list:
-        heard = tuple(
-            peer.name
-            for peer in self._peers.values()
-            if now - peer.heard_at
-            <= (LOST_S if self._is_near(peer.beat) else FAR_LOST_S)
-        )
-        live = {
-            Address(peer.beat.host, peer.beat.port): peer
+    def _beats(
+        self, now: float, able: bool, load: Load, version: int, hurry: bool
+    ) -> list[ShardAction]:
+        recent = [
+            peer
             for peer in self._peers.values()
-            if now - peer.heard_at <= FAR_LOST_S
-        }
+            if now - peer.heard_at <= self._limit_s(peer.beat)
+        ]
+        heard = tuple(peer.name for peer in recent)
+        live = {Address(peer.beat.host, peer.beat.port): peer for peer in recent}
         claims = tuple(self._claims.values())
         beat = Beat(
             *self._me.address,
@@ -326,6 +393,8 @@
             claims,
             (),
             version,
+            self._tenure,
+            load,
         )
         known = tuple(f"{host}:{port}" for host, port in live)
         actions: list[ShardAction] = []
@@ -340,8 +409,7 @@
                 target.next_beat = now + _RETRY_S
             else:
                 target.added_at = now
-                near = self._is_near(peer.beat)
-                target.next_beat = now + (BEAT_S if near else FAR_BEAT_S)
+                target.next_beat = now + self._period_s(peer.beat)
             target.count += 1
             full = target.count % _KNOWN_BEATS == 1
             actions.append(
--- a/packages/poplarhilld/src/poplarhilld/submissions/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/__init__.py
@@ -1,8 +1,9 @@
 """Jobs that this host took from callers, until each has its one answer."""
 
+from poplarhilld.submissions.choice import choose_leader as choose_leader
 from poplarhilld.submissions.messages import AnswerCaller as AnswerCaller
+from poplarhilld.submissions.messages import LeaderView as LeaderView
 from poplarhilld.submissions.messages import OfferToLeader as OfferToLeader
-from poplarhilld.submissions.messages import ShardView as ShardView
 from poplarhilld.submissions.messages import Submission as Submission
 from poplarhilld.submissions.messages import SubmissionAction as SubmissionAction
 from poplarhilld.submissions.messages import WithdrawFromLeader as WithdrawFromLeader
--- a/packages/poplarhilld/src/poplarhilld/submissions/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/messages.py
@@ -6,7 +6,7 @@
 from poplarhill.exceptions import Failure
 from poplarhilld.catalogue import Route
 from poplarhilld.decisions import LogDecision
-from poplarhilld.peers.messages import JobWithdrawn, OfferedJob, StepSpec
+from poplarhilld.peers.messages import JobWithdrawn, Load, OfferedJob, StepSpec
 
 
 class Submission(NamedTuple):
@@ -27,29 +27,23 @@
     patience_s: float
 
 
-class ShardView(NamedTuple):
-    """A shard, as this host sees it.
+class LeaderView(NamedTuple):
+    """A leader, as this host sees it.
 
     Attributes:
-        leader: Host that leads it.
-        epoch: Rises with each change of leader.
-        near: Whether it lies in this host's data centre.
-        cores: Cores of its workers in use.
-        free_cores: Cores that nothing holds.
-        queued_core_s: Room that waiting jobs will take, core-seconds.
+        tenure: Epoch since which it leads; an earlier one knew other jobs.
+        near: Whether it leads workers of this host's data centre.
+        load: How busy it is.
     """
 
-    leader: str
-    epoch: int
+    tenure: int
     near: bool
-    cores: float
-    free_cores: float
-    queued_core_s: float
+    load: Load
 
 
 @dataclass(frozen=True)
 class OfferToLeader:
-    """Offer a job to the leader of a shard."""
+    """Offer a job to a leader."""
 
     host: str
     offered: OfferedJob
@@ -74,15 +68,15 @@
 SubmissionAction = OfferToLeader | WithdrawFromLeader | AnswerCaller | LogDecision
 
 
-class ShardChosen(NamedTuple):
-    """Log line: a job goes to a shard."""
+class LeaderChosen(NamedTuple):
+    """Log line: a job goes to a leader."""
 
     job: str
-    shard: str
     leader: str
-    epoch: int
+    tenure: int
     handovers: int
     reason: str
+    needs_cores: float
     free_cores: float
     queued_core_s: float
 
@@ -94,7 +88,6 @@
     route: str
     outcome: str
     detail: str
-    shard: str
     leader: str
     offers: int
     took_s: float
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -13,12 +13,13 @@
     JobWithdrawn,
     OfferedJob,
 )
+from poplarhilld.submissions.choice import choose_leader
 from poplarhilld.submissions.messages import (
     AnswerCaller,
     JobAnswered,
+    LeaderChosen,
+    LeaderView,
     OfferToLeader,
-    ShardChosen,
-    ShardView,
     Submission,
     SubmissionAction,
     WithdrawFromLeader,
@@ -26,8 +27,6 @@
 
 REPEAT_S = 0.3  # a lost offer or report costs this much
 LEADERLESS_S = 1.2  # 0.6 s to notice a lost leader, and the time to follow it
-_BUSY_S = 0.05  # expected wait from which another data centre is looked at, s
-_FAR_FACTOR = 2.0  # another data centre must promise less than half of the wait
 _RETRY_S = 1.0  # a leader is found within about a second
 
 
@@ -36,9 +35,8 @@
     number: int
     submission: Submission
     received_at: float
-    shard: str = ""
     leader: str = ""
-    epoch: int = 0
+    tenure: int = 0
     offers: int = 0
     handovers: int = -1
     next_offer: float = 0.0
@@ -56,7 +54,7 @@
     def __init__(self) -> None:
         self._jobs: dict[int, _Job] = {}
         self._by_id: dict[str, set[int]] = {}
-        self._shards: Mapping[str, ShardView] = {}
+        self._leaders: Mapping[str, LeaderView] = {}
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -105,14 +103,14 @@
         return actions
 
     def view(
-        self, now: float, shards: Mapping[str, ShardView]
+        self, now: float, leaders: Mapping[str, LeaderView]
     ) -> list[SubmissionAction]:
-        """Take in who leads which shard now."""
-        self._shards = shards
+        """Take in who leads now."""
+        self._leaders = leaders
         actions: list[SubmissionAction] = []
         for job in list(self._jobs.values()):
-            shard = shards.get(job.shard)
-            if shard is None or (shard.leader, shard.epoch) != (job.leader, job.epoch):
+            leader = leaders.get(job.leader)
+            if leader is None or leader.tenure != job.tenure:
                 actions += self._place(now, job)
         return actions
 
@@ -130,41 +128,41 @@
         return actions
 
     def _place(self, now: float, job: _Job) -> list[SubmissionAction]:
-        """Offer a job to the leader of its shard, or of another one."""
-        shard = self._shards.get(job.shard)
-        reason = "same shard"
-        if shard is None and not (job.shard and self._keeps_waiting(now, job)):
-            name, reason = self._choose()
-            shard = self._shards.get(name)
-            if shard is not None:
-                job.shard = name
+        """Offer a job to its leader, or to another one if that is gone."""
+        name, reason = job.leader, "same leader"
+        if name not in self._leaders:
+            needs = sum(s.count * s.needs.cores for s in job.submission.steps)
+            name, reason = choose_leader(self._leaders, needs)
         job.next_offer = now + REPEAT_S
-        if shard is None:
+        leader = self._leaders.get(name)
+        if leader is None:
             return self._wait_for_leader(now, job)
         job.leaderless_since = None
         actions: list[SubmissionAction] = []
-        if (shard.leader, shard.epoch) != (job.leader, job.epoch):
-            job.leader, job.epoch = shard.leader, shard.epoch
+        if (name, leader.tenure) != (job.leader, job.tenure):
+            if job.leader and job.leader != name:
+                withdrawn = JobWithdrawn(job.submission.job_id)
+                actions.append(WithdrawFromLeader(job.leader, withdrawn))
+            job.leader, job.tenure = name, leader.tenure
             job.handovers += 1
-            chosen = ShardChosen(
-                job.submission.job_id,
-                job.shard,
-                shard.leader,
-                shard.epoch,
-                job.handovers,
-                reason,
-                round(shard.free_cores, 1),
-                round(shard.queued_core_s, 1),
-            )
-            actions.append(LogDecision(chosen))
+            actions.append(self._chosen(job, leader, reason))
         job.offers += 1
-        offered = OfferedJob(job.shard, job.number, self._offer(now, job))
-        return [*actions, OfferToLeader(shard.leader, offered)]
+        offered = OfferedJob(job.number, self._offer(now, job))
+        return [*actions, OfferToLeader(name, offered)]
 
-    def _keeps_waiting(self, now: float, job: _Job) -> bool:
-        """Return whether a job's shard may soon have a leader again."""
-        since = job.leaderless_since
-        return since is None or now - since < LEADERLESS_S
+    def _chosen(self, job: _Job, leader: LeaderView, reason: str) -> LogDecision:
+        steps = job.submission.steps
+        chosen = LeaderChosen(
+            job.submission.job_id,
+            job.leader,
+            job.tenure,
+            job.handovers,
+            reason,
+            round(sum(step.count * step.needs.cores for step in steps), 1),
+            round(leader.load.free_cores, 1),
+            round(leader.load.queued_core_s, 1),
+        )
+        return LogDecision(chosen)
 
     def _wait_for_leader(self, now: float, job: _Job) -> list[SubmissionAction]:
         if job.leaderless_since is None:
@@ -175,20 +173,6 @@
         failure = Failure(kind, "no leader is reached", _RETRY_S)
         return self._answer(now, job, failure, withdraw=True)
 
-    def _choose(self) -> tuple[str, str]:
-        """Return the shard for a new job, and why."""
-        best, best_key, reason = "", None, "no leader is known"
-        for name, shard in self._shards.items():
-            wait_s = shard.queued_core_s / shard.cores if shard.cores else 60.0
-            if shard.near:
-                key = (wait_s if wait_s > _BUSY_S else 0.0, -shard.free_cores, name)
-            else:
-                key = (_BUSY_S + _FAR_FACTOR * wait_s, -shard.free_cores, name)
-            if best_key is None or key < best_key:
-                best, best_key = name, key
-                reason = "near" if shard.near else "less waiting far away"
-        return best, reason
-
     def _offer(self, now: float, job: _Job) -> JobOffer:
         submission = job.submission
         route = submission.route
@@ -235,7 +219,6 @@
             submission.route.name,
             failure.kind.value if failure else "complete",
             failure.detail if failure else "",
-            job.shard,
             job.leader,
             job.offers,
             round(now - job.received_at, 4),
