--- a/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
@@ -1,8 +1,7 @@
-"""Replays the sheets' mix of jobs through real leaders, in simulated time.
+"""Replays the sheets' mix of jobs through a leader, in simulated time.
 
-Three data centres of eight workers each; arrivals, work, declarations and worker
-speeds are drawn as the sheets state them. It shows who is in time at a load, and
-what a perfect view of one queue would reach is left to the bound in `bounds`.
+Twenty-four workers; arrivals, work, declarations and worker speeds are drawn as
+the sheets state them. It shows who is in time at a load.
 """
 
 import math
@@ -80,7 +79,7 @@
 
 
 def replay(load: float, seconds: float, seed: int) -> dict[str, KindScore]:
-    """Play a load through three leaders and return how each kind fared.
+    """Play a load through one leader and return how each kind fared.
 
     Args:
         load: Factor on the sheets' arrivals; heavy days have 1.1 to 1.4.
@@ -89,43 +88,22 @@
     """
     random = Random(seed)
     world = World(_workers(random), seed)
-    places = ("dc1", "dc2", "dc3")
-    for number, place in enumerate(places):
-        world.add_leader(
-            place,
-            number + 1,
-            {n: e for n, e in world.entries.items() if e.data_centre == place},
-        )
+    world.add_leader("h1", 1)
     world.run(0.3)
     submitted: dict[str, _Submitted] = {}
     begin = world.now
     for number, (at, kind) in enumerate(_arrivals(random, load, seconds)):
         if begin + at > world.now:
             world.run(begin + at - world.now)
-        place = random.choices(places, (50.2, 38.2, 52.2))[0]
         job, chain_s = _job(random, kind, f"j{number}")
         objective_s = 1.6 * chain_s + 0.06
         size = sum(step.count for step in job.offer.steps) * job.run_s
         submitted[job.offer.job_id] = _Submitted(kind, world.now, objective_s, size)
-        world.submit(_choose(world, place, places), job)
+        world.submit("h1", job)
     world.run(2.0)
     return _score(world, submitted)
 
 
-def _choose(world: World, near: str, places: tuple[str, ...]) -> str:
-    """Choose a leader as an entry host does, with a fresh view."""
-    loads = {place: world.leaders[place].load(world.now) for place in places}
-
-    def key(place: str) -> tuple:
-        load = loads[place]
-        wait_s = load.queued_core_s / load.cores if load.cores else 60.0
-        if place == near:
-            return (wait_s if wait_s > 0.05 else 0.0, -load.free_cores)
-        return (0.05 + 2 * wait_s, -load.free_cores)
-
-    return min(places, key=key)
-
-
 def _workers(random: Random) -> list[SimulatedWorker]:
     workers = []
     for number in range(24):
--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -8,6 +8,8 @@
 from poplarhill.exceptions import SettingsError
 from poplarhill.types import Address
 
+_MS = 1000
+_SHORTEST_LEASE_S = 0.6  # a renewal takes up to 0.4 s
 _LONGEST_LEASE_S = 60.0  # a lease that is longer leaves a lost worker unused for long
 
 
@@ -21,7 +23,8 @@
     store: str
     seeds: str = ""
     cores: float = 1.0
-    lease_s: float = 1.0
+    core_speed: float = 1.0
+    lease_ms: float = 1000.0
     grace_s: float = 6.0
 
 
@@ -37,7 +40,7 @@
         metrics: Where its metrics are read.
         store: Where the platform's store is.
         seeds: Where other entry hosts may be found at start.
-        cores: Processor cores that this host has.
+        cores: Processor cores that this host has, in usual ones.
         lease_s: Longest lease that a worker grants, s.
         grace_s: Time from SIGTERM until the process is killed, s.
     """
@@ -78,18 +81,21 @@
                 seeds.append(parse_address(text))
             except ValueError as error:
                 problems.append(f"$.seeds: {error}")
-        if not 0 < fields.lease_s <= _LONGEST_LEASE_S:
-            problems.append(f"$.lease_s: not above 0 and up to {_LONGEST_LEASE_S:g}")
-        if not fields.cores > 0:
-            problems.append("$.cores: not above 0")
+        lease_s = fields.lease_ms / _MS
+        if not _SHORTEST_LEASE_S <= lease_s <= _LONGEST_LEASE_S:
+            bounds = f"{_SHORTEST_LEASE_S * _MS:g} to {_LONGEST_LEASE_S * _MS:g}"
+            problems.append(f"$.lease_ms: not within {bounds}")
+        for name in ("cores", "core_speed", "grace_s"):
+            if not getattr(fields, name) > 0:
+                problems.append(f"$.{name}: not above 0")
         if problems:
             raise SettingsError(tuple(problems))
         return cls(
             name=fields.name,
             data_centre=fields.data_centre,
             seeds=tuple(seeds),
-            cores=fields.cores,
-            lease_s=fields.lease_s,
+            cores=fields.cores * fields.core_speed,
+            lease_s=lease_s,
             grace_s=fields.grace_s,
             **addresses,
         )
--- a/packages/poplarhilld/src/poplarhilld/leading/estimates.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/estimates.py
@@ -2,12 +2,10 @@
 
 from typing import NamedTuple
 
-_WEIGHT = 0.1  # weight of the newest run: about ten runs back are felt
-_SPEED_WEIGHT = 0.1  # as for routes
-_SLOWEST, _FASTEST = (
-    8.0,
-    0.5,
-)  # bounds on a learned slowdown; the sheets have 0.8 to 6.6
+_ROUTE_WEIGHT = 0.05  # of the newest run: about twenty runs back are felt
+_WORKER_WEIGHT = 0.1  # a worker that turns slow is known after some ten runs
+_SLOWEST = 8.0  # bound on a learned slowdown; the sheets' slow workers have 6.6
+_FASTEST = 0.5  # the sheets' fastest workers have 0.8
 
 
 class _Ratio(NamedTuple):
@@ -46,15 +44,18 @@
         if declared_s <= 0 or took_s <= 0:
             return
         expected_s = self.expected_s(route, declared_s)
-        seen = min(_SLOWEST, max(_FASTEST, took_s / expected_s))
-        self._workers[worker] = _blend(self._workers.get(worker), seen, _SPEED_WEIGHT)
+        slowdown = min(_SLOWEST, max(_FASTEST, took_s / expected_s))
+        self._workers[worker] = _blend(
+            self._workers.get(worker), slowdown, _WORKER_WEIGHT
+        )
         usual_s = took_s / self.slowdown(worker)
         self._routes[route] = _blend(
-            self._routes.get(route), usual_s / declared_s, _WEIGHT
+            self._routes.get(route), usual_s / declared_s, _ROUTE_WEIGHT
         )
 
 
-def _blend(ratio: _Ratio | None, seen: float, weight: float) -> _Ratio:
-    if ratio is None:
-        return _Ratio(seen if weight == 1 else 1.0 + (seen - 1.0) * weight, 1)
-    return _Ratio(ratio.value + (seen - ratio.value) * weight, ratio.samples + 1)
+def _blend(ratio: _Ratio | None, seen: float, least_weight: float) -> _Ratio:
+    """Return a ratio moved towards what was seen, the first samples further."""
+    value, samples = ratio or _Ratio(1.0, 0)
+    weight = max(least_weight, 1 / (samples + 2))
+    return _Ratio(value + (seen - value) * weight, samples + 1)
--- a/packages/poplarhilld/src/poplarhilld/leading/order.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/order.py
@@ -2,21 +2,24 @@
 
 from typing import NamedTuple
 
+from poplarhilld.leading.demand import Demand
 from poplarhilld.leading.estimates import RunTimes
 from poplarhilld.leading.job import LedJob
 
+_BASE_WORTH = 0.3  # of a job of no work; the users weigh the rest by its work
+
 
 class Rank(NamedTuple):
     """Place of a job in the queue; the lowest goes first.
 
     Attributes:
         late: Whether it can no longer be in time.
-        room_s: Room that its open tasks still take, core-seconds.
+        cost: Room that its open tasks take, for what the job is worth.
         taken_at: When it came.
     """
 
     late: bool
-    room_s: float
+    cost: float
     taken_at: float
 
 
@@ -38,9 +41,18 @@
     )
 
 
-def rank(now: float, job: LedJob, times: RunTimes) -> Rank:
-    """Return the place of a job: least room first, what is late behind."""
+def rank(now: float, job: LedJob, times: RunTimes, demand: Demand) -> Rank:
+    """Return the place of a job.
+
+    Routes count alike, however many jobs they bring: a job of a rare route may
+    take as much more room. Within a route small jobs go first, but a large one
+    is worth more to its caller and does not starve. What can no longer be in
+    time goes behind what can.
+    """
     run_s = expected_run_s(job, times)
-    objective_s = job.offer.stretch * run_s + job.offer.allowance_s
-    late = not job.runs and now + run_s > job.taken_at + objective_s
-    return Rank(late, open_room_s(job, times), job.taken_at)
+    due = job.taken_at + job.offer.stretch * run_s + job.offer.allowance_s
+    late = not job.runs and now + run_s > min(due, job.deadline)
+    route = job.offer.route
+    room_s = open_room_s(job, times)
+    worth = _BASE_WORTH + (1 - _BASE_WORTH) * demand.relative_size(route, room_s)
+    return Rank(late, room_s * demand.rate(now, route) / worth, job.taken_at)
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -8,6 +8,7 @@
 from poplarhill.types import Resources
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.demand import Demand
 from poplarhilld.leading.estimates import RunTimes
 from poplarhilld.leading.fitness import SILENT_S, Fitness
 from poplarhilld.leading.job import LedJob, LedTask
@@ -62,6 +63,7 @@
 _STOP_RETRY_S = 0.2  # a stop answers within a few ms
 _STALL_FACTOR = 4.0  # work varies by a factor of 4 at most
 _STALL_S = 0.25  # shorter stalls cost less than a second start
+_SURE_PART = 0.7  # declared run times are too long by up to 1.5
 _TOLERANCE = 1e-6  # cores are sums of thousandths
 _REMEMBERED_ENDS = 4096  # tasks that ended before their job was offered here
 
@@ -99,6 +101,7 @@
         self._stop_due: dict[tuple[str, Run], float] = {}
         self._taken_at = 0.0
         self._times = RunTimes()
+        self._demand = Demand()
         self._fitness = Fitness()
 
     @property
@@ -190,6 +193,8 @@
         for task in job.tasks:
             if task.name in self._done_orphans:
                 job.finish(task)
+        room_s = open_room_s(job, self._times)
+        self._demand.arrived(now, offer.route, room_s)
         refusal = self._check(now, job)
         if refusal is not None and not self._has_orphans(job):
             return self._refuse(now, host, offer, *refusal)
@@ -594,7 +599,7 @@
                 return ErrorKind.IMPOSSIBLE, "no worker is large enough for a task", 0.0
         wait_s = self._expected_wait_s(now, job, ours)
         run_s = expected_run_s(job, self._times)
-        if wait_s > 0 and now + wait_s + run_s > job.deadline:
+        if wait_s > 0 and now + wait_s + _SURE_PART * run_s > job.deadline:
             detail = f"expected to wait {wait_s:.2f} s and to run {run_s:.2f} s"
             return ErrorKind.OVERLOADED, detail, max(wait_s, 1.0)
         return None
@@ -605,10 +610,13 @@
         """Return how long a job will wait for room, roughly, s."""
         cores = sum(worker.entry.room.cores for worker in workers)
         free = sum(max(0.0, worker.free().cores) for worker in workers)
-        own = rank(now, job, self._times)
+        own = rank(now, job, self._times, self._demand)
         ahead = 0.0
         for other in self._jobs.values():
-            if other.ready_tasks() and rank(now, other, self._times) <= own:
+            if (
+                other.ready_tasks()
+                and rank(now, other, self._times, self._demand) <= own
+            ):
                 ahead += open_room_s(other, self._times)
         if not ahead and free >= sum(t.spec.needs.cores for t in job.ready_tasks()):
             return 0.0
@@ -656,7 +664,7 @@
             return self._close(now, job, _ended(job, kind, "its caller has left"))
         if job.not_run:
             run_s = expected_run_s(job, self._times)
-            if now + run_s > job.deadline:
+            if now + _SURE_PART * run_s > job.deadline:
                 detail = f"no room in time for work of {run_s:.2f} s"
                 report = _ended(job, ErrorKind.OVERLOADED, detail, 1.0)
                 return self._close(now, job, report)
@@ -707,7 +715,7 @@
         if not usable:
             return []
         waiting = [job for job in self._jobs.values() if self._may_run(now, job)]
-        waiting.sort(key=lambda job: rank(now, job, self._times))
+        waiting.sort(key=lambda job: rank(now, job, self._times, self._demand))
         actions: list[LeaderAction] = []
         free = {worker.entry.name: worker.free() for worker in usable}
         largest = max(room.cores for room in free.values())
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -25,6 +25,7 @@
     WithdrawFromLeader,
 )
 
+ANSWER_MARGIN_S = 0.03  # an answer must reach its caller before it leaves
 REPEAT_S = 0.3  # a lost offer or report costs this much
 LEADERLESS_S = 1.2  # 0.6 s to notice a lost leader, and the time to follow it
 _RETRY_S = 1.0  # a leader is found within about a second
@@ -40,12 +41,11 @@
     offers: int = 0
     handovers: int = -1
     next_offer: float = 0.0
-    leaderless_since: float | None = None
     done: set[int] = field(default_factory=set)
 
     @property
     def deadline(self) -> float:
-        return self.received_at + self.submission.patience_s
+        return self.received_at + self.submission.patience_s - ANSWER_MARGIN_S
 
 
 class Submissions:
@@ -55,6 +55,7 @@
         self._jobs: dict[int, _Job] = {}
         self._by_id: dict[str, set[int]] = {}
         self._leaders: Mapping[str, LeaderView] = {}
+        self._leaderless_since: float | None = None
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -107,6 +108,10 @@
     ) -> list[SubmissionAction]:
         """Take in who leads now."""
         self._leaders = leaders
+        if leaders:
+            self._leaderless_since = None
+        elif self._leaderless_since is None:
+            self._leaderless_since = now
         actions: list[SubmissionAction] = []
         for job in list(self._jobs.values()):
             leader = leaders.get(job.leader)
@@ -137,7 +142,6 @@
         leader = self._leaders.get(name)
         if leader is None:
             return self._wait_for_leader(now, job)
-        job.leaderless_since = None
         actions: list[SubmissionAction] = []
         if (name, leader.tenure) != (job.leader, job.tenure):
             if job.leader and job.leader != name:
@@ -165,9 +169,10 @@
         return LogDecision(chosen)
 
     def _wait_for_leader(self, now: float, job: _Job) -> list[SubmissionAction]:
-        if job.leaderless_since is None:
-            job.leaderless_since = now
-        if now - job.leaderless_since < LEADERLESS_S:
+        """Wait for the next leader, unless there has been none for too long."""
+        if self._leaderless_since is None:
+            self._leaderless_since = now
+        if now - self._leaderless_since < LEADERLESS_S:
             return []
         kind = ErrorKind.WORKER_LOST if job.offers else ErrorKind.NOT_READY
         failure = Failure(kind, "no leader is reached", _RETRY_S)
--- /dev/null
+++ b/packages/poplarhilld/tests/catalogue/test_catalogue.py
@@ -0,0 +1,45 @@
+"""Routes by host and prefix, and workers that vanish and come back."""
+
+from poplarhill_dev.leased import worker_entry
+from poplarhilld.catalogue import Catalogue, Registry, Route
+from poplarhilld.catalogue.registry import REJOIN_S
+
+
+def test_the_longest_prefix_decides() -> None:
+    short = Route("short", "one.example", "/a/", "s", 1.0)
+    long = Route("long", "one.example", "/a/b/", "s", 1.0)
+    other = Route("other", "two.example", "/a/", "s", 1.0)
+    catalogue = Catalogue(1, (short, long, other))
+    assert catalogue.route("one.example", "/a/b/x") == long
+    assert catalogue.route("ONE.example:80", "/a/x") == short
+    assert catalogue.route("two.example", "/a/b/x") == other
+    assert catalogue.route("three.example", "/a/x") is None
+    assert catalogue.route("one.example", "/b") is None
+
+
+def test_a_worker_that_lapsed_in_an_outage_is_kept_for_a_while() -> None:
+    registry = Registry()
+    entry = worker_entry("w1")
+    registry.read(0.0, {"w1": entry})
+    registry.read(1.0, {})
+    assert "w1" in registry.workers
+    assert not registry.is_listed("w1")
+    registry.read(2.0, {"w1": entry})
+    assert registry.is_listed("w1")
+
+
+def test_a_worker_that_stays_away_is_gone() -> None:
+    registry = Registry()
+    registry.read(0.0, {"w1": worker_entry("w1")})
+    now = 0.0
+    while "w1" in registry.workers:
+        now += 0.5
+        assert now <= 2 * REJOIN_S
+        registry.read(now, {})
+
+
+def test_time_without_the_platform_does_not_count() -> None:
+    registry = Registry()
+    registry.read(0.0, {"w1": worker_entry("w1")})
+    registry.read(60.0, {})
+    assert "w1" in registry.workers
--- /dev/null
+++ b/packages/poplarhilld/tests/entry/test_logs.py
@@ -0,0 +1,48 @@
+"""Log lines never wait for whoever reads them."""
+
+import os
+from collections.abc import Iterator
+
+import pytest
+
+from poplarhilld.entry.logs import _MOST_LINES, LogBuffer
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    reading, writing = os.pipe()
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def test_lines_come_out_in_order(pipe: tuple[int, int]) -> None:
+    reading, writing = pipe
+    buffer = LogBuffer(writing)
+    for number in range(3):
+        buffer.msg(b"%d" % number)
+    buffer.flush()
+    assert os.read(reading, 100) == b"0\n1\n2\n"
+
+
+def test_a_reader_that_stops_costs_lines_and_no_time(pipe: tuple[int, int]) -> None:
+    reading, writing = pipe
+    buffer = LogBuffer(writing)
+    for _ in range(_MOST_LINES + 7):
+        buffer.msg(b"x" * 100)
+    buffer.flush()
+    assert buffer.dropped == 7
+    os.set_blocking(reading, False)
+    lines = b""
+    while chunk := _read(reading):
+        lines += chunk
+        buffer.flush()
+    assert lines.count(b"\n") == _MOST_LINES + 1
+    assert b'"lines":7' in lines
+
+
+def _read(descriptor: int) -> bytes:
+    try:
+        return os.read(descriptor, 1 << 20)
+    except BlockingIOError:
+        return b""
--- /dev/null
+++ b/packages/poplarhilld/tests/entry/test_settings.py
@@ -0,0 +1,55 @@
+"""Settings of an entry host: what is wrong is told by its path."""
+
+import pytest
+
+from poplarhill import SettingsError
+from poplarhill.types import Address
+from poplarhilld.entry import EntrySettings
+
+
+@pytest.fixture
+def value() -> dict:
+    return {
+        "name": "h1",
+        "data_centre": "dc1",
+        "callers": "10.0.0.1:8080",
+        "readiness": "10.0.0.1:8081",
+        "peers": "10.0.0.1:8082",
+        "metrics": "10.0.0.1:8083",
+        "store": "10.9.0.1:9000",
+        "seeds": "10.0.0.2:8082,10.0.0.3:8082",
+        "cores": 0.5,
+        "core_speed": 2,
+        "lease_ms": 1000,
+    }
+
+
+def test_good_settings_are_taken(value: dict) -> None:
+    settings = EntrySettings.from_config(value)
+    assert settings.callers == Address("10.0.0.1", 8080)
+    assert len(settings.seeds) == 2
+    assert settings.cores == 1.0
+    assert settings.lease_s == 1.0
+
+
+@pytest.mark.parametrize(
+    ("field", "wrong"),
+    [
+        ("callers", "10.0.0.1"),
+        ("callers", "host:80"),
+        ("peers", "10.0.0.256:80"),
+        ("store", "10.0.0.1:0"),
+        ("seeds", "10.0.0.1:80,nowhere"),
+        ("lease_ms", 10),
+        ("lease_ms", "long"),
+        ("cores", 0),
+        ("grace_s", -1),
+        ("name", 7),
+        ("colour", "red"),
+    ],
+)
+def test_each_problem_names_its_field(value: dict, field: str, wrong: object) -> None:
+    value[field] = wrong
+    with pytest.raises(SettingsError) as caught:
+        EntrySettings.from_config(value)
+    assert field in str(caught.value)
--- /dev/null
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -0,0 +1,136 @@
+"""Jobs of callers: offered, followed to another leader, answered once."""
+
+from collections.abc import Callable
+
+import pytest
+
+from poplarhill import ErrorKind
+from poplarhill.types import Resources
+from poplarhilld.catalogue import Route
+from poplarhilld.peers import JobEnded, JobProgress, Load, StepSpec
+from poplarhilld.submissions import (
+    AnswerCaller,
+    LeaderView,
+    OfferToLeader,
+    Submission,
+    Submissions,
+    WithdrawFromLeader,
+    choose_leader,
+)
+from poplarhilld.submissions.state import LEADERLESS_S, REPEAT_S
+
+ROUTE = Route("r", "one.example", "/r/", "booking", 1.5, 0.06, 1.6, 0, 2)
+LEADER = LeaderView(7, True, Load(100.0, 50.0, 0.0))
+
+
+def kinds(actions: list, kind: type) -> list:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+@pytest.fixture
+def submissions() -> Submissions:
+    submissions = Submissions()
+    submissions.view(0.0, {"h1": LEADER})
+    return submissions
+
+
+@pytest.fixture
+def submit(submissions: Submissions) -> Callable[..., list]:
+    def call(number: int = 1, job_id: str = "a") -> list:
+        steps = (StepSpec(4, Resources(6.8, 64, 0), 0.2),)
+        submission = Submission(job_id, ROUTE, "{}", steps, 1.5)
+        return submissions.submit(
+            number - 1.0 if number > 2 else 0.0, number, submission
+        )
+
+    return call
+
+
+def test_a_job_is_offered_and_answered_once(submissions, submit) -> None:
+    [offer] = kinds(submit(), OfferToLeader)
+    assert (offer.host, offer.offered.offer.handovers) == ("h1", 0)
+    answers = submissions.reported(0.3, "h1", JobEnded("a"))
+    assert kinds(answers, AnswerCaller) == [AnswerCaller(1, None)]
+    assert not submissions.reported(0.3, "h1", JobEnded("a"))
+
+
+def test_an_offer_is_repeated_until_it_is_answered(submissions, submit) -> None:
+    submit()
+    assert not kinds(submissions.tick(REPEAT_S / 2), OfferToLeader)
+    assert kinds(submissions.tick(REPEAT_S), OfferToLeader)
+
+
+def test_a_job_follows_to_the_next_leader_with_what_is_done(
+    submissions, submit
+) -> None:
+    submit()
+    submissions.reported(0.1, "h1", JobProgress("a", (0, 2)))
+    actions = submissions.view(0.2, {"h2": LEADER._replace(tenure=9)})
+    [offer] = kinds(actions, OfferToLeader)
+    assert offer.host == "h2"
+    assert offer.offered.offer.handovers == 1
+    assert offer.offered.offer.done == (0, 2)
+    assert kinds(actions, WithdrawFromLeader)[0].host == "h1"
+
+
+def test_a_leader_that_began_anew_is_told_again(submissions, submit) -> None:
+    submit()
+    actions = submissions.view(0.2, {"h1": LEADER._replace(tenure=8)})
+    assert kinds(actions, OfferToLeader)
+
+
+def test_a_refusal_by_the_second_leader_is_not_called_not_run(
+    submissions, submit
+) -> None:
+    submit()
+    submissions.view(0.2, {"h2": LEADER})
+    refusal = JobEnded("a", ErrorKind.OVERLOADED.value, "full", 1.0, not_run=True)
+    [answer] = kinds(submissions.reported(0.3, "h2", refusal), AnswerCaller)
+    assert answer.failure.kind is ErrorKind.WORKER_LOST
+
+
+def test_the_refusal_of_an_earlier_leader_is_ignored(submissions, submit) -> None:
+    submit()
+    submissions.view(0.2, {"h2": LEADER})
+    refusal = JobEnded("a", ErrorKind.OVERLOADED.value, "full", 1.0, not_run=True)
+    assert not submissions.reported(0.3, "h1", refusal)
+
+
+def test_without_any_leader_a_job_is_refused_as_not_run(submissions, submit) -> None:
+    submissions.view(0.0, {})
+    submit()
+    assert not kinds(submissions.tick(LEADERLESS_S / 2), AnswerCaller)
+    [answer] = kinds(submissions.tick(LEADERLESS_S + 0.1), AnswerCaller)
+    assert answer.failure.kind is ErrorKind.NOT_READY
+    [answer] = kinds(submit(3, "b"), AnswerCaller)  # known by now: at once
+    assert answer.failure.kind is ErrorKind.NOT_READY
+
+
+def test_a_job_without_outcome_is_answered_before_its_caller_leaves(
+    submissions, submit
+) -> None:
+    submit()
+    actions = submissions.tick(1.48)
+    assert kinds(actions, AnswerCaller)[0].failure.kind is ErrorKind.TIMEOUT
+    assert kinds(actions, WithdrawFromLeader)
+
+
+def test_the_job_of_a_caller_that_left_is_withdrawn(submissions, submit) -> None:
+    submit()
+    assert kinds(submissions.caller_left(0.1, 1), WithdrawFromLeader)
+    assert not len(submissions)
+
+
+def test_two_callers_of_one_job_get_the_same_outcome(submissions, submit) -> None:
+    submit(1)
+    submit(2)
+    answers = kinds(submissions.reported(0.2, "h1", JobEnded("a")), AnswerCaller)
+    assert {answer.number for answer in answers} == {1, 2}
+
+
+def test_the_leader_with_room_for_the_whole_job_is_chosen() -> None:
+    # Pattern: wide jobs at a near leader whose room is taken.
+    near = LeaderView(1, True, Load(100.0, 10.0, 0.0))
+    far = LeaderView(1, False, Load(100.0, 90.0, 0.0))
+    assert choose_leader({"near": near, "far": far}, 60.0).leader == "far"
+    assert choose_leader({"near": near, "far": far}, 5.0).leader == "near"
