--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -59,6 +59,7 @@
     def __init__(self, offer: JobOffer, host: str, now: float) -> None:
         self.offer = offer
         self.host = host
+        self.offered_at = now
         self.taken_at = now - offer.elapsed_s
         self.deadline = now + offer.left_s
         self.runs = 0
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -52,7 +52,7 @@
     Load,
 )
 
-ORPHAN_S = 0.5  # entry hosts offer their jobs anew within two heartbeats
+ORPHAN_S = 0.4  # entry hosts offer their jobs anew within two heartbeats
 HANDOVER_S = 1.2  # the leader before notices a cut as late, and stops what it started
 _REPORT_KEPT_S = 5.0  # callers repeat a request within some seconds
 _CANCEL_KEPT_S = 10.0  # longest delay of an offer that was on its way
@@ -99,7 +99,6 @@
         self._reports: OrderedDict[str, tuple[float, JobEnded]] = OrderedDict()
         self._cancelled: OrderedDict[str, float] = OrderedDict()
         self._stop_due: dict[tuple[str, Run], float] = {}
-        self._taken_at = 0.0
         self._times = RunTimes()
         self._demand = Demand()
         self._fitness = Fitness()
@@ -149,8 +148,6 @@
             elsewhere: Names of the workers that other hosts lead.
         """
         actions: list[LeaderAction] = []
-        if not self._workers and not self._entries and entries:
-            self._taken_at = now
         self._entries = entries
         self._elsewhere = elsewhere
         for name in self._workers.keys() & elsewhere:
@@ -738,7 +735,7 @@
         """Return whether a job's tasks may start, wherever it was before."""
         if job.stopping:
             return False
-        if not job.offer.handovers or now >= self._taken_at + HANDOVER_S:
+        if not job.offer.handovers or now >= job.offered_at + HANDOVER_S:
             return True
         if self._elsewhere:
             return False
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -21,6 +21,7 @@
 
 ORDER_LIFE_S = 0.5  # an unanswered order holds its room for at least this long
 RENEWAL_WAIT_S = 0.4  # two renewals may fail within a lease of 1 s
+TAKEOVER_S = 0.8  # a leader that renews at the last moment stops orphans within this
 EXTENSION_S = 0.5  # a renewal that is answered comes within 0.4 s of the last one
 _REMEMBERED_ENDS = 256  # more than a worker ends between two overlapping replies
 _CLOCK_RATE = 0.97  # a worker's clock may be 2 % slow; 1 % for rounding
@@ -149,8 +150,8 @@
         """Return whether nothing can be running on a worker that is silent."""
         if self._born is None:
             return False
-        left_s = self._latest_deadline_s - self._clock_s
-        return now > self._clock_at + max(0.0, left_s) / _CLOCK_RATE
+        left_s = max(0.0, self._latest_deadline_s - self._clock_s)
+        return now > self._clock_at + left_s / _CLOCK_RATE + TAKEOVER_S
 
     def renew(self, now: float) -> Renewal:
         """Return the renewal to send now."""
--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -92,3 +92,26 @@
     held = world.leaders["h2"].workers[worker.entry.name]
     assert held.has_unknown_runs
     assert held.free().cores == 0
+
+
+def test_a_job_from_a_leader_that_merged_waits_for_its_workers(world: World) -> None:
+    # Seen on trouble-1 of a site: the job was started before the workers on which
+    # it ran had come over.
+    entries = world.entries
+    near = {name: entries[name] for name in ("w0", "w1")}
+    far = {name: entries[name] for name in ("w2", "w3")}
+    h1, h2 = world.leaders["h1"], world.add_leader("h2", 2, far)
+    world.perform("h1", h1.lead(world.now, world.now, near, frozenset(far)))
+    world.run(2.0)
+    job = simulated_job("a", tasks=4, run_s=0.8, left_s=3.0)
+    world.submit("h2", job)
+    world.run(0.1)
+    world.perform("h2", h2.resign())
+    offer = job.offer._replace(handovers=1)
+    world.perform("h1", h1.offer(world.now, "e1", 1, offer))
+    world.run(0.1)
+    world.perform("h1", h1.lead(world.now, world.now, entries))
+    world.run(1.5)
+    assert not world.broken
+    assert world.ended("a").error == ""
+    assert world.starts == 4
