--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m poplarhill_dev demo
+	$(BIN)/python -m poplarhill_platform_dev
 
 format: $(STAMP)
 	$(BIN)/ruff format $(SOURCES)
