--- a/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
@@ -205,3 +205,7 @@
             )
         mean = sum(score.credit for score in scores.values()) / len(scores)
         click.echo(f"load {load:g} seed {seed} mean credit {mean:.3f}")
+
+
+if __name__ == "__main__":
+    heavy()
--- a/packages/poplarhilld/src/poplarhilld/workers/pool.py
+++ b/packages/poplarhilld/src/poplarhilld/connections.py
@@ -1,4 +1,4 @@
-"""The kept-alive connections of this host to one worker, within its share."""
+"""Kept-alive connections of this host to one address, within its share."""
 
 from collections.abc import Callable
 
--- a/packages/poplarhilld/src/poplarhilld/entry/logs.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/logs.py
@@ -85,7 +85,7 @@
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
+            _level_of_trouble,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(_encode),
@@ -96,5 +96,14 @@
     structlog.contextvars.bind_contextvars(host=host)
 
 
+def _level_of_trouble(
+    _logger: object, method: str, event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    """Name the level of lines that tell of trouble; decisions have none."""
+    if method != "info":
+        event["level"] = method
+    return event
+
+
 def _encode(value: object, **_: object) -> bytes:
     return msgspec.json.encode(value, enc_hook=str)
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -114,7 +114,6 @@
     host: str
     tasks: int
     handovers: int
-    elapsed_s: float
     wait_s: float
     run_s: float
     queued: int
@@ -124,7 +123,6 @@
 class RunOrdered(NamedTuple):
     """Log line: a task was placed on a worker."""
 
-    job: str
     task: str
     run: int
     worker: str
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -1,6 +1,5 @@
 """What the leader of some workers decides."""
 
-from collections import OrderedDict
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -12,6 +11,7 @@
 from poplarhilld.leading.estimates import RunTimes
 from poplarhilld.leading.fitness import SILENT_S, Fitness
 from poplarhilld.leading.job import LedJob, LedTask
+from poplarhilld.leading.memory import Memory
 from poplarhilld.leading.messages import (
     JobClosed,
     JobTaken,
@@ -30,6 +30,7 @@
     WorkerTaken,
 )
 from poplarhilld.leading.order import expected_run_s, open_room_s, rank
+from poplarhilld.leading.placement import choose_worker, could_run, without
 from poplarhilld.leases import (
     LeasedWorker,
     LeaseLost,
@@ -54,8 +55,6 @@
 
 ORPHAN_S = 0.4  # entry hosts offer their jobs anew within two heartbeats
 HANDOVER_S = 1.2  # the leader before notices a cut as late, and stops what it started
-_REPORT_KEPT_S = 5.0  # callers repeat a request within some seconds
-_CANCEL_KEPT_S = 10.0  # longest delay of an offer that was on its way
 _RENEWAL_RETRY_S = 0.05  # 20 tries within a lease of 1 s
 _LONGEST_RETRY_S = 0.5  # a worker that is back is found within half a second
 _REFUSED_RETRY_S = 0.2  # the process is gone; its successor has another name
@@ -65,7 +64,6 @@
 _STALL_S = 0.25  # shorter stalls cost less than a second start
 _SURE_PART = 0.7  # declared run times are too long by up to 1.5
 _TOLERANCE = 1e-6  # cores are sums of thousandths
-_REMEMBERED_ENDS = 4096  # tasks that ended before their job was offered here
 
 
 class _Listener(NamedTuple):
@@ -95,9 +93,7 @@
         self._runs: dict[Run, LedTask] = {}
         self._task_jobs: dict[str, LedJob] = {}
         self._orphans: dict[Run, tuple[str, float]] = {}
-        self._done_orphans: OrderedDict[str, None] = OrderedDict()
-        self._reports: OrderedDict[str, tuple[float, JobEnded]] = OrderedDict()
-        self._cancelled: OrderedDict[str, float] = OrderedDict()
+        self._memory = Memory()
         self._stop_due: dict[tuple[str, Run], float] = {}
         self._times = RunTimes()
         self._demand = Demand()
@@ -113,6 +109,11 @@
         """Jobs that were taken and are not closed, by id."""
         return self._jobs
 
+    @property
+    def ejected(self) -> tuple[str, ...]:
+        """Names of the workers that get probes only."""
+        return self._fitness.ejected
+
     @property
     def waiting(self) -> dict[str, int]:
         """Count of jobs of which nothing has started, by route."""
@@ -179,16 +180,16 @@
         job = self._jobs.get(offer.job_id)
         if job is not None:
             return self._join(now, job, listener, offer)
-        if self._cancelled.get(offer.job_id, -_CANCEL_KEPT_S) > now - _CANCEL_KEPT_S:
+        if self._memory.is_cancelled(now, offer.job_id):
             return self._refuse(
                 now, host, offer, ErrorKind.CANCELLED, "the job was cancelled"
             )
-        kept = self._reports.get(offer.job_id)
-        if kept is not None and not kept[1].error:
-            return [ReportJob(host, kept[1])]
+        completion = self._memory.completion(offer.job_id)
+        if completion is not None:
+            return [ReportJob(host, completion)]
         job = LedJob(offer, host, now)
         for task in job.tasks:
-            if task.name in self._done_orphans:
+            if self._memory.is_done(task.name):
                 job.finish(task)
         room_s = open_room_s(job, self._times)
         self._demand.arrived(now, offer.route, room_s)
@@ -208,8 +209,7 @@
     def withdraw(self, now: float, host: str, withdrawn: JobWithdrawn) -> list:
         """Stop a job whose caller has left or has cancelled it."""
         if withdrawn.cancelled:
-            self._cancelled[withdrawn.job_id] = now
-            _trim(self._cancelled, now - _CANCEL_KEPT_S)
+            self._memory.note_cancel(now, withdrawn.job_id)
         job = self._jobs.get(withdrawn.job_id)
         if job is None:
             return []
@@ -513,7 +513,9 @@
         job = self._task_jobs[task.name]
         self._forget_run(run)
         took_s = now - task.ordered_at
-        resolved = RunResolved(task.name, run.number, name, fate.value, took_s)
+        resolved = RunResolved(
+            task.name, run.number, name, fate.value, round(took_s, 4)
+        )
         actions: list[LeaderAction] = [LogDecision(resolved)]
         route = job.offer.route
         match fate:
@@ -533,12 +535,8 @@
 
     def _closed_unknown(self, now: float, run: Run, fate: RunFate) -> list:
         """Take in the end of a run whose job is not known here yet."""
-        if fate is RunFate.DONE:
-            job = self._task_jobs.get(run.task)
-            if job is None:
-                self._done_orphans[run.task] = None
-                if len(self._done_orphans) > _REMEMBERED_ENDS:
-                    self._done_orphans.popitem(last=False)
+        if fate is RunFate.DONE and run.task not in self._task_jobs:
+            self._memory.note_done(run.task)
         return []
 
     def _advance(self, now: float, job: LedJob, task: LedTask) -> list:
@@ -592,7 +590,7 @@
             detail = f"no worker of {offer.service!r} answers"
             return ErrorKind.NO_WORKERS, detail, 1.0
         for step in offer.steps:
-            if not any(_could_run(worker, step) for worker in ours):
+            if not any(could_run(w.entry, offer.service, step) for w in ours):
                 return ErrorKind.IMPOSSIBLE, "no worker is large enough for a task", 0.0
         wait_s = self._expected_wait_s(now, job, ours)
         run_s = expected_run_s(job, self._times)
@@ -643,7 +641,6 @@
             job.host,
             len(job.tasks),
             offer.handovers,
-            round(offer.elapsed_s, 4),
             round(wait_s, 4),
             round(expected_run_s(job, self._times), 4),
             len(self._jobs),
@@ -670,12 +667,7 @@
     def _close(self, now: float, job: LedJob, report: JobEnded) -> list:
         """Report a job's outcome and stop what is left of it."""
         actions = self._report(job, report)
-        self._reports[job.job_id] = (now, report)
-        while self._reports:
-            since, _ = next(iter(self._reports.values()))
-            if since > now - _REPORT_KEPT_S:
-                break
-            self._reports.popitem(last=False)
+        self._memory.note_outcome(now, report)
         closed = JobClosed(
             job.job_id,
             report.error or "complete",
@@ -715,15 +707,17 @@
         waiting.sort(key=lambda job: rank(now, job, self._times, self._demand))
         actions: list[LeaderAction] = []
         free = {worker.entry.name: worker.free() for worker in usable}
-        largest = max(room.cores for room in free.values())
+        largest = max(room.cores for room in free.values()) + _TOLERANCE
         for job in waiting:
             for task in job.ready_tasks():
-                if task.spec.needs.cores > largest + _TOLERANCE:
+                if task.spec.needs.cores > largest:
                     continue
-                worker = self._choose(now, job, task, usable, free)
+                worker = choose_worker(job, task, usable, free, self._times)
                 if worker is None:
                     break
                 actions += self._start(now, job, task, worker, free, len(usable))
+                if not self._may_start(now, worker):
+                    usable.remove(worker)  # it got its one probe
         return actions
 
     def _may_start(self, now: float, worker: LeasedWorker) -> bool:
@@ -741,41 +735,6 @@
             return False
         return all(worker.confirmed for worker in self._workers.values())
 
-    def _choose(
-        self,
-        now: float,
-        job: LedJob,
-        task: LedTask,
-        usable: list[LeasedWorker],
-        free: dict[str, Resources],
-    ) -> LeasedWorker | None:
-        best: tuple | None = None
-        chosen: LeasedWorker | None = None
-        for worker in usable:
-            name = worker.entry.name
-            if worker.entry.service != job.offer.service:
-                continue
-            if not _fits(free[name], task.spec.needs):
-                continue
-            if task.spec.label and task.spec.label not in worker.entry.labels:
-                continue
-            most = task.spec.max_per_worker
-            if most and job.on_worker(task.step, name) >= most:
-                continue
-            if not self._fitness.may_start(now, name):
-                continue
-            left = free[name].cores - task.spec.needs.cores
-            key = (
-                name in task.avoid,
-                bool(task.spec.data_rack) and worker.entry.rack != task.spec.data_rack,
-                round(self._times.slowdown(name), 1),
-                left,
-                name,
-            )
-            if best is None or key < best:
-                best, chosen = key, worker
-        return chosen
-
     def _start(
         self,
         now: float,
@@ -795,13 +754,8 @@
         self._runs[run] = task
         self._fitness.started(name, run)
         before = free[name]
-        free[name] = Resources(
-            before.cores - needs.cores,
-            before.memory_mb - needs.memory_mb,
-            before.accelerators - needs.accelerators,
-        )
+        free[name] = without(before, needs)
         placed = RunOrdered(
-            job.job_id,
             task.name,
             run.number,
             name,
@@ -819,29 +773,6 @@
     return JobEnded(job.job_id, kind.value, detail, retry_after_s, job.not_run)
 
 
-def _fits(free: Resources, needs: Resources) -> bool:
-    return (
-        needs.cores <= free.cores + _TOLERANCE
-        and needs.memory_mb <= free.memory_mb
-        and needs.accelerators <= free.accelerators
-    )
-
-
-def _could_run(worker: LeasedWorker, step) -> bool:
-    label = step.label
-    return _fits(worker.entry.room, step.needs) and (
-        not label or label in worker.entry.labels
-    )
-
-
 def _state(now: float, worker: LeasedWorker, state: str, reason: str) -> LogDecision:
     heard_s = round(now - worker.silent_since, 3)
     return LogDecision(WorkerState(worker.entry.name, state, reason, heard_s))
-
-
-def _trim(times: OrderedDict[str, float], oldest: float) -> None:
-    while times:
-        name, since = next(iter(times.items()))
-        if since > oldest:
-            return
-        del times[name]
--- a/packages/poplarhilld/src/poplarhilld/workers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/link.py
@@ -20,9 +20,9 @@
     Response,
 )
 from poplarhill.types import TaskId, WorkerSpec
+from poplarhilld.connections import CONNECT_TIMEOUT_S, ConnectionPool
 from poplarhilld.dispatch.actions import SendTask
 from poplarhilld.dispatch.events import TaskLost, TaskSucceeded, TaskUnsent
-from poplarhilld.workers.pool import CONNECT_TIMEOUT_S, ConnectionPool
 
 TASK_ID_HEADER = "task-id"
 TASK_STARTED_HEADER = "task-started"
--- a/packages/poplarhilld/src/poplarhilld/workers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/links.py
@@ -7,10 +7,10 @@
 
 from poplarhill.exceptions import ErrorKind
 from poplarhill.types import TaskId, WorkerSpec
+from poplarhilld.connections import ConnectionPool
 from poplarhilld.dispatch.actions import SendTask
 from poplarhilld.dispatch.events import TaskLost
 from poplarhilld.workers.link import TaskEvent, WorkerLink
-from poplarhilld.workers.pool import ConnectionPool
 
 _SWEEP_S = 5.0
 _log = structlog.get_logger()
--- a/packages/poplarhilld/tests/leading/test_workers_lost.py
+++ b/packages/poplarhilld/tests/leading/test_workers_lost.py
@@ -87,3 +87,18 @@
     world.run(3.0)
     assert not world.broken
     assert all(world.ended(f"j{number}") for number in range(60))
+
+
+def test_an_ejected_worker_gets_one_probe_at_a_time(world: World) -> None:
+    bad = world.workers["w0"]
+    bad.broken = True
+    number = 0
+    leader = world.leaders["h1"]
+    while not leader.ejected:
+        number += 1
+        assert number < 100
+        world.submit("h1", simulated_job(f"j{number}", run_s=0.05))
+        world.run(0.06)
+    world.run(1.1)
+    world.submit("h1", simulated_job("wide", tasks=8))
+    assert sum(h.run is not None for h in leader.workers["w0"].reservations) <= 1
