--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -36,12 +36,10 @@
 
 @pytest.fixture
 def submit(submissions: Submissions) -> Callable[..., list]:
-    def call(number: int = 1, job_id: str = "a") -> list:
+    def call(number: int = 1, job_id: str = "a", now: float = 0.0) -> list:
         steps = (StepSpec(4, Resources(6.8, 64, 0), 0.2),)
         submission = Submission(job_id, ROUTE, "{}", steps, 1.5)
-        return submissions.submit(
-            number - 1.0 if number > 2 else 0.0, number, submission
-        )
+        return submissions.submit(now, number, submission)
 
     return call
 
@@ -102,7 +100,9 @@
     assert not kinds(submissions.tick(LEADERLESS_S / 2), AnswerCaller)
     [answer] = kinds(submissions.tick(LEADERLESS_S + 0.1), AnswerCaller)
     assert answer.failure.kind is ErrorKind.NOT_READY
-    [answer] = kinds(submit(3, "b"), AnswerCaller)  # known by now: at once
+    [answer] = kinds(
+        submit(2, "b", LEADERLESS_S + 0.1), AnswerCaller
+    )  # known by now: at once
     assert answer.failure.kind is ErrorKind.NOT_READY
 
 
