--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -214,7 +214,7 @@
         if withdrawn.cancelled:
             self._memory.note_cancel(now, withdrawn.job_id)
         job = self._jobs.get(withdrawn.job_id)
-        if job is None:
+        if job is None or job.stopping:
             return []
         listeners = self._listeners[withdrawn.job_id]
         if withdrawn.cancelled:
@@ -343,6 +343,7 @@
         self._times.forget(name)
         held = list(worker.reservations)
         for reservation in held:
+            self._stop_due.pop((name, reservation.run), None)
             self._forget_run(reservation.run)
         released = WorkerReleased(name, worker.token, reason, len(held))
         return [LogDecision(released)]
@@ -395,9 +396,9 @@
     def _watch(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
         name = worker.entry.name
         if worker.fenced:
-            if name in self._elsewhere and now - self._paused[name] > HANDOVER_S:
+            if name not in self._entries and now - self._paused[name] > HANDOVER_S:
                 # Its leader has stopped or adopted by now what ran there.
-                return self._release(name, "another host leads it")
+                return self._release(name, "another host leads it, or it is gone")
             return []
         idle = not any(True for _ in worker.reservations)
         if name not in self._entries and (idle or worker.has_lapsed(now)):
--- a/packages/poplarhilld/tests/leading/test_jobs.py
+++ b/packages/poplarhilld/tests/leading/test_jobs.py
@@ -101,3 +101,11 @@
     world.perform("h1", world.leaders["h1"].host_lost(world.now, "e1"))
     world.run(0.2)
     assert not any(worker.running for worker in world.workers.values())
+
+
+def test_a_job_that_is_being_stopped_is_not_closed_again(world: World) -> None:
+    world.submit("h1", simulated_job("a", run_s=5.0, left_s=9.0))
+    world.run(0.1)
+    leader = world.leaders["h1"]
+    world.perform("h1", leader.withdraw(world.now, "e1", JobWithdrawn("a", True)))
+    assert not leader.host_lost(world.now, "e2")
--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -124,3 +124,13 @@
     world.submit("h2", simulated_job("a", tasks=4))
     world.run(0.4)
     assert world.ended("a").error == ""
+
+
+def test_a_fenced_worker_that_is_gone_is_let_go(world: World) -> None:
+    world.add_leader("h2", 2)
+    world.run(0.45)
+    leader = world.leaders["h1"]
+    entries = {n: e for n, e in world.entries.items() if n != "w0"}
+    world.perform("h1", leader.lead(world.now, world.now, entries))
+    world.run(3.0)
+    assert "w0" not in leader.workers
