--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -0,0 +1,101 @@
+"""Which runs belong to which tasks, which to nobody, and which are to stop."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from poplarhilld.leading.job import LedJob, LedTask
+from poplarhilld.leases import Run
+
+ORPHAN_S = 0.4  # entry hosts offer their jobs anew within two heartbeats
+_STOP_RETRY_S = 0.2  # a stop answers within a few ms
+
+
+class Orphan(NamedTuple):
+    """A run that no job known here asked for.
+
+    Attributes:
+        run: The run.
+        worker: Name of its worker.
+        since: When it was found, by the leader's clock, s.
+    """
+
+    run: Run
+    worker: str
+    since: float
+
+
+class RunTable:
+    """The runs of a leader's jobs, and those that nobody claims."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[Run, LedTask] = {}
+        self._jobs: dict[str, LedJob] = {}
+        self._orphans: dict[Run, Orphan] = {}
+        self._stop_due: dict[tuple[str, Run], float] = {}
+
+    def add_job(self, job: LedJob) -> None:
+        """Note the tasks of a job."""
+        for task in job.tasks:
+            self._jobs[task.name] = job
+
+    def drop_job(self, job: LedJob) -> None:
+        """Forget the tasks of a job."""
+        for task in job.tasks:
+            self._jobs.pop(task.name, None)
+
+    def job_of(self, task: str) -> LedJob | None:
+        """Return the job of a task, if it is known here."""
+        return self._jobs.get(task)
+
+    def task_of(self, run: Run) -> LedTask | None:
+        """Return the task that a run is under way for, if it is known here."""
+        return self._tasks.get(run)
+
+    def started(self, run: Run, task: LedTask, worker: str) -> None:
+        """Note that a run is under way, or may be, for a task."""
+        task.run, task.worker = run, worker
+        task.next_number = max(task.next_number, run.number + 1)
+        self._tasks[run] = task
+
+    def forget(self, run: Run) -> None:
+        """Note that a run is not under way any more."""
+        self._orphans.pop(run, None)
+        task = self._tasks.pop(run, None)
+        if task is not None and task.run == run:
+            task.run, task.worker = None, ""
+
+    def closed(self, worker: str, run: Run) -> None:
+        """Note that a run needs no stop any more."""
+        self._stop_due.pop((worker, run), None)
+        self._orphans.pop(run, None)
+
+    def found_orphan(self, now: float, run: Run, worker: str) -> None:
+        """Note a run that no job known here asked for."""
+        self._orphans[run] = Orphan(run, worker, now)
+
+    def orphans_of(self, job: LedJob) -> list[tuple[Orphan, LedTask]]:
+        """Return the orphans that turn out to be runs of a job."""
+        tasks = {task.name: task for task in job.tasks}
+        return [
+            (orphan, tasks[orphan.run.task])
+            for orphan in self._orphans.values()
+            if orphan.run.task in tasks
+        ]
+
+    def unclaimed(self, now: float) -> Iterator[Orphan]:
+        """Yield the orphans that nobody has claimed in time."""
+        for orphan in list(self._orphans.values()):
+            if now >= orphan.since + ORPHAN_S:
+                yield orphan
+
+    def is_stopping(self, worker: str, run: Run) -> bool:
+        """Return whether a run was told to stop and has not closed."""
+        return (worker, run) in self._stop_due
+
+    def may_stop(self, now: float, worker: str, run: Run) -> bool:
+        """Return whether a run is to be told to stop now; note that it is."""
+        key = (worker, run)
+        if now < self._stop_due.get(key, 0.0):
+            return False
+        self._stop_due[key] = now + _STOP_RETRY_S
+        return True
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -1,6 +1,5 @@
 """What the leader of some workers decides."""
 
-import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -8,6 +7,14 @@
 from poplarhill.types import Resources
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.admission import (
+    COME_BACK_S,
+    Knowledge,
+    Refusal,
+    expected_wait_s,
+    fits_in_time,
+    refusal,
+)
 from poplarhilld.leading.demand import Demand
 from poplarhilld.leading.estimates import RunTimes
 from poplarhilld.leading.fitness import SILENT_S, Fitness
@@ -31,7 +38,8 @@
     WorkerTaken,
 )
 from poplarhilld.leading.order import expected_run_s, open_room_s, rank
-from poplarhilld.leading.placement import choose_worker, could_run, without
+from poplarhilld.leading.placement import choose_worker, without
+from poplarhilld.leading.runs import RunTable
 from poplarhilld.leases import (
     LeasedWorker,
     LeaseLost,
@@ -39,6 +47,7 @@
     OrderOutcome,
     OrderReply,
     Renewal,
+    Reservation,
     Run,
     RunClosed,
     RunFate,
@@ -54,17 +63,13 @@
     Load,
 )
 
-ORPHAN_S = 0.4  # entry hosts offer their jobs anew within two heartbeats
 HANDOVER_S = 1.2  # the leader before notices a cut as late, and stops what it started
 _RENEWAL_RETRY_S = 0.05  # 20 tries within a lease of 1 s
 _LONGEST_RETRY_S = 0.5  # a worker that is back is found within half a second
 _REFUSED_RETRY_S = 0.2  # the process is gone; its successor has another name
 _FENCED_PAUSE_S = 0.5  # lets the other leader's claim arrive first
-_STOP_RETRY_S = 0.2  # a stop answers within a few ms
 _STALL_FACTOR = 4.0  # work varies by a factor of 4 at most
 _STALL_S = 0.25  # shorter stalls cost less than a second start
-_COME_BACK_S = 1.0  # a lost leader or a burst takes about a second
-_SURE_PART = 0.7  # declared run times are too long by up to 1.5
 _TOLERANCE = 1e-6  # cores are sums of thousandths
 
 
@@ -92,11 +97,8 @@
         self._lost: set[str] = set()
         self._jobs: dict[str, LedJob] = {}
         self._listeners: dict[str, set[_Listener]] = {}
-        self._runs: dict[Run, LedTask] = {}
-        self._task_jobs: dict[str, LedJob] = {}
-        self._orphans: dict[Run, tuple[str, float]] = {}
+        self._runs = RunTable()
         self._memory = Memory()
-        self._stop_due: dict[tuple[str, Run], float] = {}
         self._times = RunTimes()
         self._demand = Demand()
         self._fitness = Fitness()
@@ -127,7 +129,7 @@
 
     def load(self, now: float) -> Load:
         """Return how busy this leader is."""
-        usable = [w for w in self._workers.values() if self._is_usable(now, w)]
+        usable = [w for w in self._workers.values() if self._is_usable(w)]
         cores = sum(worker.entry.room.cores for worker in usable)
         free = sum(max(0.0, worker.free().cores) for worker in usable)
         queued = sum(
@@ -183,9 +185,8 @@
         if job is not None:
             return self._join(now, job, listener, offer)
         if self._memory.is_cancelled(now, offer.job_id):
-            return self._refuse(
-                now, host, offer, ErrorKind.CANCELLED, "the job was cancelled"
-            )
+            cancelled = Refusal(ErrorKind.CANCELLED, "the job was cancelled")
+            return self._refuse(host, offer, now, cancelled)
         completion = self._memory.completion(offer.job_id)
         if completion is not None:
             return [ReportJob(host, completion)]
@@ -196,13 +197,12 @@
         room_s = open_room_s(job, self._times)
         self._demand.arrived(now, offer.route, room_s)
         wait_s = self._expected_wait_s(now, job)
-        refusal = self._check(now, job, wait_s)
-        if refusal is not None and not self._has_orphans(job):
-            return self._refuse(now, host, offer, *refusal)
+        refused = self._check(now, job, wait_s)
+        if refused is not None and not self._runs.orphans_of(job):
+            return self._refuse(host, offer, now, refused)
         self._jobs[offer.job_id] = job
         self._listeners[offer.job_id] = {listener}
-        for task in job.tasks:
-            self._task_jobs[task.name] = job
+        self._runs.add_job(job)
         self._adopt_orphans(job)
         actions: list[LeaderAction] = [LogDecision(self._taken(job, wait_s, "taken"))]
         if job.complete:
@@ -269,7 +269,7 @@
         changes = worker.ordered(now, run, reply)
         match reply.outcome:
             case OrderOutcome.OUTDATED:
-                task = self._runs.get(run)
+                task = self._runs.task_of(run)
                 if task is not None:
                     # The worker has seen a higher number under an earlier leader.
                     task.next_number += 8
@@ -302,8 +302,8 @@
         actions: list[LeaderAction] = []
         for worker in list(self._workers.values()):
             actions += self._watch(now, worker)
-        for run, (name, since) in list(self._orphans.items()):
-            if now >= since + ORPHAN_S and name in self._workers:
+        for run, name, _ in self._runs.unclaimed(now):
+            if name in self._workers:
                 actions += self._stop(now, self._workers[name], run)
         for job in list(self._jobs.values()):
             actions += self._expire(now, job)
@@ -343,18 +343,11 @@
         self._times.forget(name)
         held = list(worker.reservations)
         for reservation in held:
-            self._stop_due.pop((name, reservation.run), None)
-            self._forget_run(reservation.run)
+            self._runs.closed(name, reservation.run)
+            self._runs.forget(reservation.run)
         released = WorkerReleased(name, worker.token, reason, len(held))
         return [LogDecision(released)]
 
-    def _forget_run(self, run: Run) -> None:
-        self._orphans.pop(run, None)
-        task = self._runs.pop(run, None)
-        if task is not None and task.run == run:
-            task.run, task.worker = None, ""
-            task.next_number = max(task.next_number, run.number + 1)
-
     def _not_renewed(
         self, now: float, worker: LeasedWorker, lost: LeaseLost
     ) -> list[LeaderAction]:
@@ -387,9 +380,9 @@
             actions.append(_state(now, worker, "lost", reason))
         if dead or worker.has_lapsed(now):
             for run in worker.lapse():
-                task = self._runs.get(run)
+                task = self._runs.task_of(run)
                 if task is not None and task.run == run:
-                    self._forget_run(run)
+                    self._runs.forget(run)
                     task.avoid.add(name)
         return actions
 
@@ -407,26 +400,26 @@
             return self._lose(now, worker, "silent")
         actions: list[LeaderAction] = []
         for held in list(worker.reservations):
-            if (name, held.run) in self._stop_due:
+            task = self._runs.task_of(held.run)
+            if self._runs.is_stopping(name, held.run):
                 actions += self._stop(now, worker, held.run)
-            elif held.state is RunState.RUNNING and held.run in self._runs:
-                actions += self._check_stall(now, worker, held.run, held.seen_at)
+            elif held.state is RunState.RUNNING and task is not None:
+                actions += self._check_stall(now, worker, task, held)
         return actions
 
     def _check_stall(
-        self, now: float, worker: LeasedWorker, run: Run, since: float
+        self, now: float, worker: LeasedWorker, task: LedTask, held: Reservation
     ) -> list[LeaderAction]:
         """Move a task that stands still, unless the worker is just slow."""
-        task = self._runs[run]
-        job = self._task_jobs[task.name]
+        job = self._runs.job_of(task.name)
         expected_s = self._times.expected_s(job.offer.route, task.spec.run_time_s)
         limit_s = max(_STALL_FACTOR * expected_s, expected_s + _STALL_S)
-        if now - since < limit_s or now + expected_s > job.deadline:
+        if now - held.seen_at < limit_s or now + expected_s > job.deadline:
             return []
         name = worker.entry.name
-        self._fitness.stalled(name, run)
+        self._fitness.stalled(name, held.run)
         task.avoid.add(name)
-        return self._stop(now, worker, run)
+        return self._stop(now, worker, held.run)
 
     def _take_state(
         self, now: float, worker: LeasedWorker, renewal: Renewal, reply: LeaseReply
@@ -447,7 +440,7 @@
             actions += self._apply(now, worker, change)
         return actions
 
-    def _is_usable(self, now: float, worker: LeasedWorker) -> bool:
+    def _is_usable(self, worker: LeasedWorker) -> bool:
         return (
             worker.confirmed
             and not worker.fenced
@@ -469,53 +462,43 @@
 
     def _found(self, now: float, worker: LeasedWorker, run: Run) -> list:
         name = worker.entry.name
-        task = self._runs.get(run)
+        task = self._runs.task_of(run)
         if task is not None and task.run == run:
             return []
-        job = self._task_jobs.get(run.task)
+        job = self._runs.job_of(run.task)
         if job is None:
-            self._orphans[run] = (name, now)
+            self._runs.found_orphan(now, run, name)
             return []
         task = next(task for task in job.tasks if task.name == run.task)
         worker.fit(run, task.spec.needs)
         if task.waiting and not job.stopping:
-            self._adopt(task, run, name)
+            self._runs.started(run, task, name)
             return []
         return self._stop(now, worker, run)
 
-    def _adopt(self, task: LedTask, run: Run, worker: str) -> None:
-        task.run, task.worker = run, worker
-        task.next_number = max(task.next_number, run.number + 1)
-        self._runs[run] = task
-
     def _adopt_orphans(self, job: LedJob) -> None:
-        names = {task.name: task for task in job.tasks}
-        for run, (name, _) in list(self._orphans.items()):
-            task = names.get(run.task)
+        for (run, name, _), task in self._runs.orphans_of(job):
             worker = self._workers.get(name)
-            if task is None or worker is None:
+            if worker is None:
                 continue
             worker.fit(run, task.spec.needs)
             if task.waiting:
-                del self._orphans[run]
-                self._adopt(task, run, name)
+                self._runs.closed(name, run)
+                self._runs.started(run, task, name)
                 job.runs += 1
 
-    def _has_orphans(self, job: LedJob) -> bool:
-        names = {task.name for task in job.tasks}
-        return any(run.task in names for run in self._orphans)
-
     def _closed(
         self, now: float, worker: LeasedWorker, run: Run, fate: RunFate
     ) -> list[LeaderAction]:
         name = worker.entry.name
-        self._stop_due.pop((name, run), None)
-        self._orphans.pop(run, None)
-        task = self._runs.get(run)
+        self._runs.closed(name, run)
+        task = self._runs.task_of(run)
         if task is None:
-            return self._closed_unknown(now, run, fate)
-        job = self._task_jobs[task.name]
-        self._forget_run(run)
+            if fate is RunFate.DONE and self._runs.job_of(run.task) is None:
+                self._memory.note_done(run.task)
+            return []
+        job = self._runs.job_of(task.name)
+        self._runs.forget(run)
         took_s = now - task.ordered_at
         resolved = RunResolved(
             task.name, run.number, name, fate.value, round(took_s, 4)
@@ -537,12 +520,6 @@
                 self._fitness.ended(now, name, run)
         return actions + self._advance(now, job, task)
 
-    def _closed_unknown(self, now: float, run: Run, fate: RunFate) -> list:
-        """Take in the end of a run whose job is not known here yet."""
-        if fate is RunFate.DONE and run.task not in self._task_jobs:
-            self._memory.note_done(run.task)
-        return []
-
     def _advance(self, now: float, job: LedJob, task: LedTask) -> list:
         """Report what the end of a run means for its job."""
         if job.stopping:
@@ -560,11 +537,8 @@
 
     def _stop(self, now: float, worker: LeasedWorker, run: Run) -> list:
         """Tell a worker to stop a run, now and again until it is closed."""
-        key = (worker.entry.name, run)
-        due = self._stop_due.get(key, 0.0)
-        if now < due:
+        if not self._runs.may_stop(now, worker.entry.name, run):
             return []
-        self._stop_due[key] = now + _STOP_RETRY_S
         return [StopRun(worker.entry, run, worker.token)]
 
     # Jobs
@@ -585,62 +559,22 @@
         joined = LogDecision(self._taken(job, 0.0, "joined"))
         return [joined, *self._assign(now)]
 
-    def _check(
-        self, now: float, job: LedJob, wait_s: float
-    ) -> tuple[ErrorKind, str, float] | None:
-        """Return why a job cannot be served, if so: kind, detail, when to come back.
-
-        Args:
-            now: The leader's clock, s.
-            job: The job.
-            wait_s: How long it is expected to wait for room, s.
-        """
-        offer = job.offer
-        ours = [w for w in self._workers.values() if w.entry.service == offer.service]
-        if not any(self._is_usable(now, w) or w.is_coming(now) for w in ours):
-            detail = f"no worker of {offer.service!r} answers"
-            return ErrorKind.NO_WORKERS, detail, _COME_BACK_S
-        for step in offer.steps:
-            if not any(could_run(w.entry, offer.service, step) for w in ours):
-                return ErrorKind.IMPOSSIBLE, "no worker is large enough for a task", 0.0
-        run_s = expected_run_s(job, self._times)
-        if wait_s > 0 and now + wait_s + _SURE_PART * run_s > job.deadline:
-            detail = f"expected to wait {wait_s:.2f} s and to run {run_s:.2f} s"
-            return ErrorKind.OVERLOADED, detail, max(wait_s, _COME_BACK_S)
-        return None
+    def _check(self, now: float, job: LedJob, wait_s: float) -> Refusal | None:
+        service = job.offer.service
+        ours = [w for w in self._workers.values() if w.entry.service == service]
+        answering = any(self._is_usable(w) or w.is_coming(now) for w in ours)
+        return refusal(now, job, ours, answering, wait_s, self._times)
 
     def _expected_wait_s(self, now: float, job: LedJob) -> float:
-        """Return how long a job will wait for room, roughly, s."""
-        cores = free = 0.0
-        for worker in self._workers.values():
-            if worker.entry.service == job.offer.service and (
-                self._is_usable(now, worker)
-            ):
-                cores += worker.entry.room.cores
-                free += max(0.0, worker.free().cores)
-        if not cores:
-            return 0.0
-        own = rank(now, job, self._times, self._demand)
-        ahead = 0.0
-        for other in self._jobs.values():
-            if other.least_cores == math.inf:
-                continue
-            if rank(now, other, self._times, self._demand) <= own:
-                ahead += open_room_s(other, self._times)
-        if not ahead and free >= sum(t.spec.needs.cores for t in job.ready_tasks()):
-            return 0.0
-        return ahead / cores
+        usable = [w for w in self._workers.values() if self._is_usable(w)]
+        known = Knowledge(self._times, self._demand)
+        return expected_wait_s(now, job, self._jobs.values(), usable, known)
 
     def _refuse(
-        self,
-        now: float,
-        host: str,
-        offer: JobOffer,
-        kind: ErrorKind,
-        detail: str,
-        retry_after_s: float = 0.0,
+        self, host: str, offer: JobOffer, now: float, refused: Refusal
     ) -> list[LeaderAction]:
         job = LedJob(offer, host, now)
+        kind, detail, retry_after_s = refused
         report = _ended(job, kind, detail, retry_after_s)
         taken = self._taken(job, 0.0, f"refused: {kind.value}: {detail}")
         return [LogDecision(taken), ReportJob(host, report)]
@@ -668,12 +602,11 @@
         if now >= job.deadline:
             kind = ErrorKind.EXPIRED if job.not_run else ErrorKind.TIMEOUT
             return self._close(now, job, _ended(job, kind, "its caller has left"))
-        if job.not_run:
+        if job.not_run and not fits_in_time(now, job, self._times):
             run_s = expected_run_s(job, self._times)
-            if now + _SURE_PART * run_s > job.deadline:
-                detail = f"no room in time for work of {run_s:.2f} s"
-                report = _ended(job, ErrorKind.OVERLOADED, detail, _COME_BACK_S)
-                return self._close(now, job, report)
+            detail = f"no room in time for work of {run_s:.2f} s"
+            report = _ended(job, ErrorKind.OVERLOADED, detail, COME_BACK_S)
+            return self._close(now, job, report)
         return []
 
     def _close(self, now: float, job: LedJob, report: JobEnded) -> list:
@@ -705,8 +638,7 @@
     def _drop(self, job: LedJob) -> None:
         self._jobs.pop(job.job_id, None)
         self._listeners.pop(job.job_id, None)
-        for task in job.tasks:
-            self._task_jobs.pop(task.name, None)
+        self._runs.drop_job(job)
 
     # Placement
 
@@ -738,7 +670,7 @@
         return actions
 
     def _may_start(self, now: float, worker: LeasedWorker) -> bool:
-        return self._is_usable(now, worker) and self._fitness.may_start(
+        return self._is_usable(worker) and self._fitness.may_start(
             now, worker.entry.name
         )
 
@@ -765,10 +697,9 @@
         needs = task.spec.needs
         run = Run(task.name, task.next_number)
         deadline_s = worker.order(now, run, needs)
-        task.run, task.worker, task.ordered_at = run, name, now
-        task.next_number += 1
+        task.ordered_at = now
         job.runs += 1
-        self._runs[run] = task
+        self._runs.started(run, task, name)
         self._fitness.started(name, run)
         before = free[name]
         free[name] = without(before, needs)
--- a/packages/poplarhilld/tests/leases/test_lapse.py
+++ b/packages/poplarhilld/tests/leases/test_lapse.py
@@ -1,7 +1,7 @@
 """When a silent worker is known to run nothing any more."""
 
 from poplarhill_dev.leased import LEASE_S, worker_entry
-from poplarhilld.leading.state import ORPHAN_S
+from poplarhilld.leading.runs import ORPHAN_S
 from poplarhilld.leases import LeasedWorker, LeaseReply
 
 
