--- a/packages/poplarhill-dev/tests/adapter/conftest.py
+++ b/packages/poplarhill-dev/tests/adapter/conftest.py
@@ -17,6 +17,7 @@
 from poplarhilld.entry.metrics import EntryMetrics
 
 LIMIT_S = 30.0
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 NEEDS = Resources(6.8, 64, 0)
 
 
@@ -100,8 +101,15 @@
                 os.kill(os.getpid(), signal.SIGTERM)
                 self.exit_code = await curio.timeout_after(LIMIT_S, running.join)
 
-        curio.run(main)
-        os.close(self._reading)
+        handlers = {number: signal.getsignal(number) for number in _SIGNALS}
+        try:
+            curio.run(main)
+        finally:
+            # The host has taken the signals of this process, which runs other tests.
+            signal.set_wakeup_fd(-1)
+            for number, handler in handlers.items():
+                signal.signal(number, handler)
+            os.close(self._reading)
 
 
 @pytest.fixture
