--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -315,16 +315,18 @@
         token = self._tokens.next(time_s)
         worker = LeasedWorker(entry, token, self._lease_s, now)
         self._workers[entry.name] = worker
-        address = f"{entry.address.host}:{entry.address.port}"
-        taken = WorkerTaken(entry.name, address, token, "led here")
-        return [LogDecision(taken), RenewLease(entry, worker.renew(now))]
+        return self._begin(now, worker, "led here")
 
     def _retake(self, now: float, time_s: float, worker: LeasedWorker) -> list:
         """Take a worker back from a leader that should not lead it."""
         worker.retake(now, self._tokens.next(time_s))
+        return self._begin(now, worker, "taken back")
+
+    def _begin(self, now: float, worker: LeasedWorker, reason: str) -> list:
+        """Renew the lease on a worker for the first time under its token."""
         entry = worker.entry
         address = f"{entry.address.host}:{entry.address.port}"
-        taken = WorkerTaken(entry.name, address, worker.token, "taken back")
+        taken = WorkerTaken(entry.name, address, worker.token, reason)
         return [LogDecision(taken), RenewLease(entry, worker.renew(now))]
 
     def _fence(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -25,7 +25,6 @@
 EXTENSION_S = 0.5  # a renewal that is answered comes within 0.4 s of the last one
 _REMEMBERED_ENDS = 256  # more than a worker ends between two overlapping replies
 _CLOCK_RATE = 0.97  # a worker's clock may be 2 % slow; 1 % for rounding
-_TOLERANCE = 1e-6  # cores are sums of thousandths
 
 Change = RunClosed | RunFound
 
@@ -49,7 +48,6 @@
         deadline_s: Time by the worker's clock after which it cannot start, s.
         since: When it was ordered or found, by the leader's clock, s.
         seen_at: When it was known to have started, by the leader's clock, s.
-        stopping: Whether it has been told to stop.
     """
 
     run: Run
@@ -58,7 +56,6 @@
     deadline_s: float
     since: float
     seen_at: float = 0.0
-    stopping: bool = False
 
 
 class LeasedWorker:
