Refuse at a leaving host what it may not live to answer

Ruled out: the loss of another host (the connection ended at this host's own limit). A leaving host now refuses at once, as not run, a job whose own limit is later than its end, and answers whatever is left before it ends. The test failed first.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -64,6 +64,7 @@
 _SCOUT_S = 0.5  # a quarter of the time for which a data centre must be empty
 _BALANCER_S = 2.5  # it asks once a second, and acts on the second refusal
 _EXIT_MARGIN_S = 1.0  # leaves time to write the last lines
+_LAST_ANSWER_S = 0.1  # two ticks: the last answers are written before the end
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
 _log = structlog.get_logger()
@@ -519,6 +520,7 @@
         _log.info("ShutdownStarted", jobs=len(self._submissions))
         await self._tick()
         limit_s = max(0.0, self._settings.grace_s - _EXIT_MARGIN_S)
+        self._submissions.leave_at(uptime() + limit_s - _LAST_ANSWER_S)
         async with curio.ignore_after(limit_s):
             # The balancer goes on sending until it has seen twice that we leave.
             await curio.sleep(_BALANCER_S)
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -1,5 +1,6 @@
 """What the host that took a job does until the job has its answer."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -29,6 +30,7 @@
 REPEAT_S = 0.3  # a lost offer or report costs this much
 LEADERLESS_S = 1.2  # 0.6 s to notice a lost leader, and the time to follow it
 _RETRY_S = 1.0  # a leader is found within about a second
+_ELSEWHERE_S = 0.0  # other hosts serve at once what a leaving one refuses
 
 
 @dataclass
@@ -56,6 +58,7 @@
         self._by_id: dict[str, set[int]] = {}
         self._leaders: Mapping[str, LeaderView] = {}
         self._leaderless_since: float | None = None
+        self._leave_at = math.inf
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -67,12 +70,20 @@
     def submit(
         self, now: float, number: int, submission: Submission
     ) -> list[SubmissionAction]:
-        """Take a job from a caller."""
+        """Take a job from a caller, unless this host leaves before its deadline."""
         job = _Job(number, submission, now)
         self._jobs[number] = job
         self._by_id.setdefault(submission.job_id, set()).add(number)
+        if job.deadline > self._leave_at:
+            detail = f"this host stops in {self._leave_at - now:.1f} s"
+            failure = Failure(ErrorKind.SHUTTING_DOWN, detail, _ELSEWHERE_S)
+            return self._answer(now, job, failure, withdraw=False)
         return self._place(now, job)
 
+    def leave_at(self, moment: float) -> None:
+        """Answer every job before a moment, by the host's clock, s."""
+        self._leave_at = moment
+
     def caller_left(self, now: float, number: int) -> list[SubmissionAction]:
         """Give a job up whose caller has closed its connection."""
         job = self._jobs.get(number)
@@ -123,7 +134,7 @@
         """Do what time alone makes due."""
         actions: list[SubmissionAction] = []
         for job in list(self._jobs.values()):
-            if now >= job.deadline:
+            if now >= min(job.deadline, self._leave_at):
                 failure = Failure(ErrorKind.TIMEOUT, "no outcome in time")
                 if not job.offers:
                     failure = Failure(ErrorKind.EXPIRED, "no leader in time")
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -134,3 +134,24 @@
     far = LeaderView(1, False, Load(100.0, 90.0, 0.0))
     assert choose_leader({"near": near, "far": far}, 60.0).leader == "far"
     assert choose_leader({"near": near, "far": far}, 5.0).leader == "near"
+
+
+def test_a_leaving_host_takes_no_job_that_it_may_not_live_to_answer(
+    submissions, submit
+) -> None:
+    submissions.leave_at(5.0)
+    assert kinds(submit(number=1, job_id="early", now=3.4), OfferToLeader)
+    actions = submit(number=2, job_id="late", now=4.4)
+    assert not kinds(actions, OfferToLeader)
+    [answer] = kinds(actions, AnswerCaller)
+    assert answer.failure.kind is ErrorKind.SHUTTING_DOWN
+    assert answer.failure.retry_after_s == 0.0
+
+
+def test_a_leaving_host_answers_what_is_in_flight_before_it_ends(
+    submissions, submit
+) -> None:
+    submit(number=1, now=3.9)
+    submissions.leave_at(5.0)
+    assert not kinds(submissions.tick(4.9), AnswerCaller)
+    assert kinds(submissions.tick(5.0), AnswerCaller)
