Learn workers' speeds from the tasks of one job side by side

Tasks of one job share its error, so a job's runs are now compared with each other once it has ended, in logarithms, each worker weighed by how well it is known; the usual worker is kept at 1.

--- a/packages/poplarhilld/src/poplarhilld/leading/estimates.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/estimates.py
@@ -1,61 +1,159 @@
-"""Run times learned from what was seen, by route and by worker."""
+"""Run times learned from what was seen, by route and by worker.
 
+All is kept as logarithms, in which a run is a sum: declared time, route, job,
+worker, and chance. A worker shows itself best beside others: tasks of one job
+share its error, so that their differences are the workers'.
+"""
+
+import math
+from collections.abc import Iterable
 from typing import NamedTuple
 
 _ROUTE_WEIGHT = 0.05  # of the newest run: about twenty runs back are felt
-_WORKER_WEIGHT = 0.1  # a worker that turns slow is known after some ten runs
-_SLOWEST = 8.0  # bound on a learned slowdown; the sheets' slow workers have 6.6
-_FASTEST = 0.5  # the sheets' fastest workers have 0.8
+_JOB_VARIANCE = 0.06  # declared run times are off by up to a half
+_TASK_VARIANCE = 0.008  # tasks of a job differ by up to 15 %
+_DELAY_S = 0.01  # by how much the news of an end varies
+_WORKER_VARIANCE = 0.03  # of speeds from 0.8 to 1.25
+_DRIFT = 0.0005  # variance that a worker gains with each run
+_SURPRISE = 3.0  # standard deviations beyond which a worker has changed
+_CHANGED_VARIANCE = 0.3  # a worker may turn slow by a factor of 4 to 8
+_LARGEST_STEP = math.log(2.0)  # one strange job proves nothing
+_SLOWEST = math.log(8.0)  # the slowest grey workers of the sheets
+_OFF_CENTRE = 0.05  # a tenth of the difference between the sheets' speeds
+_FASTEST = math.log(0.5)  # the sheets' fastest workers have 0.8
+
+
+class SeenRun(NamedTuple):
+    """A run that was done.
+
+    Attributes:
+        worker: Its worker.
+        declared_s: Declared run time, s.
+        took_s: Time it took, s.
+    """
+
+    worker: str
+    declared_s: float
+    took_s: float
+
 
+class _Estimate(NamedTuple):
+    mean: float
+    variance: float
 
-class _Ratio(NamedTuple):
-    value: float
+
+class _RouteRatio(NamedTuple):
+    mean: float
     samples: int
 
 
-class RunTimes:
-    """How long tasks run.
+_UNKNOWN_WORKER = _Estimate(0.0, _WORKER_VARIANCE)
+_UNKNOWN_ROUTE = _RouteRatio(0.0, 0)
+
+
+class _Shown(NamedTuple):
+    """What the runs of a job on one worker show: mean logarithm, and its noise."""
+
+    worker: str
+    ratio: float
+    noise: float
 
-    Declared run times are off by up to a half, so what is learned is the ratio
-    of seen to declared time for each route, and of seen to expected time for
-    each worker.
-    """
+
+class RunTimes:
+    """How long tasks run."""
 
     def __init__(self) -> None:
-        self._routes: dict[str, _Ratio] = {}
-        self._workers: dict[str, _Ratio] = {}
+        self._routes: dict[str, _RouteRatio] = {}
+        self._ratios: dict[str, float] = {}
+        self._workers: dict[str, _Estimate] = {}
+        self._slowdowns: dict[str, float] = {}
 
     def expected_s(self, route: str, declared_s: float) -> float:
         """Return the time that a task of a route takes on a usual worker, s."""
-        ratio = self._routes.get(route)
-        return declared_s * (ratio.value if ratio else 1.0)
+        return declared_s * self._ratios.get(route, 1.0)
 
     def slowdown(self, worker: str) -> float:
         """Return how slow a worker is; 1 is usual, higher is slower."""
-        ratio = self._workers.get(worker)
-        return ratio.value if ratio else 1.0
+        return self._slowdowns.get(worker, 1.0)
 
     def forget(self, worker: str) -> None:
         """Forget a worker that is gone."""
         self._workers.pop(worker, None)
+        self._slowdowns.pop(worker, None)
+
+    def ran(self, route: str, runs: Iterable[SeenRun]) -> None:
+        """Learn from the runs of one job, once no more of them will be known."""
+        shown = [_shown(worker, seen) for worker, seen in _by_worker(runs).items()]
+        if not shown:
+            return
+        before = {one.worker: self._estimate(one.worker) for one in shown}
+        prior = self._routes.get(route, _UNKNOWN_ROUTE).mean
+        precision = 1 / _JOB_VARIANCE
+        total = prior / _JOB_VARIANCE
+        for one in shown:
+            variance = before[one.worker].variance + one.noise
+            precision += 1 / variance
+            total += (one.ratio - before[one.worker].mean) / variance
+        for one in shown:
+            variance = before[one.worker].variance + one.noise
+            others = precision - 1 / variance
+            offset = one.ratio - before[one.worker].mean
+            job = _Estimate((total - offset / variance) / others, 1 / others)
+            self._learn_worker(one, before[one.worker], job)
+        self._learn_route(route, total / precision)
+        self._centre()
+
+    def _estimate(self, worker: str) -> _Estimate:
+        return self._workers.get(worker, _UNKNOWN_WORKER)
+
+    def _learn_worker(self, one: _Shown, before: _Estimate, job: _Estimate) -> None:
+        variance = before.variance + _DRIFT
+        surprise = one.ratio - job.mean - before.mean
+        noise = job.variance + one.noise
+        if surprise * surprise > _SURPRISE * _SURPRISE * (variance + noise):
+            variance = _CHANGED_VARIANCE
+        gain = variance / (variance + noise)
+        step = max(-_LARGEST_STEP, min(_LARGEST_STEP, gain * surprise))
+        mean = max(_FASTEST, min(_SLOWEST, before.mean + step))
+        self._workers[one.worker] = _Estimate(mean, (1 - gain) * variance)
+        self._slowdowns[one.worker] = math.exp(mean)
+
+    def _learn_route(self, route: str, offset: float) -> None:
+        """Move a route's ratio towards what was seen, the first samples further."""
+        mean, samples = self._routes.get(route, _UNKNOWN_ROUTE)
+        weight = max(_ROUTE_WEIGHT, 1 / (samples + 2))
+        mean += (offset - mean) * weight
+        self._routes[route] = _RouteRatio(mean, samples + 1)
+        self._ratios[route] = math.exp(mean)
 
-    def ran(self, route: str, worker: str, declared_s: float, took_s: float) -> None:
-        """Learn from a task that was done."""
-        if declared_s <= 0 or took_s <= 0:
+    def _centre(self) -> None:
+        """Keep the usual worker at 1: only the sum of all parts can be seen."""
+        means = [estimate.mean for estimate in self._workers.values()]
+        shift = sum(means) / len(means)
+        if abs(shift) < _OFF_CENTRE:
             return
-        expected_s = self.expected_s(route, declared_s)
-        slowdown = min(_SLOWEST, max(_FASTEST, took_s / expected_s))
-        self._workers[worker] = _blend(
-            self._workers.get(worker), slowdown, _WORKER_WEIGHT
-        )
-        usual_s = took_s / self.slowdown(worker)
-        self._routes[route] = _blend(
-            self._routes.get(route), usual_s / declared_s, _ROUTE_WEIGHT
-        )
-
-
-def _blend(ratio: _Ratio | None, seen: float, least_weight: float) -> _Ratio:
-    """Return a ratio moved towards what was seen, the first samples further."""
-    value, samples = ratio or _Ratio(1.0, 0)
-    weight = max(least_weight, 1 / (samples + 2))
-    return _Ratio(value + (seen - value) * weight, samples + 1)
+        for name, (mean, variance) in self._workers.items():
+            self._workers[name] = _Estimate(mean - shift, variance)
+            self._slowdowns[name] = math.exp(mean - shift)
+        for route, (mean, samples) in self._routes.items():
+            self._routes[route] = _RouteRatio(mean + shift, samples)
+            self._ratios[route] = math.exp(mean + shift)
+
+
+def _by_worker(runs: Iterable[SeenRun]) -> dict[str, list[SeenRun]]:
+    found: dict[str, list[SeenRun]] = {}
+    for run in runs:
+        if run.declared_s > 0 and run.took_s > 0:
+            found.setdefault(run.worker, []).append(run)
+    return found
+
+
+def _shown(worker: str, runs: list[SeenRun]) -> _Shown:
+    ratios = [math.log(run.took_s / run.declared_s) for run in runs]
+    chance = sum(_chance(run.took_s) for run in runs) / len(runs)
+    return _Shown(worker, sum(ratios) / len(ratios), chance / len(runs))
+
+
+def _chance(took_s: float) -> float:
+    """Return the variance that chance and the news of an end add to a run."""
+    return _TASK_VARIANCE + (_DELAY_S / took_s) ** 2
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
+from poplarhilld.leading.estimates import SeenRun
 from poplarhilld.leases import Run
 from poplarhilld.peers.messages import JobOffer, StepSpec
 
@@ -65,6 +66,7 @@
         self.deadline = now + offer.left_s
         self.runs = 0
         self.stopping = False
+        self.seen: list[SeenRun] = []
         self.tasks: list[LedTask] = []
         for number, step in enumerate(offer.steps):
             for index in range(step.count):
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -16,7 +16,7 @@
     refusal,
 )
 from poplarhilld.leading.demand import Demand
-from poplarhilld.leading.estimates import RunTimes
+from poplarhilld.leading.estimates import RunTimes, SeenRun
 from poplarhilld.leading.fitness import SILENT_S, Fitness
 from poplarhilld.leading.job import LedJob, LedTask
 from poplarhilld.leading.memory import Memory
@@ -506,11 +506,11 @@
             task.name, run.number, name, fate.value, round(took_s, 4)
         )
         actions: list[LeaderAction] = [LogDecision(resolved)]
-        route = job.offer.route
         match fate:
             case RunFate.DONE:
                 job.finish(task)
-                self._times.ran(route, name, task.spec.run_time_s, took_s)
+                seen = SeenRun(name, task.spec.run_time_s, took_s)
+                job.seen.append(seen)
                 if self._fitness.succeeded(now, name, run):
                     actions.append(_state(now, worker, "restored", "probes were done"))
             case RunFate.FAILED:
@@ -623,6 +623,7 @@
             job.runs,
         )
         actions.append(LogDecision(closed))
+        self._times.ran(job.offer.route, job.seen)
         job.stopping = True
         self._listeners[job.job_id].clear()
         for task in job.under_way:
--- /dev/null
+++ b/packages/poplarhilld/tests/leading/test_estimates.py
@@ -0,0 +1,87 @@
+"""Run times that a leader learns: speeds of workers, errors of declarations."""
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from poplarhilld.leading.estimates import RunTimes, SeenRun
+
+SPEEDS = {"fast": 0.8, "usual": 1.0, "slow": 1.25}
+
+
+@pytest.fixture
+def times() -> RunTimes:
+    return RunTimes()
+
+
+@pytest.fixture
+def run_job(times: RunTimes) -> Callable[..., None]:
+    """Return a call that lets a job run whose declaration is off by a factor."""
+
+    def call(
+        off: float, speeds: dict[str, float], chance: Random | None = None
+    ) -> None:
+        runs = []
+        for worker, slowdown in speeds.items():
+            luck = chance.uniform(0.85, 1.15) if chance else 1.0
+            runs.append(SeenRun(worker, 1.0, off * slowdown * luck))
+        times.ran("r", runs)
+
+    return call
+
+
+def test_speeds_are_told_apart_though_every_declaration_is_off(times, run_job):
+    # Pattern: a calm start, eight jobs whose declared times are off by 0.67 to 1.5.
+    random = Random(1)
+    for _ in range(8):
+        run_job(random.uniform(0.67, 1.5), SPEEDS, random)
+    learned = {name: times.slowdown(name) for name in SPEEDS}
+    assert learned["fast"] == pytest.approx(0.8, abs=0.1)
+    assert learned["usual"] == pytest.approx(1.0, abs=0.1)
+    assert learned["slow"] == pytest.approx(1.25, abs=0.1)
+
+
+def test_a_route_that_always_declares_too_little_is_known(times, run_job) -> None:
+    for _ in range(40):
+        run_job(1.5, {"a": 1.0, "b": 1.0})
+    assert times.expected_s("r", 1.0) == pytest.approx(1.5, abs=0.1)
+
+
+def test_the_usual_worker_stays_at_one(times, run_job) -> None:
+    random = Random(2)
+    for _ in range(500):
+        run_job(random.uniform(0.67, 1.5), SPEEDS, random)
+    mean = sum(times.slowdown(name) for name in SPEEDS) / len(SPEEDS)
+    assert mean == pytest.approx(1.0, abs=0.1)
+
+
+def test_a_worker_that_turns_slow_is_known_within_four_jobs(times, run_job) -> None:
+    for _ in range(20):
+        run_job(1.0, SPEEDS)
+    for _ in range(4):
+        run_job(1.0, SPEEDS | {"fast": 0.8 * 6})
+    assert times.slowdown("fast") > 2.5
+    for _ in range(8):
+        run_job(1.0, SPEEDS)
+    assert times.slowdown("fast") < 1.5
+
+
+def test_one_strange_job_proves_little(times, run_job) -> None:
+    for _ in range(20):
+        run_job(1.0, SPEEDS)
+    run_job(10.0, {"fast": 0.8})
+    assert times.slowdown("fast") < 2.0
+
+
+def test_runs_without_a_declared_time_teach_nothing(times) -> None:
+    times.ran("r", [SeenRun("a", 0.0, 1.0), SeenRun("b", 1.0, 0.0)])
+    times.ran("r", [])
+    assert times.slowdown("a") == times.slowdown("b") == 1.0
+
+
+def test_a_worker_that_is_gone_is_forgotten(times, run_job) -> None:
+    for _ in range(20):
+        run_job(1.0, SPEEDS)
+    times.forget("slow")
+    assert times.slowdown("slow") == 1.0
