Let a leaving host lead where all hosts leave

A leaving host now leads, and is taken as leader, where no host that stays is heard. The test failed first.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -291,10 +291,9 @@
             near = any(data_centre(shard) == place for shard in claims)
             load = self._leader.load(uptime())
             view[self._settings.name] = LeaderView(self._hosts.tenure, near, load)
-        for name, beat in self._hosts.live.items():
-            if beat.claims and not beat.leaving:
-                near = any(data_centre(c.shard) == place for c in beat.claims)
-                view[name] = LeaderView(beat.tenure, near, beat.load)
+        for name, beat in self._hosts.leaders.items():
+            near = any(data_centre(c.shard) == place for c in beat.claims)
+            view[name] = LeaderView(beat.tenure, near, beat.load)
         return view
 
     async def _catalogue_loop(self) -> None:
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -105,6 +105,15 @@
         """The newest heartbeats of the other hosts that live."""
         return {peer.name: peer.beat for peer in self._peers.values() if peer.live}
 
+    @property
+    def leaders(self) -> dict[str, Beat]:
+        """The newest heartbeats of the other hosts that lead."""
+        return {
+            name: beat
+            for name, beat in self.live.items()
+            if beat.claims and self._may_lead(beat)
+        }
+
     @property
     def claims(self) -> Mapping[str, Claim]:
         """Shards that this host leads."""
@@ -131,7 +140,7 @@
         found = [
             (claim.epoch, peer.name)
             for peer in self._peers.values()
-            if peer.live and not peer.beat.leaving
+            if peer.live and self._may_lead(peer.beat)
             for claim in peer.beat.claims
             if claim.shard == shard
         ]
@@ -177,7 +186,7 @@
         return actions
 
     def leave(self) -> None:
-        """Claim nothing any more: this host is shutting down."""
+        """Claim nothing more if another host can: this one is shutting down."""
         self._leaving = True
 
     def tick(
@@ -235,7 +244,7 @@
                     workers=shards[shard]
                 )
                 actions += self._defend(now, shard, reached.get(shard))
-            elif able and not self._leaving and now >= self._settled_at:
+            elif able and self._is_eligible() and now >= self._settled_at:
                 actions += self._seek(now, time_s, shard, shards, reached.get(shard))
         return actions
 
@@ -330,7 +339,7 @@
         candidates = [
             (peer.name, peer.beat.data_centre, peer.beat.weight, peer.beat.claims)
             for peer in self._peers.values()
-            if peer.live and peer.beat.able and not peer.beat.leaving
+            if peer.live and peer.beat.able and self._may_lead(peer.beat)
         ]
         own = tuple(self._claims.values())
         candidates.append((self._me.name, self._me.data_centre, self._me.weight, own))
@@ -342,8 +351,18 @@
             found.append((-gathers, away, -weight, name))
         return min(found)[-1]
 
+    def _is_eligible(self) -> bool:
+        """Return whether this host may lead; a leaving one only as the last."""
+        return not self._leaving or not self._has_successor()
+
+    def _may_lead(self, beat: Beat) -> bool:
+        """Return whether another host may lead, as far as its leaving goes."""
+        if not beat.leaving:
+            return True
+        return self._leaving and not self._has_successor()
+
     def _has_successor(self) -> bool:
-        """Return whether another host can lead."""
+        """Return whether another host can lead and stays."""
         return any(
             peer.live and peer.beat.able and not peer.beat.leaving
             for peer in self._peers.values()
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -195,3 +195,31 @@
     fleet.run(1.0)
     assert fleet.hosts["h0"].live["h1"].incarnation == 2
     assert fleet.leaders("dc1/0") == ["h0"]
+
+
+def test_a_cut_data_centre_whose_hosts_all_leave_is_led_to_the_end(
+    fleet: Fleet,
+) -> None:
+    # trouble-1 of jsc: both hosts got SIGTERM while their data centre was cut off.
+    near = {"h0", "h1"}
+    fleet.hosts["h2"].leave()
+    fleet.hosts["h3"].leave()
+    fleet.cut = lambda sender, receiver: (sender in near) != (receiver in near)
+    fleet.run(1.5)
+    [leader] = [name for name in ("h2", "h3") if fleet.hosts[name].claims]
+    for name in ("h2", "h3"):
+        hosts = fleet.hosts[name]
+        assert hosts.leader("dc2/0") == leader
+        assert leader == name or leader in hosts.leaders
+
+
+def test_a_leaving_host_yields_to_one_that_stays(fleet: Fleet) -> None:
+    near = {"h0", "h1"}
+    fleet.hosts["h2"].leave()
+    fleet.hosts["h3"].leave()
+    fleet.cut = lambda sender, receiver: (sender in near) != (receiver in near)
+    fleet.run(1.5)
+    fleet.cut = lambda sender, receiver: False
+    fleet.run(1.5)
+    assert fleet.leaders("dc2/0") == ["h0"]
+    assert fleet.hosts["h3"].leader("dc2/0") == "h0"
