Learn no run time from runs that an earlier leader ordered

After each takeover tasks of a second were expected to run for up to 298 s, and their jobs were refused whenever they had to wait at all. A found run now begins when it is found, and teaches nothing. The test failed first.

--- a/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
@@ -78,13 +78,17 @@
     large: tuple[float, float]
 
 
-def replay(load: float, seconds: float, seed: int) -> dict[str, KindScore]:
+def replay(
+    load: float, seconds: float, seed: int, outage_s: float = 0.0
+) -> dict[str, KindScore]:
     """Play a load through one leader and return how each kind fared.
 
     Args:
         load: Factor on the sheets' arrivals; heavy days have 1.1 to 1.4.
         seconds: How long jobs arrive, s.
         seed: Seed of every random choice.
+        outage_s: How long no host was there before the leader starts, s. Callers
+            of that time still wait and all come at once; they are not scored.
     """
     random = Random(seed)
     world = World(_workers(random), seed)
@@ -92,6 +96,9 @@
     world.run(0.3)
     submitted: dict[str, _Submitted] = {}
     begin = world.now
+    for number, (at, kind) in enumerate(_arrivals(random, load, outage_s)):
+        job, _ = _job(random, kind, f"resent{number}", waited_s=outage_s - at)
+        world.submit("h1", job)
     for number, (at, kind) in enumerate(_arrivals(random, load, seconds)):
         if begin + at > world.now:
             world.run(begin + at - world.now)
@@ -134,7 +141,9 @@
     return min(most, random.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma))
 
 
-def _job(random: Random, kind: Kind, name: str) -> tuple[SimulatedJob, float]:
+def _job(
+    random: Random, kind: Kind, name: str, waited_s: float = 0.0
+) -> tuple[SimulatedJob, float]:
     count = max(1, round(_around(random, kind.tasks, 0.4, kind.most_tasks)))
     run_s = _around(random, kind.run_s, 0.4, 4 * kind.run_s)
     cores = round(min(10.0, max(1.0, _around(random, 6.8, 0.2, 10.0))), 3)
@@ -151,7 +160,7 @@
         stretch=1.6,
         allowance_s=0.06,
         elapsed_s=0.0,
-        left_s=_DEADLINE_S,
+        left_s=max(0.01, _DEADLINE_S - waited_s),
     )
     runs = {
         f"{name}.0.0.{index}": run_s * random.uniform(0.85, 1.15)
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -26,6 +26,7 @@
         run: The run that is under way or may be, if any.
         worker: Worker of that run.
         ordered_at: When that run was ordered or found, by the leader's clock, s.
+        found: Whether an earlier leader ordered it; its begin is not known.
         next_number: Number of its next run.
         failures: Count of runs that ended as failed.
         avoid: Workers on which a run of it did not end well.
@@ -39,6 +40,7 @@
     run: Run | None = None
     worker: str = ""
     ordered_at: float = 0.0
+    found: bool = False
     next_number: int = 1
     failures: int = 0
     avoid: set[str] = field(default_factory=set)
--- a/packages/poplarhilld/src/poplarhilld/leading/runs.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -51,9 +51,19 @@
         """Return the task that a run is under way for, if it is known here."""
         return self._tasks.get(run)
 
-    def started(self, run: Run, task: LedTask, worker: str) -> None:
-        """Note that a run is under way, or may be, for a task."""
+    def started(self, now: float, run: Run, task: LedTask, worker: str) -> None:
+        """Note that a run was ordered for a task."""
+        self._begin(now, run, task, worker, found=False)
+
+    def found(self, now: float, run: Run, task: LedTask, worker: str) -> None:
+        """Note that a run which an earlier leader ordered is a task's."""
+        self._begin(now, run, task, worker, found=True)
+
+    def _begin(
+        self, now: float, run: Run, task: LedTask, worker: str, found: bool
+    ) -> None:
         task.run, task.worker = run, worker
+        task.ordered_at, task.found = now, found
         task.next_number = max(task.next_number, run.number + 1)
         self._tasks[run] = task
 
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -203,7 +203,7 @@
         self._jobs[offer.job_id] = job
         self._listeners[offer.job_id] = {listener}
         self._runs.add_job(job)
-        self._adopt_orphans(job)
+        self._adopt_orphans(now, job)
         actions: list[LeaderAction] = [LogDecision(self._taken(job, wait_s, "taken"))]
         if job.complete:
             return actions + self._close(now, job, JobEnded(job.job_id))
@@ -474,11 +474,11 @@
         task = next(task for task in job.tasks if task.name == run.task)
         worker.fit(run, task.spec.needs)
         if task.waiting and not job.stopping:
-            self._runs.started(run, task, name)
+            self._runs.found(now, run, task, name)
             return []
         return self._stop(now, worker, run)
 
-    def _adopt_orphans(self, job: LedJob) -> None:
+    def _adopt_orphans(self, now: float, job: LedJob) -> None:
         for (run, name, _), task in self._runs.orphans_of(job):
             worker = self._workers.get(name)
             if worker is None:
@@ -486,7 +486,7 @@
             worker.fit(run, task.spec.needs)
             if task.waiting:
                 self._runs.closed(name, run)
-                self._runs.started(run, task, name)
+                self._runs.found(now, run, task, name)
                 job.runs += 1
 
     def _closed(
@@ -509,8 +509,9 @@
         match fate:
             case RunFate.DONE:
                 job.finish(task)
-                seen = SeenRun(name, task.spec.run_time_s, took_s)
-                job.seen.append(seen)
+                if not task.found:
+                    seen = SeenRun(name, task.spec.run_time_s, took_s)
+                    job.seen.append(seen)
                 if self._fitness.succeeded(now, name, run):
                     actions.append(_state(now, worker, "restored", "probes were done"))
             case RunFate.FAILED:
@@ -700,9 +701,8 @@
         needs = task.spec.needs
         run = Run(task.name, task.next_number)
         deadline_s = worker.order(now, run, needs)
-        task.ordered_at = now
         job.runs += 1
-        self._runs.started(run, task, name)
+        self._runs.started(now, run, task, name)
         self._fitness.started(name, run)
         before = free[name]
         free[name] = without(before, needs)
--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -20,6 +20,27 @@
     assert not world.broken
 
 
+def test_runs_that_were_found_teach_no_run_times(world: World) -> None:
+    # kcg scale-1: after a takeover jobs of 1 s were expected to run for 300 s,
+    # and refused whenever they would have had to wait for a moment.
+    jobs = [simulated_job(f"a{n}", tasks=4, run_s=0.4, left_s=3.0) for n in range(3)]
+    for job in jobs:
+        world.submit("h1", job)
+    world.run(0.1)
+    world.paused.add("h1")
+    world.add_leader("h2", 2)
+    world.run(0.05)
+    for job in jobs:
+        offer = job.offer._replace(handovers=1)
+        world.perform("h2", world.leaders["h2"].offer(world.now, "e1", 1, offer))
+    world.run(1.5)
+    for number in range(12):
+        world.submit("h2", simulated_job(f"b{number}", run_s=0.2, left_s=1.5))
+    world.run(1.5)
+    outcomes = {world.ended(f"b{number}").error for number in range(12)}
+    assert outcomes == {""}
+
+
 def test_the_woken_leader_starts_nothing(world: World) -> None:
     world.paused.add("h1")
     world.run(1.0)
