--- a/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
@@ -19,6 +19,7 @@
 _LATE_WORTH = 0.2
 _LATE_FACTOR = 3.0
 _STEP_S = 0.02
+_DECLARED_ERROR = 0.4  # standard deviation of its logarithm, as seen on two days
 
 
 class Kind(NamedTuple):
@@ -147,7 +148,7 @@
     count = max(1, round(_around(random, kind.tasks, 0.4, kind.most_tasks)))
     run_s = _around(random, kind.run_s, 0.4, 4 * kind.run_s)
     cores = round(min(10.0, max(1.0, _around(random, 6.8, 0.2, 10.0))), 3)
-    declared_s = run_s * math.exp(random.uniform(-0.4, 0.4))
+    declared_s = run_s * math.exp(random.gauss(0.0, _DECLARED_ERROR))
     needs = Resources(cores, 64, 0)
     offer = JobOffer(
         job_id=name,
--- a/packages/poplarhilld/src/poplarhilld/leading/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/admission.py
@@ -5,15 +5,13 @@
 from typing import NamedTuple
 
 from poplarhill.exceptions import ErrorKind
-from poplarhilld.leading.demand import Demand
-from poplarhilld.leading.estimates import RunTimes
 from poplarhilld.leading.job import LedJob
-from poplarhilld.leading.order import expected_run_s, open_room_s, rank
+from poplarhilld.leading.order import rank
 from poplarhilld.leading.placement import could_run
 from poplarhilld.leases import LeasedWorker
 
 COME_BACK_S = 1.0  # a lost leader or a burst takes about a second
-_SURE_PART = 0.7  # declared run times are too long by up to 1.5
+_SURE_PART = 0.55  # of 40 jobs one takes less of its expected run time
 
 
 class Refusal(NamedTuple):
@@ -30,33 +28,19 @@
     retry_after_s: float = 0.0
 
 
-class Knowledge(NamedTuple):
-    """What a leader has learned of its load.
-
-    Attributes:
-        times: Run times of routes and workers.
-        demand: Arrivals of routes.
-    """
-
-    times: RunTimes
-    demand: Demand
-
-
 def expected_wait_s(
     now: float,
     job: LedJob,
     jobs: Iterable[LedJob],
     usable: Iterable[LeasedWorker],
-    known: Knowledge,
 ) -> float:
     """Return how long a job will wait for room, roughly, s.
 
     Args:
         now: The leader's clock, s.
         job: The job.
-        jobs: Jobs that were taken before it.
+        jobs: Jobs that were taken before it and have tasks that wait.
         usable: Workers in use.
-        known: What was learned of the load.
     """
     cores = free = 0.0
     for worker in usable:
@@ -65,13 +49,11 @@
             free += max(0.0, worker.free().cores)
     if not cores:
         return 0.0
-    own = rank(now, job, known.times, known.demand)
+    own = rank(now, job)
     ahead = 0.0
     for other in jobs:
-        if other.least_cores == math.inf:
-            continue
-        if rank(now, other, known.times, known.demand) <= own:
-            ahead += open_room_s(other, known.times)
+        if other.least_cores < math.inf and rank(now, other) <= own:
+            ahead += other.open_room_s
     if not ahead and free >= sum(t.spec.needs.cores for t in job.ready_tasks()):
         return 0.0
     return ahead / cores
@@ -83,7 +65,6 @@
     workers: Iterable[LeasedWorker],
     answering: bool,
     wait_s: float,
-    times: RunTimes,
 ) -> Refusal | None:
     """Return why a job cannot be served, if so.
 
@@ -93,7 +74,6 @@
         workers: Workers of its service.
         answering: Whether one of them answers, or may do so in a moment.
         wait_s: How long the job is expected to wait for room, s.
-        times: What was learned of run times.
     """
     offer = job.offer
     if not answering:
@@ -103,13 +83,12 @@
     for step in offer.steps:
         if not any(could_run(entry, offer.service, step) for entry in entries):
             return Refusal(ErrorKind.IMPOSSIBLE, "no worker is large enough for a task")
-    if wait_s > 0 and not fits_in_time(now + wait_s, job, times):
-        run_s = expected_run_s(job, times)
-        detail = f"expected to wait {wait_s:.2f} s and to run {run_s:.2f} s"
+    if wait_s > 0 and not fits_in_time(now + wait_s, job):
+        detail = f"expected to wait {wait_s:.2f} s and to run {job.run_s:.2f} s"
         return Refusal(ErrorKind.OVERLOADED, detail, max(wait_s, COME_BACK_S))
     return None
 
 
-def fits_in_time(begin: float, job: LedJob, times: RunTimes) -> bool:
+def fits_in_time(begin: float, job: LedJob) -> bool:
     """Return whether a job that starts at a time may still be done in time."""
-    return begin + _SURE_PART * expected_run_s(job, times) <= job.deadline
+    return begin + _SURE_PART * job.run_s <= job.deadline
--- a/packages/poplarhilld/src/poplarhilld/leading/estimates.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/estimates.py
@@ -1,16 +1,20 @@
 """Run times learned from what was seen, by route and by worker.
 
-All is kept as logarithms, in which a run is a sum: declared time, route, job,
-worker, and chance. A worker shows itself best beside others: tasks of one job
-share its error, so that their differences are the workers'.
+All is kept as logarithms, in which a run is a sum: route, job, worker, and
+chance. A worker shows itself best beside others: tasks of one job share its
+error, so that their differences are the workers'. What a job declares is worth
+as much as the line that fits its route best: declared times that tell nothing
+give the route's usual time.
 """
 
 import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
-_ROUTE_WEIGHT = 0.05  # of the newest run: about twenty runs back are felt
-_JOB_VARIANCE = 0.06  # declared run times are off by up to a half
+_ROUTE_WEIGHT = 0.02  # of the newest job: about fifty jobs back are felt
+_FIRST_SAMPLES = 4  # for which a declaration is believed, before any is seen
+_FIRST_VARIANCE = 0.16  # of work around its mean, on the sheets
+_JOB_VARIANCE = 0.1  # of a job's run time around what is expected of it
 _TASK_VARIANCE = 0.008  # tasks of a job differ by up to 15 %
 _DELAY_S = 0.01  # by how much the news of an end varies
 _WORKER_VARIANCE = 0.03  # of speeds from 0.8 to 1.25
@@ -42,20 +46,58 @@
     variance: float
 
 
-class _RouteRatio(NamedTuple):
-    mean: float
-    samples: int
+class _Line(NamedTuple):
+    """Declared against usual run times of a route, as running moments."""
+
+    declared: float = 0.0
+    usual: float = 0.0
+    variance: float = _FIRST_VARIANCE
+    covariance: float = _FIRST_VARIANCE
+    samples: int = 0
+
+    def expected(self, declared: float) -> float:
+        """Return what is expected of a declared time, both as logarithms."""
+        if not self.samples:
+            return declared
+        slope = self.covariance / self.variance if self.variance > 0 else 0.0
+        slope = min(1.0, max(0.0, slope))
+        return self.usual + slope * (declared - self.declared)
+
+    def moved(self, declared: float, usual: float) -> "_Line":
+        """Return the line after one more job, the first of them further."""
+        if not self.samples:
+            return self._replace(declared=declared, usual=usual, samples=1)
+        weight = max(_ROUTE_WEIGHT, 1 / (self.samples + 1))
+        spread = max(_ROUTE_WEIGHT, 1 / (self.samples + _FIRST_SAMPLES))
+        x, y = declared - self.declared, usual - self.usual
+        return _Line(
+            self.declared + weight * x,
+            self.usual + weight * y,
+            self.variance + spread * (x * x - self.variance),
+            self.covariance + spread * (x * y - self.covariance),
+            self.samples + 1,
+        )
 
 
 _UNKNOWN_WORKER = _Estimate(0.0, _WORKER_VARIANCE)
-_UNKNOWN_ROUTE = _RouteRatio(0.0, 0)
+_UNKNOWN_ROUTE = _Line()
 
 
 class _Shown(NamedTuple):
-    """What the runs of a job on one worker show: mean logarithm, and its noise."""
+    """What the runs of a job on one worker show.
+
+    Attributes:
+        worker: The worker.
+        ratio: Mean of the logarithms of seen over expected time.
+        declared: Mean of the logarithms of the declared times.
+        usual: Mean of the logarithms of the times on a usual worker.
+        noise: Variance of the ratio by chance.
+    """
 
     worker: str
     ratio: float
+    declared: float
+    usual: float
     noise: float
 
 
@@ -63,14 +105,16 @@
     """How long tasks run."""
 
     def __init__(self) -> None:
-        self._routes: dict[str, _RouteRatio] = {}
-        self._ratios: dict[str, float] = {}
+        self._routes: dict[str, _Line] = {}
         self._workers: dict[str, _Estimate] = {}
         self._slowdowns: dict[str, float] = {}
 
     def expected_s(self, route: str, declared_s: float) -> float:
         """Return the time that a task of a route takes on a usual worker, s."""
-        return declared_s * self._ratios.get(route, 1.0)
+        line = self._routes.get(route)
+        if line is None or declared_s <= 0:
+            return declared_s
+        return math.exp(line.expected(math.log(declared_s)))
 
     def slowdown(self, worker: str) -> float:
         """Return how slow a worker is; 1 is usual, higher is slower."""
@@ -83,13 +127,16 @@
 
     def ran(self, route: str, runs: Iterable[SeenRun]) -> None:
         """Learn from the runs of one job, once no more of them will be known."""
-        shown = [_shown(worker, seen) for worker, seen in _by_worker(runs).items()]
+        line = self._routes.get(route, _UNKNOWN_ROUTE)
+        shown = [
+            _shown(worker, self._estimate(worker).mean, seen, line)
+            for worker, seen in _by_worker(runs).items()
+        ]
         if not shown:
             return
         before = {one.worker: self._estimate(one.worker) for one in shown}
-        prior = self._routes.get(route, _UNKNOWN_ROUTE).mean
         precision = 1 / _JOB_VARIANCE
-        total = prior / _JOB_VARIANCE
+        total = 0.0
         for one in shown:
             variance = before[one.worker].variance + one.noise
             precision += 1 / variance
@@ -100,7 +147,10 @@
             offset = one.ratio - before[one.worker].mean
             job = _Estimate((total - offset / variance) / others, 1 / others)
             self._learn_worker(one, before[one.worker], job)
-        self._learn_route(route, total / precision)
+        self._routes[route] = line.moved(
+            sum(one.declared for one in shown) / len(shown),
+            sum(one.usual for one in shown) / len(shown),
+        )
         self._centre()
 
     def _estimate(self, worker: str) -> _Estimate:
@@ -118,14 +168,6 @@
         self._workers[one.worker] = _Estimate(mean, (1 - gain) * variance)
         self._slowdowns[one.worker] = math.exp(mean)
 
-    def _learn_route(self, route: str, offset: float) -> None:
-        """Move a route's ratio towards what was seen, the first samples further."""
-        mean, samples = self._routes.get(route, _UNKNOWN_ROUTE)
-        weight = max(_ROUTE_WEIGHT, 1 / (samples + 2))
-        mean += (offset - mean) * weight
-        self._routes[route] = _RouteRatio(mean, samples + 1)
-        self._ratios[route] = math.exp(mean)
-
     def _centre(self) -> None:
         """Keep the usual worker at 1: only the sum of all parts can be seen."""
         means = [estimate.mean for estimate in self._workers.values()]
@@ -135,9 +177,8 @@
         for name, (mean, variance) in self._workers.items():
             self._workers[name] = _Estimate(mean - shift, variance)
             self._slowdowns[name] = math.exp(mean - shift)
-        for route, (mean, samples) in self._routes.items():
-            self._routes[route] = _RouteRatio(mean + shift, samples)
-            self._ratios[route] = math.exp(mean + shift)
+        for route, line in self._routes.items():
+            self._routes[route] = line._replace(usual=line.usual + shift)
 
 
 def _by_worker(runs: Iterable[SeenRun]) -> dict[str, list[SeenRun]]:
@@ -148,10 +189,19 @@
     return found
 
 
-def _shown(worker: str, runs: list[SeenRun]) -> _Shown:
-    ratios = [math.log(run.took_s / run.declared_s) for run in runs]
+def _shown(worker: str, slowness: float, runs: list[SeenRun], line: _Line) -> _Shown:
+    declared = [math.log(run.declared_s) for run in runs]
+    took = [math.log(run.took_s) for run in runs]
+    expected = sum(line.expected(one) for one in declared) / len(runs)
     chance = sum(_chance(run.took_s) for run in runs) / len(runs)
-    return _Shown(worker, sum(ratios) / len(ratios), chance / len(runs))
+    mean = sum(took) / len(runs)
+    return _Shown(
+        worker,
+        mean - expected,
+        sum(declared) / len(runs),
+        mean - slowness,
+        chance / len(runs),
+    )
 
 
 def _chance(took_s: float) -> float:
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -1,7 +1,9 @@
 """One job at its leader: its tasks and what is known of them."""
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from operator import mul
 
 from poplarhilld.leading.estimates import SeenRun
 from poplarhilld.leases import Run
@@ -54,13 +56,21 @@
 class LedJob:
     """A job that was offered to this leader.
 
+    Attributes:
+        run_s: Expected run time of its longest chain of steps, s.
+        due: When its caller wants it, by the leader's clock, s.
+        price: What a core-second of it costs in the queue.
+
     Args:
         offer: The offer.
         host: The entry host that offered it.
         now: The leader's clock, s.
+        step_s: Expected run time of a task of each step, s.
     """
 
-    def __init__(self, offer: JobOffer, host: str, now: float) -> None:
+    def __init__(
+        self, offer: JobOffer, host: str, now: float, step_s: Sequence[float]
+    ) -> None:
         self.offer = offer
         self.host = host
         self.offered_at = now
@@ -80,6 +90,14 @@
         self._pending = [0] * len(offer.steps)
         for task in self.tasks:
             self._pending[task.step] += not task.done
+        self._rooms_s = [
+            step.needs.cores * run_s
+            for step, run_s in zip(offer.steps, step_s, strict=True)
+        ]
+        self._step_s = tuple(step_s)
+        self.run_s = _longest_chain_s(offer, step_s)
+        self.due = self.taken_at + offer.stretch * self.run_s + offer.allowance_s
+        self.price = 1.0
 
     @property
     def job_id(self) -> str:
@@ -101,6 +119,15 @@
         """Tasks with a run that is under way or may be."""
         return [task for task in self.tasks if task.run is not None]
 
+    @property
+    def open_room_s(self) -> float:
+        """Room that its open tasks still take, core-seconds."""
+        return sum(map(mul, self._pending, self._rooms_s))
+
+    def expected_s(self, task: LedTask) -> float:
+        """Return the time that a task takes on a usual worker, s."""
+        return self._step_s[task.step]
+
     @property
     def least_cores(self) -> float:
         """Cores of its smallest task that waits; infinite if none does."""
@@ -126,3 +153,11 @@
     def on_worker(self, step: int, worker: str) -> int:
         """Return how many tasks of a step run on a worker."""
         return sum(t.worker == worker and t.step == step for t in self.under_way)
+
+
+def _longest_chain_s(offer: JobOffer, step_s: Sequence[float]) -> float:
+    ends: list[float] = []
+    for step, run_s in zip(offer.steps, step_s, strict=True):
+        begin = max((ends[earlier] for earlier in step.after), default=0.0)
+        ends.append(begin + run_s)
+    return max(ends, default=0.0)
--- a/packages/poplarhilld/src/poplarhilld/leading/placement.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/placement.py
@@ -9,9 +9,23 @@
 from poplarhilld.leases import LeasedWorker
 from poplarhilld.peers.messages import StepSpec
 
+_SLOWEST_SOUND = 1.3  # of the sheets' speeds the lowest is 0.8
+_UNSURE = 1.6  # of 40 jobs one takes longer than this for its expected run time
+_SHORT_PART = 0.5  # free room, below which the fast workers fill up
 _TOLERANCE = 1e-6  # cores are sums of thousandths
 
 
+def affords_slow(now: float, job: LedJob) -> bool:
+    """Return whether a job is surely in time on any sound worker."""
+    return now + _SLOWEST_SOUND * _UNSURE * job.run_s <= job.deadline
+
+
+def is_short(free: Mapping[str, Resources], workers: Iterable[LeasedWorker]) -> bool:
+    """Return whether room is short, so that it matters which is taken first."""
+    cores = sum(worker.entry.room.cores for worker in workers)
+    return sum(room.cores for room in free.values()) < _SHORT_PART * cores
+
+
 def fits(free: Resources, needs: Resources) -> bool:
     """Return whether room is enough for a task."""
     return (
@@ -45,8 +59,12 @@
     workers: Iterable[LeasedWorker],
     free: Mapping[str, Resources],
     times: RunTimes,
+    spare_fast: bool,
 ) -> LeasedWorker | None:
-    """Return the worker for a task: the fastest, then the tightest fit.
+    """Return the worker for a task: by its speed, then the tightest fit.
+
+    The fastest is best for a job alone. While room is short, a job that can
+    afford a slower worker leaves the fast ones to jobs that cannot.
 
     Args:
         job: Job of the task.
@@ -54,6 +72,7 @@
         workers: Workers that may take tasks now.
         free: Room that is free on each of them, by name.
         times: What was learned of their speed.
+        spare_fast: Whether the fast workers are to be left to others.
     """
     best: tuple | None = None
     chosen: LeasedWorker | None = None
@@ -68,10 +87,13 @@
         most = step.max_per_worker
         if most and job.on_worker(task.step, name) >= most:
             continue
+        slowdown = round(times.slowdown(name), 1)
+        if spare_fast and slowdown <= _SLOWEST_SOUND:
+            slowdown = -slowdown
         key = (
             name in task.avoid,
             bool(step.data_rack) and entry.rack != step.data_rack,
-            round(times.slowdown(name), 1),
+            slowdown,
             free[name].cores - step.needs.cores,
             name,
         )
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -1,5 +1,6 @@
 """What the leader of some workers decides."""
 
+import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -9,7 +10,6 @@
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.admission import (
     COME_BACK_S,
-    Knowledge,
     Refusal,
     expected_wait_s,
     fits_in_time,
@@ -37,8 +37,13 @@
     WorkerState,
     WorkerTaken,
 )
-from poplarhilld.leading.order import expected_run_s, open_room_s, rank
-from poplarhilld.leading.placement import choose_worker, without
+from poplarhilld.leading.order import price, rank
+from poplarhilld.leading.placement import (
+    affords_slow,
+    choose_worker,
+    is_short,
+    without,
+)
 from poplarhilld.leading.runs import RunTable
 from poplarhilld.leases import (
     LeasedWorker,
@@ -96,6 +101,7 @@
         self._paused: dict[str, float] = {}
         self._lost: set[str] = set()
         self._jobs: dict[str, LedJob] = {}
+        self._queue: dict[str, LedJob] = {}
         self._listeners: dict[str, set[_Listener]] = {}
         self._runs = RunTable()
         self._memory = Memory()
@@ -132,9 +138,7 @@
         usable = [w for w in self._workers.values() if self._is_usable(w)]
         cores = sum(worker.entry.room.cores for worker in usable)
         free = sum(max(0.0, worker.free().cores) for worker in usable)
-        queued = sum(
-            open_room_s(job, self._times) for job in self._jobs.values() if not job.runs
-        )
+        queued = sum(job.open_room_s for job in self._jobs.values() if not job.runs)
         return Load(cores, free, queued)
 
     def lead(
@@ -190,17 +194,17 @@
         completion = self._memory.completion(offer.job_id)
         if completion is not None:
             return [ReportJob(host, completion)]
-        job = LedJob(offer, host, now)
+        job = self._led(now, host, offer)
         for task in job.tasks:
             if self._memory.is_done(task.name):
                 job.finish(task)
-        room_s = open_room_s(job, self._times)
-        self._demand.arrived(now, offer.route, room_s)
+        self._demand.arrived(now, offer.route, job.open_room_s)
+        job.price = price(now, job, self._demand)
         wait_s = self._expected_wait_s(now, job)
         refused = self._check(now, job, wait_s)
         if refused is not None and not self._runs.orphans_of(job):
             return self._refuse(host, offer, now, refused)
-        self._jobs[offer.job_id] = job
+        self._jobs[offer.job_id] = self._queue[offer.job_id] = job
         self._listeners[offer.job_id] = {listener}
         self._runs.add_job(job)
         self._adopt_orphans(now, job)
@@ -346,7 +350,7 @@
         held = list(worker.reservations)
         for reservation in held:
             self._runs.closed(name, reservation.run)
-            self._runs.forget(reservation.run)
+            self._let_go(reservation.run)
         released = WorkerReleased(name, worker.token, reason, len(held))
         return [LogDecision(released)]
 
@@ -384,7 +388,7 @@
             for run in worker.lapse():
                 task = self._runs.task_of(run)
                 if task is not None and task.run == run:
-                    self._runs.forget(run)
+                    self._let_go(run)
                     task.avoid.add(name)
         return actions
 
@@ -414,7 +418,7 @@
     ) -> list[LeaderAction]:
         """Move a task that stands still, unless the worker is just slow."""
         job = self._runs.job_of(task.name)
-        expected_s = self._times.expected_s(job.offer.route, task.spec.run_time_s)
+        expected_s = job.expected_s(task)
         limit_s = max(_STALL_FACTOR * expected_s, expected_s + _STALL_S)
         if now - held.seen_at < limit_s or now + expected_s > job.deadline:
             return []
@@ -500,7 +504,7 @@
                 self._memory.note_done(run.task)
             return []
         job = self._runs.job_of(task.name)
-        self._runs.forget(run)
+        self._let_go(run)
         took_s = now - task.ordered_at
         resolved = RunResolved(
             task.name, run.number, name, fate.value, round(took_s, 4)
@@ -523,6 +527,14 @@
                 self._fitness.ended(now, name, run)
         return actions + self._advance(now, job, task)
 
+    def _let_go(self, run: Run) -> None:
+        """Note that a run is not under way any more; its task may wait again."""
+        task = self._runs.task_of(run)
+        self._runs.forget(run)
+        job = None if task is None else self._runs.job_of(task.name)
+        if job is not None:
+            self._queue[job.job_id] = job
+
     def _advance(self, now: float, job: LedJob, task: LedTask) -> list:
         """Report what the end of a run means for its job."""
         if job.stopping:
@@ -566,17 +578,23 @@
         service = job.offer.service
         ours = [w for w in self._workers.values() if w.entry.service == service]
         answering = any(self._is_usable(w) or w.is_coming(now) for w in ours)
-        return refusal(now, job, ours, answering, wait_s, self._times)
+        return refusal(now, job, ours, answering, wait_s)
+
+    def _led(self, now: float, host: str, offer: JobOffer) -> LedJob:
+        """Return a job with what is expected of its run times."""
+        step_s = [
+            self._times.expected_s(offer.route, step.run_time_s) for step in offer.steps
+        ]
+        return LedJob(offer, host, now, step_s)
 
     def _expected_wait_s(self, now: float, job: LedJob) -> float:
         usable = [w for w in self._workers.values() if self._is_usable(w)]
-        known = Knowledge(self._times, self._demand)
-        return expected_wait_s(now, job, self._jobs.values(), usable, known)
+        return expected_wait_s(now, job, self._queue.values(), usable)
 
     def _refuse(
         self, host: str, offer: JobOffer, now: float, refused: Refusal
     ) -> list[LeaderAction]:
-        job = LedJob(offer, host, now)
+        job = self._led(now, host, offer)
         kind, detail, retry_after_s = refused
         report = _ended(job, kind, detail, retry_after_s)
         taken = self._taken(job, 0.0, f"refused: {kind.value}: {detail}")
@@ -591,7 +609,7 @@
             len(job.tasks),
             offer.handovers,
             round(wait_s, 4),
-            round(expected_run_s(job, self._times), 4),
+            round(job.run_s, 4),
             len(self._jobs),
             outcome,
         )
@@ -605,9 +623,8 @@
         if now >= job.deadline:
             kind = ErrorKind.EXPIRED if job.not_run else ErrorKind.TIMEOUT
             return self._close(now, job, _ended(job, kind, "its caller has left"))
-        if job.not_run and not fits_in_time(now, job, self._times):
-            run_s = expected_run_s(job, self._times)
-            detail = f"no room in time for work of {run_s:.2f} s"
+        if job.not_run and not fits_in_time(now, job):
+            detail = f"no room in time for work of {job.run_s:.2f} s"
             report = _ended(job, ErrorKind.OVERLOADED, detail, COME_BACK_S)
             return self._close(now, job, report)
         return []
@@ -641,6 +658,7 @@
 
     def _drop(self, job: LedJob) -> None:
         self._jobs.pop(job.job_id, None)
+        self._queue.pop(job.job_id, None)
         self._listeners.pop(job.job_id, None)
         self._runs.drop_job(job)
 
@@ -648,6 +666,11 @@
 
     def _assign(self, now: float) -> list[LeaderAction]:
         """Start what fits, in the order of the queue."""
+        for job_id, job in list(self._queue.items()):
+            if job.least_cores == math.inf:
+                del self._queue[job_id]
+        if not self._queue:
+            return []
         usable = [w for w in self._workers.values() if self._may_start(now, w)]
         if not usable:
             return []
@@ -655,17 +678,19 @@
         largest = max(room.cores for room in free.values()) + _TOLERANCE
         waiting = [
             job
-            for job in self._jobs.values()
+            for job in self._queue.values()
             if job.least_cores <= largest and self._may_run(now, job)
         ]
         if len(waiting) > 1:
-            waiting.sort(key=lambda job: rank(now, job, self._times, self._demand))
+            waiting.sort(key=lambda job: rank(now, job))
+        short = is_short(free, usable)
         actions: list[LeaderAction] = []
         for job in waiting:
+            spare_fast = short and affords_slow(now, job)
             for task in job.ready_tasks():
                 if task.spec.needs.cores > largest:
                     continue
-                worker = choose_worker(job, task, usable, free, self._times)
+                worker = choose_worker(job, task, usable, free, self._times, spare_fast)
                 if worker is None:
                     break
                 actions += self._start(now, job, task, worker, free, len(usable))
--- /dev/null
+++ b/packages/poplarhilld/tests/leading/test_placement.py
@@ -0,0 +1,61 @@
+"""Which worker a task goes to, by speed and by how short room is."""
+
+import pytest
+
+from poplarhill.types import Resources
+from poplarhill_dev.leased import job_offer, worker_entry
+from poplarhilld.leading.estimates import RunTimes, SeenRun
+from poplarhilld.leading.job import LedJob
+from poplarhilld.leading.placement import affords_slow, choose_worker, is_short
+from poplarhilld.leases import LeasedWorker
+
+SPEEDS = {"w1": 0.8, "w2": 1.0, "w3": 1.25, "w4": 5.0}
+
+
+@pytest.fixture
+def workers() -> list[LeasedWorker]:
+    return [LeasedWorker(worker_entry(name), 1, 1.0, 0.0) for name in SPEEDS]
+
+
+@pytest.fixture
+def free(workers: list[LeasedWorker]) -> dict[str, Resources]:
+    return {worker.entry.name: worker.entry.room for worker in workers}
+
+
+@pytest.fixture
+def times() -> RunTimes:
+    times = RunTimes()
+    for _ in range(60):
+        times.ran("r", [SeenRun(name, 1.0, speed) for name, speed in SPEEDS.items()])
+    return times
+
+
+@pytest.fixture
+def choose(workers, free, times):
+    def call(spare_fast: bool) -> str:
+        job = LedJob(job_offer("a", run_s=0.2, left_s=1.5), "e1", 0.0, [0.2])
+        task = job.tasks[0]
+        return choose_worker(job, task, workers, free, times, spare_fast).entry.name
+
+    return call
+
+
+def test_a_task_goes_to_the_fastest_worker(choose) -> None:
+    assert choose(spare_fast=False) == "w1"
+
+
+def test_a_task_that_can_wait_leaves_the_fast_worker_to_others(choose) -> None:
+    assert choose(spare_fast=True) not in ("w1", "w4")
+
+
+def test_only_a_job_that_is_surely_in_time_affords_a_slow_worker() -> None:
+    short = LedJob(job_offer("a", run_s=0.2, left_s=1.5), "e1", 0.0, [0.2])
+    long = LedJob(job_offer("b", run_s=0.9, left_s=1.5), "e1", 0.0, [0.9])
+    assert affords_slow(0.0, short)
+    assert not affords_slow(0.0, long)
+
+
+def test_room_is_short_when_half_of_it_is_taken(workers, free) -> None:
+    assert not is_short(free, workers)
+    half = {name: Resources(room.cores * 0.4, 64, 0) for name, room in free.items()}
+    assert is_short(half, workers)
