Refuse a body by its declared length; do not echo garbage at length

Cause (tried on a running daemon before): a declared body of 99 GB was waited for until the time limit of a request, and 1 KB of garbage came back as 5 KB, as h11's message repeats the line. A length beyond the limit is refused when the headers are read; the message is cut at 120 characters.

--- a/packages/poplarhill/src/poplarhill/http/session.py
+++ b/packages/poplarhill/src/poplarhill/http/session.py
@@ -19,6 +19,7 @@
 _MAX_PIPELINED_BYTES = 65536
 _MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 _DISCARD_S = 2.0
+_MAX_DETAIL = 120  # characters: h11's own words and the begin of the line
 _TOO_LARGE_HINTS = (413, 431)
 
 
@@ -107,6 +108,10 @@
         if header_size(event) > self._limits.header_bytes:
             detail = f"headers over {self._limits.header_bytes} bytes"
             raise RefusedError(Failure(ErrorKind.TOO_LARGE, detail))
+        declared = dict(event.headers).get(b"content-length", b"0")
+        if int(declared) > self._limits.body_bytes:
+            detail = f"body over {self._limits.body_bytes} bytes"
+            raise RefusedError(Failure(ErrorKind.TOO_LARGE, detail))
 
     async def _continue(self) -> None:
         """Ask for the body of a caller that waits to be asked."""
@@ -183,7 +188,9 @@
             kind = ErrorKind.BAD_REQUEST
             if error.error_status_hint in _TOO_LARGE_HINTS:
                 kind = ErrorKind.TOO_LARGE
-            raise RefusedError(Failure(kind, f"not HTTP/1.1: {error}")) from error
+            # h11 repeats the line, which may be as long as the caller likes.
+            detail = f"not HTTP/1.1: {str(error)[:_MAX_DETAIL]}"
+            raise RefusedError(Failure(kind, detail)) from error
 
 
 def _to_request(event: h11.Request | None, body: bytes) -> Request:
--- a/packages/poplarhill/tests/http/test_server.py
+++ b/packages/poplarhill/tests/http/test_server.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+from random import Random
 
 import curio
 import msgspec
@@ -78,6 +79,10 @@
     return msgspec.json.decode(answer.partition(b"\r\n\r\n")[2])["error"]
 
 
+DECLARES_99_GB = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 99000000000\r\n\r\n"
+MOST_ERROR_BYTES = 1024
+
+
 @pytest.mark.parametrize(
     ("data", "status", "kind"),
     [
@@ -85,6 +90,7 @@
         (b"POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\nxx", b"400", "bad_request"),
         (post("/", b"x" * 10_001), b"413", "too_large"),
         (post("/", b"x" * 9_000_000), b"413", "too_large"),
+        (DECLARES_99_GB, b"413", "too_large"),
         (post("/", b"", "x: " + "y" * 5000), b"413", "too_large"),
         (b"POST / HTTP/1.1\r\nx: " + b"y" * 90_000, b"413", "too_large"),
         (post("/", b"x")[:-1], b"408", "request_timeout"),
@@ -102,6 +108,50 @@
     assert error_of(answer)["kind"] == kind
 
 
+def test_garbage_is_not_echoed_at_length(run_served) -> None:
+    async def body(served):
+        return await served.talk(b"\x01\xff" * 500 + b"\r\n\r\n")
+
+    assert len(run_served(body)) <= MOST_ERROR_BYTES
+
+
+def mangled(random: Random) -> bytes:
+    """Return a request with some bytes changed, cut out, doubled or cut off."""
+    data = bytearray(post("/a/b?c=d", b"x" * random.randrange(40), "y: z"))
+    for _ in range(random.randrange(1, 5)):
+        at = random.randrange(len(data))
+        to = min(len(data), at + random.randrange(1, 9))
+        match random.randrange(4):
+            case 0:
+                data[at:to] = random.randbytes(to - at)
+            case 1:
+                del data[at:to]
+            case 2:
+                data[at:at] = data[at:to]
+            case 3:
+                del data[max(1, at) :]
+        data = data or bytearray(b"x")
+    return bytes(data)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_mangled_requests_get_bounded_answers_and_disturb_nobody(
+    run_served, seed
+) -> None:
+    random = Random(seed)
+    requests = [mangled(random) for _ in range(100)]
+
+    async def body(served):
+        async with curio.TaskGroup() as group:
+            for request in requests:
+                await group.spawn(served.talk, request, True)
+        return group.results
+
+    for answer in run_served(body):
+        assert len(answer) <= MOST_ERROR_BYTES
+        assert not answer or answer.startswith(b"HTTP/1.1 ")
+
+
 def test_one_byte_at_a_time_is_cut_off(run_served) -> None:
     async def body(served):
         sock = await curio.open_connection(HOST, served.port)
