Explain logs by command; ignore heartbeats that make no sense

- poplarhill log job ID FILE... tells a job's story and why it was not completed; poplarhill log workers FILE... who leads which worker, since when, by which token.
- A heartbeat with a bad address raised ValueError after half of it was taken in; it is now left out whole, with a log line.
Ruled out and taken back: answering at once a job from an earlier leader that cannot be started in time: a leader that merges finds its runs only afterwards.

--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/cli/logs.py
@@ -0,0 +1,57 @@
+"""Commands on the logs of entry hosts: a job's story, who leads which worker."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import click
+
+from poplarhill.cli._support import bad_request
+from poplarhill.exceptions import ErrorKind, Failure, PoplarhillError
+from poplarhill.story import Line, Step, holders, job_story, read_lines, why_refused
+
+_files = click.argument(
+    "files", nargs=-1, required=True, type=click.Path(path_type=Path)
+)
+
+
+@click.group()
+def log() -> None:
+    """Explain what entry hosts wrote to their logs."""
+
+
+@log.command("job")
+@click.argument("job_id")
+@_files
+def explain_job(job_id: str, files: tuple[Path, ...]) -> None:
+    """Show all that FILES tell of a job, and why it was refused or failed."""
+    story = job_story(_lines(files), job_id)
+    if not story:
+        detail = f"no line of job {job_id} in {len(files)} files"
+        raise PoplarhillError(Failure(ErrorKind.UNKNOWN_JOB, detail))
+    for step in story:
+        click.echo(_shown(step))
+    reason = why_refused(story)
+    if reason is not None:
+        click.echo(f"not completed: {reason}")
+
+
+@log.command("workers")
+@_files
+def explain_workers(files: tuple[Path, ...]) -> None:
+    """Show who leads each worker at the end of FILES, since when, by which token."""
+    for worker, host, token, since, state, reason in holders(_lines(files)):
+        click.echo(f"{worker} {state} by {host} since {since} token {token}: {reason}")
+
+
+def _lines(files: tuple[Path, ...]) -> Iterator[Line]:
+    for path in files:
+        try:
+            with path.open("rb") as text:
+                yield from read_lines(text)
+        except OSError as error:
+            raise bad_request(f"{path}: {error.strerror}") from error
+
+
+def _shown(step: Step) -> str:
+    details = " ".join(f"{name}={value}" for name, value in step.details.items())
+    return f"{step.time} {step.host} {step.event} {details}"
--- a/packages/poplarhill/src/poplarhill/cli/main.py
+++ b/packages/poplarhill/src/poplarhill/cli/main.py
@@ -5,6 +5,7 @@
 from poplarhill.cli._support import CommandGroup
 from poplarhill.cli.config import config
 from poplarhill.cli.jobs import job
+from poplarhill.cli.logs import log
 from poplarhill.cli.services import service
 from poplarhill.cli.status import status
 from poplarhill.cli.workers import worker
@@ -13,8 +14,8 @@
 @click.group(cls=CommandGroup)
 @click.version_option(package_name="poplarhill")
 def main() -> None:
-    """Operate poplarhill: its configuration, workers and jobs."""
+    """Operate poplarhill: its configuration, workers, jobs and logs."""
 
 
-for command in (config, service, worker, status, job):
+for command in (config, service, worker, status, job, log):
     main.add_command(command)
--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/story.py
@@ -0,0 +1,120 @@
+"""What the logs of entry hosts tell of a job, and of who leads which worker."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+
+Line = Mapping[str, Any]
+
+_ENVELOPE = frozenset(("event", "host", "timestamp", "level"))
+
+
+class Step(NamedTuple):
+    """One line of a job's story.
+
+    Attributes:
+        time: When it was written, ISO 8601.
+        host: Entry host that wrote it; empty if the line does not say.
+        event: Its event.
+        details: Its other fields.
+    """
+
+    time: str
+    host: str
+    event: str
+    details: dict[str, Any]
+
+
+class Holder(NamedTuple):
+    """Who leads a worker.
+
+    Attributes:
+        worker: Name of the worker.
+        host: Entry host that took it last.
+        token: Fencing token by which it did.
+        since: When, ISO 8601.
+        state: `asked`, `led`, `released`, or what the leader last said of it.
+        reason: Why, if the log says.
+    """
+
+    worker: str
+    host: str
+    token: int
+    since: str
+    state: str
+    reason: str
+
+
+def read_lines(text: Iterable[bytes]) -> Iterator[Line]:
+    """Yield the log lines among some text; other programs' lines are left out."""
+    for raw in text:
+        begin = raw.find(b"{")
+        if begin < 0:
+            continue
+        try:
+            line = msgspec.json.decode(raw[begin:])
+        except msgspec.DecodeError:
+            continue
+        if isinstance(line, dict) and isinstance(line.get("event"), str):
+            yield line
+
+
+def job_story(lines: Iterable[Line], job_id: str) -> list[Step]:
+    """Return all that the lines tell of a job, the earliest first."""
+    tasks = f"{job_id}."
+    found = [
+        _step(line)
+        for line in lines
+        if line.get("job") == job_id or str(line.get("task", "")).startswith(tasks)
+    ]
+    return sorted(found, key=lambda step: step.time)
+
+
+def why_refused(story: Iterable[Step]) -> str | None:
+    """Return why a job was not completed, if its story says.
+
+    What the caller was told goes before what its leader noted.
+    """
+    ends = {step.event: step.details for step in story}
+    details = ends.get("JobAnswered") or ends.get("JobClosed") or {}
+    outcome, detail = details.get("outcome", ""), details.get("detail", "")
+    if outcome in ("", "complete"):
+        return None
+    return f"{outcome}: {detail}" if detail else outcome
+
+
+def holders(lines: Iterable[Line]) -> list[Holder]:
+    """Return who leads each worker by the end of the lines, by worker."""
+    found: dict[str, Holder] = {}
+    for line in sorted(lines, key=_time):
+        worker = line.get("worker")
+        if not isinstance(worker, str):
+            continue
+        held = found.get(worker)
+        token = line.get("token", 0)
+        match line["event"]:
+            case "WorkerTaken" if held is None or token > held.token:
+                host = str(line.get("host", ""))
+                reason = str(line.get("reason", ""))
+                found[worker] = Holder(
+                    worker, host, token, _time(line), "asked", reason
+                )
+            case "WorkerConfirmed" if held is not None and token == held.token:
+                found[worker] = held._replace(state="led")
+            case "WorkerReleased" if held is not None and token == held.token:
+                reason = str(line.get("reason", ""))
+                found[worker] = held._replace(state="released", reason=reason)
+            case "WorkerState" if held is not None and line.get("host") == held.host:
+                state, reason = str(line.get("state")), str(line.get("reason", ""))
+                found[worker] = held._replace(state=state, reason=reason)
+    return [found[worker] for worker in sorted(found)]
+
+
+def _time(line: Line) -> str:
+    return str(line.get("timestamp", ""))
+
+
+def _step(line: Line) -> Step:
+    details = {name: value for name, value in line.items() if name not in _ENVELOPE}
+    return Step(_time(line), str(line.get("host", "")), line["event"], details)
--- /dev/null
+++ b/packages/poplarhill/tests/test_story.py
@@ -0,0 +1,104 @@
+"""What the operators' command reads out of logs."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from poplarhill.cli.main import main
+from poplarhill.story import holders, job_story, read_lines, why_refused
+
+LINES = [
+    {"event": "JobTaken", "job": "a1", "outcome": "taken", "host": "h1", "at": 2},
+    {"event": "LeaderChosen", "job": "a1", "leader": "h1", "host": "h2", "at": 1},
+    {"event": "RunOrdered", "task": "a1.0.0.0", "worker": "w1", "host": "h1", "at": 3},
+    {"event": "RunOrdered", "task": "a12.0.0.0", "worker": "w1", "host": "h1", "at": 3},
+    {
+        "event": "JobAnswered",
+        "job": "a1",
+        "outcome": "timeout",
+        "detail": "no outcome in time",
+        "host": "h2",
+        "at": 4,
+    },
+    {"event": "WorkerTaken", "worker": "w1", "token": 5, "host": "h1", "at": 0},
+    {"event": "WorkerConfirmed", "worker": "w1", "token": 5, "host": "h1", "at": 1},
+    {"event": "WorkerTaken", "worker": "w1", "token": 9, "host": "h3", "at": 6},
+    {"event": "WorkerConfirmed", "worker": "w1", "token": 9, "host": "h3", "at": 7},
+    {"event": "WorkerReleased", "worker": "w1", "token": 5, "host": "h1", "at": 8},
+    {"event": "WorkerTaken", "worker": "w2", "token": 6, "host": "h1", "at": 6},
+    {
+        "event": "WorkerState",
+        "worker": "w2",
+        "state": "lost",
+        "reason": "silent",
+        "host": "h1",
+        "at": 9,
+    },
+]
+
+
+@pytest.fixture
+def text() -> list[bytes]:
+    lines = []
+    for line in LINES:
+        stamped = line | {"timestamp": f"2026-12-04T00:00:0{line['at']}Z"}
+        lines.append(b"  12.5 h1 " + msgspec.json.encode(stamped) + b"\n")
+    return [b"a line of another program\n", b"{cut off\n", *lines]
+
+
+@pytest.fixture
+def log_file(tmp_path: Path, text: list[bytes]) -> str:
+    path = tmp_path / "hosts.log"
+    path.write_bytes(b"".join(text))
+    return str(path)
+
+
+def test_a_story_has_all_lines_of_its_job_in_order(text) -> None:
+    story = job_story(read_lines(text), "a1")
+    assert [step.event for step in story] == [
+        "LeaderChosen",
+        "JobTaken",
+        "RunOrdered",
+        "JobAnswered",
+    ]
+    assert why_refused(story) == "timeout: no outcome in time"
+
+
+def test_a_complete_job_was_not_refused(text) -> None:
+    done = {"event": "JobAnswered", "job": "b", "outcome": "complete"}
+    assert why_refused(job_story([done], "b")) is None
+
+
+def test_the_highest_token_holds_a_worker(text) -> None:
+    first, second = holders(read_lines(text))
+    assert (first.worker, first.host, first.token) == ("w1", "h3", 9)
+    assert (first.state, first.since) == ("led", "2026-12-04T00:00:06Z")
+    assert (second.worker, second.state, second.reason) == ("w2", "lost", "silent")
+
+
+def test_the_command_says_why_a_job_failed(log_file) -> None:
+    result = CliRunner().invoke(main, ["log", "job", "a1", log_file])
+    assert result.exit_code == 0
+    assert result.output.endswith("not completed: timeout: no outcome in time\n")
+
+
+def test_the_command_says_who_leads_a_worker(log_file) -> None:
+    result = CliRunner().invoke(main, ["log", "workers", log_file])
+    assert "w1 led by h3 since 2026-12-04T00:00:06Z token 9" in result.output
+
+
+@pytest.mark.parametrize(
+    ("arguments", "message"),
+    [
+        (["log", "job", "zz", "{file}"], "no line of job zz"),
+        (["log", "job", "a1", "{file}.gone"], "No such file"),
+    ],
+)
+def test_bad_input_gets_one_clear_error(log_file, arguments, message) -> None:
+    arguments = [part.replace("{file}", log_file) for part in arguments]
+    result = CliRunner().invoke(main, arguments)
+    assert result.exit_code != 0
+    assert message in result.output
+    assert "Traceback" not in result.output
--- a/packages/poplarhilld/src/poplarhilld/shards/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/messages.py
@@ -43,6 +43,13 @@
     heard_s: float
 
 
+class HeartbeatIgnored(NamedTuple):
+    """Log line: a heartbeat makes no sense."""
+
+    host: str
+    reason: str
+
+
 class LeadershipTaken(NamedTuple):
     """Log line: this host leads a shard from now on."""
 
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -13,6 +13,7 @@
 from poplarhilld.leases import TokenSource
 from poplarhilld.peers.messages import Beat, Claim, Load
 from poplarhilld.shards.messages import (
+    HeartbeatIgnored,
     HostFound,
     HostGone,
     HostLost,
@@ -36,6 +37,7 @@
 _KNOWN_BEATS = 10  # every tenth heartbeat names all known addresses
 _SETTLE_S = 0.3  # two heartbeats; who starts later follows who leads
 _EMPTY_S = 2.0  # a data centre without hosts; a restart takes about a second
+_MOST_REASON = 120  # characters that a log line repeats of what a peer sent
 _PAUSED_S = 0.45  # a loop that was late by three heartbeats stood still
 
 
@@ -153,6 +155,10 @@
         """Take in a heartbeat."""
         if name == self._me.name:
             return []
+        try:
+            told = [_parse(text) for text in beat.known]
+        except ValueError as error:
+            return [LogDecision(HeartbeatIgnored(name, str(error)[:_MOST_REASON]))]
         known = self._peers.get(name)
         if known is not None and known.beat.incarnation > beat.incarnation:
             return []
@@ -166,7 +172,7 @@
         self.learn(now, [address])
         target = self._targets[address]
         target.next_beat = min(target.next_beat, now + self._period_s(beat))
-        self.learn(now, [_parse(text) for text in beat.known])
+        self.learn(now, told)
         if not known.live and self._me.name in beat.heard:
             known.live, known.live_since = True, now
             found = HostFound(
@@ -454,4 +460,6 @@
 
 def _parse(text: str) -> Address:
     host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal():
+        raise ValueError(f"{text!r} is not an address")
     return Address(host, int(port))
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -9,6 +9,7 @@
 from poplarhilld.peers import Load, decode, encode
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.shards import Hosts, Self, SendBeat
+from poplarhilld.shards.messages import HeartbeatIgnored
 
 SHARDS = {"dc1/0": 8, "dc2/0": 8}
 STEP_S = 0.05
@@ -223,3 +224,14 @@
     fleet.run(1.5)
     assert fleet.leaders("dc2/0") == ["h0"]
     assert fleet.hosts["h3"].leader("dc2/0") == "h0"
+
+
+@pytest.mark.parametrize("known", ["10.0.0.9", ":1", "10.0.0.9:x", ""])
+def test_a_heartbeat_with_a_bad_address_changes_nothing(
+    fleet: Fleet, known: str
+) -> None:
+    before = fleet.hosts["h1"].live
+    beat = before["h0"]._replace(known=("10.0.0.8:1", known), claims=())
+    [ignored] = fleet.hosts["h1"].heard(fleet.now, "h0", beat)
+    assert isinstance(ignored.decision, HeartbeatIgnored)
+    assert fleet.hosts["h1"].live == before
