Name the requests that a host leaves unanswered when it ends

JobAbandoned names each job that has no outcome when the process ends, Stopped counts them and the answers that were not written, ShutdownStarted gives the open connections and the grace. No decision changes.

--- /dev/null
+++ b/packages/poplarhill-dev/tests/adapter/test_stop.py
@@ -0,0 +1,94 @@
+"""A planned stop of one entry host, over real connections."""
+
+import os
+import signal
+import time
+
+import curio
+import msgspec
+
+from poplarhill.http import Connection, IdleState, Limits, Request
+
+NEVER_ENDS_S = 30.0
+
+
+def job(run_s: float) -> bytes:
+    step = {"count": 1, "cpu": 6800, "mem_mb": 64, "estimated_ms": run_s * 1000}
+    spec = msgspec.json.encode({"run_s": run_s}).decode()
+    return msgspec.json.encode({"spec": spec, "steps": [step], "best_effort": True})
+
+
+def submission(number: int, run_s: float) -> Request:
+    return Request("POST", f"/r0/{number:016x}", "", {}, job(run_s))
+
+
+async def kept_connection(platform) -> Connection:
+    """Return a connection over which one job was served."""
+    while not platform.host.ready:
+        await curio.sleep(0.02)
+    connection = await Connection.open(*platform.settings.callers, Limits(), 5.0)
+    assert (await connection.exchange(submission(1, 0.05))).status == 200
+    return connection
+
+
+def test_a_leaving_host_whose_loop_is_late_still_writes_its_last_answers(
+    brief_platform,
+) -> None:
+    # Guards against closing connections with answers that are due: a loop that is
+    # late by more than the time between the last answer and the end cuts them off.
+    grace_s = brief_platform.settings.grace_s
+
+    async def scene(platform) -> None:
+        connection = await kept_connection(platform)
+        os.kill(os.getpid(), signal.SIGTERM)
+        stopped_at = time.monotonic()
+        await curio.sleep(stopped_at + grace_s - 2.8 - time.monotonic())
+        asking = await curio.spawn(connection.exchange, submission(2, NEVER_ENDS_S))
+        await curio.sleep(stopped_at + grace_s - 1.4 - time.monotonic())
+        time.sleep(max(0.0, stopped_at + grace_s - 0.8 - time.monotonic()))
+        assert (await asking.join()).status == 504
+
+    brief_platform.play(scene)
+
+
+def test_a_leaving_host_closes_kept_connections_while_it_still_answers_others(
+    platform,
+) -> None:
+    # Guards against callers that send over a kept connection to a host that is
+    # about to end, long after the balancer sends it no new ones.
+    async def scene(platform) -> None:
+        kept = await kept_connection(platform)
+        other = await Connection.open(*platform.settings.callers, Limits(), 5.0)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await curio.sleep(2.0)
+        asking = await curio.spawn(other.exchange, submission(2, NEVER_ENDS_S))
+        while kept.idle_state() is not IdleState.CLOSED:
+            await curio.sleep(0.02)
+        assert not asking.terminated
+        assert (await asking.join()).status == 504
+
+    platform.play(scene)
+
+
+def test_a_job_that_comes_long_after_sigterm_is_not_closed_unanswered(
+    platform,
+) -> None:
+    # Guards against taking a job that outlives the host: one came 4.5 s after
+    # SIGTERM and was closed unanswered when the host ended 0.5 s later.
+    async def scene(platform) -> None:
+        early = await kept_connection(platform)
+        os.kill(os.getpid(), signal.SIGTERM)
+        stopped_at = time.monotonic()
+        await curio.sleep(2.0)
+        asking = await curio.spawn(early.exchange, submission(2, NEVER_ENDS_S))
+        await curio.sleep(stopped_at + 3.3 - time.monotonic())
+        next_one = await Connection.open(*platform.settings.callers, Limits(), 5.0)
+        keeping = await curio.spawn(next_one.exchange, submission(3, NEVER_ENDS_S))
+        await curio.sleep(stopped_at + 4.5 - time.monotonic())
+        last = await Connection.open(*platform.settings.callers, Limits(), 5.0)
+        answer = await last.exchange(submission(4, 1.0))
+        assert answer.status == 503
+        assert msgspec.json.decode(answer.body)["error"]["kind"] == "shutting_down"
+        assert (await asking.join()).status == (await keeping.join()).status == 504
+
+    platform.play(scene)
--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -53,6 +53,16 @@
         """The port in use."""
         return self._sock.getsockname()[1]
 
+    @property
+    def connections(self) -> int:
+        """Count of open connections."""
+        return self._open
+
+    @property
+    def in_flight(self) -> int:
+        """Count of requests that were read whole and are not answered."""
+        return self._busy
+
     async def run(self) -> None:
         """Accept connections until cancelled."""
         async with curio.TaskGroup(wait=all) as group, self._sock:
--- a/packages/poplarhill/src/poplarhill/story.py
+++ b/packages/poplarhill/src/poplarhill/story.py
@@ -77,6 +77,8 @@
     What the caller was told goes before what its leader noted.
     """
     ends = {step.event: step.details for step in story}
+    if "JobAbandoned" in ends:
+        return "abandoned: its host ended before it was answered"
     details = ends.get("JobAnswered") or ends.get("JobClosed") or {}
     outcome, detail = details.get("outcome", ""), details.get("detail", "")
     if outcome in ("", "complete"):
--- a/packages/poplarhill/tests/test_story.py
+++ b/packages/poplarhill/tests/test_story.py
@@ -71,6 +71,12 @@
     assert why_refused(job_story([done], "b")) is None
 
 
+def test_a_job_whose_host_ended_first_was_abandoned() -> None:
+    abandoned = {"event": "JobAbandoned", "job": "b", "age_s": 0.5, "left_s": 1.0}
+    reason = why_refused(job_story([abandoned], "b"))
+    assert reason == "abandoned: its host ended before it was answered"
+
+
 def test_the_highest_token_holds_a_worker(text) -> None:
     first, second = holders(read_lines(text))
     assert (first.worker, first.host, first.token) == ("w1", "h3", 9)
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -179,10 +179,17 @@
             await group.spawn(self._wait_for_stop, signals)
             await group.spawn(self._loops.wait_failed)
         await self._drain()
+        abandoned, unanswered = len(self._submissions), self._http.in_flight
+        await self._perform(self._submissions.abandon(uptime()))
         await self._loops.cancel()
         await self._perform(self._leader.resign())
         await self._ports.close()
-        _log.info("Stopped", failed=self._loops.failed)
+        _log.info(
+            "Stopped",
+            failed=self._loops.failed,
+            abandoned=abandoned,
+            unanswered=unanswered,
+        )
         self._logs.flush()
         return 1 if self._loops.failed else 0
 
@@ -516,7 +523,12 @@
         """Hand over what this host leads and answer what is in flight."""
         self._leaving = True
         self._hosts.leave()
-        _log.info("ShutdownStarted", jobs=len(self._submissions))
+        _log.info(
+            "ShutdownStarted",
+            jobs=len(self._submissions),
+            connections=self._http.connections,
+            grace_s=self._settings.grace_s,
+        )
         await self._tick()
         limit_s = max(0.0, self._settings.grace_s - _EXIT_MARGIN_S)
         self._submissions.leave_at(uptime() + limit_s - _LAST_ANSWER_S)
--- a/packages/poplarhilld/src/poplarhilld/submissions/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/messages.py
@@ -91,3 +91,14 @@
     leader: str
     offers: int
     took_s: float
+
+
+class JobAbandoned(NamedTuple):
+    """Log line: the process ends before a caller has its answer."""
+
+    job: str
+    route: str
+    leader: str
+    offers: int
+    age_s: float
+    left_s: float
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -17,6 +17,7 @@
 from poplarhilld.submissions.choice import choose_leader
 from poplarhilld.submissions.messages import (
     AnswerCaller,
+    JobAbandoned,
     JobAnswered,
     LeaderChosen,
     LeaderView,
@@ -92,6 +93,24 @@
         failure = Failure(ErrorKind.STOPPED, "the caller has left")
         return self._answer(now, job, failure, withdraw=True)
 
+    def abandon(self, now: float) -> list[SubmissionAction]:
+        """Give up every job that is left: this process ends now."""
+        actions: list[SubmissionAction] = []
+        for job in list(self._jobs.values()):
+            submission = job.submission
+            self._forget(job)
+            abandoned = JobAbandoned(
+                submission.job_id,
+                submission.route.name,
+                job.leader,
+                job.offers,
+                round(now - job.received_at, 4),
+                round(job.deadline - now, 4),
+            )
+            actions.append(LogDecision(abandoned))
+            actions += self._withdraw(job)
+        return actions
+
     def cancelled(self, now: float, job_id: str) -> list[SubmissionAction]:
         """Answer the callers of a job that was cancelled."""
         actions: list[SubmissionAction] = []
@@ -225,11 +244,7 @@
         self, now: float, job: _Job, failure: Failure | None, withdraw: bool
     ) -> list[SubmissionAction]:
         submission = job.submission
-        del self._jobs[job.number]
-        numbers = self._by_id[submission.job_id]
-        numbers.discard(job.number)
-        if not numbers:
-            del self._by_id[submission.job_id]
+        self._forget(job)
         answered = JobAnswered(
             submission.job_id,
             submission.route.name,
@@ -240,7 +255,20 @@
             round(now - job.received_at, 4),
         )
         actions: list[SubmissionAction] = [LogDecision(answered)]
-        if withdraw and job.leader:
-            withdrawn = JobWithdrawn(submission.job_id)
-            actions.append(WithdrawFromLeader(job.leader, withdrawn))
+        if withdraw:
+            actions += self._withdraw(job)
         return [*actions, AnswerCaller(job.number, failure)]
+
+    def _forget(self, job: _Job) -> None:
+        job_id = job.submission.job_id
+        del self._jobs[job.number]
+        numbers = self._by_id[job_id]
+        numbers.discard(job.number)
+        if not numbers:
+            del self._by_id[job_id]
+
+    def _withdraw(self, job: _Job) -> list[SubmissionAction]:
+        if not job.leader:
+            return []
+        withdrawn = JobWithdrawn(job.submission.job_id)
+        return [WithdrawFromLeader(job.leader, withdrawn)]
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -7,6 +7,7 @@
 from poplarhill import ErrorKind
 from poplarhill.types import Resources
 from poplarhilld.catalogue import Route
+from poplarhilld.decisions import LogDecision
 from poplarhilld.peers import JobEnded, JobProgress, Load, StepSpec
 from poplarhilld.submissions import (
     AnswerCaller,
@@ -155,3 +156,18 @@
     submissions.leave_at(5.0)
     assert not kinds(submissions.tick(4.9), AnswerCaller)
     assert kinds(submissions.tick(5.0), AnswerCaller)
+
+
+def test_a_process_that_ends_names_the_jobs_that_it_leaves_unanswered(
+    submissions, submit
+) -> None:
+    submit(number=1, job_id="a", now=0.0)
+    submit(number=2, job_id="b", now=0.5)
+    actions = submissions.abandon(0.75)
+    lines = [action.decision for action in kinds(actions, LogDecision)]
+    assert [(line.job, line.leader, line.age_s) for line in lines] == [
+        ("a", "h1", 0.75),
+        ("b", "h1", 0.25),
+    ]
+    assert len(kinds(actions, WithdrawFromLeader)) == 2
+    assert not len(submissions)
