--- a/packages/poplarhill-dev/tests/adapter/conftest.py
+++ b/packages/poplarhill-dev/tests/adapter/conftest.py
@@ -46,9 +46,13 @@
 
 
 class Platform:
-    """The stand-ins and one entry host, all on one loop."""
+    """The stand-ins and one entry host, all on one loop.
 
-    def __init__(self) -> None:
+    Args:
+        settings: Settings of the entry host that differ from the usual ones.
+    """
+
+    def __init__(self, **settings: object) -> None:
         self.store = StandInStore()
         self.store_address = Address("127.0.0.1", free_port())
         self.workers = []
@@ -65,6 +69,7 @@
             peers=Address("127.0.0.1", free_port()),
             metrics=Address("127.0.0.1", free_port()),
             store=self.store_address,
+            **settings,
         )
         reading, self.log = os.pipe()
         os.set_blocking(reading, False)
@@ -115,3 +120,9 @@
 @pytest.fixture
 def platform() -> Platform:
     return Platform()
+
+
+@pytest.fixture
+def brief_platform() -> Platform:
+    """Return a platform that gives its entry host little time to stop."""
+    return Platform(grace_s=4.0)
--- a/packages/poplarhill/tests/http/test_server.py
+++ b/packages/poplarhill/tests/http/test_server.py
@@ -253,3 +253,30 @@
     assert b"connection: close" in during
     assert in_flight.endswith(b"in flight")
     assert seconds < LIMITS.idle_s
+
+
+def test_a_server_that_is_leaving_closes_connections_that_callers_keep_idle() -> None:
+    # Guards against callers that send over a kept connection to a host that is
+    # about to end: a request came 4.5 s after SIGTERM and was closed unanswered.
+    async def main():
+        served = Served()
+        serving = await curio.spawn(served.server.run, daemon=True)
+        idle = await curio.open_connection(HOST, served.port)
+        await idle.sendall(post("/", b"first"))
+        await idle.recv(65536)
+        waiting = await curio.spawn(served.talk, post("/wait", b"in flight"))
+        while not served.waiting:
+            await curio.sleep(0.01)
+        draining = await curio.spawn(served.server.drain)
+        closed = await curio.timeout_after(LIMITS.idle_s / 2, idle.recv, 1)
+        in_flight_then = served.waiting - served.cancelled
+        await served.go_on.set()
+        in_flight = await waiting.join()
+        await draining.join()
+        await serving.cancel()
+        return closed, in_flight_then, in_flight
+
+    closed, in_flight_then, in_flight = curio.run(main)
+    assert closed == b""
+    assert in_flight_then == 1
+    assert in_flight.endswith(b"in flight")
