Leave a busy loop time to write the last answers of a stop

Cause: it ended its loops 0.1 s after the moment at which it gives its last answers, so a loop that was late by more than that (long queues on a small host) closed connections whose answers were due.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -63,8 +63,8 @@
 _TEND_S = 5.0  # an idle connection costs a descriptor
 _SCOUT_S = 0.5  # a quarter of the time for which a data centre must be empty
 _BALANCER_S = 2.5  # it asks once a second, and acts on the second refusal
-_EXIT_MARGIN_S = 1.0  # leaves time to write the last lines
-_LAST_ANSWER_S = 0.1  # two ticks: the last answers are written before the end
+_LAST_ANSWER_S = 1.0  # before SIGKILL; a busy loop was seen to be late by 0.04 s
+_EXIT_MARGIN_S = 0.3  # before SIGKILL; leaves time to write the last lines
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
 _log = structlog.get_logger()
@@ -521,6 +521,7 @@
 
     async def _drain(self) -> None:
         """Hand over what this host leads and answer what is in flight."""
+        begin = uptime()
         self._leaving = True
         self._hosts.leave()
         _log.info(
@@ -530,9 +531,10 @@
             grace_s=self._settings.grace_s,
         )
         await self._tick()
-        limit_s = max(0.0, self._settings.grace_s - _EXIT_MARGIN_S)
-        self._submissions.leave_at(uptime() + limit_s - _LAST_ANSWER_S)
-        async with curio.ignore_after(limit_s):
+        killed_at = begin + self._settings.grace_s
+        self._submissions.leave_at(max(begin, killed_at - _LAST_ANSWER_S))
+        left_s = killed_at - _EXIT_MARGIN_S - uptime()
+        async with curio.ignore_after(max(0.0, left_s)):
             # The balancer goes on sending until it has seen twice that we leave.
             await curio.sleep(_BALANCER_S)
             await self._peers.flush()
