Close idle connections of a leaving host once the balancer has noticed

Cause: only a connection that carried an answer was closed during a stop. An idle one stayed open until the process ended, so its caller had no reason to go to another host. A request that has begun to arrive is served.

--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -44,6 +44,7 @@
         self._sock = curio.tcp_server_socket(host, port, backlog=_BACKLOG)
         self._max_open = resource.getrlimit(resource.RLIMIT_NOFILE)[0] // 2
         self._open = 0
+        self._waiting: set[Session] = set()
         self._closing = False
         self._busy = 0
         self._idle = curio.Event()
@@ -77,10 +78,12 @@
     async def drain(self) -> None:
         """Answer what is in flight, closing each connection after its answer.
 
-        Requests that arrive meanwhile are still handled. Idle connections are
-        not waited for.
+        Idle connections are closed at once, so that callers go elsewhere.
+        Requests that arrive meanwhile are still handled.
         """
         self._closing = True
+        for session in self._waiting:
+            session.close_idle()
         await self._wait_idle()
         await curio.sleep(_LINGER_S)
         await self._wait_idle()
@@ -122,7 +125,7 @@
             failure = Failure(ErrorKind.OVERLOADED, detail, _OVERLOAD_RETRY_S)
             await session.refuse(failure)
         while session.reusable:
-            await curio.timeout_after(self._limits.idle_s, session.wait_for_data)
+            await self._wait_for_data(session)
             try:
                 request = await session.receive()
             except RefusedError as refused:
@@ -130,6 +133,13 @@
                 return
             await self._answer(session, request)
 
+    async def _wait_for_data(self, session: Session) -> None:
+        self._waiting.add(session)
+        try:
+            await curio.timeout_after(self._limits.idle_s, session.wait_for_data)
+        finally:
+            self._waiting.discard(session)
+
     async def _answer(self, session: Session, request: Request) -> None:
         self._busy += 1
         try:
--- a/packages/poplarhill/src/poplarhill/http/session.py
+++ b/packages/poplarhill/src/poplarhill/http/session.py
@@ -65,6 +65,16 @@
         if not self._http.trailing_data[0]:
             await self._read()
 
+    def close_idle(self) -> None:
+        """End the wait for the next request, unless one has begun to arrive."""
+        sock = self._client._socket
+        # The caller may have closed first; then the wait ends by itself.
+        with contextlib.suppress(OSError):
+            try:
+                sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                sock.shutdown(socket.SHUT_RD)
+
     async def receive(self) -> Request:
         """Return the next request, whole.
 
