Parse addresses in one place

Three copies (settings, heartbeats, command line) checked the same text differently; the command line now refuses what is no IP address when it reads the option.

--- a/packages/poplarhill/src/poplarhill/cli/_publishing.py
+++ b/packages/poplarhill/src/poplarhill/cli/_publishing.py
@@ -8,7 +8,7 @@
 import click
 import curio
 
-from poplarhill.cli._support import HTTP_TIMEOUT_S, Address, bad_request
+from poplarhill.cli._support import HTTP_TIMEOUT_S, AddressType, bad_request
 from poplarhill.configuration import (
     Accepted,
     Change,
@@ -24,7 +24,7 @@
 
 platform_option = click.option(
     "--platform",
-    type=Address(),
+    type=AddressType(),
     envvar="POPLARHILL_PLATFORM",
     required=True,
     help="Address of the platform's log service.",
--- a/packages/poplarhill/src/poplarhill/cli/_support.py
+++ b/packages/poplarhill/src/poplarhill/cli/_support.py
@@ -17,6 +17,7 @@
     Response,
     fetch,
 )
+from poplarhill.types import Address
 
 HTTP_TIMEOUT_S = 5.0
 _HTTP_OK = range(200, 300)
@@ -35,26 +36,26 @@
             sys.exit(error.exit_code)
 
 
-class Address(click.ParamType):
-    """An `IP:PORT` value, converted to a pair of host and port."""
+class AddressType(click.ParamType):
+    """An `IP:PORT` value."""
 
     name = "ip:port"
 
     def convert(
         self, value: Any, param: click.Parameter | None, ctx: click.Context | None
-    ) -> tuple[str, int]:
+    ) -> Address:
         """Convert the text of an option."""
-        if isinstance(value, tuple):
+        if isinstance(value, Address):
             return value
-        host, separator, port = value.rpartition(":")
-        if not (host and separator and port.isdigit()):
-            self.fail(f"{value!r} is not IP:PORT", param, ctx)
-        return host, int(port)
+        try:
+            return Address.from_text(value)
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
 
 
 host_option = click.option(
     "--host",
-    type=Address(),
+    type=AddressType(),
     envvar="POPLARHILL_HOST",
     required=True,
     help="Entry host to ask.",
--- a/packages/poplarhill/src/poplarhill/types.py
+++ b/packages/poplarhill/src/poplarhill/types.py
@@ -16,6 +16,21 @@
     host: str
     port: int
 
+    @classmethod
+    def from_text(cls, text: str) -> "Address":
+        """Return the address written as `ip:port`.
+
+        Raises:
+            ValueError: It is not written so.
+        """
+        host, _, port = text.rpartition(":")
+        parts = host.split(".")
+        if len(parts) != 4 or not all(p.isdecimal() and int(p) < 256 for p in parts):
+            raise ValueError(f"{text!r} is not an IP address and a port")
+        if not port.isdecimal() or not 0 < int(port) < 65536:
+            raise ValueError(f"{text!r} has no port from 1 to 65535")
+        return cls(host, int(port))
+
 
 class TaskId(NamedTuple):
     """One task of one submission.
--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -72,13 +72,13 @@
         addresses: dict[str, Address] = {}
         for name in ("callers", "readiness", "peers", "metrics", "store"):
             try:
-                addresses[name] = parse_address(getattr(fields, name))
+                addresses[name] = Address.from_text(getattr(fields, name))
             except ValueError as error:
                 problems.append(f"$.{name}: {error}")
         seeds = []
         for text in filter(None, fields.seeds.split(",")):
             try:
-                seeds.append(parse_address(text))
+                seeds.append(Address.from_text(text))
             except ValueError as error:
                 problems.append(f"$.seeds: {error}")
         lease_s = fields.lease_ms / _MS
@@ -112,18 +112,3 @@
         except (OSError, msgspec.DecodeError) as error:
             raise SettingsError((f"{path}: {error}",)) from error
         return cls.from_config(value)
-
-
-def parse_address(text: str) -> Address:
-    """Return the address written as `ip:port`.
-
-    Raises:
-        ValueError: It is not written so.
-    """
-    host, _, port = text.rpartition(":")
-    parts = host.split(".")
-    if len(parts) != 4 or not all(p.isdecimal() and int(p) < 256 for p in parts):
-        raise ValueError(f"{text!r} is not an IP address and a port")
-    if not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} has no port from 1 to 65535")
-    return Address(host, int(port))
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -156,7 +156,7 @@
         if name == self._me.name:
             return []
         try:
-            told = [_parse(text) for text in beat.known]
+            told = [Address.from_text(text) for text in beat.known]
         except ValueError as error:
             return [LogDecision(HeartbeatIgnored(name, str(error)[:_MOST_REASON]))]
         known = self._peers.get(name)
@@ -456,10 +456,3 @@
                 SendBeat(address, beat._replace(known=known) if full else beat)
             )
         return actions
-
-
-def _parse(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError(f"{text!r} is not an address")
-    return Address(host, int(port))
