--- a/packages/poplarhill-dev/tests/adapter/test_stop.py
+++ b/packages/poplarhill-dev/tests/adapter/test_stop.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from poplarhill.http import Connection, IdleState, Limits, Request
+from poplarhilld.leading import Leader
 
 NEVER_ENDS_S = 30.0
 
@@ -92,3 +93,60 @@
         assert (await asking.join()).status == (await keeping.join()).status == 504
 
     platform.play(scene)
+
+
+def test_a_leaving_host_that_wakes_after_its_end_still_writes_its_last_answers(
+    brief_platform,
+) -> None:
+    # Guards against closing connections with answers that are due: a host that
+    # stood still while its last answers came due ended before it wrote them.
+    grace_s = brief_platform.settings.grace_s
+
+    async def scene(platform) -> None:
+        connection = await kept_connection(platform)
+        os.kill(os.getpid(), signal.SIGTERM)
+        stopped_at = time.monotonic()
+        await curio.sleep(stopped_at + grace_s - 2.8 - time.monotonic())
+        asking = await curio.spawn(connection.exchange, submission(2, NEVER_ENDS_S))
+        await curio.sleep(stopped_at + grace_s - 1.4 - time.monotonic())
+        time.sleep(max(0.0, stopped_at + grace_s - 0.2 - time.monotonic()))
+        assert (await asking.join()).status == 504
+
+    brief_platform.play(scene)
+
+
+def test_a_host_whose_loop_fails_answers_what_is_in_flight(
+    platform, monkeypatch
+) -> None:
+    # Guards against closing connections with jobs on them when a loop fails: the
+    # drain failed the same way, and the process ended at once.
+    def fail(leader: Leader, now: float) -> None:
+        raise RuntimeError("a bug")
+
+    async def scene(platform) -> None:
+        connection = await kept_connection(platform)
+        asking = await curio.spawn(connection.exchange, submission(2, NEVER_ENDS_S))
+        await curio.sleep(0.2)
+        monkeypatch.setattr(Leader, "tick", fail)
+        answer = await curio.timeout_after(1.0, asking.join)
+        assert answer.status == 500
+        assert msgspec.json.decode(answer.body)["error"]["kind"] == "internal"
+
+    platform.play(scene)
+    assert platform.exit_code == 1
+
+
+def test_a_leaving_host_closes_connections_after_their_answers_from_the_first(
+    platform,
+) -> None:
+    # Guards against callers that keep a connection through the stop and send on it
+    # in the moment in which the host closes it: such a request had no answer.
+    async def scene(platform) -> None:
+        connection = await kept_connection(platform)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await curio.sleep(0.2)
+        answer = await connection.exchange(submission(2, 0.05))
+        assert answer.status == 200
+        assert answer.headers["connection"] == "close"
+
+    platform.play(scene)
--- a/packages/poplarhill/tests/http/test_server.py
+++ b/packages/poplarhill/tests/http/test_server.py
@@ -17,8 +17,8 @@
 class Served:
     """A server whose handler echoes, fails, or waits until it is cancelled."""
 
-    def __init__(self) -> None:
-        self.server = HttpServer(HOST, 0, self.handle, LIMITS)
+    def __init__(self, limits: Limits = LIMITS) -> None:
+        self.server = HttpServer(HOST, 0, self.handle, limits)
         self.port = self.server.port
         self.cancelled = 0
         self.waiting = 0
@@ -280,3 +280,54 @@
     assert closed == b""
     assert in_flight_then == 1
     assert in_flight.endswith(b"in flight")
+
+
+def test_a_request_that_comes_just_after_its_connection_was_closed_is_served() -> None:
+    # Guards against taking the end that a leaving server puts to an idle connection
+    # for the caller's: the request was started, given up and answered as such.
+    async def main():
+        served = Served()
+        serving = await curio.spawn(served.server.run, daemon=True)
+        idle = await curio.open_connection(HOST, served.port)
+        await idle.sendall(post("/", b"first"))
+        await idle.recv(65536)
+        draining = await curio.spawn(served.server.drain)
+        asking = await curio.spawn(idle.sendall, post("/wait", b"second"))
+        while not served.waiting:
+            await curio.sleep(0.01)
+        await curio.sleep(0.05)
+        cancelled = served.cancelled
+        await served.go_on.set()
+        answer = await idle.recv(65536)
+        for task in (asking, draining):
+            await task.join()
+        await serving.cancel()
+        return cancelled, answer
+
+    cancelled, answer = curio.run(main)
+    assert not cancelled
+    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"second")
+
+
+def test_draining_waits_for_the_rest_of_a_request_that_has_begun_to_arrive() -> None:
+    # Guards against closing a connection in the middle of a request though nothing
+    # hurries the server: it looked only for requests that had come whole.
+    async def main():
+        served = Served(LIMITS._replace(receive_s=5.0))
+        serving = await curio.spawn(served.server.run, daemon=True)
+        caller = await curio.open_connection(HOST, served.port)
+        request = post("/", b"in two parts")
+        await caller.sendall(request[:-5])
+        await curio.sleep(0.05)
+        draining = await curio.spawn(served.server.drain)
+        await curio.sleep(0.5)
+        waited = not draining.terminated
+        await caller.sendall(request[-5:])
+        answer = await caller.recv(65536)
+        await draining.join()
+        await serving.cancel()
+        return waited, answer
+
+    waited, answer = curio.run(main)
+    assert waited
+    assert answer.endswith(b"in two parts")
