Serve a request that comes just after its idle connection was closed

What callers saw (a volley of requests around the moment in which a leaving host closes idle connections, 60 callers within 10 ms, three plays): 0, 3 and 10 of 60 got 499, "the caller closed its side of the connection", after their job had been offered. Such an answer is final, so the platform's callers don't ask again. Cause: idle connections are ended by SHUT_RD. Linux still delivers what comes after it, so a request that arrives before the session's task runs is read and started; the watch for hang-ups then reads the end that the server itself had put there. Now a session that closed its reading side doesn't take that end for its caller's.

--- a/packages/poplarhill/src/poplarhill/http/session.py
+++ b/packages/poplarhill/src/poplarhill/http/session.py
@@ -54,6 +54,7 @@
         self._http = h11.Connection(h11.SERVER, limits.header_bytes)
         self._pipelined = 0
         self._bodiless = False
+        self._closed_idle = False
 
     @property
     def reusable(self) -> bool:
@@ -73,6 +74,7 @@
             try:
                 sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
             except BlockingIOError:
+                self._closed_idle = True
                 sock.shutdown(socket.SHUT_RD)
 
     async def receive(self) -> Request:
@@ -134,6 +136,9 @@
         while self._pipelined <= _MAX_PIPELINED_BYTES:
             data = await self._client.recv(_READ_BYTES)
             if not data:
+                # A request may still come after `close_idle`; its end is not told.
+                if self._closed_idle:
+                    break
                 return
             self._pipelined += len(data)
             self._http.receive_data(data)
