Wait in a drain for requests that have begun to arrive

What callers saw (a request in two parts, or one that waits to be asked for its body, around the drain of a host with nothing else in flight): the connection was closed in the middle of the request, 2.7 s after SIGTERM, with 3 s of the grace left. Cause: a drain looked only for requests that had come whole. Now it looks for those that have begun to arrive as well; an arrival is limited by `receive_s`, and an entry host's drain by its grace. A drain also looks again after its wait, as a request may have begun between the last answer and the moment it runs.

--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -47,6 +47,7 @@
         self._waiting: set[Session] = set()
         self._closing = False
         self._busy = 0
+        self._in_flight = 0
         self._idle = curio.Event()
 
     @property
@@ -62,7 +63,7 @@
     @property
     def in_flight(self) -> int:
         """Count of requests that were read whole and are not answered."""
-        return self._busy
+        return self._in_flight
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
@@ -79,7 +80,8 @@
         """Answer what is in flight, closing each connection after its answer.
 
         Idle connections are closed at once, so that callers go elsewhere.
-        Requests that arrive meanwhile are still handled.
+        Requests that arrive meanwhile are still handled; one that has begun to
+        arrive is waited for.
         """
         self._closing = True
         for session in self._waiting:
@@ -89,7 +91,7 @@
         await self._wait_idle()
 
     async def _wait_idle(self) -> None:
-        if self._busy:
+        while self._busy:
             self._idle.clear()
             await self._idle.wait()
 
@@ -126,12 +128,21 @@
             await session.refuse(failure)
         while session.reusable:
             await self._wait_for_data(session)
+            self._busy += 1
             try:
-                request = await session.receive()
-            except RefusedError as refused:
-                await session.refuse(refused.failure)
-                return
-            await self._answer(session, request)
+                await self._serve_one(session)
+            finally:
+                self._busy -= 1
+                if not self._busy:
+                    await self._idle.set()
+
+    async def _serve_one(self, session: Session) -> None:
+        try:
+            request = await session.receive()
+        except RefusedError as refused:
+            await session.refuse(refused.failure)
+            return
+        await self._answer(session, request)
 
     async def _wait_for_data(self, session: Session) -> None:
         self._waiting.add(session)
@@ -141,14 +152,12 @@
             self._waiting.discard(session)
 
     async def _answer(self, session: Session, request: Request) -> None:
-        self._busy += 1
+        self._in_flight += 1
         try:
             response = await self._handle(session, request)
             await session.send(response, close=self._closing)
         finally:
-            self._busy -= 1
-            if not self._busy:
-                await self._idle.set()
+            self._in_flight -= 1
 
     async def _handle(self, session: Session, request: Request) -> Response:
         async with curio.TaskGroup(wait=any) as group:
