Write the last answers of a host that stood still at its end

What callers saw: a host that stood still for 1.2 s while its last answers came due, and woke after the moment at which it ends, closed the connections of the jobs that it had in flight. Cause: the end of the drain and the tick that gives the last answers were both overdue then, and the loops were ended before the answers could be written. The margin between the two (0.7 s) covers lateness below it only. Now what is due is answered once more after the drain, and up to 0.1 s of the last 0.3 s is left to write it; a drain that ended in order doesn't wait.

--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -86,11 +86,12 @@
         self._closing = True
         for session in self._waiting:
             session.close_idle()
-        await self._wait_idle()
+        await self.wait_idle()
         await curio.sleep(_LINGER_S)
-        await self._wait_idle()
+        await self.wait_idle()
 
-    async def _wait_idle(self) -> None:
+    async def wait_idle(self) -> None:
+        """Return when no request is arriving or in flight."""
         while self._busy:
             self._idle.clear()
             await self._idle.wait()
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -65,6 +65,7 @@
 _BALANCER_S = 2.5  # it asks once a second, and acts on the second refusal
 _LAST_ANSWER_S = 1.0  # before SIGKILL; a busy loop was seen to be late by 0.04 s
 _EXIT_MARGIN_S = 0.3  # before SIGKILL; leaves time to write the last lines
+_LAST_WRITE_S = 0.1  # a third of the margin; an answer is written within a few ms
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
 _log = structlog.get_logger()
@@ -539,6 +540,10 @@
             await curio.sleep(_BALANCER_S)
             await self._peers.flush()
             await self._http.drain()
+        # A host that stood still until now has not given its last answers yet.
+        await self._perform(self._submissions.tick(uptime()))
+        async with curio.ignore_after(_LAST_WRITE_S):
+            await self._http.wait_idle()
 
     async def _answer_readiness(self, request: Request) -> Response:
         ready = self.ready
