Answer what is in flight when a loop of an entry host fails

What callers saw (the tick loop fails by a bug, one job in flight): the process ended with a traceback and closed the connection unanswered. Cause: a failed loop leads to the same drain as SIGTERM, and that begins with a tick, which fails like the loop did; and where the tick is sound, jobs waited for their own limits or for the end of the grace. Now every job in flight is answered with an internal error as soon as a loop has failed, before or during a stop, as `poplarhilld.daemon` does, and the drain of a failed host doesn't tick.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -68,6 +68,7 @@
 _LAST_WRITE_S = 0.1  # a third of the margin; an answer is written within a few ms
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
+_FAULT = Failure(ErrorKind.INTERNAL, "a fault of this process")
 _log = structlog.get_logger()
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -531,7 +532,9 @@
             connections=self._http.connections,
             grace_s=self._settings.grace_s,
         )
-        await self._tick()
+        answering = await curio.spawn(self._answer_after_failure, daemon=True)
+        if not self._loops.failed:
+            await self._tick()
         killed_at = begin + self._settings.grace_s
         self._submissions.leave_at(max(begin, killed_at - _LAST_ANSWER_S))
         left_s = killed_at - _EXIT_MARGIN_S - uptime()
@@ -544,6 +547,15 @@
         await self._perform(self._submissions.tick(uptime()))
         async with curio.ignore_after(_LAST_WRITE_S):
             await self._http.wait_idle()
+        await answering.cancel()
+
+    async def _answer_after_failure(self) -> None:
+        """Answer every job in flight once a loop has failed.
+
+        What was decided may be wrong then, so no leader is told.
+        """
+        await self._loops.wait_failed()
+        await self._perform(self._submissions.fail(uptime(), _FAULT))
 
     async def _answer_readiness(self, request: Request) -> Response:
         ready = self.ready
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -93,6 +93,13 @@
         failure = Failure(ErrorKind.STOPPED, "the caller has left")
         return self._answer(now, job, failure, withdraw=True)
 
+    def fail(self, now: float, failure: Failure) -> list[SubmissionAction]:
+        """Answer every job with a failure of this process."""
+        actions: list[SubmissionAction] = []
+        for job in list(self._jobs.values()):
+            actions += self._answer(now, job, failure, withdraw=False)
+        return actions
+
     def abandon(self, now: float) -> list[SubmissionAction]:
         """Give up every job that is left: this process ends now."""
         actions: list[SubmissionAction] = []
