--- a/packages/poplarhill-dev/tests/adapter/test_stop.py
+++ b/packages/poplarhill-dev/tests/adapter/test_stop.py
@@ -8,7 +8,20 @@
 import msgspec
 
 from poplarhill.http import Connection, IdleState, Limits, Request
+from poplarhill.types import Address, Resources
+from poplarhill_dev.loopback import free_port
 from poplarhilld.leading import Leader
+from poplarhilld.peers import (
+    Beat,
+    JobEnded,
+    JobOffer,
+    JobReport,
+    OfferedJob,
+    PeerLinks,
+    StepSpec,
+)
+from poplarhilld.peers.codec import Envelope
+from poplarhilld.submissions.state import REPEAT_S
 
 NEVER_ENDS_S = 30.0
 
@@ -23,6 +36,51 @@
     return Request("POST", f"/r0/{number:016x}", "", {}, job(run_s))
 
 
+class Peer:
+    """A host that leads nothing, leaves as well, and offers one job."""
+
+    def __init__(self, target: Address) -> None:
+        self.reports: list[JobReport] = []
+        self._target = target
+        self._address = Address("127.0.0.1", free_port())
+        self._links = PeerLinks("h2", self._address, self._receive)
+
+    async def _receive(self, envelope: Envelope) -> None:
+        if isinstance(envelope.message, JobReport):
+            self.reports.append(envelope.message)
+
+    async def beat(self) -> None:
+        """Say for ever that this host hears the other one and is leaving."""
+        await curio.spawn(self._links.run, daemon=True)
+        beat = Beat(*self._address, "dc1", 1, 1.0, able=True, leaving=True)
+        while True:
+            await self._links.send(self._target, beat._replace(heard=("h1",)))
+            await curio.sleep(0.1)
+
+    async def offer(self, run_s: float) -> None:
+        """Offer a job for ever, as an entry host does until it has an outcome."""
+        spec = msgspec.json.encode({"run_s": run_s}).decode()
+        steps = (StepSpec(1, Resources(6.8, 64, 0), run_s),)
+        begin = time.monotonic()
+        while True:
+            elapsed_s = time.monotonic() - begin
+            offer = JobOffer(
+                f"{9:016x}",
+                "r-0",
+                "booking",
+                spec,
+                steps,
+                0,
+                2,
+                1.6,
+                0.06,
+                elapsed_s,
+                NEVER_ENDS_S - elapsed_s,
+            )
+            await self._links.send(self._target, OfferedJob(1, offer))
+            await curio.sleep(REPEAT_S)
+
+
 async def kept_connection(platform) -> Connection:
     """Return a connection over which one job was served."""
     while not platform.host.ready:
@@ -150,3 +208,44 @@
         assert answer.headers["connection"] == "close"
 
     platform.play(scene)
+
+
+def test_a_leader_that_ends_does_not_call_a_started_job_not_run(
+    brief_platform,
+) -> None:
+    # Guards against answering offers when the workers are let go already: a started
+    # job was refused as not run, and its caller was told so.
+    async def scene(platform) -> None:
+        await kept_connection(platform)
+        peer = Peer(platform.settings.peers)
+        await curio.spawn(peer.beat, daemon=True)
+        await curio.sleep(0.5)
+        await curio.spawn(peer.offer, NEVER_ENDS_S, daemon=True)
+        while not any(worker.worker.running for worker in platform.workers):
+            await curio.sleep(0.02)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await curio.sleep(platform.settings.grace_s + 0.5)
+        ends = [report for report in peer.reports if isinstance(report, JobEnded)]
+        assert not [end for end in ends if end.not_run]
+
+    brief_platform.play(scene)
+
+
+def test_the_last_leader_stays_until_the_jobs_of_other_hosts_have_ended(
+    platform,
+) -> None:
+    # Guards against a leader that ends, as nothing of its own is in flight, with
+    # jobs of hosts that it had taken and that no other host can lead.
+    async def scene(platform) -> None:
+        await kept_connection(platform)
+        peer = Peer(platform.settings.peers)
+        await curio.spawn(peer.beat, daemon=True)
+        await curio.sleep(0.5)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await curio.sleep(0.5)
+        await curio.spawn(peer.offer, 3.0, daemon=True)
+        await curio.sleep(platform.settings.grace_s - 1.0)
+        ends = [report for report in peer.reports if isinstance(report, JobEnded)]
+        assert [end.error for end in ends[:1]] == [""]
+
+    platform.play(scene)
