Take no frames once the links of a host have ended

Cause: the loop that accepts peers was ended, the receivers of the connections that it had accepted were not. So a leader that had let its workers go still got the offers that entry hosts repeat each 0.3 s, found no worker, and refused the job as not run. An offer that comes to a leader after its end now gets no answer, and its host goes to the next leader, where a job that was handed over is never called not run. Ruled out: the refusals of the leaders that followed (their handovers are above 0).

--- a/packages/poplarhilld/src/poplarhilld/peers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/links.py
@@ -57,7 +57,7 @@
         self._source = source
         self._sock = curio.tcp_server_socket(*listen)
         self._links: dict[Address, PeerLink] = {}
-        self._incoming = 0
+        self._receiving: set[curio.Task] = set()
 
     @property
     def dropped(self) -> int:
@@ -65,14 +65,14 @@
         return sum(link.dropped for link in self._links.values())
 
     async def run(self) -> None:
-        """Accept peers' connections until cancelled."""
-        async with self._sock:
-            while True:
-                client, _ = await self._sock.accept()
-                if self._incoming >= _MAX_INCOMING:
-                    await client.close()
-                    continue
-                await curio.spawn(self._receive, client, daemon=True)
+        """Receive frames until cancelled."""
+        try:
+            async with self._sock:
+                while True:
+                    await self._accept()
+        finally:
+            for task in list(self._receiving):
+                await task.cancel()
 
     async def send(self, address: Address, message: Message) -> None:
         """Queue a frame for a peer."""
@@ -89,6 +89,13 @@
             for link in list(self._links.values()):
                 await link.flushed()
 
+    async def _accept(self) -> None:
+        client, _ = await self._sock.accept()
+        if len(self._receiving) >= _MAX_INCOMING:
+            await client.close()
+            return
+        self._receiving.add(await curio.spawn(self._receive, client, daemon=True))
+
     async def _run_link(self, link: PeerLink) -> None:
         try:
             await link.run()
@@ -96,7 +103,6 @@
             self._links.pop(link.address, None)
 
     async def _receive(self, client: curio.io.Socket) -> None:
-        self._incoming += 1
         stream = client.as_stream()
         try:
             async with client:
@@ -104,7 +110,7 @@
                     while True:
                         await self._receive_one(stream)
         finally:
-            self._incoming -= 1
+            self._receiving.discard(await curio.current_task())
 
     async def _receive_one(self, stream: curio.io.SocketStream) -> None:
         length = int.from_bytes(await stream.read_exactly(LENGTH_BYTES), "big")
