Lead to the end of a stop where no other host can take over

Now a leaving host that still leads (so no host that stays can) and hears others ends with its grace, or when the others are gone.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -543,12 +543,18 @@
             await curio.sleep(_BALANCER_S)
             await self._peers.flush()
             await self._http.drain()
+            await self._lead_to_the_end()
         # A host that stood still until now has not given its last answers yet.
         await self._perform(self._submissions.tick(uptime()))
         async with curio.ignore_after(_LAST_WRITE_S):
             await self._http.wait_idle()
         await answering.cancel()
 
+    async def _lead_to_the_end(self) -> None:
+        """Lead as long as other hosts live of which none can take over."""
+        while self._hosts.claims and self._hosts.live and not self._loops.failed:
+            await curio.sleep(_TICK_S)
+
     async def _answer_after_failure(self) -> None:
         """Answer every job in flight once a loop has failed.
 
