Close connections after their answers from SIGTERM on

Cause: for 2.5 s after SIGTERM answers kept their connections open, so nearly all of them were still kept when the idle ones were closed. Now each answer of a leaving host closes its connection, as told by `connection: close`, and only those that carry nothing for 2.5 s are closed idle. A request that is on the wire while its connection is closed can't be told from one that comes later, so the rest stays.

--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -76,6 +76,10 @@
                 await reaper.cancel()
                 await group.cancel_remaining()
 
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer, from now on."""
+        self._closing = True
+
     async def drain(self) -> None:
         """Answer what is in flight, closing each connection after its answer.
 
@@ -83,7 +87,7 @@
         Requests that arrive meanwhile are still handled; one that has begun to
         arrive is waited for.
         """
-        self._closing = True
+        self.close_after_answers()
         for session in self._waiting:
             session.close_idle()
         await self.wait_idle()
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -526,6 +526,7 @@
         begin = uptime()
         self._leaving = True
         self._hosts.leave()
+        self._http.close_after_answers()
         _log.info(
             "ShutdownStarted",
             jobs=len(self._submissions),
