--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -65,8 +65,10 @@
 _BALANCER_S = 2.5  # it asks once a second, and acts on the second refusal
 _LAST_ANSWER_S = 1.0  # before SIGKILL; a busy loop was seen to be late by 0.04 s
 _EXIT_MARGIN_S = 0.3  # before SIGKILL; leaves time to write the last lines
+_LAST_WRITE_S = 0.1  # a third of the margin; an answer is written within a few ms
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
+_FAULT = Failure(ErrorKind.INTERNAL, "a fault of this process")
 _log = structlog.get_logger()
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -532,7 +534,9 @@
             connections=self._http.connections,
             grace_s=self._settings.grace_s,
         )
-        await self._tick()
+        answering = await curio.spawn(self._answer_after_failure, daemon=True)
+        if not self._loops.failed:
+            await self._tick()
         killed_at = begin + self._settings.grace_s
         self._submissions.leave_at(max(begin, killed_at - _LAST_ANSWER_S))
         left_s = killed_at - _EXIT_MARGIN_S - uptime()
@@ -541,6 +545,25 @@
             await curio.sleep(_BALANCER_S)
             await self._peers.flush()
             await self._http.drain()
+            await self._lead_to_the_end()
+        # A host that stood still until now has not given its last answers yet.
+        await self._perform(self._submissions.tick(uptime()))
+        async with curio.ignore_after(_LAST_WRITE_S):
+            await self._http.wait_idle()
+        await answering.cancel()
+
+    async def _lead_to_the_end(self) -> None:
+        """Lead as long as other hosts live of which none can take over."""
+        while self._hosts.claims and self._hosts.live and not self._loops.failed:
+            await curio.sleep(_TICK_S)
+
+    async def _answer_after_failure(self) -> None:
+        """Answer every job in flight once a loop has failed.
+
+        What was decided may be wrong then, so no leader is told.
+        """
+        await self._loops.wait_failed()
+        await self._perform(self._submissions.fail(uptime(), _FAULT))
 
     async def _answer_readiness(self, request: Request) -> Response:
         ready = self.ready
