Lead a large fleet by one host of each data centre

A data centre of 44 is led by two hosts, and wide jobs wait at one while the other has room. And where one host knew the list of workers first, it claimed all shards (the others told that they are not able yet), and no rule took any from it: one host of 30 for 176 workers.

A leader may now lead 80 workers. In a fleet larger than that, shards gather in their data centre first, leaders of two data centres do not merge, nobody takes a data centre from afar that has hosts until they have had 2 s to do so, and shards that are led from afar go back to hosts beside them after 3 s. Small fleets are led as before.

Heartbeats fall with the count of leaders.

--- a/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import NamedTuple
@@ -34,6 +35,8 @@
         priority: 0 goes first.
         worth: What one is worth in time.
         max_attempts: Failed runs after which a task has failed.
+        cores: Mean of the cores that a task takes.
+        most_cores: Most that one takes.
     """
 
     name: str
@@ -44,6 +47,8 @@
     priority: int
     worth: float
     max_attempts: int
+    cores: float = 6.8
+    most_cores: float = 10.0
 
 
 KINDS = (
@@ -54,12 +59,29 @@
 
 
 @dataclass
-class _Submitted:
+class Submitted:
+    """A job that a caller has submitted.
+
+    Attributes:
+        kind: Its kind.
+        at: When, s.
+        objective_s: Time within which its answer is in time, s.
+        size: Work of all its tasks, s.
+    """
+
     kind: Kind
     at: float
     objective_s: float
     size: float
 
+    @classmethod
+    def of(
+        cls, job: SimulatedJob, kind: Kind, at: float, chain_s: float
+    ) -> "Submitted":
+        """Return what the score needs of a job whose longest task takes `chain_s`."""
+        size = sum(step.count for step in job.offer.steps) * job.run_s
+        return cls(kind, at, 1.6 * chain_s + 0.06, size)
+
 
 class KindScore(NamedTuple):
     """How jobs of a kind fared.
@@ -95,21 +117,23 @@
     world = World(_workers(random), seed)
     world.add_leader("h1", 1)
     world.run(0.3)
-    submitted: dict[str, _Submitted] = {}
+    submitted: dict[str, Submitted] = {}
     begin = world.now
-    for number, (at, kind) in enumerate(_arrivals(random, load, outage_s)):
-        job, _ = _job(random, kind, f"resent{number}", waited_s=outage_s - at)
+    for number, (at, kind) in enumerate(arrivals(random, KINDS, load, outage_s)):
+        job, _ = draw_job(random, kind, f"resent{number}", waited_s=outage_s - at)
         world.submit("h1", job)
-    for number, (at, kind) in enumerate(_arrivals(random, load, seconds)):
+    for number, (at, kind) in enumerate(arrivals(random, KINDS, load, seconds)):
         if begin + at > world.now:
             world.run(begin + at - world.now)
-        job, chain_s = _job(random, kind, f"j{number}")
-        objective_s = 1.6 * chain_s + 0.06
-        size = sum(step.count for step in job.offer.steps) * job.run_s
-        submitted[job.offer.job_id] = _Submitted(kind, world.now, objective_s, size)
+        job, chain_s = draw_job(random, kind, f"j{number}")
+        submitted[job.offer.job_id] = Submitted.of(job, kind, world.now, chain_s)
         world.submit("h1", job)
     world.run(2.0)
-    return _score(world, submitted)
+    ended: dict[str, float] = {}
+    for at, _, report in world.reports:
+        if getattr(report, "error", None) == "":
+            ended.setdefault(report.job_id, at)
+    return score(KINDS, submitted, ended)
 
 
 def _workers(random: Random) -> list[SimulatedWorker]:
@@ -124,9 +148,12 @@
     return workers
 
 
-def _arrivals(random: Random, load: float, seconds: float) -> list[tuple[float, Kind]]:
+def arrivals(
+    random: Random, kinds: Iterable[Kind], load: float, seconds: float
+) -> list[tuple[float, Kind]]:
+    """Draw when jobs come, s, in order."""
     found = []
-    for kind in KINDS:
+    for kind in kinds:
         at = 0.0
         while True:
             at += random.expovariate(kind.share * load)
@@ -142,12 +169,14 @@
     return min(most, random.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma))
 
 
-def _job(
+def draw_job(
     random: Random, kind: Kind, name: str, waited_s: float = 0.0
 ) -> tuple[SimulatedJob, float]:
+    """Draw a job; also return the run time of its longest task, s."""
     count = max(1, round(_around(random, kind.tasks, 0.4, kind.most_tasks)))
     run_s = _around(random, kind.run_s, 0.4, 4 * kind.run_s)
-    cores = round(min(10.0, max(1.0, _around(random, 6.8, 0.2, 10.0))), 3)
+    drawn = _around(random, kind.cores, 0.2, kind.most_cores)
+    cores = round(max(1.0, drawn), 3)
     declared_s = run_s * math.exp(random.gauss(0.0, _DECLARED_ERROR))
     needs = Resources(cores, 64, 0)
     offer = JobOffer(
@@ -171,13 +200,20 @@
     return job, max(runs.values())
 
 
-def _score(world: World, submitted: dict[str, _Submitted]) -> dict[str, KindScore]:
-    ended: dict[str, float] = {}
-    for at, _, report in world.reports:
-        if getattr(report, "error", None) == "":
-            ended.setdefault(report.job_id, at)
+def score(
+    kinds: Iterable[Kind],
+    submitted: Mapping[str, Submitted],
+    ended: Mapping[str, float],
+) -> dict[str, KindScore]:
+    """Return how jobs of each kind fared.
+
+    Args:
+        kinds: The kinds.
+        submitted: Jobs by name.
+        ended: When the complete ones were answered, by name, s.
+    """
     scores = {}
-    for kind in KINDS:
+    for kind in kinds:
         jobs = {n: job for n, job in submitted.items() if job.kind is kind}
         took = {n: ended[n] - jobs[n].at for n in jobs if n in ended}
         good = sum(took[n] <= jobs[n].objective_s for n in took)
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -28,7 +28,7 @@
 LOST_S = 0.6  # four heartbeats; below half of the time until callers come back
 SLOW_BEAT_S = 0.5  # between hosts that lead nothing, in a large fleet
 SLOW_LOST_S = 2.0  # four of these
-MOST_WORKERS = 40  # of one leader; each takes two renewals a second and its tasks
+MOST_WORKERS = 80  # of one leader; 80 bring it some 700 tasks a second
 _SMALL_FLEET = 12  # hosts, below which all beat to each other quickly
 _MERGE_S = 3.0  # a leader is heard for so long before it gets what is led apart
 _CUT_S = 1.0  # a leader that reaches none of a shard's workers for so long drops it
@@ -249,13 +249,17 @@
                 self._claims[shard] = self._claims[shard]._replace(
                     workers=shards[shard]
                 )
-                actions += self._defend(now, shard, reached.get(shard))
+                actions += self._defend(now, shard, shards, reached.get(shard))
             elif able and self._is_eligible() and now >= self._settled_at:
                 actions += self._seek(now, time_s, shard, shards, reached.get(shard))
         return actions
 
     def _defend(
-        self, now: float, shard: str, reached_since: float | None
+        self,
+        now: float,
+        shard: str,
+        shards: Mapping[str, int],
+        reached_since: float | None,
     ) -> list[ShardAction]:
         """Give a shard up to whom it should belong."""
         if self._leaving and self._has_successor():
@@ -273,18 +277,42 @@
                 return self._yield(shard, "", "its data centre is cut off")
         else:
             self._unreached_since.pop(shard, None)
-        heir = self._merges_into(now)
+        all_workers = sum(shards.values())
+        if self._belongs_near(now, shard, all_workers):
+            return self._yield(shard, "", "its data centre has hosts")
+        heir = self._merges_into(now, all_workers)
         if heir is not None:
             return self._yield(shard, heir, "it leads more")
         return []
 
-    def _merges_into(self, now: float) -> str | None:
-        """Return the leader that should get all that this host leads, if any."""
+    def _belongs_near(self, now: float, shard: str, all_workers: int) -> bool:
+        """Return whether a shard led from afar is to go to a host beside it."""
+        place = data_centre(shard)
+        if all_workers <= MOST_WORKERS or place == self._me.data_centre:
+            return False
+        return any(
+            peer.live
+            and peer.beat.data_centre == place
+            and peer.beat.able
+            and not peer.beat.leaving
+            and now - peer.live_since > _MERGE_S
+            for peer in self._peers.values()
+        )
+
+    def _merges_into(self, now: float, all_workers: int) -> str | None:
+        """Return the leader that should get all that this host leads, if any.
+
+        A fleet too large for one leader stays led near its workers, so that a cut
+        between data centres parts none of them from their leader.
+        """
+        spread = all_workers > MOST_WORKERS
         own = sum(claim.workers for claim in self._claims.values())
         mine = (own, self._me.name)
         for peer in self._peers.values():
             if not peer.live or peer.beat.leaving or not peer.beat.able:
                 continue
+            if spread and peer.beat.data_centre != self._me.data_centre:
+                continue
             theirs = sum(claim.workers for claim in peer.beat.claims)
             if not theirs or own + theirs > MOST_WORKERS:
                 continue
@@ -320,8 +348,14 @@
             if reached_since is None or now - reached_since < _EMPTY_S:
                 return []
             reason = "no host lives in its data centre"
-        if self._heir(place, shards[shard], sum(shards.values())) != self._me.name:
+        all_workers = sum(shards.values())
+        if self._heir(place, shards[shard], all_workers) != self._me.name:
             return []
+        if far and all_workers > MOST_WORKERS and self._hosts_of(place):
+            # They start, or leave: nobody else may be asked to bear their workers.
+            since = self._empty_since.setdefault(shard, now)
+            if now - since < _EMPTY_S:
+                return []
         self._empty_since.pop(shard, None)
         epoch = self._tokens.next(time_s)
         self._tenure = self._tenure or epoch
@@ -333,7 +367,8 @@
         """Return the host that should lead a shard that nobody leads.
 
         One leader with a view of all workers places best, so shards gather at
-        one host as long as it can bear them.
+        one host as long as it can bear them: those of a small fleet at one, those
+        of a larger one at one of each data centre.
 
         Args:
             place: Data centre of the shard.
@@ -354,7 +389,7 @@
             fits = led + workers <= MOST_WORKERS
             gathers = led if fits else -led
             away = spread and data_centre_ != place
-            found.append((-gathers, away, -weight, name))
+            found.append((away, -gathers, -weight, name))
         return min(found)[-1]
 
     def _is_eligible(self) -> bool:
