--- a/packages/poplarhill-dev/src/poplarhill_dev/grown.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/grown.py
@@ -44,8 +44,8 @@
 )
 WORKERS = 176
 _DEADLINE_S = 1.5
-_ELECTION_S = 3.0  # hosts that know each other agree within half a second
-_ABLE_S = 1.5  # hosts find each other before they have read the list of workers
+_ELECTION_S = 8.0  # half of the time from the start of hosts to that of traffic
+_ABLE_S = 1.5  # hosts find each other before the first has read the list of workers
 _WARM_UP_S = 1.0  # run times are learned meanwhile; not scored
 _ROUTES = {
     kind.name: Route(
@@ -267,13 +267,14 @@
         )
         for name, address in addresses.items()
     }
+    able_at = {name: _ABLE_S + TICK_S * number for number, name in enumerate(hosts)}
     sizes = {shard: len(workers) for shard, workers in shards.items()}
     reached = dict.fromkeys(shards, 0.0)
     for tick in range(1, round(_ELECTION_S / TICK_S)):
         now = tick * TICK_S
         beats = []
         for name, host in hosts.items():
-            able = now > _ABLE_S
+            able = now > able_at[name]
             for action in host.tick(now, now, sizes, able, Load(), 1, reached):
                 if isinstance(action, SendBeat):
                     beats.append((names[action.address], name, action.beat))
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -164,6 +164,22 @@
     assert leader in ("h0", "h1")
 
 
+def test_a_fleet_that_grows_too_large_for_its_leader_gets_one_a_data_centre(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Seen on a grown day: 176 workers register within two seconds, and the host
+    # that led the first ones went on to lead all of them.
+    fleet = Fleet()
+    fleet.run(2.0)
+    assert fleet.leaders("dc1/0") == fleet.leaders("dc2/0") == ["h0"]
+    for shard in ("dc1/0", "dc1/1", "dc2/0", "dc2/1"):
+        monkeypatch.setitem(SHARDS, shard, 22)
+    fleet.run(4.0)
+    for shard in SHARDS:
+        [leader] = fleet.leaders(shard)
+        assert leader in (("h0", "h1") if shard.startswith("dc1") else ("h2", "h3"))
+
+
 def test_workers_of_a_large_fleet_led_from_afar_go_back_to_hosts_beside_them(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
