--- a/packages/poplarhill/tests/http/test_server.py
+++ b/packages/poplarhill/tests/http/test_server.py
@@ -331,3 +331,27 @@
     waited, answer = curio.run(main)
     assert waited
     assert answer.endswith(b"in two parts")
+
+
+def test_a_server_that_is_leaving_answers_pipelined_requests_before_it_closes() -> None:
+    # Guards against closing a connection with a request that was read behind the
+    # one that is answered: its caller got no answer.
+    async def main():
+        served = Served()
+        serving = await curio.spawn(served.server.run, daemon=True)
+        two = post("/wait", b"one") + post("/", b"two")
+        talking = await curio.spawn(served.talk, two)
+        while not served.waiting:
+            await curio.sleep(0.01)
+        draining = await curio.spawn(served.server.drain)
+        await curio.sleep(0.05)
+        await served.go_on.set()
+        answers = await talking.join()
+        await draining.join()
+        await serving.cancel()
+        return answers
+
+    first, second = curio.run(main).split(b"HTTP/1.1 200")[1:]
+    assert first.endswith(b"one") and second.endswith(b"two")
+    assert b"connection: close" not in first
+    assert b"connection: close" in second
