Answer pipelined requests before a leaving server closes

What callers saw (two requests in one packet, the first takes 0.5 s, the server drains meanwhile): one answer, then the connection was closed, with the second request read and unanswered for as long as the first took. Cause: the answer of a leaving server closes its connection, whatever was read behind the request. Now it says so only when nothing was.

--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -160,7 +160,8 @@
         self._in_flight += 1
         try:
             response = await self._handle(session, request)
-            await session.send(response, close=self._closing)
+            close = self._closing and not session.pipelined
+            await session.send(response, close)
         finally:
             self._in_flight -= 1
 
--- a/packages/poplarhill/src/poplarhill/http/session.py
+++ b/packages/poplarhill/src/poplarhill/http/session.py
@@ -61,9 +61,14 @@
         """Whether another request may come on this connection."""
         return self._http.our_state is h11.IDLE
 
+    @property
+    def pipelined(self) -> bool:
+        """Whether some of the next request has been read already."""
+        return bool(self._http.trailing_data[0])
+
     async def wait_for_data(self) -> None:
         """Return when a request has begun to arrive."""
-        if not self._http.trailing_data[0]:
+        if not self.pipelined:
             await self._read()
 
     def close_idle(self) -> None:
@@ -192,7 +197,7 @@
 
     async def _read(self) -> None:
         data = await self._client.recv(_READ_BYTES)
-        if not data and not self._http.trailing_data[0]:
+        if not data and not self.pipelined:
             raise HangUpError
         self._http.receive_data(data)
 
