--- a/packages/poplarhill-dev/tests/adapter/test_stop.py
+++ b/packages/poplarhill-dev/tests/adapter/test_stop.py
@@ -129,6 +129,22 @@
     platform.play(scene)
 
 
+def test_a_leaving_host_closes_each_connection_after_its_next_answer(
+    platform,
+) -> None:
+    # Guards against requests that cross with the end of an idle connection: two of
+    # 2,453 were cut off on a day on which every host was stopped.
+    async def scene(platform) -> None:
+        kept = await kept_connection(platform)
+        os.kill(os.getpid(), signal.SIGTERM)
+        while platform.host.ready:
+            await curio.sleep(0.01)
+        answer = await kept.exchange(submission(2, 0.05))
+        assert (answer.status, answer.headers["connection"]) == (200, "close")
+
+    platform.play(scene)
+
+
 def test_a_job_that_comes_long_after_sigterm_is_not_closed_unanswered(
     platform,
 ) -> None:
@@ -194,22 +210,6 @@
     assert platform.exit_code == 1
 
 
-def test_a_leaving_host_closes_connections_after_their_answers_from_the_first(
-    platform,
-) -> None:
-    # Guards against callers that keep a connection through the stop and send on it
-    # in the moment in which the host closes it: such a request had no answer.
-    async def scene(platform) -> None:
-        connection = await kept_connection(platform)
-        os.kill(os.getpid(), signal.SIGTERM)
-        await curio.sleep(0.2)
-        answer = await connection.exchange(submission(2, 0.05))
-        assert answer.status == 200
-        assert answer.headers["connection"] == "close"
-
-    platform.play(scene)
-
-
 def test_a_leader_that_ends_does_not_call_a_started_job_not_run(
     brief_platform,
 ) -> None:
--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -77,7 +77,7 @@
                 await group.cancel_remaining()
 
     def close_after_answers(self) -> None:
-        """Close each connection after its next answer, from now on."""
+        """Close each connection after its next answer from now on."""
         self._closing = True
 
     async def drain(self) -> None:
