Spread jobs without room near over the far leaders

What callers saw: short jobs late in bursts on deployments with several leaders.

Cause, by replay: all hosts see the same loads, a heartbeat old, and send every job that finds no room near to the one leader that was told to have the most. Now such a job is compared at the near leaders and at one far leader that its id draws.

The test of the spread fails on the code before: 300 of 300 jobs at one leader. Two calls in the tests have the new argument.

--- a/packages/poplarhilld/src/poplarhilld/submissions/choice.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/choice.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+import xxhash
+
 from poplarhilld.peers.messages import Load
 from poplarhilld.submissions.messages import LeaderView
 
@@ -10,6 +12,7 @@
 _FAR_S = 0.01  # a few ms of network, and a view that is a heartbeat old
 _FREE_SHARE = 0.8  # part of the room told free that is still so a heartbeat later
 _TURNOVER_S = 0.3  # a task runs about so long until its room is free
+_COMPARED = 2  # leaders; of more, all hosts would take the same one at once
 
 
 class Choice(NamedTuple):
@@ -37,11 +40,28 @@
     return (short * _TURNOVER_S + load.queued_core_s) / load.cores
 
 
-def choose_leader(leaders: Mapping[str, LeaderView], needs_cores: float) -> Choice:
-    """Choose the leader that has room for a job soonest, near ones first."""
+def choose_leader(
+    leaders: Mapping[str, LeaderView], needs_cores: float, job_id: str
+) -> Choice:
+    """Choose a leader that has room for a job soon, near ones first.
+
+    All hosts see the same loads, a heartbeat old, and would send every job to the
+    far leader that had the most room. So a job is compared at the near leaders and
+    at a far one that its id draws.
+
+    Args:
+        leaders: The leaders by name.
+        needs_cores: Cores that all tasks of the job take together.
+        job_id: Id of the job.
+    """
+    compared = [name for name, leader in leaders.items() if leader.near]
+    far = [name for name, leader in leaders.items() if not leader.near]
+    far.sort(key=lambda name: xxhash.xxh32_intdigest(f"{job_id}/{name}".encode()))
+    compared += far[: max(1, _COMPARED - len(compared))]
     best: tuple | None = None
     choice = Choice("", "no leader is known")
-    for name, leader in leaders.items():
+    for name in compared:
+        leader = leaders[name]
         wait_s = expected_wait_s(leader.load, needs_cores)
         key = (wait_s if wait_s > _SHORT_S else 0.0) + (0.0 if leader.near else _FAR_S)
         if best is None or (key, name) < best:
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -148,7 +148,7 @@
         name, reason = job.leader, "same leader"
         if name not in self._leaders:
             needs = sum(s.count * s.needs.cores for s in job.submission.steps)
-            name, reason = choose_leader(self._leaders, needs)
+            name, reason = choose_leader(self._leaders, needs, job.submission.job_id)
         job.next_offer = now + REPEAT_S
         leader = self._leaders.get(name)
         if leader is None:
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -132,8 +132,30 @@
     # Pattern: wide jobs at a near leader whose room is taken.
     near = LeaderView(1, True, Load(100.0, 10.0, 0.0))
     far = LeaderView(1, False, Load(100.0, 90.0, 0.0))
-    assert choose_leader({"near": near, "far": far}, 60.0).leader == "far"
-    assert choose_leader({"near": near, "far": far}, 5.0).leader == "near"
+    assert choose_leader({"near": near, "far": far}, 60.0, "a").leader == "far"
+    assert choose_leader({"near": near, "far": far}, 5.0, "a").leader == "near"
+
+
+def test_jobs_that_find_no_room_near_are_spread_over_far_leaders() -> None:
+    # Pattern: many hosts, one view a heartbeat old; all jobs of 0.15 s went to the
+    # far leader that was told to have the most room, and waited there.
+    leaders = {
+        "near": LeaderView(1, True, Load(800.0, 0.0, 200.0)),
+        "h1": LeaderView(1, False, Load(800.0, 400.0, 0.0)),
+        "h2": LeaderView(1, False, Load(800.0, 390.0, 0.0)),
+        "h3": LeaderView(1, False, Load(800.0, 380.0, 0.0)),
+    }
+    jobs = 300
+    chosen = [choose_leader(leaders, 60.0, f"j{n}").leader for n in range(jobs)]
+    fair = jobs / 3
+    for name in ("h1", "h2", "h3"):
+        assert 0.75 * fair <= chosen.count(name) <= 1.25 * fair
+
+
+def test_without_a_near_leader_the_better_of_two_is_chosen() -> None:
+    full = LeaderView(1, False, Load(800.0, 0.0, 200.0))
+    leaders = {"h1": full, "h2": full._replace(load=Load(800.0, 400.0, 0.0))}
+    assert {choose_leader(leaders, 60.0, f"j{n}").leader for n in range(20)} == {"h2"}
 
 
 def test_a_leaving_host_takes_no_job_that_it_may_not_live_to_answer(
