--- /dev/null
+++ b/packages/poplarhill-dev/tests/adapter/test_costs.py
@@ -0,0 +1,12 @@
+"""The tool that measures what an entry host costs."""
+
+from poplarhill_platform_dev.costs import CostsOptions, show_costs
+
+
+# Guards against figures of jobs that were refused or never ended.
+def test_costs_are_measured_of_whole_jobs(capsys):
+    show_costs(CostsOptions(2, 2, rate=40.0, run_s=0.01, seconds=0.5))
+    lines = capsys.readouterr().out.splitlines()
+    assert len(lines) == 5
+    assert lines[1].endswith("20 of 20 whole")
+    assert "us a task" in lines[-1]
