Read and write plain HTTP exchanges without a parser's state

A request's head is now written by h11 once and kept; a response that is whole, has one content-length and says nothing on its connection is read by one expression.

--- a/packages/poplarhill/src/poplarhill/http/client.py
+++ b/packages/poplarhill/src/poplarhill/http/client.py
@@ -9,6 +9,13 @@
 import h11
 
 from poplarhill.http.messages import Limits, Request, Response, header_size
+from poplarhill.http.plain import (
+    PlainResponse,
+    Unread,
+    encode_plain,
+    head_of,
+    parse_plain,
+)
 
 _READ_BYTES = 65536
 _PLATFORM_LIMITS = Limits()
@@ -51,7 +58,10 @@
     def __init__(self, sock: curio.io.Socket, limits: Limits) -> None:
         self._sock = sock
         self._limits = limits
-        self._http = h11.Connection(h11.CLIENT, limits.header_bytes)
+        # Made when the server sends a response that is not plain.
+        self._http: h11.Connection | None = None
+        self._busy = False
+        self._surplus = False
 
     @classmethod
     async def open(
@@ -87,11 +97,15 @@
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
-        return self._http.our_state is h11.IDLE and not self.has_surplus
+        if self._busy or self.has_surplus:
+            return False
+        return self._http is None or self._http.our_state is h11.IDLE
 
     @property
     def has_surplus(self) -> bool:
         """Whether more than the one response has come."""
+        if self._http is None:
+            return self._surplus
         return bool(self._http.trailing_data[0])
 
     def idle_state(self) -> IdleState:
@@ -123,38 +137,51 @@
                 held back by `may_send`, which leaves the connection of no use.
             InvalidResponseError: The response breaks the protocol or a limit.
         """
-        data = self._encode(request)
+        data = encode_plain(request) if self._http is None else self._encode(request)
+        self._busy = True
         if may_send is not None and not may_send():
             raise ConnectionLostError("held back", sent=False)
         try:
             await self._sock.sendall(data)
-            return await self._receive()
+            response = await self._receive(request)
         except OSError as error:
             raise ConnectionLostError(f"connection lost: {error}", sent=True) from error
         except h11.RemoteProtocolError as error:
             raise InvalidResponseError(str(error)) from error
+        self._busy = False
+        return response
 
     async def close(self) -> None:
         """Close the connection."""
         await self._sock.close()
 
+    async def _receive(self, request: Request) -> Response:
+        """Read the whole response; h11 takes over where it is not plain."""
+        data = b""
+        while self._http is None:
+            received = await self._sock.recv(_READ_BYTES)
+            data += received
+            if received and request.method != "HEAD":
+                match parse_plain(data, self._limits):
+                    case PlainResponse(response, end):
+                        self._surplus = len(data) > end
+                        return response
+                    case Unread.INCOMPLETE:
+                        continue
+            self._http = h11.Connection(h11.CLIENT, self._limits.header_bytes)
+            self._encode(request)  # brings it to where the response is due
+            if data:
+                self._http.receive_data(data)
+        return await self._receive_by_h11()
+
     def _encode(self, request: Request) -> bytes:
-        target = request.path
-        if request.query:
-            target += "?" + request.query
-        headers = [("host", "poplarhill"), ("content-length", str(len(request.body)))]
-        headers += list(request.headers.items())
-        parts = [
-            self._http.send(
-                h11.Request(method=request.method, target=target, headers=headers)
-            )
-        ]
+        parts = [self._http.send(head_of(request))]
         if request.body:
             parts.append(self._http.send(h11.Data(data=request.body)))
         parts.append(self._http.send(h11.EndOfMessage()))
         return b"".join(part for part in parts if part)
 
-    async def _receive(self) -> Response:
+    async def _receive_by_h11(self) -> Response:
         status = 0
         headers: dict[str, str] = {}
         chunks: list[bytes] = []
