Encode a heartbeat once for all its receivers, decode what repeats once

Cause: a leader in a fleet of 37 hosts sends and gets 240 heartbeats a second. Each one sent was encoded anew, each one received decoded, although hosts that lead nothing say the same again and again. cProfile of an idle host with 36 peers: most of its time.

All receivers of a tick get one object (one more with the known addresses, each tenth time), the links keep the frames of the last two messages, and a frame that equals the one before it on its connection is not decoded again. The three counting tests fail before.

--- a/packages/poplarhilld/src/poplarhilld/peers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/link.py
@@ -77,7 +77,8 @@
     async def _wait_for_frame(self) -> bool:
         while not self._frames:
             self._queued.clear()
-            await curio.ignore_after(_IDLE_S, self._queued.wait)
+            async with curio.ignore_after(_IDLE_S):
+                await self._queued.wait()
             if not self._queued.is_set():
                 return False
         return True
@@ -90,7 +91,8 @@
                 await self._disconnect()
             if self._sock is None:
                 self._sock = await self._connect()
-            await curio.timeout_after(_SEND_TIMEOUT_S, self._sock.sendall, frame)
+            async with curio.timeout_after(_SEND_TIMEOUT_S):
+                await self._sock.sendall(frame)
             self._backoff_s = _FIRST_BACKOFF_S
         except (OSError, curio.TaskTimeout) as error:
             self._dropped += 1 + len(self._frames)
--- a/packages/poplarhilld/src/poplarhilld/peers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/links.py
@@ -1,6 +1,7 @@
 """TCP links between entry hosts: length-prefixed frames, best effort."""
 
 import contextlib
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -19,6 +20,7 @@
 
 _MAX_INCOMING = 4096
 _FLUSH_S = 0.5
+_KEPT_FRAMES = 2  # a heartbeat with and without the addresses that a host knows
 _log = structlog.get_logger()
 
 Receiver = Callable[[Envelope], Awaitable[None]]
@@ -58,6 +60,7 @@
         self._sock = curio.tcp_server_socket(*listen)
         self._links: dict[Address, PeerLink] = {}
         self._incoming = 0
+        self._encoded: deque[tuple[Message, bytes]] = deque(maxlen=_KEPT_FRAMES)
 
     @property
     def dropped(self) -> int:
@@ -75,13 +78,24 @@
                 await curio.spawn(self._receive, client, daemon=True)
 
     async def send(self, address: Address, message: Message) -> None:
-        """Queue a frame for a peer."""
+        """Queue a frame for a peer.
+
+        A message that goes to several peers in turn is encoded once.
+        """
         link = self._links.get(address)
         if link is None:
             link = PeerLink(address, self._refused, self._source)
             self._links[address] = link
             await curio.spawn(self._run_link, link, daemon=True)
-        await link.put(encode(Envelope(self._name, message)))
+        await link.put(self._encode(message))
+
+    def _encode(self, message: Message) -> bytes:
+        for encoded, frame in self._encoded:
+            if encoded is message:
+                return frame
+        frame = encode(Envelope(self._name, message))
+        self._encoded.append((message, frame))
+        return frame
 
     async def flush(self) -> None:
         """Wait a short while for queued frames to leave."""
@@ -98,23 +112,41 @@
     async def _receive(self, client: curio.io.Socket) -> None:
         self._incoming += 1
         stream = client.as_stream()
+        data, envelope = b"", None
         try:
             async with client:
                 with contextlib.suppress(OSError, EOFError):
                     while True:
-                        await self._receive_one(stream)
+                        before, data = data, await _read_frame(stream)
+                        if envelope is None or data != before:
+                            # Most heartbeats say what the one before said.
+                            envelope = _decode(data)
+                        await self._receiver(envelope)
         finally:
             self._incoming -= 1
 
-    async def _receive_one(self, stream: curio.io.SocketStream) -> None:
-        length = int.from_bytes(await stream.read_exactly(LENGTH_BYTES), "big")
-        if length > MAX_FRAME_BYTES:
-            _log.warning("frame refused", reason="too large", bytes=length)
-            raise EOFError
-        data = await stream.read_exactly(length)
-        try:
-            envelope = decode(data)
-        except FrameError as error:
-            _log.warning("frame refused", reason=str(error), bytes=length)
-            raise EOFError from error
-        await self._receiver(envelope)
+
+async def _read_frame(stream: curio.io.SocketStream) -> bytes:
+    """Return the bytes of the next frame.
+
+    Raises:
+        EOFError: The peer has closed, or its frame is too large.
+    """
+    length = int.from_bytes(await stream.read_exactly(LENGTH_BYTES), "big")
+    if length > MAX_FRAME_BYTES:
+        _log.warning("frame refused", reason="too large", bytes=length)
+        raise EOFError
+    return await stream.read_exactly(length)
+
+
+def _decode(data: bytes) -> Envelope:
+    """Return what a frame carries.
+
+    Raises:
+        EOFError: It is not well-formed; what follows cannot be trusted.
+    """
+    try:
+        return decode(data)
+    except FrameError as error:
+        _log.warning("frame refused", reason=str(error), bytes=len(data))
+        raise EOFError from error
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -437,6 +437,8 @@
             load,
         )
         known = tuple(f"{host}:{port}" for host, port in live)
+        # The same object for all receivers: it is encoded once.
+        full_beat = beat._replace(known=known)
         actions: list[ShardAction] = []
         for address, target in list(self._targets.items()):
             peer = live.get(address)
@@ -452,9 +454,7 @@
                 target.next_beat = now + self._period_s(peer.beat)
             target.count += 1
             full = target.count % _KNOWN_BEATS == 1
-            actions.append(
-                SendBeat(address, beat._replace(known=known) if full else beat)
-            )
+            actions.append(SendBeat(address, full_beat if full else beat))
         return actions
 
 
--- a/packages/poplarhilld/tests/peers/test_links.py
+++ b/packages/poplarhilld/tests/peers/test_links.py
@@ -7,7 +7,7 @@
 import pytest
 
 from poplarhill.types import Address
-from poplarhilld.peers import Goodbye, PeerLinks, encode
+from poplarhilld.peers import Goodbye, PeerLinks, decode, encode, links
 from poplarhilld.peers.codec import MAX_FRAME_BYTES, Envelope
 from poplarhilld.peers.link import LENGTH_BYTES, QUEUE_FRAMES, PeerLink
 
@@ -120,3 +120,50 @@
         await until(lambda: host.refused == [address])
 
     run(scene)
+
+
+# Guards against a heartbeat that costs its sender an encoding for each receiver.
+def test_a_message_to_many_hosts_is_encoded_once(monkeypatch) -> None:
+    encoded: list[Envelope] = []
+
+    def count(envelope: Envelope) -> bytes:
+        encoded.append(envelope)
+        return encode(envelope)
+
+    monkeypatch.setattr(links, "encode", count)
+
+    async def scene(host: Host) -> None:
+        others = [Host() for _ in range(5)]
+        for other in others:
+            await curio.spawn(other.links.run, daemon=True)
+        plain, full = Goodbye(1), Goodbye(1)
+        for other in others:
+            await host.links.send(other.address, plain)
+            await host.links.send(other.address, full)
+        for other in others:
+            await until(lambda other=other: len(other.received) == 2)
+
+    run(scene)
+    assert len(encoded) == 2
+
+
+# Guards against a heartbeat that says nothing new and is decoded all the same.
+def test_a_frame_that_comes_again_is_delivered_again_and_decoded_once(
+    monkeypatch,
+) -> None:
+    decoded: list[bytes] = []
+
+    def count(data: bytes) -> Envelope:
+        decoded.append(data)
+        return decode(data)
+
+    monkeypatch.setattr(links, "decode", count)
+    other = encode(Envelope("h9", Goodbye(8)))
+
+    async def scene(host: Host) -> None:
+        client = await curio.open_connection(*host.address)
+        await client.sendall(3 * framed(GOOD) + framed(other) + framed(GOOD))
+        await until(lambda: len(host.received) == 5)
+
+    assert [e.message.incarnation for e in run(scene).received] == [9, 9, 9, 8, 9]
+    assert decoded == [GOOD, other, GOOD]
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -235,3 +235,19 @@
     [ignored] = fleet.hosts["h1"].heard(fleet.now, "h0", beat)
     assert isinstance(ignored.decision, HeartbeatIgnored)
     assert fleet.hosts["h1"].live == before
+
+
+# Guards against a heartbeat that is another object, and another frame, a receiver.
+def test_one_heartbeat_goes_to_all_hosts_of_a_tick() -> None:
+    fleet = Fleet()
+    fleet.run(1.0)
+    hosts = fleet.hosts["h0"]
+    for _ in range(20):
+        fleet.now += 1.0
+        beats = [
+            action.beat
+            for action in hosts.tick(fleet.now, fleet.now, SHARDS, True, Load(), 1, {})
+            if isinstance(action, SendBeat)
+        ]
+        assert len(beats) == 3
+        assert len({id(beat) for beat in beats}) <= 2
