Look at the queue only when something may fit anew

Cause: the leader went over its queue, its workers and the runs on each of them at every order that was accepted and at every renewal without news, and twice each tick to tell its load. What may start is now looked at again only after a change: a run closed or found, a job came, a worker was confirmed, came back or was listed anew; and at each tick. While time alone may change the answer (a worker that waits for a probe, a job handed over) every event looks as before. Free room is counted again when a reservation changes.

--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -103,6 +103,7 @@
         self._jobs: dict[str, LedJob] = {}
         self._queue: dict[str, LedJob] = {}
         self._listeners: dict[str, set[_Listener]] = {}
+        self._settled = False
         self._runs = RunTable()
         self._memory = Memory()
         self._times = RunTimes()
@@ -157,6 +158,8 @@
             elsewhere: Names of the workers that other hosts lead.
         """
         actions: list[LeaderAction] = []
+        if entries != self._entries or elsewhere != self._elsewhere:
+            self._settled = False
         self._entries = entries
         self._elsewhere = elsewhere
         for name in self._workers.keys() & elsewhere:
@@ -206,6 +209,7 @@
         if refused is not None and not self._runs.orphans_of(job):
             return self._refuse(host, offer, now, refused)
         self._jobs[offer.job_id] = self._queue[offer.job_id] = job
+        self._settled = False
         self._listeners[offer.job_id] = {listener}
         self._runs.add_job(job)
         self._adopt_orphans(now, job)
@@ -312,6 +316,7 @@
                 actions += self._stop(now, self._workers[name], run)
         for job in list(self._jobs.values()):
             actions += self._expire(now, job)
+        self._settled = False
         return actions + self._assign(now)
 
     # Workers
@@ -344,6 +349,7 @@
     def _release(self, name: str, reason: str) -> list[LeaderAction]:
         """Let a worker go."""
         worker = self._workers.pop(name)
+        self._settled = False
         self._lost.discard(name)
         self._paused.pop(name, None)
         self._fitness.forget(name)
@@ -436,12 +442,14 @@
         was_confirmed = worker.confirmed
         changes = worker.renewed(now, renewal, reply)
         if not was_confirmed:
+            self._settled = False
             confirmed = WorkerConfirmed(
                 name, worker.token, len(reply.running), now - renewal.asked_at
             )
             actions.append(LogDecision(confirmed))
         if name in self._lost:
             self._lost.discard(name)
+            self._settled = False
             actions.append(_state(now, worker, "back", "it answers"))
         for change in changes:
             actions += self._apply(now, worker, change)
@@ -461,6 +469,7 @@
     def _apply(
         self, now: float, worker: LeasedWorker, change: RunClosed | RunFound
     ) -> list[LeaderAction]:
+        self._settled = False
         match change:
             case RunFound(run):
                 return self._found(now, worker, run)
@@ -535,6 +544,7 @@
         job = None if task is None else self._runs.job_of(task.name)
         if job is not None:
             self._queue[job.job_id] = job
+            self._settled = False
 
     def _advance(self, now: float, job: LedJob, task: LedTask) -> list:
         """Report what the end of a run means for its job."""
@@ -568,6 +578,7 @@
             return []
         if job.stopping:
             job.stopping = False
+            self._settled = False
             job.taken_at = now - offer.elapsed_s
             listeners.clear()
         listeners.add(listener)
@@ -680,21 +691,26 @@
     # Placement
 
     def _assign(self, now: float) -> list[LeaderAction]:
-        """Start what fits, in the order of the queue."""
+        """Start what fits, in the order of the queue, if anything can fit anew."""
+        if self._settled:
+            return []
+        self._settled = True
+        least: dict[str, float] = {}
         for job_id, job in list(self._queue.items()):
-            if job.least_cores == math.inf:
+            least[job_id] = job.least_cores
+            if least[job_id] == math.inf:
                 del self._queue[job_id]
         if not self._queue:
             return []
-        usable = [w for w in self._workers.values() if self._may_start(now, w)]
+        usable = self._startable(now)
         if not usable:
             return []
         free = {worker.entry.name: worker.free() for worker in usable}
         largest = max(room.cores for room in free.values()) + _TOLERANCE
         waiting = [
             job
-            for job in self._queue.values()
-            if job.least_cores <= largest and self._may_run(now, job)
+            for job_id, job in self._queue.items()
+            if least[job_id] <= largest and self._may_run(now, job)
         ]
         if len(waiting) > 1:
             waiting.sort(key=lambda job: rank(now, job))
@@ -711,8 +727,17 @@
                 actions += self._start(now, job, task, worker, free, len(usable))
                 if not self._may_start(now, worker):
                     usable.remove(worker)  # it got its one probe
+                    self._settled = False
         return actions
 
+    def _startable(self, now: float) -> list[LeasedWorker]:
+        """Return the workers that may be given tasks now."""
+        usable = [w for w in self._workers.values() if self._is_usable(w)]
+        found = [w for w in usable if self._fitness.may_start(now, w.entry.name)]
+        if len(found) < len(usable):
+            self._settled = False  # time alone may bring the others back
+        return found
+
     def _may_start(self, now: float, worker: LeasedWorker) -> bool:
         return self._is_usable(worker) and self._fitness.may_start(
             now, worker.entry.name
@@ -724,6 +749,7 @@
             return False
         if not job.offer.handovers or now >= job.offered_at + HANDOVER_S:
             return True
+        self._settled = False  # time alone may let it start
         if self._elsewhere:
             return False
         return all(worker.confirmed for worker in self._workers.values())
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -65,7 +65,6 @@
     order, or can no longer carry it out.
 
     Attributes:
-        entry: The worker, as it registered itself.
         token: Fencing token of this host for it.
         fenced: Whether it obeys a newer token.
 
@@ -79,7 +78,7 @@
     def __init__(
         self, entry: WorkerEntry, token: int, lease_s: float, now: float
     ) -> None:
-        self.entry = entry
+        self._entry = entry
         self.token = token
         self.fenced = False
         self._lease_s = lease_s
@@ -92,8 +91,19 @@
         self._reservations: dict[Run, Reservation] = {}
         self._confirmed_at: float | None = None
         self._unknown_sizes = 0
+        self._free: Resources | None = None
         self._ended: deque[Run] = deque(maxlen=_REMEMBERED_ENDS)
 
+    @property
+    def entry(self) -> WorkerEntry:
+        """The worker, as it registered itself."""
+        return self._entry
+
+    @entry.setter
+    def entry(self, entry: WorkerEntry) -> None:
+        if entry is not self._entry:
+            self._entry, self._free = entry, None
+
     @property
     def confirmed(self) -> bool:
         """Whether the worker has accepted this host's token."""
@@ -128,6 +138,11 @@
 
     def free(self) -> Resources:
         """Return the room that nothing holds; none beside runs of unknown size."""
+        if self._free is None:
+            self._free = self._count_free()
+        return self._free
+
+    def _count_free(self) -> Resources:
         if self._unknown_sizes:
             return Resources()
         cores, memory_mb, accelerators = self.entry.room
@@ -184,9 +199,7 @@
         """Reserve room for a run; return its deadline by the worker's clock, s."""
         deadline_s = self.clock_s(now) + ORDER_LIFE_S
         self._latest_deadline_s = max(self._latest_deadline_s, deadline_s)
-        self._reservations[run] = Reservation(
-            run, needs, RunState.ORDERED, deadline_s, now
-        )
+        self._hold(Reservation(run, needs, RunState.ORDERED, deadline_s, now))
         return deadline_s
 
     def ordered(self, now: float, run: Run, reply: OrderReply) -> list[Change]:
@@ -222,6 +235,7 @@
         if held is not None and held.needs is None:
             held.needs = needs
             self._unknown_sizes -= 1
+            self._free = None
 
     def lapse(self) -> list[Run]:
         """Return the runs that a lapsed lease has ended; they keep their room."""
@@ -255,9 +269,7 @@
     def _take_end(self, run: Run, kind: EndKind) -> list[Change]:
         self._ended.append(run)
         if run not in self._reservations:
-            self._reservations[run] = Reservation(
-                run, Resources(), RunState.RUNNING, 0.0, 0.0
-            )
+            self._hold(Reservation(run, Resources(), RunState.RUNNING, 0.0, 0.0))
         match kind:
             case EndKind.DONE:
                 return [self._close(run, RunFate.DONE)]
@@ -275,9 +287,7 @@
             held = self._reservations.get(run)
             if held is None:
                 self._unknown_sizes += 1
-                self._reservations[run] = Reservation(
-                    run, None, RunState.RUNNING, 0.0, now, now
-                )
+                self._hold(Reservation(run, None, RunState.RUNNING, 0.0, now, now))
                 changes.append(RunFound(run))
             elif held.state is not RunState.RUNNING:
                 held.state, held.seen_at = RunState.RUNNING, now
@@ -295,8 +305,13 @@
                 changes.append(self._close(held.run, RunFate.NEVER_STARTED))
         return changes
 
+    def _hold(self, held: Reservation) -> None:
+        self._reservations[held.run] = held
+        self._free = None
+
     def _close(self, run: Run, fate: RunFate) -> RunClosed:
         held = self._reservations.pop(run)
+        self._free = None
         if held.needs is None:
             self._unknown_sizes -= 1
         return RunClosed(run, fate)
--- /dev/null
+++ b/packages/poplarhilld/tests/leading/test_work_of_events.py
@@ -0,0 +1,122 @@
+"""What events cost the leader, and that it decides the same for less."""
+
+from random import Random
+
+import pytest
+
+from poplarhill_dev.leased import (
+    SimulatedWorker,
+    World,
+    simulated_job,
+    worker_entry,
+)
+from poplarhilld.leading import Leader
+from poplarhilld.leases import LeasedWorker, OrderOutcome, OrderReply
+
+_STEPS = 150
+
+
+def troubled(seed: int) -> list[str]:
+    """Return all that the leaders of a world full of trouble ask for."""
+    random = Random(seed)
+    workers = [SimulatedWorker(worker_entry(f"w{n}")) for n in range(6)]
+    world = World(workers, seed)
+    asked: list[str] = []
+    perform = world.perform
+
+    def record(leader: str, actions: list) -> None:
+        asked.extend(f"{leader} {action!r}" for action in actions)
+        perform(leader, actions)
+
+    world.perform = record
+    world.add_leader("h1", 1)
+    world.run(0.3)
+    world.late_orders = 0.05
+    for step in range(_STEPS):
+        worker = random.choice(workers)
+        match random.randrange(50):
+            case 0 | 1:
+                worker.mute = not worker.mute
+            case 2:
+                worker.broken = not worker.broken
+            case 3:
+                worker.stuck = not worker.stuck
+            case 4:
+                worker.restart(world.now)
+            case 5 | 6:
+                draining = not worker.entry.draining
+                worker.entry = worker.entry._replace(draining=draining)
+                leader = world.leaders["h1"]
+                record("h1", leader.lead(world.now, world.now, world.entries))
+        job = simulated_job(
+            f"j{step}",
+            run_s=random.uniform(0.05, 0.5),
+            tasks=random.randint(1, 8),
+            handovers=random.choice((0, 0, 0, 1)),
+        )
+        world.submit("h1", job)
+        world.run(random.uniform(0.01, 0.08))
+        if step == _STEPS // 2:
+            world.add_leader("h2", 2)
+    world.run(2.0)
+    return asked
+
+
+# Guards against room that stays empty because an event was taken for one that
+# changes nothing.
+@pytest.mark.parametrize("seed", range(4))
+def test_looking_at_the_queue_at_every_event_decides_the_same(seed, monkeypatch):
+    expected = troubled(seed)
+    assign = Leader._assign
+
+    def always(self, now):
+        self._settled = False
+        return assign(self, now)
+
+    monkeypatch.setattr(Leader, "_assign", always)
+    monkeypatch.setattr(LeasedWorker, "free", LeasedWorker._count_free)
+    assert troubled(seed) == expected
+
+
+# Guards against a look at every worker for each order that is accepted.
+def test_an_event_that_frees_no_room_looks_at_no_worker(world, monkeypatch):
+    for number in range(20):
+        world.submit("h1", simulated_job(f"j{number}", run_s=1.0))
+    world.run(0.03)
+    leader = world.leaders["h1"]
+    worker = leader.workers["w0"]
+    held = next(iter(worker.reservations))
+    looked: list[LeasedWorker] = []
+    free = LeasedWorker.free
+
+    def count(self):
+        looked.append(self)
+        return free(self)
+
+    monkeypatch.setattr(LeasedWorker, "free", count)
+    reply = OrderReply(OrderOutcome.ACCEPTED, world.now)
+    assert leader.ordered(world.now, "w0", held.run, reply) == []
+    renewal = worker.renew(world.now)
+    state = world.workers["w0"].renew(world.now, renewal)
+    assert len(leader.renewed(world.now, "w0", renewal, state)) == 1
+    assert looked == []
+
+
+# Guards against room that is counted over all runs each time it is asked for.
+def test_room_is_counted_again_only_when_it_changes(world, monkeypatch):
+    counted: list[LeasedWorker] = []
+    count_free = LeasedWorker._count_free
+
+    def count(self):
+        counted.append(self)
+        return count_free(self)
+
+    monkeypatch.setattr(LeasedWorker, "_count_free", count)
+    leader = world.leaders["h1"]
+    first = leader.load(world.now)
+    counted.clear()
+    assert leader.load(world.now) == first
+    assert counted == []
+    world.submit("h1", simulated_job("j1", tasks=1))
+    assert leader.load(world.now).free_cores == first.free_cores - 6.8
+    assert len(counted) == 1
