--- a/packages/poplarhill/src/poplarhill/http/plain.py
+++ b/packages/poplarhill/src/poplarhill/http/plain.py
@@ -15,6 +15,7 @@
 from poplarhill.http.messages import Limits, Request, Response
 
 _KEPT_HEADS = 512  # three calls to each worker of a leader, and the store's
+_KEPT_ANSWERS = 128  # workers answer with few heads that differ
 _LENGTH = b"\r\ncontent-length: "
 _BLANK_LINE = re.compile(rb"\n\r?\n")  # what h11 takes for the end of a head
 _HEAD_END = b"\r\n\r\n"
@@ -42,6 +43,12 @@
     end: int
 
 
+class _Head(NamedTuple):
+    status: int
+    headers: dict[str, str]
+    body_bytes: int
+
+
 def head_of(request: Request) -> h11.Request:
     """Return the head of a request as h11 takes it."""
     target = request.path
@@ -82,9 +89,22 @@
     if blank is None or blank.end() > limits.header_bytes:
         return Unread.NOT_PLAIN
     begin = blank.end()
-    head = _HEAD.fullmatch(data, 0, begin - len(_HEAD_END))
-    if head is None or data[head.end() : begin] != _HEAD_END:
+    head = _parsed_head(data[:begin])
+    if head is None or head.body_bytes > limits.body_bytes:
         return Unread.NOT_PLAIN
+    end = begin + head.body_bytes
+    if len(data) < end:
+        return Unread.INCOMPLETE
+    response = Response(head.status, dict(head.headers), data[begin:end])
+    return PlainResponse(response, end)
+
+
+@lru_cache(_KEPT_ANSWERS)
+def _parsed_head(data: bytes) -> _Head | None:
+    """Return what the head of a response says, if it is plain."""
+    head = _HEAD.fullmatch(data.removesuffix(_HEAD_END))
+    if head is None or not data.endswith(_HEAD_END):
+        return None
     status = int(head[1])
     fields = _FIELD.findall(head[0].decode("ascii"))
     headers = {name.lower(): value.rstrip("\t ") for name, value in fields}
@@ -93,13 +113,9 @@
         len(headers) < len(fields)
         or not length.isdecimal()
         or len(length) > _MOST_DIGITS
-        or int(length) > limits.body_bytes
         or headers.get("connection", "keep-alive").lower() != "keep-alive"
         or "transfer-encoding" in headers
         or status in _BODILESS
     ):
-        return Unread.NOT_PLAIN
-    end = begin + int(length)
-    if len(data) < end:
-        return Unread.INCOMPLETE
-    return PlainResponse(Response(status, headers, data[begin:end]), end)
+        return None
+    return _Head(status, headers, int(length))
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -136,9 +136,11 @@
 
     def load(self, now: float) -> Load:
         """Return how busy this leader is."""
-        usable = [w for w in self._workers.values() if self._is_usable(w)]
-        cores = sum(worker.entry.room.cores for worker in usable)
-        free = sum(max(0.0, worker.free().cores) for worker in usable)
+        cores = free = 0.0
+        for worker in self._workers.values():
+            if self._is_usable(worker):
+                cores += worker.entry.room.cores
+                free += max(0.0, worker.free().cores)
         queued = sum(job.open_room_s for job in self._jobs.values() if not job.runs)
         return Load(cores, free, queued)
 
@@ -456,12 +458,13 @@
         return actions
 
     def _is_usable(self, worker: LeasedWorker) -> bool:
+        entry = worker.entry
         return (
             worker.confirmed
             and not worker.fenced
-            and worker.entry.name in self._entries
-            and not worker.entry.draining
-            and worker.entry.name not in self._lost
+            and entry.name in self._entries
+            and not entry.draining
+            and entry.name not in self._lost
         )
 
     # Runs
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -65,6 +65,7 @@
     order, or can no longer carry it out.
 
     Attributes:
+        entry: The worker, as it registered itself.
         token: Fencing token of this host for it.
         fenced: Whether it obeys a newer token.
 
@@ -78,7 +79,7 @@
     def __init__(
         self, entry: WorkerEntry, token: int, lease_s: float, now: float
     ) -> None:
-        self._entry = entry
+        self.entry = entry
         self.token = token
         self.fenced = False
         self._lease_s = lease_s
@@ -92,18 +93,9 @@
         self._confirmed_at: float | None = None
         self._unknown_sizes = 0
         self._free: Resources | None = None
+        self._free_of = entry
         self._ended: deque[Run] = deque(maxlen=_REMEMBERED_ENDS)
 
-    @property
-    def entry(self) -> WorkerEntry:
-        """The worker, as it registered itself."""
-        return self._entry
-
-    @entry.setter
-    def entry(self, entry: WorkerEntry) -> None:
-        if entry is not self._entry:
-            self._entry, self._free = entry, None
-
     @property
     def confirmed(self) -> bool:
         """Whether the worker has accepted this host's token."""
@@ -138,8 +130,8 @@
 
     def free(self) -> Resources:
         """Return the room that nothing holds; none beside runs of unknown size."""
-        if self._free is None:
-            self._free = self._count_free()
+        if self._free is None or self._free_of is not self.entry:
+            self._free, self._free_of = self._count_free(), self.entry
         return self._free
 
     def _count_free(self) -> Resources:
