--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -112,7 +112,8 @@
             failure = Failure(ErrorKind.OVERLOADED, detail, _OVERLOAD_RETRY_S)
             await session.refuse(failure)
         while session.reusable:
-            await curio.timeout_after(self._limits.idle_s, session.wait_for_data)
+            async with curio.timeout_after(self._limits.idle_s):
+                await session.wait_for_data()
             try:
                 request = await session.receive()
             except RefusedError as refused:
@@ -132,8 +133,8 @@
 
     async def _handle(self, session: Session, request: Request) -> Response:
         async with curio.TaskGroup(wait=any) as group:
-            handling = await group.spawn(self._guard, request)
-            await group.spawn(session.watch)
+            handling = await group.spawn(self._guard(request))
+            await group.spawn(session.watch())
         if group.completed is handling:
             return handling.result
         with contextlib.suppress(OSError, curio.TaskTimeout):
--- a/packages/poplarhill/src/poplarhill/http/session.py
+++ b/packages/poplarhill/src/poplarhill/http/session.py
@@ -74,7 +74,8 @@
         """
         limit_s = self._limits.receive_s
         try:
-            return await curio.timeout_after(limit_s, self._receive)
+            async with curio.timeout_after(limit_s):
+                return await self._receive()
         except curio.TaskTimeout as error:
             detail = f"request not whole within {limit_s:g} s"
             raise RefusedError(Failure(ErrorKind.REQUEST_TIMEOUT, detail)) from error
@@ -140,7 +141,8 @@
             TaskTimeout: The caller did not read it in time.
         """
         data = self._encode(response, close)
-        await curio.timeout_after(self._limits.receive_s, self._client.sendall, data)
+        async with curio.timeout_after(self._limits.receive_s):
+            await self._client.sendall(data)
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
 
