--- a/packages/poplarhilld/src/poplarhilld/peers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/link.py
@@ -93,7 +93,7 @@
             return False
         data = _with_length(frame)
         try:
-            sent = sock._socket.send(data, socket.MSG_DONTWAIT)
+            sent = sock._socket.send(data)  # curio opens it non-blocking
         except OSError:
             return False
         self._used = True
