Pass over waiting jobs that no room is left for

Cause: when a run ended, each job of the queue that had fitted into the room was still tried against every worker after the first of them had taken it: 5.7 looks at all workers for a task that started at load 1.5. The largest room that is left is now kept, and a job is passed over when its smallest task does not fit there.

The counting test fails before.

--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -718,16 +718,22 @@
         if len(waiting) > 1:
             waiting.sort(key=lambda job: rank(now, job))
         short = is_short(free, usable)
+        left = largest
         actions: list[LeaderAction] = []
         for job in waiting:
+            if least[job.job_id] > left:
+                continue
             spare_fast = short and affords_slow(now, job)
             for task in job.ready_tasks():
                 if task.spec.needs.cores > largest:
                     continue
+                if task.spec.needs.cores > left:
+                    break
                 worker = choose_worker(job, task, usable, free, self._times, spare_fast)
                 if worker is None:
                     break
                 actions += self._start(now, job, task, worker, free, len(usable))
+                left = max(room.cores for room in free.values()) + _TOLERANCE
                 if not self._may_start(now, worker):
                     usable.remove(worker)  # it got its one probe
                     self._settled = False
--- a/packages/poplarhilld/tests/leading/test_work_of_events.py
+++ b/packages/poplarhilld/tests/leading/test_work_of_events.py
@@ -10,7 +10,8 @@
     simulated_job,
     worker_entry,
 )
-from poplarhilld.leading import Leader
+from poplarhilld.leading import Leader, state
+from poplarhilld.leading.placement import choose_worker
 from poplarhilld.leases import LeasedWorker, OrderOutcome, OrderReply
 
 _STEPS = 150
@@ -120,3 +121,20 @@
     world.submit("h1", simulated_job("j1", tasks=1))
     assert leader.load(world.now).free_cores == first.free_cores - 6.8
     assert len(counted) == 1
+
+
+# Guards against a look at every worker for each job behind the one that took the room.
+def test_room_that_is_taken_is_not_offered_to_the_jobs_behind(world, monkeypatch):
+    chosen: list[LeasedWorker | None] = []
+
+    def count(*arguments):
+        chosen.append(choose_worker(*arguments))
+        return chosen[-1]
+
+    monkeypatch.setattr(state, "choose_worker", count)
+    for number in range(20):
+        world.submit("h1", simulated_job(f"j{number}", run_s=0.1))
+    world.run(0.5)
+    assert world.starts > 20
+    assert len(chosen) == world.starts
+    assert None not in chosen
