--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -152,7 +152,8 @@
     async def _wait_for_data(self, session: Session) -> None:
         self._waiting.add(session)
         try:
-            await curio.timeout_after(self._limits.idle_s, session.wait_for_data)
+            async with curio.timeout_after(self._limits.idle_s):
+                await session.wait_for_data()
         finally:
             self._waiting.discard(session)
 
@@ -167,8 +168,8 @@
 
     async def _handle(self, session: Session, request: Request) -> Response:
         async with curio.TaskGroup(wait=any) as group:
-            handling = await group.spawn(self._guard, request)
-            await group.spawn(session.watch)
+            handling = await group.spawn(self._guard(request))
+            await group.spawn(session.watch())
         if group.completed is handling:
             return handling.result
         with contextlib.suppress(OSError, curio.TaskTimeout):
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -13,7 +13,7 @@
 from poplarhill.types import Address
 from poplarhilld.catalogue import Catalogue, Registry, Route, WorkerEntry
 from poplarhilld.decisions import LogDecision
-from poplarhilld.entry.logs import LogBuffer
+from poplarhilld.entry.logs import DecisionLog, LogBuffer
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.ports import Directory, UnavailableError, WorkerPort
 from poplarhilld.entry.settings import EntrySettings
@@ -100,7 +100,9 @@
         self._ports = workers
         self._directory = directory
         self._logs = logs
+        self._decisions = DecisionLog(logs, settings.name)
         self._metrics = metrics
+        self._beats = metrics.frames.labels("Beat")
         self._tokens = TokenSource(settings.peers)
         now = uptime()
         incarnation = round(time.time() * 1000)
@@ -425,15 +427,15 @@
             action = todo.popleft()
             match action:
                 case LogDecision(decision):
-                    _log.info(type(decision).__name__, **decision._asdict())
+                    self._decisions.write(decision)
                 case StartRun():
-                    await curio.spawn(self._start, action, daemon=True)
+                    await curio.spawn(self._start(action), daemon=True)
                 case StopRun():
-                    await curio.spawn(self._stop, action, daemon=True)
+                    await curio.spawn(self._stop(action), daemon=True)
                 case RenewLease():
-                    await curio.spawn(self._renew, action, daemon=True)
+                    await curio.spawn(self._renew(action), daemon=True)
                 case LookAtWorker():
-                    await curio.spawn(self._look, action, daemon=True)
+                    await curio.spawn(self._look(action), daemon=True)
                 case ReportJob(host, report):
                     todo.extend(await self._send(host, report))
                 case OfferToLeader(host, offered):
@@ -445,7 +447,7 @@
                     if waiter is not None:
                         await waiter.put(failure)
                 case SendBeat(address, beat):
-                    self._metrics.frames.labels("Beat").inc()
+                    self._beats.inc()
                     await self._peers.send(address, beat)
                 case HostLost(host):
                     todo.extend(self._leader.host_lost(uptime(), host))
@@ -501,18 +503,31 @@
         await self._perform(self._leader.stopped(uptime(), name, action.run, answered))
 
     async def _renew(self, action: RenewLease) -> None:
+        """Renew a lease, and again when that is answered, in this one task.
+
+        The task keeps its connection, which spares the loop most of the work.
+        """
+        following: RenewLease | None = action
+        while following is not None:
+            following = await self._renew_once(following)
+
+    async def _renew_once(self, action: RenewLease) -> RenewLease | None:
+        """Renew a lease and return the renewal that is due next."""
         renewal = action.renewal
         name = action.worker.name
         if action.pause_s:
             await curio.sleep(action.pause_s)
             worker = self._leader.workers.get(name)
             if worker is None or worker.token != renewal.token or worker.fenced:
-                return
+                return None
             renewal = worker.renew(uptime())
         reply = await self._ports.renew(action.worker, renewal)
         outcome = "ok" if isinstance(reply, LeaseReply) else reply.value
         self._metrics.renewals.labels(outcome).inc()
-        await self._perform(self._leader.renewed(uptime(), name, renewal, reply))
+        actions = self._leader.renewed(uptime(), name, renewal, reply)
+        due = next((one for one in actions if isinstance(one, RenewLease)), None)
+        await self._perform(one for one in actions if one is not due)
+        return due
 
     async def _look(self, action: LookAtWorker) -> None:
         reply = await self._ports.renew(action.worker, action.renewal)
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -92,6 +92,8 @@
         self._reservations: dict[Run, Reservation] = {}
         self._confirmed_at: float | None = None
         self._unknown_sizes = 0
+        self._free: Resources | None = None
+        self._free_of = entry
         self._ended: deque[Run] = deque(maxlen=_REMEMBERED_ENDS)
 
     @property
@@ -128,6 +130,11 @@
 
     def free(self) -> Resources:
         """Return the room that nothing holds; none beside runs of unknown size."""
+        if self._free is None or self._free_of is not self.entry:
+            self._free, self._free_of = self._count_free(), self.entry
+        return self._free
+
+    def _count_free(self) -> Resources:
         if self._unknown_sizes:
             return Resources()
         cores, memory_mb, accelerators = self.entry.room
@@ -184,9 +191,7 @@
         """Reserve room for a run; return its deadline by the worker's clock, s."""
         deadline_s = self.clock_s(now) + ORDER_LIFE_S
         self._latest_deadline_s = max(self._latest_deadline_s, deadline_s)
-        self._reservations[run] = Reservation(
-            run, needs, RunState.ORDERED, deadline_s, now
-        )
+        self._hold(Reservation(run, needs, RunState.ORDERED, deadline_s, now))
         return deadline_s
 
     def ordered(self, now: float, run: Run, reply: OrderReply) -> list[Change]:
@@ -222,6 +227,7 @@
         if held is not None and held.needs is None:
             held.needs = needs
             self._unknown_sizes -= 1
+            self._free = None
 
     def lapse(self) -> list[Run]:
         """Return the runs that a lapsed lease has ended; they keep their room."""
@@ -255,9 +261,7 @@
     def _take_end(self, run: Run, kind: EndKind) -> list[Change]:
         self._ended.append(run)
         if run not in self._reservations:
-            self._reservations[run] = Reservation(
-                run, Resources(), RunState.RUNNING, 0.0, 0.0
-            )
+            self._hold(Reservation(run, Resources(), RunState.RUNNING, 0.0, 0.0))
         match kind:
             case EndKind.DONE:
                 return [self._close(run, RunFate.DONE)]
@@ -275,9 +279,7 @@
             held = self._reservations.get(run)
             if held is None:
                 self._unknown_sizes += 1
-                self._reservations[run] = Reservation(
-                    run, None, RunState.RUNNING, 0.0, now, now
-                )
+                self._hold(Reservation(run, None, RunState.RUNNING, 0.0, now, now))
                 changes.append(RunFound(run))
             elif held.state is not RunState.RUNNING:
                 held.state, held.seen_at = RunState.RUNNING, now
@@ -295,8 +297,13 @@
                 changes.append(self._close(held.run, RunFate.NEVER_STARTED))
         return changes
 
+    def _hold(self, held: Reservation) -> None:
+        self._reservations[held.run] = held
+        self._free = None
+
     def _close(self, run: Run, fate: RunFate) -> RunClosed:
         held = self._reservations.pop(run)
+        self._free = None
         if held.needs is None:
             self._unknown_sizes -= 1
         return RunClosed(run, fate)
--- a/packages/poplarhilld/src/poplarhilld/peers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/links.py
@@ -1,7 +1,8 @@
 """TCP links between entry hosts: length-prefixed frames, best effort."""
 
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterator
 
 import curio
 import structlog
@@ -19,6 +20,8 @@
 
 _MAX_INCOMING = 4096
 _FLUSH_S = 0.5
+_READ_BYTES = 65536
+_KEPT_FRAMES = 2  # a heartbeat with and without the addresses that a host knows
 _log = structlog.get_logger()
 
 Receiver = Callable[[Envelope], Awaitable[None]]
@@ -58,6 +61,7 @@
         self._sock = curio.tcp_server_socket(*listen)
         self._links: dict[Address, PeerLink] = {}
         self._receiving: set[curio.Task] = set()
+        self._encoded: deque[tuple[Message, bytes]] = deque(maxlen=_KEPT_FRAMES)
 
     @property
     def dropped(self) -> int:
@@ -75,13 +79,24 @@
                 await task.cancel()
 
     async def send(self, address: Address, message: Message) -> None:
-        """Queue a frame for a peer."""
+        """Queue a frame for a peer.
+
+        A message that goes to several peers in turn is encoded once.
+        """
         link = self._links.get(address)
         if link is None:
             link = PeerLink(address, self._refused, self._source)
             self._links[address] = link
             await curio.spawn(self._run_link, link, daemon=True)
-        await link.put(encode(Envelope(self._name, message)))
+        await link.put(self._encode(message))
+
+    def _encode(self, message: Message) -> bytes:
+        for encoded, frame in self._encoded:
+            if encoded is message:
+                return frame
+        frame = encode(Envelope(self._name, message))
+        self._encoded.append((message, frame))
+        return frame
 
     async def flush(self) -> None:
         """Wait a short while for queued frames to leave."""
@@ -103,24 +118,56 @@
             self._links.pop(link.address, None)
 
     async def _receive(self, client: curio.io.Socket) -> None:
-        stream = client.as_stream()
+        frames = _Frames()
+        last, envelope = b"", None
         try:
             async with client:
                 with contextlib.suppress(OSError, EOFError):
-                    while True:
-                        await self._receive_one(stream)
+                    while received := await client.recv(_READ_BYTES):
+                        for data in frames.take(received):
+                            if envelope is None or data != last:
+                                # Most heartbeats say what the one before said.
+                                last, envelope = data, _decode(data)
+                            await self._receiver(envelope)
         finally:
             self._receiving.discard(await curio.current_task())
 
-    async def _receive_one(self, stream: curio.io.SocketStream) -> None:
-        length = int.from_bytes(await stream.read_exactly(LENGTH_BYTES), "big")
-        if length > MAX_FRAME_BYTES:
-            _log.warning("frame refused", reason="too large", bytes=length)
-            raise EOFError
-        data = await stream.read_exactly(length)
-        try:
-            envelope = decode(data)
-        except FrameError as error:
-            _log.warning("frame refused", reason=str(error), bytes=length)
-            raise EOFError from error
-        await self._receiver(envelope)
+
+class _Frames:
+    """Cuts what is received into frames."""
+
+    def __init__(self) -> None:
+        self._begun = bytearray()
+
+    def take(self, received: bytes) -> Iterator[bytes]:
+        """Yield the frames that are whole now.
+
+        Raises:
+            EOFError: A frame is too large; what follows cannot be trusted.
+        """
+        begun = self._begun
+        begun += received
+        while len(begun) >= LENGTH_BYTES:
+            length = int.from_bytes(begun[:LENGTH_BYTES], "big")
+            if length > MAX_FRAME_BYTES:
+                _log.warning("frame refused", reason="too large", bytes=length)
+                raise EOFError
+            end = LENGTH_BYTES + length
+            if len(begun) < end:
+                return
+            data = bytes(begun[LENGTH_BYTES:end])
+            del begun[:end]
+            yield data
+
+
+def _decode(data: bytes) -> Envelope:
+    """Return what a frame carries.
+
+    Raises:
+        EOFError: It is not well-formed; what follows cannot be trusted.
+    """
+    try:
+        return decode(data)
+    except FrameError as error:
+        _log.warning("frame refused", reason=str(error), bytes=len(data))
+        raise EOFError from error
--- a/packages/poplarhilld/tests/peers/test_links.py
+++ b/packages/poplarhilld/tests/peers/test_links.py
@@ -7,7 +7,7 @@
 import pytest
 
 from poplarhill.types import Address
-from poplarhilld.peers import Goodbye, PeerLinks, encode
+from poplarhilld.peers import Goodbye, PeerLinks, decode, encode, links
 from poplarhilld.peers.codec import MAX_FRAME_BYTES, Envelope
 from poplarhilld.peers.link import LENGTH_BYTES, QUEUE_FRAMES, PeerLink
 
@@ -120,3 +120,129 @@
         await until(lambda: host.refused == [address])
 
     run(scene)
+
+
+# Guards against a heartbeat that costs its sender an encoding for each receiver.
+def test_a_message_to_many_hosts_is_encoded_once(monkeypatch) -> None:
+    encoded: list[Envelope] = []
+
+    def count(envelope: Envelope) -> bytes:
+        encoded.append(envelope)
+        return encode(envelope)
+
+    monkeypatch.setattr(links, "encode", count)
+
+    async def scene(host: Host) -> None:
+        others = [Host() for _ in range(5)]
+        for other in others:
+            await curio.spawn(other.links.run, daemon=True)
+        plain, full = Goodbye(1), Goodbye(1)
+        for other in others:
+            await host.links.send(other.address, plain)
+            await host.links.send(other.address, full)
+        for other in others:
+            await until(lambda other=other: len(other.received) == 2)
+
+    run(scene)
+    assert len(encoded) == 2
+
+
+# Guards against a heartbeat that says nothing new and is decoded all the same.
+def test_a_frame_that_comes_again_is_delivered_again_and_decoded_once(
+    monkeypatch,
+) -> None:
+    decoded: list[bytes] = []
+
+    def count(data: bytes) -> Envelope:
+        decoded.append(data)
+        return decode(data)
+
+    monkeypatch.setattr(links, "decode", count)
+    other = encode(Envelope("h9", Goodbye(8)))
+
+    async def scene(host: Host) -> None:
+        client = await curio.open_connection(*host.address)
+        await client.sendall(3 * framed(GOOD) + framed(other) + framed(GOOD))
+        await until(lambda: len(host.received) == 5)
+
+    assert [e.message.incarnation for e in run(scene).received] == [9, 9, 9, 8, 9]
+    assert decoded == [GOOD, other, GOOD]
+
+
+# Guards against a task, two timers and a wake-up for each heartbeat.
+def test_a_frame_on_an_open_link_wakes_no_task(monkeypatch) -> None:
+    delivered: list[PeerLink] = []
+    deliver = PeerLink._deliver_one
+
+    async def count(self) -> None:
+        delivered.append(self)
+        await deliver(self)
+
+    monkeypatch.setattr(PeerLink, "_deliver_one", count)
+
+    async def scene(host: Host) -> None:
+        for number in range(5):
+            await host.links.send(host.address, Goodbye(number))
+            await until(lambda number=number: len(host.received) == number + 1)
+
+    received = run(scene).received
+    assert [envelope.message for envelope in received] == [Goodbye(n) for n in range(5)]
+    assert len(delivered) == 1
+
+
+def large(number: int) -> bytes:
+    """Return a frame of a megabyte that tells its number."""
+    return number.to_bytes(4, "big") * 250_000
+
+
+async def read_frames(client: curio.io.Socket, count: int) -> list[bytes]:
+    stream = client.as_stream()
+    found = []
+    for _ in range(count):
+        length = int.from_bytes(await stream.read_exactly(LENGTH_BYTES), "big")
+        found.append(await stream.read_exactly(length))
+    return found
+
+
+async def ignore(address: Address) -> None:
+    pass
+
+
+# Guards against frames that are cut or mixed when a peer takes part of one.
+def test_frames_to_a_slow_reader_stay_whole_and_in_order() -> None:
+    async def scene(host: Host) -> None:
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        link = PeerLink(Address(*listener.getsockname()), ignore)
+        runner = await curio.spawn(link.run, daemon=True)
+        await link.put(large(0))
+        client, _ = await listener.accept()
+        found = await read_frames(client, 1)
+        for number in range(1, 8):
+            await link.put(large(number))
+        found += await read_frames(client, 7)
+        assert found == [large(number) for number in range(8)]
+        await runner.cancel()
+
+    run(scene)
+
+
+# Guards against the rest of a frame that opens the next connection.
+def test_the_rest_of_a_frame_is_dropped_with_its_connection() -> None:
+    async def scene(host: Host) -> None:
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        link = PeerLink(Address(*listener.getsockname()), ignore)
+        runner = await curio.spawn(link.run, daemon=True)
+        await link.put(GOOD)
+        client, _ = await listener.accept()
+        assert await read_frames(client, 1) == [GOOD]
+        await link.put(30 * large(1))
+        assert link._rest
+        await client.close()
+        await until(lambda: not link._rest)
+        await link.put(GOOD)
+        client, _ = await listener.accept()
+        assert await read_frames(client, 1) == [GOOD]
+        assert link.dropped == 1
+        await runner.cancel()
+
+    run(scene)
