--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -286,7 +286,8 @@
 ) -> None:
     # Seen on a grown day: four of the hosts that were restarted in turn claimed
     # their data centre 0.3 s after their start, when they heard 5 to 18 of 30 hosts;
-    # the leases of 40 workers changed hands each time, and 270 jobs timed out.
+    # the leases of 40 workers changed hands each time, and 270 jobs timed out in
+    # these four seconds, of which a cut has its part.
     epochs = {shard: fleet.hosts["h0"].claims[shard].epoch for shard in SHARDS}
     fleet.cut = lambda sender, receiver: (sender, receiver) == ("h0", "h1")
     fleet.start("h1", Address("10.0.0.1", 1), incarnation=2)
