--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -337,7 +337,7 @@
         if self.leader(shard) is not None:
             self._empty_since.pop(shard, None)
             return []
-        if now < self._started_at + _NEWCOMER_S and self._has_strangers():
+        if now < self._started_at + _NEWCOMER_S and self._elders_hear_more():
             return []  # one that is heard later may lead it
         place = data_centre(shard)
         reason = "nobody leads it"
@@ -419,18 +419,27 @@
             for peer in self._peers.values()
         )
 
-    def _has_strangers(self, place: str = "") -> bool:
-        """Return whether hosts hear one that this host does not.
+    def _has_strangers(self, place: str) -> bool:
+        """Return whether hosts of a data centre hear one that this host does not."""
+        return self._hear_more(
+            peer for peer in self._peers.values() if peer.beat.data_centre == place
+        )
 
-        Args:
-            place: Data centre of the hosts that are asked; all if not given.
+    def _elders_hear_more(self) -> bool:
+        """Return whether hosts that ran before this one hear one that it does not.
+
+        Those that start with it, as after a power loss, have no leader either.
         """
+        before = self._me.incarnation - 1000 * _NEWCOMER_S
+        return self._hear_more(
+            peer for peer in self._peers.values() if peer.beat.incarnation < before
+        )
+
+    def _hear_more(self, peers: Iterable[_Peer]) -> bool:
         known = {peer.name for peer in self._peers.values() if peer.live}
         known.add(self._me.name)
         return any(
-            not known.issuperset(peer.beat.heard)
-            for peer in self._peers.values()
-            if peer.live and place in ("", peer.beat.data_centre)
+            peer.live and not known.issuperset(peer.beat.heard) for peer in peers
         )
 
     def _yield(self, shard: str, to: str, reason: str) -> list[ShardAction]:
