Relay: hold or delay single links, reset or silence connections

The relay knew data centres only, both bytes of a cut together. A soak needs one host's link to another host, the store or a worker, one way or both, and open connections that are reset or go silent while new ones work. Places are told by IP address in the plan; without them everything is as before.

Fleet.reload sends SIGHUP.

--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -234,6 +234,10 @@
         """Ask a process to stop gracefully."""
         self._processes[name].handle.terminate()
 
+    def reload(self, name: str) -> None:
+        """Tell a process that its settings have changed."""
+        self._processes[name].handle.send_signal(signal.SIGHUP)
+
     def freeze(self, name: str) -> None:
         """Stop a process where it stands."""
         self._processes[name].handle.send_signal(signal.SIGSTOP)
--- a/packages/poplarhill-dev/tests/test_relay.py
+++ b/packages/poplarhill-dev/tests/test_relay.py
@@ -6,6 +6,7 @@
 
 from poplarhill.http import (
     Connection,
+    ConnectionLostError,
     HttpServer,
     Limits,
     Request,
@@ -15,11 +16,13 @@
 )
 from poplarhill_dev.fleet import free_port
 from poplarhill_dev.relay import Relay
-from poplarhill_dev.relay_plan import Cut, RelayPlan, Route
+from poplarhill_dev.relay_plan import Break, Cut, LinkFault, RelayPlan, Route
 
 HOST = "127.0.0.1"
 IN_DC1 = "127.0.1.9"
 IN_DC2 = "127.0.2.9"
+IN_H1 = "127.9.1.1"
+IN_H2 = "127.9.1.2"
 WAIT_S = 20.0
 
 
@@ -60,3 +63,78 @@
         await relay.cancel()
 
     curio.run(main)
+
+
+async def tell(plan: RelayPlan, path: str, value: list) -> None:
+    body = msgspec.json.encode(value)
+    await fetch(HOST, plan.control, Request("PUT", path, body=body), WAIT_S)
+
+
+async def relayed(places: dict[str, str]) -> tuple[RelayPlan, list[str], curio.Task]:
+    """Return a running relay before a server, and the paths that this was asked."""
+    asked: list[str] = []
+
+    async def handle(request):
+        asked.append(request.path)
+        return json_response(200, {})
+
+    server = HttpServer(HOST, 0, handle)
+    routes = [Route(free_port(), HOST, server.port, "store")]
+    plan = RelayPlan(free_port(), 0.001, routes, places)
+    relay = await curio.spawn(Relay(plan).run, daemon=True)
+    await curio.spawn(server.run, daemon=True)
+    await curio.sleep(0)
+    return plan, asked, relay
+
+
+async def connected(plan: RelayPlan, source: str) -> Connection:
+    return Connection(await connect_from(source, HOST, plan.routes[0].port), Limits())
+
+
+# Answers that are lost after their request took effect need a cut of one way.
+@pytest.mark.parametrize(
+    ("fault", "arrives"),
+    [
+        (LinkFault("h1", "store", held=True), False),
+        (LinkFault("store", held=True), True),
+    ],
+)
+def test_a_link_is_held_one_way(fault: LinkFault, arrives: bool) -> None:
+    async def main() -> None:
+        plan, asked, relay = await relayed({IN_H1: "h1", IN_H2: "h2"})
+        link = await connected(plan, IN_H1)
+        await link.exchange(Request("GET", "/first"))
+        await tell(plan, "/faults", [fault])
+        waiting = await curio.spawn(link.exchange, Request("GET", "/held"))
+        await curio.sleep(0.2)
+        assert not waiting.terminated
+        assert ("/held" in asked) is arrives
+        await tell(plan, "/faults", [])
+        assert (await curio.timeout_after(WAIT_S, waiting.join)).status == 200
+        await link.close()
+        await relay.cancel()
+
+    curio.run(main)
+
+
+def test_connections_of_a_place_are_reset_or_silenced_and_new_ones_work() -> None:
+    async def main() -> None:
+        plan, _, relay = await relayed({IN_H1: "h1", IN_H2: "h2"})
+        other = await connected(plan, IN_H2)
+        for silent in (False, True):
+            link = await connected(plan, IN_H1)
+            await link.exchange(Request("GET", "/"))
+            await other.exchange(Request("GET", "/"))
+            await tell(plan, "/breaks", [Break("h1", silent)])
+            if silent:
+                with pytest.raises(curio.TaskTimeout):
+                    await curio.timeout_after(0.3, link.exchange, Request("GET", "/"))
+            else:
+                with pytest.raises(ConnectionLostError):
+                    await link.exchange(Request("GET", "/"))
+            assert (await other.exchange(Request("GET", "/"))).status == 200
+            again = await connected(plan, IN_H1)
+            assert (await again.exchange(Request("GET", "/"))).status == 200
+        await relay.cancel()
+
+    curio.run(main)
