Entry hosts: tell peers an address other than the one listened on

An entry host told its peers the address that it listens on, so that nothing could stand between two hosts. advertise is the setting that poplarhilld has; without it all is as before.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -102,9 +102,10 @@
         self._tokens = TokenSource(settings.peers)
         now = uptime()
         incarnation = round(time.time() * 1000)
+        self._advertised = settings.advertise or settings.peers
         me = Self(
             settings.name,
-            settings.peers,
+            self._advertised,
             settings.data_centre,
             incarnation,
             settings.cores,
@@ -336,7 +337,7 @@
             try:
                 if not registered:
                     await self._directory.register(
-                        self._settings.name, self._settings.peers
+                        self._settings.name, self._advertised
                     )
                     registered = True
                 self._hosts.learn(uptime(), await self._directory.hosts())
--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -21,6 +21,7 @@
     peers: str
     metrics: str
     store: str
+    advertise: str = ""
     seeds: str = ""
     cores: float = 1.0
     core_speed: float = 1.0
@@ -39,6 +40,7 @@
         peers: Where other entry hosts reach it.
         metrics: Where its metrics are read.
         store: Where the platform's store is.
+        advertise: Where peers are told to reach this host; `peers` if not given.
         seeds: Where other entry hosts may be found at start.
         cores: Processor cores that this host has, in usual ones.
         lease_s: Longest lease that a worker grants, s.
@@ -52,6 +54,7 @@
     peers: Address
     metrics: Address
     store: Address
+    advertise: Address | None = None
     seeds: tuple[Address, ...] = ()
     cores: float = 1.0
     lease_s: float = 1.0
@@ -70,7 +73,9 @@
             raise SettingsError((str(error),)) from error
         problems = []
         addresses: dict[str, Address] = {}
-        for name in ("callers", "readiness", "peers", "metrics", "store"):
+        for name in ("callers", "readiness", "peers", "metrics", "store", "advertise"):
+            if name == "advertise" and not fields.advertise:
+                continue
             try:
                 addresses[name] = parse_address(getattr(fields, name))
             except ValueError as error:
--- a/packages/poplarhilld/tests/entry/test_settings.py
+++ b/packages/poplarhilld/tests/entry/test_settings.py
@@ -53,3 +53,13 @@
     with pytest.raises(SettingsError) as caught:
         EntrySettings.from_config(value)
     assert field in str(caught.value)
+
+
+# Hosts told each other an address that only works without a relay between them.
+def test_the_address_that_peers_are_told_may_differ(value: dict) -> None:
+    assert EntrySettings.from_config(value).advertise is None
+    value["advertise"] = "10.0.0.9:7000"
+    assert EntrySettings.from_config(value).advertise == Address("10.0.0.9", 7000)
+    value["advertise"] = "somewhere"
+    with pytest.raises(SettingsError, match="advertise"):
+        EntrySettings.from_config(value)
