--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -65,6 +65,7 @@
         broken: Whether every task fails.
         stuck: Whether tasks never end.
         slowdown: Factor on run times.
+        on_end: Called with the time, run and kind of each end.
     """
 
     entry: WorkerEntry
@@ -77,6 +78,7 @@
     broken: bool = False
     stuck: bool = False
     slowdown: float = 1.0
+    on_end: Callable[[float, Run, EndKind], None] = lambda at, run, kind: None
     _sequence: int = 0
     _closed: dict[str, int] = field(default_factory=dict)
 
@@ -86,10 +88,10 @@
             until = running.until
             if until <= min(now, self.lease_until):
                 kind = EndKind.FAILED if running.fails else EndKind.DONE
-                self._end(running.run, kind)
+                self._end(until, running.run, kind)
         if now > self.lease_until:
             for run in list(self.running):
-                self._end(run, EndKind.LAPSED)
+                self._end(self.lease_until, run, EndKind.LAPSED)
 
     def renew(self, now: float, renewal: Renewal) -> LeaseReply | LeaseLost:
         """Take a renewal; the answer does not wait for an end."""
@@ -129,7 +131,7 @@
             return True
         self.token = token
         if run in self.running:
-            self._end(run, EndKind.STOPPED)
+            self._end(now, run, EndKind.STOPPED)
         self._closed[run.task] = max(run.number, self._closed.get(run.task, 0))
         return True
 
@@ -148,11 +150,12 @@
             until = min(deadline_s, now + LEASE_S)
             self.lease_until = max(self.lease_until, until)
 
-    def _end(self, run: Run, kind: EndKind) -> None:
+    def _end(self, at: float, run: Run, kind: EndKind) -> None:
         del self.running[run]
         self._sequence += 1
         self._closed[run.task] = max(run.number, self._closed.get(run.task, 0))
         self.ends.append(RunEnd(self._sequence, run, kind))
+        self.on_end(at, run, kind)
 
 
 @dataclass(frozen=True)
