--- a/packages/poplarhill-dev/tests/adapter/test_stand_ins.py
+++ b/packages/poplarhill-dev/tests/adapter/test_stand_ins.py
@@ -45,8 +45,9 @@
         await call(worker, "run-start", **START)
         hold = {"last_seen": 0, "deadline_ms": FAR_MS, "wait_ms": 5000}
         holding = await curio.spawn(call(worker, "hold", **hold))
-        await curio.sleep(0.02)
-        clock[0] += LEASE_S + 0.1
+        for _ in range(12):
+            await curio.sleep(0.02)
+            clock[0] += LEASE_S / 10
         answer = await curio.timeout_after(5.0, holding.join)
         assert msgspec.json.decode(answer.body)["ended_runs"][0][3] == "lapsed"
 
