--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -94,6 +94,35 @@
     run_experiment(file, out)
 
 
+@main.command()
+@click.option("--seed", default=1, help="Seed of the faults and of what callers do.")
+@click.option("--seeds", default="", help="FIRST-LAST: several seeds in turn.")
+@click.option("--seconds", default=20.0, help="How long faults come, s.")
+@click.option("--hosts", default=4, help="Entry hosts to start.")
+@click.option("--workers", default=6, help="Workers to start.")
+@click.option("--regressions", is_flag=True, help="Every seed that ever failed.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("results"))
+def soak(
+    seed: int,
+    seeds: str,
+    seconds: float,
+    hosts: int,
+    workers: int,
+    regressions: bool,
+    out: Path,
+) -> None:
+    """Run real processes under random faults and check the promises."""
+    from poplarhill_dev.soak.regressions import REGRESSIONS
+    from poplarhill_dev.soak.run import Soak, run_soaks
+
+    first, _, last = (seeds or str(seed)).partition("-")
+    numbers = range(int(first), int(last or first) + 1)
+    soaks = [Soak(number, hosts, workers, seconds) for number in numbers]
+    if regressions:
+        soaks = [regression.soak for regression in REGRESSIONS]
+    sys.exit(1 if run_soaks(soaks, out) else 0)
+
+
 @main.command()
 def slopes() -> None:
     """Measure the slopes that docs/CAPACITY.md is worked out from."""
--- a/packages/poplarhill-dev/src/poplarhill_dev/loopback.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/loopback.py
@@ -49,10 +49,10 @@
         time.sleep(_POLL_S)
 
 
-def get_status(port: int, path: str) -> int | None:
+def get_status(port: int, path: str, host: str = _HOST) -> int | None:
     """Return the status of a GET, or None without an answer."""
     try:
-        with urllib.request.urlopen(f"http://{_HOST}:{port}{path}", timeout=5) as reply:
+        with urllib.request.urlopen(f"http://{host}:{port}{path}", timeout=5) as reply:
             return reply.status
     except urllib.error.HTTPError as error:
         return error.code
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside them."""
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/fleet.py
@@ -0,0 +1,183 @@
+"""The processes of a soak: store, relay, workers and entry hosts."""
+
+import json
+import os
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from poplarhill.types import Address
+from poplarhill_dev.fleet import Fleet, data_centre, free_port, wait_until
+from poplarhill_dev.leased import worker_entry
+from poplarhill_dev.loopback import get_status
+from poplarhill_dev.relay_plan import RelayPlan, Route
+from poplarhill_dev.soak.faults import Reload
+from poplarhill_dev.soak.schedule import STORE, Schedule, clock_offset_s
+from poplarhill_platform_dev import worker_record
+from poplarhill_platform_dev.processes import WrittenRecord
+
+GRACE_S = 6.0
+_OTHER_GRACE_S = 5.0
+_LOOPBACK = "127.0.0.1"
+_NETWORKS = 250
+_LINK_S = 0.0005
+_WORKERS_TOPIC = "keyed.servers"
+
+
+class HostAddresses(NamedTuple):
+    """Where a host listens, each on the host's own IP address."""
+
+    callers: Address
+    readiness: Address
+    peers: Address
+    metrics: Address
+
+
+class SoakFleet(Fleet):
+    """Processes on loopback addresses of their own, behind a relay as drawn.
+
+    Attributes:
+        lives: Count of the lives of each host and worker.
+        ids: Id of each worker in its present life.
+        hosts: Where each host listens.
+        store: Where the store listens.
+
+    Args:
+        directory: Where settings, logs and the workers' trace are written.
+        schedule: What the seed brings.
+        hosts: Names of the entry hosts.
+        workers: Names of the workers' machines.
+    """
+
+    def __init__(
+        self, directory: Path, schedule: Schedule, hosts: list[str], workers: list[str]
+    ) -> None:
+        super().__init__(directory)
+        self._seed = schedule.seed
+        self.lives: dict[str, int] = dict.fromkeys((*hosts, *workers), 0)
+        self.ids = {worker: worker for worker in workers}
+        self.hosts = {host: _addresses(number) for number, host in enumerate(hosts)}
+        self.store = Address(_LOOPBACK, free_port())
+        self._worker_ports = {worker: free_port() for worker in workers}
+        places = {listens.peers.host: host for host, listens in self.hosts.items()}
+        self._relay = RelayPlan(free_port(), _LINK_S, [], places)
+        self._reached: dict[str, str] = {}
+        for host, listens in self.hosts.items():
+            self._reach(host, listens.peers, "hosts" in schedule.relayed)
+        self._reach(STORE, self.store, "store" in schedule.relayed)
+        for worker, port in self._worker_ports.items():
+            address = Address(_LOOPBACK, port)
+            self._reach(worker, address, "workers" in schedule.relayed)
+
+    @property
+    def relay_port(self) -> int:
+        """Port by which the relay is told what to do."""
+        return self._relay.control
+
+    @property
+    def trace_file(self) -> Path:
+        """Where workers write what they ran."""
+        return self.directory / "runs.jsonl"
+
+    def start_all(self) -> None:
+        """Start every process but the hosts, which need a configuration first."""
+        self._run(STORE, self.store.port, STORE)
+        for worker in self.ids:
+            self.start_worker(worker)
+        self.start_relay()
+        self.wait_listening()
+
+    def start_worker(self, name: str) -> None:
+        """Start the next life of a worker."""
+        self.lives[name] += 1
+        options = ["--name", self.ids[name], "--life", str(self.lives[name])]
+        options += ["--trace", str(self.trace_file)]
+        self._run(name, self._worker_ports[name], "worker", *options)
+
+    def start_host(self, name: str) -> None:
+        """Start the next life of a host, with a time of day that may be off."""
+        self.lives[name] += 1
+        self.write_settings(name)
+        offset_s = clock_offset_s(self._seed, name, self.lives[name])
+        command = [
+            sys.executable,
+            "-m",
+            "poplarhill_dev.soak.skewed",
+            f"{offset_s:.3f}",
+        ]
+        command += ["--settings", str(self.directory / f"{name}.json")]
+        self._start(name, self.hosts[name].callers.port, command)
+
+    def start_relay(self) -> None:
+        """Start the relay."""
+        path = self.directory / "relay.json"
+        path.write_bytes(msgspec.json.encode(self._relay))
+        self._start_module("relay", self._relay.control, ["relay", str(path)])
+
+    def wait_hosts_ready(self) -> None:
+        """Wait until every host takes jobs."""
+        for name, listens in self.hosts.items():
+            ip, port = listens.readiness
+            wait_until(
+                lambda ip=ip, port=port: get_status(port, "/", ip) == 200,
+                f"{name} ready",
+            )
+
+    def write_settings(self, name: str, change: Reload | None = None) -> None:
+        """Write a host's settings, changed or as they are by default."""
+        seeds = [self._reached[host] for host in self.hosts]
+        listens = self.hosts[name]._asdict()
+        settings = {
+            "name": name,
+            "data_centre": data_centre(int(name[1:]) - 1),
+            **{duty: _text(address) for duty, address in listens.items()},
+            "store": self._reached[STORE],
+            "advertise": self._reached[name],
+            "seeds": ",".join(seeds[-2:] if change is Reload.SEEDS else seeds[:3]),
+            "grace_s": _OTHER_GRACE_S if change is Reload.GRACE else GRACE_S,
+        }
+        text = json.dumps(settings, indent=2)
+        if change is Reload.UNREADABLE:
+            text = text[: len(text) // 2]
+        (self.directory / f"{name}.json").write_text(text)
+
+    def record(self, worker: str, draining: bool = False) -> WrittenRecord:
+        """Return what a worker writes to the store about itself."""
+        ip, _, port = self._reached[worker].partition(":")
+        entry = worker_entry("w0")._replace(
+            name=self.ids[worker],
+            address=Address(ip, int(port)),
+            data_centre=data_centre(int(worker[1:]) - 1),
+            draining=draining,
+        )
+        return WrittenRecord(_WORKERS_TOPIC, entry.name, worker_record(entry))
+
+    def forgotten(self, worker: str) -> WrittenRecord:
+        """Return the record by which the store drops a worker."""
+        return WrittenRecord(_WORKERS_TOPIC, self.ids[worker], None)
+
+    def _reach(self, place: str, address: Address, relayed: bool) -> None:
+        """Note where hosts reach a process: itself, or the relay before it."""
+        if relayed:
+            route = Route(free_port(), *address, place)
+            self._relay.routes.append(route)
+            address = Address(_LOOPBACK, route.port)
+        self._reached[place] = _text(address)
+
+    def _run(self, name: str, port: int, verb: str, *options: str) -> None:
+        command = [sys.executable, "-m", "poplarhill_platform_dev", verb]
+        command += ["--listen", f"{_LOOPBACK}:{port}", *options]
+        self._start(name, port, command)
+
+
+def _addresses(number: int) -> HostAddresses:
+    """Return addresses on an IP address that no other soak uses at the time."""
+    network = os.getpid() % _NETWORKS + 1
+    ip = f"127.{network}.{number // 250 + 1}.{number % 250 + 1}"
+    return HostAddresses(*(Address(ip, free_port()) for _ in HostAddresses._fields))
+
+
+def _text(address: Address) -> str:
+    return f"{address.host}:{address.port}"
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/regressions.py
@@ -0,0 +1,24 @@
+"""Every seed that ever failed, and why."""
+
+from typing import NamedTuple
+
+from poplarhill_dev.soak.run import Soak
+
+
+class Regression(NamedTuple):
+    """A soak that once broke a promise, and the cause."""
+
+    soak: Soak
+    cause: str
+
+
+REGRESSIONS = (
+    Regression(
+        Soak(3, seconds=4.0),
+        "a crashed worker's lapse freed runs of the same number on other workers",
+    ),
+    Regression(
+        Soak(5, seconds=10.0),
+        "as seed 3, with a worker whose answers were held back",
+    ),
+)
