Hear a host again whose time of day was set back between two lives

A host that was killed and came back with its time of day behind its earlier life led on its own beside the other leader; each worker was taken back and forth every 0.5 s for 16 s, tasks were stopped as orphans, jobs ended with 504.

Cause: a life is told by its start in ms of the time of day, and heartbeats of a lower one than the last heard were dropped for good. Ruled out: cuts (links between hosts were direct) and the store (two leaders from 0.3 s after the restart, store calm).

A lower one now counts once the higher one is silent; before, it is still taken for a late heartbeat. test_a_host_whose_time_of_day_was_set_back_is_heard_again failed first; test_a_late_heartbeat_of_an_earlier_life_is_ignored guards the other side.

--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -161,7 +161,9 @@
             return [LogDecision(HeartbeatIgnored(name, str(error)[:_MOST_REASON]))]
         known = self._peers.get(name)
         if known is not None and known.beat.incarnation > beat.incarnation:
-            return []
+            if now - known.heard_at <= self._limit_s(known.beat):
+                return []  # it was held back on its way
+            # The time of day was set back between two lives.
         actions: list[ShardAction] = []
         if known is None or known.beat.incarnation != beat.incarnation:
             if known is not None and known.live:
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -235,3 +235,24 @@
     [ignored] = fleet.hosts["h1"].heard(fleet.now, "h0", beat)
     assert isinstance(ignored.decision, HeartbeatIgnored)
     assert fleet.hosts["h1"].live == before
+
+
+# A host that came back with its time of day behind its earlier life was ignored for
+# good: it heard nobody, led on its own, and two leaders took each worker in turn.
+def test_a_host_whose_time_of_day_was_set_back_is_heard_again(fleet: Fleet) -> None:
+    fleet.start("h0", Address("10.0.0.0", 1), incarnation=0)
+    fleet.run(4.0)
+    assert all(
+        "h0" in hosts.live for name, hosts in fleet.hosts.items() if name != "h0"
+    )
+    assert len(fleet.leaders("dc1/0")) == 1
+    assert len(fleet.leaders("dc2/0")) == 1
+
+
+# Heartbeats of a life that is over may have been held back on their way.
+def test_a_late_heartbeat_of_an_earlier_life_is_ignored(fleet: Fleet) -> None:
+    late = fleet.hosts["h1"].live["h0"]
+    fleet.start("h0", Address("10.0.0.0", 1), incarnation=2)
+    fleet.run(2.0)
+    fleet.hosts["h1"].heard(fleet.now, "h0", late)
+    assert fleet.hosts["h1"].live["h0"].incarnation == 2
