--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/regressions.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/regressions.py
@@ -21,4 +21,9 @@
         Soak(5, seconds=10.0),
         "as seed 3, with a worker whose answers were held back",
     ),
+    Regression(
+        Soak(23),
+        "heartbeats of a host were ignored after its clock was set back; a job from "
+        "another leader did not wait for the workers that were that leader's",
+    ),
 )
