--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -160,10 +160,8 @@
         except ValueError as error:
             return [LogDecision(HeartbeatIgnored(name, str(error)[:_MOST_REASON]))]
         known = self._peers.get(name)
-        if known is not None and known.beat.incarnation > beat.incarnation:
-            if now - known.heard_at <= self._limit_s(known.beat):
-                return []  # it was held back on its way
-            # The time of day was set back between two lives.
+        if known is not None and self._is_late(now, known, beat):
+            return []
         actions: list[ShardAction] = []
         if known is None or known.beat.incarnation != beat.incarnation:
             if known is not None and known.live:
@@ -408,6 +406,14 @@
         """Return for how long another host may be silent."""
         return LOST_S if self._period_s(beat) == BEAT_S else SLOW_LOST_S
 
+    def _is_late(self, now: float, known: _Peer, beat: Beat) -> bool:
+        """Return whether a heartbeat is of a life that is over.
+
+        A lower incarnation after silence is a life whose time of day was set back.
+        """
+        older = beat.incarnation < known.beat.incarnation
+        return older and now - known.heard_at <= self._limit_s(known.beat)
+
     def _lose(self, now: float, peer: _Peer, reason: str) -> list[ShardAction]:
         peer.live = False
         gone = HostGone(peer.name, reason, round(now - peer.heard_at, 3))
