A job that ran after its refusal, as a test that is known red

A repeat of the offer, held back on a cut link, arrived 0.6 s later, was taken as a new job and ran. Ruled out: a resend by the caller (it got 503 and sent nothing more).

An offer tells how long it may still wait, not until when, so a late one looks fresh; the leader remembers outcomes of complete jobs only. It lies in leading/state.py.

--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/regressions.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/regressions.py
@@ -30,4 +30,8 @@
         "heartbeats of a host were ignored after its clock was set back; a job from "
         "another leader did not wait for the workers that were that leader's",
     ),
+    Regression(
+        Soak(68, seconds=4.0),
+        "an offer that was held back came after its job was refused, and was taken",
+    ),
 )
--- a/packages/poplarhilld/tests/leading/test_resent_jobs.py
+++ b/packages/poplarhilld/tests/leading/test_resent_jobs.py
@@ -35,3 +35,20 @@
     world.submit("h1", simulated_job("a", tasks=2, run_s=2.0, left_s=5.0, handovers=1))
     world.run(4.0)
     assert not world.broken
+
+
+# An offer that was held back on a cut link arrived after its job was refused as not
+# run; it was taken as a new one, and ran after its caller had got 503.
+def test_an_offer_that_comes_after_its_refusal_starts_nothing(world: World) -> None:
+    for worker in world.workers.values():
+        worker.mute = True
+    world.run(3.0)
+    job = simulated_job("a", tasks=2, left_s=5.0)
+    world.submit("h1", job)
+    assert world.ended("a").not_run
+    for worker in world.workers.values():
+        worker.mute = False
+    world.run(3.0)
+    world.submit("h1", job)
+    world.run(1.0)
+    assert world.starts == 0
