--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/run.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/run.py
@@ -128,10 +128,9 @@
         ]
         tasks = [await curio.spawn(caller.run) for caller in callers]
         tasks += [await curio.spawn(self._probe, h) for h in self._fleet.hosts]
-        judging = await curio.spawn(self._judge)
+        tasks.append(await curio.spawn(self._judge))
         await self._inject()
         await self._recover()
-        await judging.cancel()
         self._stopping = True
         for caller in callers:
             caller.stopping = True
@@ -159,8 +158,12 @@
 
     async def _judge(self) -> None:
         """Judge what was seen so far; a broken promise ends the faults."""
-        while not self._broken:
-            await curio.sleep(_JUDGE_S)
+        next_look = 0.0
+        while not self._broken and not self._stopping:
+            await curio.sleep(_PROBE_S)
+            if time.monotonic() < next_look:
+                continue
+            next_look = time.monotonic() + _JUDGE_S
             seen = {part: list(lines) for part, lines in self._trace.items()}
             runs = {"runs": _read_lines(self._fleet.trace_file)}
             trace = defaultdict(list, {**seen, **runs})
