Soak: one connection a cancel; what SIGTERM may do to a starting host

Cancels shared a connection and met each other on it in a run of 200 processes (h11 refused to send): each has its own now.

--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/callers.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/callers.py
@@ -111,13 +111,14 @@
     """
 
     def __init__(self, fleet: SoakFleet, name: int, seed: int, note: Note) -> None:
+        self._fleet = fleet
         self._hosts = list(fleet.hosts)
         self._name = name
         self._seed = seed
         self._random = Random(f"caller {seed} {name}")
         self._note = note
         self._link = HostLink(fleet, self._random.choice(self._hosts))
-        self._other = HostLink(fleet, self._random.choice(self._hosts))
+        self._other_host = self._random.choice(self._hosts)
         self._count = 0
         self.stopping = False
 
@@ -129,7 +130,6 @@
                 await self._link.move(self._random.choice(self._hosts))
             await self.send_job()
         await self._link.close()
-        await self._other.close()
 
     async def send_job(self) -> None:
         """Send one job until it has an outcome, or too often."""
@@ -162,7 +162,9 @@
 
     async def _cancel(self, job: str) -> None:
         await curio.sleep(self._random.uniform(0.0, 0.6))
-        await self._other.ask(Request("DELETE", JOBS_PREFIX + job), PATIENCE_S)
+        link = HostLink(self._fleet, self._other_host)
+        await link.ask(Request("DELETE", JOBS_PREFIX + job), PATIENCE_S)
+        await link.close()
 
 
 async def first_served_s(
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/checker.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/checker.py
@@ -32,6 +32,7 @@
 _LOSS_SLACK_S = 0.2
 _GRACE_S = 6.0
 _RECOVER_S = 12.0
+_TERMINATED = -15  # code of a process that SIGTERM ended
 _POLL_S = 0.1  # how late the soak may see the end of a process
 _CLOCK_S = 0.001  # error of a worker's times after their conversion
 _ROUNDING = 1e-6
@@ -188,7 +189,10 @@
 
 
 def _ends(trace: Trace) -> Iterator[str]:
+    asked = {(p["host"], p["life"]) for p in [*trace["requests"], *trace["probes"]]}
     for life in trace["lives"]:
+        # Until it reads its first request, SIGTERM may end a process at once.
+        codes = (0,) if (life["host"], life["life"]) in asked else (0, _TERMINATED)
         name = f"{life['host']} in life {life['life']}"
         term, ended, code = life["term"], life["ended"], life["code"]
         if ended is None or life["killed"] is not None:
@@ -197,7 +201,7 @@
             yield f"{name} ended by itself with code {code}"
         elif _disturbed(trace, life["host"], term - CONTACT_S, ended, "pause"):
             continue
-        elif life["forced"] or ended - term > _GRACE_S + _POLL_S or code != 0:
+        elif life["forced"] or ended - term > _GRACE_S + _POLL_S or code not in codes:
             yield f"{name} ended {ended - term:.3f} s after SIGTERM with code {code}"
 
 
--- a/packages/poplarhill-dev/tests/soak/test_checker.py
+++ b/packages/poplarhill-dev/tests/soak/test_checker.py
@@ -134,6 +134,20 @@
     assert check_soak(trace) == []
 
 
+# SIGTERM before the handlers are set ends a host that nobody has asked anything.
+def test_a_host_that_starts_may_end_at_once() -> None:
+    trace = good_trace()
+    life = {"life": 2, "term": 40.0, "ended": 40.1, "code": -15}
+    trace["lives"].append({**trace["lives"][0], **life})
+    assert check_soak(trace) == []
+    trace["probes"].append(
+        {**trace["probes"][0], "life": 2, "sent": 39.8, "ended": 39.9}
+    )
+    assert {v.outcome for v in check_soak(trace)} == {
+        "a host ends by itself within its grace"
+    }
+
+
 def test_a_run_ends_with_its_killed_worker() -> None:
     trace = good_trace()
     trace["runs"] = [line for line in trace["runs"] if line.get("end") is None]
