--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/fleet.py
@@ -23,6 +23,7 @@
 _LOOPBACK = "127.0.0.1"
 _NETWORKS = 250
 _LINK_S = 0.0005
+_PLACES_A_RELAY = 16  # one that carries 200 is late by seconds
 _WORKERS_TOPIC = "keyed.servers"
 
 
@@ -36,7 +37,7 @@
 
 
 class SoakFleet(Fleet):
-    """Processes on loopback addresses of their own, behind a relay as drawn.
+    """Processes on loopback addresses of their own, behind relays as drawn.
 
     Attributes:
         lives: Count of the lives of each host and worker.
@@ -62,7 +63,10 @@
         self.store = Address(_LOOPBACK, free_port())
         self._worker_ports = {worker: free_port() for worker in workers}
         places = {listens.peers.host: host for host, listens in self.hosts.items()}
-        self._relay = RelayPlan(free_port(), _LINK_S, [], places)
+        count = 1 + (len(hosts) + len(workers)) // _PLACES_A_RELAY
+        self._relays = [
+            RelayPlan(free_port(), _LINK_S, [], places) for _ in range(count)
+        ]
         self._reached: dict[str, str] = {}
         for host, listens in self.hosts.items():
             self._reach(host, listens.peers, "hosts" in schedule.relayed)
@@ -72,9 +76,9 @@
             self._reach(worker, address, "workers" in schedule.relayed)
 
     @property
-    def relay_port(self) -> int:
-        """Port by which the relay is told what to do."""
-        return self._relay.control
+    def relay_ports(self) -> list[int]:
+        """Ports by which the relays are told what to do."""
+        return [relay.control for relay in self._relays]
 
     @property
     def trace_file(self) -> Path:
@@ -86,7 +90,10 @@
         self._run(STORE, self.store.port, STORE)
         for worker in self.ids:
             self.start_worker(worker)
-        self.start_relay()
+        for number, relay in enumerate(self._relays):
+            path = self.directory / f"relay{number}.json"
+            path.write_bytes(msgspec.json.encode(relay))
+            self._start_module(path.stem, relay.control, ["relay", str(path)])
         self.wait_listening()
 
     def start_worker(self, name: str) -> None:
@@ -110,12 +117,6 @@
         command += ["--settings", str(self.directory / f"{name}.json")]
         self._start(name, self.hosts[name].callers.port, command)
 
-    def start_relay(self) -> None:
-        """Start the relay."""
-        path = self.directory / "relay.json"
-        path.write_bytes(msgspec.json.encode(self._relay))
-        self._start_module("relay", self._relay.control, ["relay", str(path)])
-
     def wait_hosts_ready(self) -> None:
         """Wait until every host takes jobs."""
         for name, listens in self.hosts.items():
@@ -162,7 +163,8 @@
         """Note where hosts reach a process: itself, or the relay before it."""
         if relayed:
             route = Route(free_port(), *address, place)
-            self._relay.routes.append(route)
+            relay = min(self._relays, key=lambda relay: len(relay.routes))
+            relay.routes.append(route)
             address = Address(_LOOPBACK, route.port)
         self._reached[place] = _text(address)
 
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/injector.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/injector.py
@@ -101,7 +101,7 @@
             case Break():
                 for disturbance in self._disturb_link(fault.place):
                     disturbance["end"] = disturbance["begin"]
-                await self._tell(self._fleet.relay_port, "/breaks", [fault])
+                await self._tell_relays("/breaks", [fault])
             case HarmStore(faults, for_s):
                 disturbance = self._disturb(_EVERYWHERE, "store")
                 port = self._fleet.store.port
@@ -138,7 +138,7 @@
     async def heal(self) -> None:
         """End the faults that may still be in force."""
         self._links.clear()
-        await self._tell(self._fleet.relay_port, "/faults", self._links)
+        await self._tell_relays("/faults", self._links)
 
     def is_up(self, host: str) -> bool:
         """Return whether a host runs and was not told to end."""
@@ -233,11 +233,11 @@
     async def _harm_link(self, fault: LinkFault, for_s: float) -> None:
         disturbances = self._disturb_link(fault.source, fault.target)
         self._links.append(fault)
-        await self._tell(self._fleet.relay_port, "/faults", self._links)
+        await self._tell_relays("/faults", self._links)
         await curio.sleep(for_s)
         if fault in self._links:
             self._links.remove(fault)
-            await self._tell(self._fleet.relay_port, "/faults", self._links)
+            await self._tell_relays("/faults", self._links)
         for disturbance in disturbances:
             disturbance["end"] = time.monotonic()
 
@@ -257,6 +257,10 @@
     async def _put(self, record: WrittenRecord) -> None:
         await self._tell(self._fleet.store.port, RECORDS_PATH, record)
 
+    async def _tell_relays(self, path: str, value: Any) -> None:
+        for port in self._fleet.relay_ports:
+            await self._tell(port, path, value)
+
     async def _tell(self, port: int, path: str, value: Any, query: str = "") -> None:
         """Tell a stand-in something; one that is paused or away hears it later."""
         request = Request("PUT", path, query, body=msgspec.json.encode(value))
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/run.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/run.py
@@ -25,6 +25,7 @@
 _JUDGE_S = 5.0
 _GIVE_UP_S = 25.0  # twice the time in which service must be back
 _CALLERS_A_WORKER = 0.7
+_CALLERS = (2, 48)  # more would make this loop late
 
 
 class Soak(NamedTuple):
@@ -121,7 +122,9 @@
             self._injector.start_host(host)
         await curio.run_in_thread(self._fleet.wait_hosts_ready)
         await curio.spawn(self._injector.keep, daemon=True)
-        count = max(2, round(self._soak.workers * _CALLERS_A_WORKER))
+        fewest, most = _CALLERS
+        count = round(self._soak.workers * _CALLERS_A_WORKER)
+        count = min(most, max(fewest, count))
         callers = [
             Caller(self._fleet, number, self._soak.seed, self._note)
             for number in range(count)
