--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/regressions.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/regressions.py
@@ -26,7 +26,7 @@
         "each silent connection to the store cost a time-out of its own",
     ),
     Regression(
-        Soak(23),
+        Soak(23, seconds=18.0),
         "heartbeats of a host were ignored after its clock was set back; a job from "
         "another leader did not wait for the workers that were that leader's",
     ),
