An entry host that starts is not ended by SIGHUP

Cause: no handler is set until all modules are imported, 0.3 s on a free core and seconds on a busy one, and the default action ends the process. It is ignored before the first import now; the settings are read after it. The package imports its parts when they are asked for, so that the entry point comes first. test_sighup_is_no_danger_before_the_imports failed first.

--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/skewed.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/skewed.py
@@ -1,10 +1,9 @@
 """Runs an entry host whose time of day is off: `skewed OFFSET_S --settings FILE`."""
 
+import runpy
 import sys
 import time
 
-from poplarhill_platform.cli import main
-
 
 def _skew(offset_s: float) -> None:
     true_time = time.time
@@ -13,4 +12,4 @@
 
 if __name__ == "__main__":
     _skew(float(sys.argv.pop(1)))
-    main()
+    runpy.run_module("poplarhill_platform", run_name="__main__", alter_sys=True)
