--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import NamedTuple
@@ -117,6 +118,23 @@
         command += ["--settings", str(self.directory / f"{name}.json")]
         self._start(name, self.hosts[name].callers.port, command)
 
+    def may_reload(self, host: str, change: Reload) -> bool:
+        """Return whether a host has come far enough for SIGHUP after a change.
+
+        Until its interpreter runs, no program can keep the signal from ending it,
+        and a host that has not read its settings must not start on unreadable ones.
+        """
+        pid = self.process(host).handle.pid
+        try:
+            status = Path(f"/proc/{pid}/status").read_text()
+        except FileNotFoundError:
+            return False
+        masks = dict(line.split(":\t") for line in status.splitlines() if "Sig" in line)
+        minded = int(masks["SigCgt"], 16)
+        if change is not Reload.UNREADABLE:
+            minded |= int(masks["SigIgn"], 16)
+        return bool(minded & 1 << (signal.SIGHUP - 1))
+
     def wait_hosts_ready(self) -> None:
         """Wait until every host takes jobs."""
         for name, listens in self.hosts.items():
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/injector.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/injector.py
@@ -91,6 +91,8 @@
             case EndHost(host, kill, back_s):
                 self._end_host(host, kill, back_s)
             case ReloadHost(host, change):
+                while not self._fleet.may_reload(host, change):
+                    await curio.sleep(_POLL_S)
                 self._fleet.write_settings(host, change)
                 self._disturb(host, "reload", 0.0)
                 self._fleet.reload(host)
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/regressions.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/regressions.py
@@ -34,4 +34,8 @@
         Soak(68, seconds=4.0),
         "an offer that was held back came after its job was refused, and was taken",
     ),
+    Regression(
+        Soak(78),
+        "SIGHUP ended a host that was still importing its modules; 79 and 424 too",
+    ),
 )
