Tell runs by their worker too when a lost one lets them go

Cause: a job that is sent again after it was closed counts its runs from 1 again; a worker that was lost before keeps its reservations, and each further loss freed runs by task and number, also those that are now on another worker. Runs are now told by worker, task and number.

--- a/packages/poplarhilld/src/poplarhilld/leading/runs.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -25,12 +25,16 @@
 
 
 class RunTable:
-    """The runs of a leader's jobs, and those that nobody claims."""
+    """The runs of a leader's jobs, and those that nobody claims.
+
+    A run is told by its worker too: the tasks of a job that is sent again after it
+    was closed count their runs from 1 again.
+    """
 
     def __init__(self) -> None:
-        self._tasks: dict[Run, LedTask] = {}
+        self._tasks: dict[tuple[str, Run], LedTask] = {}
         self._jobs: dict[str, LedJob] = {}
-        self._orphans: dict[Run, Orphan] = {}
+        self._orphans: dict[tuple[str, Run], Orphan] = {}
         self._stop_due: dict[tuple[str, Run], float] = {}
 
     def add_job(self, job: LedJob) -> None:
@@ -47,9 +51,9 @@
         """Return the job of a task, if it is known here."""
         return self._jobs.get(task)
 
-    def task_of(self, run: Run) -> LedTask | None:
+    def task_of(self, worker: str, run: Run) -> LedTask | None:
         """Return the task that a run is under way for, if it is known here."""
-        return self._tasks.get(run)
+        return self._tasks.get((worker, run))
 
     def started(self, now: float, run: Run, task: LedTask, worker: str) -> None:
         """Note that a run was ordered for a task."""
@@ -65,23 +69,23 @@
         task.run, task.worker = run, worker
         task.ordered_at, task.found = now, found
         task.next_number = max(task.next_number, run.number + 1)
-        self._tasks[run] = task
+        self._tasks[worker, run] = task
 
-    def forget(self, run: Run) -> None:
+    def forget(self, worker: str, run: Run) -> None:
         """Note that a run is not under way any more."""
-        self._orphans.pop(run, None)
-        task = self._tasks.pop(run, None)
-        if task is not None and task.run == run:
+        self._orphans.pop((worker, run), None)
+        task = self._tasks.pop((worker, run), None)
+        if task is not None and (task.worker, task.run) == (worker, run):
             task.run, task.worker = None, ""
 
     def closed(self, worker: str, run: Run) -> None:
         """Note that a run needs no stop any more."""
         self._stop_due.pop((worker, run), None)
-        self._orphans.pop(run, None)
+        self._orphans.pop((worker, run), None)
 
     def found_orphan(self, now: float, run: Run, worker: str) -> None:
         """Note a run that no job known here asked for."""
-        self._orphans[run] = Orphan(run, worker, now)
+        self._orphans[worker, run] = Orphan(run, worker, now)
 
     def orphans_of(self, job: LedJob) -> list[tuple[Orphan, LedTask]]:
         """Return the orphans that turn out to be runs of a job."""
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -280,7 +280,7 @@
         changes = worker.ordered(now, run, reply)
         match reply.outcome:
             case OrderOutcome.OUTDATED:
-                task = self._runs.task_of(run)
+                task = self._runs.task_of(name, run)
                 if task is not None:
                     # The worker has seen a higher number under an earlier leader.
                     task.next_number += 8
@@ -359,7 +359,7 @@
         held = list(worker.reservations)
         for reservation in held:
             self._runs.closed(name, reservation.run)
-            self._let_go(reservation.run)
+            self._let_go(name, reservation.run)
         released = WorkerReleased(name, worker.token, reason, len(held))
         return [LogDecision(released)]
 
@@ -395,9 +395,9 @@
             actions.append(_state(now, worker, "lost", reason))
         if dead or worker.has_lapsed(now):
             for run in worker.lapse():
-                task = self._runs.task_of(run)
+                task = self._runs.task_of(name, run)
                 if task is not None and task.run == run:
-                    self._let_go(run)
+                    self._let_go(name, run)
                     task.avoid.add(name)
         return actions
 
@@ -415,7 +415,7 @@
             return self._lose(now, worker, "silent")
         actions: list[LeaderAction] = []
         for held in list(worker.reservations):
-            task = self._runs.task_of(held.run)
+            task = self._runs.task_of(name, held.run)
             if self._runs.is_stopping(name, held.run):
                 actions += self._stop(now, worker, held.run)
             elif held.state is RunState.RUNNING and task is not None:
@@ -481,7 +481,7 @@
 
     def _found(self, now: float, worker: LeasedWorker, run: Run) -> list:
         name = worker.entry.name
-        task = self._runs.task_of(run)
+        task = self._runs.task_of(name, run)
         if task is not None and task.run == run:
             return []
         job = self._runs.job_of(run.task)
@@ -511,13 +511,13 @@
     ) -> list[LeaderAction]:
         name = worker.entry.name
         self._runs.closed(name, run)
-        task = self._runs.task_of(run)
+        task = self._runs.task_of(name, run)
         if task is None:
             if fate is RunFate.DONE and self._runs.job_of(run.task) is None:
                 self._memory.note_done(run.task)
             return []
         job = self._runs.job_of(task.name)
-        self._let_go(run)
+        self._let_go(name, run)
         took_s = now - task.ordered_at
         resolved = RunResolved(
             task.name, run.number, name, fate.value, round(took_s, 4)
@@ -540,10 +540,10 @@
                 self._fitness.ended(now, name, run)
         return actions + self._advance(now, job, task)
 
-    def _let_go(self, run: Run) -> None:
+    def _let_go(self, worker: str, run: Run) -> None:
         """Note that a run is not under way any more; its task may wait again."""
-        task = self._runs.task_of(run)
-        self._runs.forget(run)
+        task = self._runs.task_of(worker, run)
+        self._runs.forget(worker, run)
         job = None if task is None else self._runs.job_of(task.name)
         if job is not None:
             self._queue[job.job_id] = job
