Count a worker that another leader has taken as not settled

Cause: a job from another leader started here although a worker that this leader had taken was not asked yet: it had been confirmed before it was fenced. The test was red before.

--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -761,7 +761,7 @@
         self._settled = False  # time alone may let it start
         if self._elsewhere:
             return False
-        return all(worker.confirmed for worker in self._workers.values())
+        return all(w.confirmed and not w.fenced for w in self._workers.values())
 
     def _start(
         self,
