Answer an offer that comes late as it was answered before

Cause: an offer that a cut link had held back came after the job was refused; the leader took it as a new job. Answers are now remembered for 10 s by host, number of the offer and job.

--- a/packages/poplarhilld/src/poplarhilld/leading/memory.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/memory.py
@@ -1,11 +1,13 @@
 """What a leader remembers of jobs and tasks that it is done with."""
 
 from collections import OrderedDict
+from collections.abc import Hashable
 
 from poplarhilld.peers.messages import JobEnded
 
 _REPORT_KEPT_S = 5.0  # callers repeat a request within some seconds
 _CANCEL_KEPT_S = 10.0  # longest delay of an offer that was on its way
+_ANSWER_KEPT_S = 10.0  # longest delay of an offer that was on its way
 _MOST_TASKS = 4096  # tasks that ended before their job was offered here
 
 
@@ -14,6 +16,7 @@
 
     def __init__(self) -> None:
         self._reports: OrderedDict[str, tuple[float, JobEnded]] = OrderedDict()
+        self._answered: OrderedDict[Hashable, tuple[float, JobEnded]] = OrderedDict()
         self._cancelled: OrderedDict[str, float] = OrderedDict()
         self._done: OrderedDict[str, None] = OrderedDict()
 
@@ -29,6 +32,16 @@
         _, report = self._reports.get(job_id, (0.0, None))
         return report if report is not None and not report.error else None
 
+    def note_answer(self, now: float, offer: Hashable, report: JobEnded) -> None:
+        """Remember what an offer was answered."""
+        self._answered[offer] = (now, report)
+        while next(iter(self._answered.values()))[0] < now - _ANSWER_KEPT_S:
+            self._answered.popitem(last=False)
+
+    def answer(self, offer: Hashable) -> JobEnded | None:
+        """Return what an offer was answered lately; it comes late, or again."""
+        return self._answered.get(offer, (0.0, None))[1]
+
     def note_cancel(self, now: float, job_id: str) -> None:
         """Remember that a job was cancelled."""
         self._cancelled.pop(job_id, None)
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -195,10 +195,13 @@
             return self._join(now, job, listener, offer)
         if self._memory.is_cancelled(now, offer.job_id):
             cancelled = Refusal(ErrorKind.CANCELLED, "the job was cancelled")
-            return self._refuse(host, offer, now, cancelled)
+            return self._refuse(listener, offer, now, cancelled)
         completion = self._memory.completion(offer.job_id)
         if completion is not None:
             return [ReportJob(host, completion)]
+        answered = self._memory.answer((listener, offer.job_id))
+        if answered is not None:
+            return [ReportJob(host, answered)]
         self._note_patience(now, offer)
         job = self._led(now, host, offer)
         for task in job.tasks:
@@ -209,7 +212,7 @@
         wait_s = self._expected_wait_s(now, job)
         refused = self._check(now, job, wait_s)
         if refused is not None and not self._runs.orphans_of(job):
-            return self._refuse(host, offer, now, refused)
+            return self._refuse(listener, offer, now, refused)
         self._jobs[offer.job_id] = self._queue[offer.job_id] = job
         self._settled = False
         self._listeners[offer.job_id] = {listener}
@@ -621,11 +624,13 @@
         return expected_wait_s(now, job, self._queue.values(), usable)
 
     def _refuse(
-        self, host: str, offer: JobOffer, now: float, refused: Refusal
+        self, listener: _Listener, offer: JobOffer, now: float, refused: Refusal
     ) -> list[LeaderAction]:
+        host = listener.host
         job = self._led(now, host, offer)
         kind, detail, retry_after_s = refused
         report = _ended(job, kind, detail, retry_after_s)
+        self._memory.note_answer(now, (listener, offer.job_id), report)
         taken = self._taken(job, 0.0, f"refused: {kind.value}: {detail}")
         return [LogDecision(taken), ReportJob(host, report)]
 
@@ -662,6 +667,8 @@
         """Report a job's outcome and stop what is left of it."""
         actions = self._report(job, report)
         self._memory.note_outcome(now, report)
+        for listener in self._listeners[job.job_id]:
+            self._memory.note_answer(now, (listener, job.job_id), report)
         closed = JobClosed(
             job.job_id,
             report.error or "complete",
