--- a/packages/poplarhilld/src/poplarhilld/leading/order.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/order.py
@@ -7,7 +7,7 @@
 from poplarhilld.leading.placement import affords_slow
 
 _BASE_WORTH = 0.3  # of a job of no work; the users weigh the rest by its work
-_PRESSED_PRICE = 0.5  # of the usual; a wait costs such a job all, others a part
+_PRESSED_PRICE = 0.7  # of the usual; a wait costs such a job all, others a part
 
 
 class Rank(NamedTuple):
