--- a/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import NamedTuple
@@ -16,10 +16,11 @@
 from poplarhill_dev.leased import SimulatedJob, SimulatedWorker, World, worker_entry
 from poplarhilld.peers.messages import JobOffer, StepSpec
 
-_DEADLINE_S = 1.5
+DEADLINE_S = 1.5
 _LATE_WORTH = 0.2
 _LATE_FACTOR = 3.0
 _STEP_S = 0.02
+_SLOWDOWNS = (0.8, 1.0, 1.25)  # of the first sheet's workers
 _DECLARED_ERROR = 0.4  # standard deviation of its logarithm, as seen on two days
 
 
@@ -66,21 +67,29 @@
         kind: Its kind.
         at: When, s.
         objective_s: Time within which its answer is in time, s.
-        size: Work of all its tasks, s.
+        size: Work of all its tasks, core-seconds.
+        possible: Whether the fastest worker could do it before its caller leaves.
     """
 
     kind: Kind
     at: float
     objective_s: float
     size: float
+    possible: bool
 
     @classmethod
     def of(
-        cls, job: SimulatedJob, kind: Kind, at: float, chain_s: float
+        cls,
+        job: SimulatedJob,
+        kind: Kind,
+        at: float,
+        chain_s: float,
+        slowdowns: Sequence[float] = _SLOWDOWNS,
     ) -> "Submitted":
         """Return what the score needs of a job whose longest task takes `chain_s`."""
-        size = sum(step.count for step in job.offer.steps) * job.run_s
-        return cls(kind, at, 1.6 * chain_s + 0.06, size)
+        size = sum(s.count * s.needs.cores for s in job.offer.steps) * job.run_s
+        possible = chain_s * min(slowdowns) < job.offer.left_s
+        return cls(kind, at, 1.6 * chain_s + 0.06, size, possible)
 
 
 class KindScore(NamedTuple):
@@ -89,9 +98,12 @@
     Attributes:
         jobs: Count of jobs.
         in_time: Share inside their objective.
-        served: Share that was complete before the caller left.
+        served: Share that was complete before the leader gave it up, which may be
+            a tick after the caller has left.
         credit: Worth earned of the worth asked for.
         large: Share of the largest tenth, and of the fifth below it, served.
+        kept: Share of the two that was complete before the caller left.
+        possible: Share of the two that the fastest worker could have kept so.
     """
 
     jobs: int
@@ -99,10 +111,17 @@
     served: float
     credit: float
     large: tuple[float, float]
+    kept: tuple[float, float]
+    possible: tuple[float, float]
 
 
 def replay(
-    load: float, seconds: float, seed: int, outage_s: float = 0.0
+    load: float,
+    seconds: float,
+    seed: int,
+    outage_s: float = 0.0,
+    deadline_s: float = DEADLINE_S,
+    slowdowns: Sequence[float] = _SLOWDOWNS,
 ) -> dict[str, KindScore]:
     """Play a load through one leader and return how each kind fared.
 
@@ -112,39 +131,43 @@
         seed: Seed of every random choice.
         outage_s: How long no host was there before the leader starts, s. Callers
             of that time still wait and all come at once; they are not scored.
+        deadline_s: How long callers wait, s.
+        slowdowns: Factors on run times, one of which each worker has.
     """
     random = Random(seed)
-    world = World(_workers(random), seed)
+    world = World(_workers(random, slowdowns), seed)
     world.add_leader("h1", 1)
     world.run(0.3)
     submitted: dict[str, Submitted] = {}
     begin = world.now
     for number, (at, kind) in enumerate(arrivals(random, KINDS, load, outage_s)):
-        job, _ = draw_job(random, kind, f"resent{number}", waited_s=outage_s - at)
+        left_s = max(0.01, deadline_s - outage_s + at)
+        job, _ = draw_job(random, kind, f"resent{number}", left_s)
         world.submit("h1", job)
     for number, (at, kind) in enumerate(arrivals(random, KINDS, load, seconds)):
         if begin + at > world.now:
             world.run(begin + at - world.now)
-        job, chain_s = draw_job(random, kind, f"j{number}")
-        submitted[job.offer.job_id] = Submitted.of(job, kind, world.now, chain_s)
+        job, chain_s = draw_job(random, kind, f"j{number}", deadline_s)
+        submitted[job.offer.job_id] = Submitted.of(
+            job, kind, world.now, chain_s, slowdowns
+        )
         world.submit("h1", job)
     world.run(2.0)
     ended: dict[str, float] = {}
     for at, _, report in world.reports:
         if getattr(report, "error", None) == "":
             ended.setdefault(report.job_id, at)
-    return score(KINDS, submitted, ended)
+    return score(KINDS, submitted, ended, deadline_s)
 
 
-def _workers(random: Random) -> list[SimulatedWorker]:
+def _workers(random: Random, slowdowns: Sequence[float]) -> list[SimulatedWorker]:
     workers = []
     for number in range(24):
         cores = 24.0 if number % 3 == 2 else 16.0
         entry = worker_entry(f"w{number}", cores)._replace(
             data_centre=f"dc{number // 8 + 1}"
         )
-        speed = random.choice((0.8, 1.0, 1.25))
-        workers.append(SimulatedWorker(entry, slowdown=1 / speed))
+        workers.append(SimulatedWorker(entry, slowdown=random.choice(slowdowns)))
     return workers
 
 
@@ -170,7 +193,7 @@
 
 
 def draw_job(
-    random: Random, kind: Kind, name: str, waited_s: float = 0.0
+    random: Random, kind: Kind, name: str, left_s: float = DEADLINE_S
 ) -> tuple[SimulatedJob, float]:
     """Draw a job; also return the run time of its longest task, s."""
     count = max(1, round(_around(random, kind.tasks, 0.4, kind.most_tasks)))
@@ -190,7 +213,7 @@
         stretch=1.6,
         allowance_s=0.06,
         elapsed_s=0.0,
-        left_s=max(0.01, _DEADLINE_S - waited_s),
+        left_s=left_s,
     )
     runs = {
         f"{name}.0.0.{index}": run_s * random.uniform(0.85, 1.15)
@@ -204,6 +227,7 @@
     kinds: Iterable[Kind],
     submitted: Mapping[str, Submitted],
     ended: Mapping[str, float],
+    deadline_s: float = DEADLINE_S,
 ) -> dict[str, KindScore]:
     """Return how jobs of each kind fared.
 
@@ -211,11 +235,13 @@
         kinds: The kinds.
         submitted: Jobs by name.
         ended: When the complete ones were answered, by name, s.
+        deadline_s: How long callers wait, s.
     """
     scores = {}
     for kind in kinds:
         jobs = {n: job for n, job in submitted.items() if job.kind is kind}
         took = {n: ended[n] - jobs[n].at for n in jobs if n in ended}
+        kept = {n for n, took_s in took.items() if took_s <= deadline_s}
         good = sum(took[n] <= jobs[n].objective_s for n in took)
         late = sum(
             jobs[n].objective_s < took[n] <= _LATE_FACTOR * jobs[n].objective_s
@@ -230,6 +256,8 @@
             len(took) / len(jobs),
             (good + _LATE_WORTH * late) / len(jobs),
             tuple(sum(n in took for n in part) / len(part) for part in parts),
+            tuple(sum(n in kept for n in part) / len(part) for part in parts),
+            tuple(sum(jobs[n].possible for n in part) / len(part) for part in parts),
         )
     return scores
 
@@ -244,10 +272,13 @@
         scores = replay(load, seconds, seed)
         for name, score in scores.items():
             large = " ".join(f"{share:.2f}" for share in score.large)
+            kept = " ".join(f"{share:.2f}" for share in score.kept)
+            possible = " ".join(f"{share:.2f}" for share in score.possible)
             click.echo(
                 f"load {load:g} seed {seed} {name:12s} jobs {score.jobs:4d} "
                 f"in time {score.in_time:.3f} served {score.served:.3f} "
-                f"credit {score.credit:.3f} large {large}"
+                f"credit {score.credit:.3f} large {large} "
+                f"kept {kept} of {possible}"
             )
         mean = sum(score.credit for score in scores.values()) / len(scores)
         click.echo(f"load {load:g} seed {seed} mean credit {mean:.3f}")
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -41,7 +41,9 @@
 from poplarhilld.leading.placement import (
     affords_slow,
     choose_worker,
+    fastest,
     is_short,
+    slowest_taken,
     without,
 )
 from poplarhilld.leading.runs import RunTable
@@ -726,18 +728,24 @@
             waiting.sort(key=lambda job: rank(now, job))
         short = is_short(free, usable)
         left = largest
+        fast = fastest(usable, self._times)
         actions: list[LeaderAction] = []
         for job in waiting:
             if least[job.job_id] > left:
                 continue
             spare_fast = short and affords_slow(now, job)
+            slowest = slowest_taken(now, job, fast)
             for task in job.ready_tasks():
                 if task.spec.needs.cores > largest:
                     continue
                 if task.spec.needs.cores > left:
                     break
-                worker = choose_worker(job, task, usable, free, self._times, spare_fast)
+                worker = choose_worker(
+                    job, task, usable, free, self._times, spare_fast, slowest
+                )
                 if worker is None:
+                    if slowest < math.inf:
+                        self._settled = False  # in a moment it takes any worker
                     break
                 actions += self._start(now, job, task, worker, free, len(usable))
                 left = max(room.cores for room in free.values()) + _TOLERANCE
