--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -13,7 +13,7 @@
 from poplarhill.types import Address
 from poplarhilld.catalogue import Catalogue, Registry, Route, WorkerEntry
 from poplarhilld.decisions import LogDecision
-from poplarhilld.entry.logs import DecisionLog, LogBuffer
+from poplarhilld.entry.logs import LogBuffer
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.ports import Directory, UnavailableError, WorkerPort
 from poplarhilld.entry.settings import EntrySettings
@@ -100,7 +100,6 @@
         self._ports = workers
         self._directory = directory
         self._logs = logs
-        self._decisions = DecisionLog(logs, settings.name)
         self._metrics = metrics
         self._beats = metrics.frames.labels("Beat")
         self._tokens = TokenSource(settings.peers)
@@ -428,7 +427,7 @@
             action = todo.popleft()
             match action:
                 case LogDecision(decision):
-                    self._decisions.write(decision)
+                    _log.info(type(decision).__name__, **decision._asdict())
                 case StartRun():
                     await curio.spawn(self._start(action), daemon=True)
                 case StopRun():
--- a/packages/poplarhilld/src/poplarhilld/entry/logs.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/logs.py
@@ -3,8 +3,6 @@
 import fcntl
 import os
 from collections import deque
-from datetime import UTC, datetime
-from typing import NamedTuple
 
 import curio
 import msgspec
@@ -79,29 +77,6 @@
         return b"\n".join(parts) + b"\n"
 
 
-class DecisionLog:
-    """Writes the lines of decisions: most of all lines, two or three a task.
-
-    They look like those of structlog, whose chain costs as much as the decision.
-
-    Args:
-        buffer: Where lines go.
-        host: Name of this entry host, added to every line.
-    """
-
-    def __init__(self, buffer: LogBuffer, host: str) -> None:
-        self._buffer = buffer
-        self._host = host
-
-    def write(self, decision: NamedTuple) -> None:
-        """Write the line of a decision."""
-        line = decision._asdict()
-        line["event"] = type(decision).__name__
-        line.setdefault("host", self._host)
-        line["timestamp"] = datetime.now(UTC).isoformat().replace("+00:00", "Z")
-        self._buffer.msg(_ENCODER.encode(line))
-
-
 def configure_logs(buffer: LogBuffer, host: str) -> None:
     """Send the structured log of this process to a buffer.
 
