--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -17,6 +17,7 @@
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.ports import Directory, UnavailableError, WorkerClient
 from poplarhilld.entry.settings import EntrySettings
+from poplarhilld.entry.usage import UsageMeter
 from poplarhilld.leading import (
     Leader,
     QueryWorker,
@@ -70,6 +71,7 @@
 _REACHABILITY_CHECK_S = 0.5
 # The balancer checks readiness every second and acts on the second refusal.
 _BALANCER_NOTICE_S = 2.5
+_USAGE_INTERVAL_S = 5.0  # short enough to tell the start from what follows
 _ANSWER_BEFORE_KILL_S = 1.0  # before SIGKILL; a busy loop has run 0.04 s late
 _EXIT_BEFORE_KILL_S = 0.3  # before SIGKILL; leaves time to write the last log lines
 # A third of the margin above; an answer is written within a few milliseconds.
@@ -121,6 +123,7 @@
         self._heartbeats_sent = metrics.frames.labels("Beat")
         self._tokens = TokenSource(settings.peers)
         now = uptime()
+        self._usage = UsageMeter(now)
         incarnation = round(time.time() * 1000)
         self._advertised = settings.advertise or settings.peers
         own_host = LocalHost(
@@ -183,7 +186,12 @@
         self._http = HttpServer(*settings.callers, handler)
         readiness = HttpServer(*settings.readiness, self._answer_readiness)
         metrics = HttpServer(*settings.metrics, self._answer_metrics)
-        _log.info("Started", data_centre=settings.data_centre, cores=settings.cores)
+        _log.info(
+            "Started",
+            data_centre=settings.data_centre,
+            cores=settings.cores,
+            processor_s=round(time.process_time(), 4),
+        )
         # Loops are cancelled in this order: no request may be read after another
         # loop has ended.
         await self._loops.start(
@@ -196,6 +204,7 @@
             self._hosts_loop,
             self._idle_connections_loop,
             self._leaderless_shards_loop,
+            self._usage_loop,
             readiness.run,
             metrics.run,
         )
@@ -213,6 +222,7 @@
             failed=self._loops.failed,
             abandoned=abandoned,
             unanswered=unanswered,
+            processor_s=round(time.process_time(), 4),
         )
         self._logs.flush()
         return 1 if self._loops.failed else 0
@@ -402,6 +412,18 @@
             await curio.sleep(_IDLE_SWEEP_S)
             await self._worker_client.close_idle_connections()
 
+    async def _usage_loop(self) -> None:
+        """Log at intervals what this process has used."""
+        while True:
+            await curio.sleep(_USAGE_INTERVAL_S)
+            usage = self._usage.report(
+                uptime(),
+                time.process_time(),
+                len(self._leader.workers),
+                len(self._submissions),
+            )
+            _log.info("Usage", **usage._asdict())
+
     async def _leaderless_shards_loop(self) -> None:
         """Ask one worker of each leaderless shard for its state.
 
@@ -540,6 +562,10 @@
 
     async def _on_frame(self, envelope: Envelope) -> None:
         """Handle a message that a peer sent."""
+        if isinstance(envelope.message, Beat):
+            self._usage.heartbeats += 1
+        else:
+            self._usage.frames += 1
         await self._perform(self._handle_message(envelope.sender, envelope.message))
 
     async def _on_refused(self, address: Address) -> None:
@@ -551,6 +577,7 @@
         reply = await self._worker_client.start(action.worker, action.order)
         self._metrics.order_latency.observe(uptime() - begin)
         self._metrics.orders.labels(reply.outcome.value).inc()
+        self._usage.orders += 1
         name, run = action.worker.name, action.order.run
         await self._perform(self._leader.handle_start_reply(uptime(), name, run, reply))
 
@@ -591,6 +618,7 @@
         reply = await self._worker_client.renew(action.worker, renewal)
         outcome = "ok" if isinstance(reply, LeaseReply) else reply.value
         self._metrics.renewals.labels(outcome).inc()
+        self._usage.renewals += 1
         actions = self._leader.handle_renewal_reply(uptime(), name, renewal, reply)
         next_renewal = next(
             (one for one in actions if isinstance(one, RenewLease)), None
@@ -668,6 +696,7 @@
         metrics.led_jobs.set(len(self._leader.jobs))
         metrics.live_hosts.set(len(self._hosts.live) + 1)
         metrics.version.set(self._catalogue.version)
+        metrics.processor_s.set(time.process_time())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
         headers = {"content-type": "text/plain; version=0.0.4"}
--- a/packages/poplarhilld/src/poplarhilld/entry/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -43,6 +43,9 @@
         self.led_jobs = self._gauge("led_jobs", "Jobs at this host as their leader")
         self.live_hosts = self._gauge("live_hosts", "Live entry hosts, this one too")
         self.version = self._gauge("catalogue_version", "Version in force")
+        self.processor_s = self._gauge(
+            "processor_seconds", "Processor time used since the start"
+        )
         self.lines_dropped = self._gauge("log_lines_dropped", "Log lines dropped")
         self.frames_dropped = self._gauge("peer_frames_dropped", "Frames dropped")
 
