Rare heartbeats between hosts that lead nothing; leaders tell who is gone

Cause: control traffic grew with the square of the hosts. Each host sent heartbeats to each other, every 0.5 s where neither led: 2,244 a second among 34 hosts, beside 1,440 with three leaders, and each arrives in a turn of its own.

The Usage line showed 80 heartbeats a second at a host that leads nothing.

Now two hosts that lead nothing send each other a heartbeat every 2 s, once they have known each other for 3 s. That alone would let a host's silence show after 8 s. So whether a host is there is also taken from the leaders' heartbeats, which name the hosts that they receive heartbeats from, as every host still sends to leaders every 0.15 s. A host whose interval becomes shorter, as another one becomes a leader, has a whole timeout from then on, so that a new leader takes nobody for lost. Ticks compute the leaders of shards only after a change, and build no heartbeat when none is due; hosts without jobs and workers tick every 0.075 s.

Ruled out: a slower heartbeat to leaders, which would let callers of a dead host hold workers for longer.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -1,5 +1,6 @@
 """The process of an entry host, on one curio event loop."""
 
+import resource
 import signal
 import time
 from collections import deque
@@ -57,6 +58,7 @@
 from poplarhilld.supervisor import Supervisor
 
 _TICK_S = 0.05  # a third of the heartbeat interval
+_IDLE_TICK_S = 0.075  # without jobs and workers; half of the heartbeat interval
 # With this interval, a leader notices well within 2 s that a worker is draining.
 _LEADER_REGISTRY_REFRESH_S = 0.7
 # A host that leads no shard needs the list of workers only for a takeover.
@@ -190,7 +192,7 @@
             "Started",
             data_centre=settings.data_centre,
             cores=settings.cores,
-            processor_s=round(time.process_time(), 4),
+            processor_s=round(_processor_time_s(), 4),
         )
         # Loops are cancelled in this order: no request may be read after another
         # loop has ended.
@@ -222,7 +224,7 @@
             failed=self._loops.failed,
             abandoned=abandoned,
             unanswered=unanswered,
-            processor_s=round(time.process_time(), 4),
+            processor_s=round(_processor_time_s(), 4),
         )
         self._logs.flush()
         return 1 if self._loops.failed else 0
@@ -276,7 +278,8 @@
     async def _tick_loop(self) -> None:
         """Run the time-dependent decisions at short intervals."""
         while True:
-            await curio.sleep(_TICK_S)
+            busy = len(self._submissions) or self._leader.workers
+            await curio.sleep(_TICK_S if busy else _IDLE_TICK_S)
             await self._tick()
 
     async def _tick(self) -> None:
@@ -418,7 +421,7 @@
             await curio.sleep(_USAGE_INTERVAL_S)
             usage = self._usage.report(
                 uptime(),
-                time.process_time(),
+                _processor_time_s(),
                 len(self._leader.workers),
                 len(self._submissions),
             )
@@ -696,13 +699,19 @@
         metrics.led_jobs.set(len(self._leader.jobs))
         metrics.live_hosts.set(len(self._hosts.live) + 1)
         metrics.version.set(self._catalogue.version)
-        metrics.processor_s.set(time.process_time())
+        metrics.processor_s.set(_processor_time_s())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
         headers = {"content-type": "text/plain; version=0.0.4"}
         return Response(_HTTP_OK, headers, metrics.page())
 
 
+def _processor_time_s() -> float:
+    """Return the processor time used since the start of the process, s."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
 def uptime() -> float:
     """Return the time since boot, including time in suspension, s."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -33,8 +33,12 @@
 
 HEARTBEAT_INTERVAL_S = 0.15  # a quarter of the timeout
 HOST_TIMEOUT_S = 0.6  # four heartbeats; below half of the time until callers retry
-SLOW_HEARTBEAT_INTERVAL_S = 0.5  # between hosts that lead nothing, in a large fleet
-SLOW_HOST_TIMEOUT_S = 2.0  # four slow heartbeats
+# In a large fleet, between two hosts that lead nothing: until they have known each
+# other for a while, and afterwards.
+SLOW_HEARTBEAT_INTERVAL_S = 0.5
+RARE_HEARTBEAT_INTERVAL_S = 2.0
+_TIMEOUT_HEARTBEATS = 4  # a host is lost after this many intervals of silence
+_SETTLED_S = 3.0  # a peer must be live this long before heartbeats to it become rare
 MAX_WORKERS_PER_LEADER = 80  # 80 workers mean about 700 tasks a second
 # While fewer other hosts than this are known, all hosts use the short interval.
 _SMALL_FLEET_HOSTS = 12
@@ -82,6 +86,9 @@
         received_at: When that was received, s.
         live: Whether heartbeats pass in both directions.
         live_since: When it last became live, s.
+        interval_s: Interval at which its heartbeats are expected, s.
+        shortened_at: When that interval last became shorter, s. The heartbeat before
+            that may be older than the new timeout.
     """
 
     name: str
@@ -89,6 +96,13 @@
     received_at: float
     live: bool = False
     live_since: float = 0.0
+    interval_s: float = HEARTBEAT_INTERVAL_S
+    shortened_at: float = 0.0
+
+    def is_recent(self, now: float) -> bool:
+        """Return whether its last heartbeat is not older than the timeout."""
+        since = max(self.received_at, self.shortened_at)
+        return now - since <= _TIMEOUT_HEARTBEATS * self.interval_s
 
 
 @dataclass
@@ -130,6 +144,11 @@
         self._claims: dict[str, Claim] = {}
         self._takeover_wait_since: dict[str, float] = {}
         self._unreachable_since: dict[str, float] = {}
+        # Leader of each shard that has one; None after a change of a host or claim.
+        self._leader_of_shard: dict[str, str] | None = None
+        # Hosts whose heartbeats other leaders receive; None without another leader.
+        self._reported_by_leaders: set[str] | None = None
+        self._last_heartbeats: tuple[Beat, Beat] | None = None
         self._leading_since_epoch = 0
         self._leaving = False
         self.add_addresses(now, seeds)
@@ -143,9 +162,9 @@
     def leaders(self) -> dict[str, Beat]:
         """The newest heartbeat of every other live host that leads, by name."""
         return {
-            name: heartbeat
-            for name, heartbeat in self.live.items()
-            if heartbeat.claims and self._may_lead(heartbeat)
+            peer.name: peer.heartbeat
+            for peer in self._peers.values()
+            if peer.live and peer.heartbeat.claims and self._may_lead(peer.heartbeat)
         }
 
     @property
@@ -174,17 +193,19 @@
 
     def leader(self, shard: str) -> str | None:
         """Return the live host with the newest claim to a shard, or None."""
-        claimants = [
-            (claim.epoch, peer.name)
-            for peer in self._peers.values()
-            if peer.live and self._may_lead(peer.heartbeat)
-            for claim in peer.heartbeat.claims
-            if claim.shard == shard
-        ]
-        own = self._claims.get(shard)
-        if own is not None:
-            claimants.append((own.epoch, self._me.name))
-        return max(claimants)[1] if claimants else None
+        if self._leader_of_shard is None:
+            self._leader_of_shard = self._find_leaders()
+        return self._leader_of_shard.get(shard)
+
+    def _find_leaders(self) -> dict[str, str]:
+        newest = {
+            claim.shard: (claim.epoch, self._me.name) for claim in self._claims.values()
+        }
+        for name, heartbeat in self.leaders.items():
+            for claim in heartbeat.claims:
+                claimant = (claim.epoch, name)
+                newest[claim.shard] = max(newest.get(claim.shard, claimant), claimant)
+        return {shard: name for shard, (_, name) in newest.items()}
 
     def heartbeat_received(
         self, now: float, name: str, heartbeat: Beat
@@ -204,16 +225,20 @@
             if peer is not None and peer.live:
                 actions += self._mark_lost(now, peer, "it has restarted")
             peer = self._peers[name] = _Peer(name, heartbeat, now)
+            self._leader_of_shard = None
+        if _leadership_of(heartbeat) != _leadership_of(peer.heartbeat):
+            self._leader_of_shard = None
         peer.heartbeat, peer.received_at = heartbeat, now
         address = Address(heartbeat.host, heartbeat.port)
         self.add_addresses(now, [address])
         target = self._targets[address]
         target.next_heartbeat_at = min(
-            target.next_heartbeat_at, now + self._heartbeat_interval_s(heartbeat)
+            target.next_heartbeat_at, now + self._heartbeat_interval_s(now, peer)
         )
         self.add_addresses(now, known_addresses)
         if not peer.live and self._me.name in heartbeat.heard:
             peer.live, peer.live_since = True, now
+            self._leader_of_shard = None
             found = HostFound(
                 name,
                 f"{heartbeat.host}:{heartbeat.port}",
@@ -238,6 +263,7 @@
     def leave(self) -> None:
         """Start to shut down: claim shards only if no other host can lead them."""
         self._leaving = True
+        self._leader_of_shard = None
 
     def tick(
         self,
@@ -270,8 +296,14 @@
             self._may_claim_at = max(self._may_claim_at, now + HEARTBEAT_INTERVAL_S)
         self._last_tick_at = now
         for peer in list(self._peers.values()):
-            if peer.live and now - peer.received_at > self._timeout_s(peer.heartbeat):
+            interval_s = self._heartbeat_interval_s(now, peer)
+            if interval_s < peer.interval_s:
+                peer.shortened_at = now
+            peer.interval_s = interval_s
+            if peer.live and not peer.is_recent(now):
                 actions += self._mark_lost(now, peer, "silent")
+        reports = [heartbeat.heard for heartbeat in self.leaders.values()]
+        self._reported_by_leaders = set().union(*reports) if reports else None
         changed = self._update_claims(now, time_s, shards, can_lead, reachable_since)
         if not self._claims:
             self._leading_since_epoch = 0
@@ -346,8 +378,8 @@
         if all_workers <= MAX_WORKERS_PER_LEADER or centre == self._me.data_centre:
             return False
         return any(
-            peer.live
-            and peer.heartbeat.data_centre == centre
+            peer.heartbeat.data_centre == centre
+            and self._is_present(peer)
             and peer.heartbeat.able
             and not peer.heartbeat.leaving
             and now - peer.live_since > _MERGE_WAIT_S
@@ -430,6 +462,7 @@
         epoch = self._tokens.next(time_s)
         self._leading_since_epoch = self._leading_since_epoch or epoch
         self._claims[shard] = Claim(shard, epoch, shards[shard])
+        self._leader_of_shard = None
         taken = LeadershipTaken(shard, epoch, reason, len(self.live) + 1)
         return [LogDecision(taken)]
 
@@ -455,7 +488,9 @@
                 peer.heartbeat.claims,
             )
             for peer in self._peers.values()
-            if peer.live and peer.heartbeat.able and self._may_lead(peer.heartbeat)
+            if peer.heartbeat.able
+            and self._is_present(peer)
+            and self._may_lead(peer.heartbeat)
         ]
         own = tuple(self._claims.values())
         candidates.append((self._me.name, self._me.data_centre, self._me.cores, own))
@@ -490,10 +525,23 @@
     def _has_live_host(self, centre: str) -> bool:
         """Return whether another host of a data centre is live."""
         return any(
-            peer.live and peer.heartbeat.data_centre == centre
+            peer.heartbeat.data_centre == centre and self._is_present(peer)
             for peer in self._peers.values()
         )
 
+    def _is_present(self, peer: _Peer) -> bool:
+        """Return whether a host is live, also in the view of the leaders.
+
+        The silence of a host whose heartbeats are rare shows late. Leaders notice it
+        sooner, since every host sends heartbeats to them at the short interval.
+        """
+        if not peer.live:
+            return False
+        if self._last_tick_at - peer.received_at <= HOST_TIMEOUT_S:
+            return True
+        reported = self._reported_by_leaders
+        return reported is None or peer.name in reported
+
     def _data_centre_reports_peer_not_live_here(self, centre: str) -> bool:
         """Return whether a live host there reports a peer that is not live here."""
         return self._report_peer_not_live_here(
@@ -522,27 +570,28 @@
         known = {peer.name for peer in self._peers.values() if peer.live}
         known.add(self._me.name)
         return any(
-            peer.live and not known.issuperset(peer.heartbeat.heard) for peer in peers
+            self._is_present(peer) and not known.issuperset(peer.heartbeat.heard)
+            for peer in peers
         )
 
     def _yield(self, shard: str, to: str, reason: str) -> list[ShardAction]:
         claim = self._claims.pop(shard)
+        self._leader_of_shard = None
         return [LogDecision(LeadershipYielded(shard, claim.epoch, to, reason))]
 
     # Liveness
 
-    def _heartbeat_interval_s(self, heartbeat: Beat) -> float:
-        """Return the heartbeat interval between this host and the sender of one."""
-        fast = self._claims or heartbeat.claims or len(self._peers) < _SMALL_FLEET_HOSTS
-        return HEARTBEAT_INTERVAL_S if fast else SLOW_HEARTBEAT_INTERVAL_S
-
-    def _timeout_s(self, heartbeat: Beat) -> float:
-        """Return the time without heartbeats after which their sender is lost."""
-        return (
-            HOST_TIMEOUT_S
-            if self._heartbeat_interval_s(heartbeat) == HEARTBEAT_INTERVAL_S
-            else SLOW_HOST_TIMEOUT_S
-        )
+    def _heartbeat_interval_s(self, now: float, peer: _Peer) -> float:
+        """Return the interval of the heartbeats between this host and a peer."""
+        if (
+            self._claims
+            or peer.heartbeat.claims
+            or len(self._peers) < _SMALL_FLEET_HOSTS
+        ):
+            return HEARTBEAT_INTERVAL_S
+        if peer.live and now - peer.live_since >= _SETTLED_S:
+            return RARE_HEARTBEAT_INTERVAL_S
+        return SLOW_HEARTBEAT_INTERVAL_S
 
     def _is_stale(self, now: float, peer: _Peer, heartbeat: Beat) -> bool:
         """Return whether a heartbeat was sent before its sender restarted.
@@ -551,43 +600,26 @@
         the host's time of day may have been set back.
         """
         older = heartbeat.incarnation < peer.heartbeat.incarnation
-        return older and now - peer.received_at <= self._timeout_s(peer.heartbeat)
+        return older and peer.is_recent(now)
 
     def _mark_lost(self, now: float, peer: _Peer, reason: str) -> list[ShardAction]:
         peer.live = False
+        self._leader_of_shard = None
         gone = HostGone(peer.name, reason, round(now - peer.received_at, 3))
         return [LogDecision(gone), HostLost(peer.name)]
 
     def _due_heartbeats(
         self, now: float, can_lead: bool, load: Load, version: int, at_once: bool
     ) -> list[ShardAction]:
-        recent = [
-            peer
-            for peer in self._peers.values()
-            if now - peer.received_at <= self._timeout_s(peer.heartbeat)
-        ]
-        heard = tuple(peer.name for peer in recent)
+        if not at_once and all(
+            now < target.next_heartbeat_at for target in self._targets.values()
+        ):
+            return []
+        recent = [peer for peer in self._peers.values() if peer.is_recent(now)]
         recent_by_address = {
             Address(peer.heartbeat.host, peer.heartbeat.port): peer for peer in recent
         }
-        claims = tuple(self._claims.values())
-        heartbeat = Beat(
-            *self._me.address,
-            self._me.data_centre,
-            self._me.incarnation,
-            self._me.cores,
-            can_lead,
-            self._leaving,
-            heard,
-            claims,
-            (),
-            version,
-            self._leading_since_epoch,
-            load,
-        )
-        known = tuple(f"{host}:{port}" for host, port in recent_by_address)
-        # All receivers get the same object, so that it is encoded only once.
-        full_heartbeat = heartbeat._replace(known=known)
+        heartbeat, full_heartbeat = self._heartbeats(recent, can_lead, load, version)
         actions: list[ShardAction] = []
         for address, target in list(self._targets.items()):
             peer = recent_by_address.get(address)
@@ -600,12 +632,47 @@
                 target.next_heartbeat_at = now + _RETRY_INTERVAL_S
             else:
                 target.last_responsive_at = now
-                target.next_heartbeat_at = now + self._heartbeat_interval_s(
-                    peer.heartbeat
-                )
+                target.next_heartbeat_at = now + self._heartbeat_interval_s(now, peer)
             target.sent += 1
             is_full = target.sent % _HEARTBEATS_PER_FULL == 1
             actions.append(
                 SendHeartbeat(address, full_heartbeat if is_full else heartbeat)
             )
         return actions
+
+    def _heartbeats(
+        self,
+        recent: Iterable[_Peer],
+        can_lead: bool,
+        load: Load,
+        version: int,
+    ) -> tuple[Beat, Beat]:
+        """Return the heartbeat without and with the addresses of the known hosts.
+
+        They are the same objects as before if nothing has changed, because each
+        object is encoded only once.
+        """
+        heartbeat = Beat(
+            *self._me.address,
+            self._me.data_centre,
+            self._me.incarnation,
+            self._me.cores,
+            can_lead,
+            self._leaving,
+            tuple(peer.name for peer in recent),
+            tuple(self._claims.values()),
+            (),
+            version,
+            self._leading_since_epoch,
+            load,
+        )
+        known = tuple(f"{peer.heartbeat.host}:{peer.heartbeat.port}" for peer in recent)
+        heartbeats = heartbeat, heartbeat._replace(known=known)
+        if heartbeats != self._last_heartbeats:
+            self._last_heartbeats = heartbeats
+        return self._last_heartbeats
+
+
+def _leadership_of(heartbeat: Beat) -> tuple:
+    """Return the fields of a heartbeat that decide who leads a shard."""
+    return heartbeat.claims, heartbeat.able, heartbeat.leaving
