Encode frames field by field, not by way of a dict

A leader sends a frame to another host for almost every task and job. pycapnp converts a dict of fields in 60 to 110 us where setting the fields takes 4 us: of 91 us for a JobProgress, 85 were this conversion.

Ruled out: the packing of the bytes (2.8 us).

The bytes are the same but for fields at their default, which are left out as the decoder expects. The new test compares encoding with decoding in the same process, so it does not depend on the machine; it failed before for all three messages.

--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -91,9 +91,10 @@
 
 def encode(envelope: Envelope) -> bytes:
     """Return the bytes of a frame."""
-    variant = _VARIANT_NAMES[type(envelope.message)]
-    fields = {"sender": envelope.sender, variant: _to_fields(envelope.message)}
-    return _SCHEMA.Frame.new_message(**fields).to_bytes_packed()
+    frame = _SCHEMA.Frame.new_message()
+    frame.sender = envelope.sender
+    _set_fields(frame.init(_VARIANT_NAMES[type(envelope.message)]), envelope.message)
+    return frame.to_bytes_packed()
 
 
 def decode(data: bytes) -> Envelope:
@@ -113,18 +114,25 @@
         raise FrameError(f"not a frame: {error}") from error
 
 
-def _to_fields(value: NamedTuple) -> dict[str, Any]:
-    return {
-        _camel_case(name): _to_plain(field) for name, field in value._asdict().items()
-    }
+def _set_fields(struct: Any, value: NamedTuple) -> None:
+    """Copy the fields of a message to a struct.
 
-
-def _to_plain(value: Any) -> Any:
-    if isinstance(value, tuple) and hasattr(value, "_fields"):
-        return _to_fields(value)
-    if isinstance(value, tuple):
-        return [_to_plain(item) for item in value]
-    return value
+    Setting each field takes a tenth of the time that a conversion from a dict takes.
+    """
+    for name, field in zip(value._fields, value, strict=True):
+        if not field:
+            continue  # equals the default of the schema
+        key = _camel_case(name)
+        if name in _LIST_ELEMENT_TYPES:
+            items = struct.init(key, len(field))
+            for index, item in enumerate(field):
+                _set_fields(items[index], item)
+        elif name in _STRUCT_FIELD_TYPES:
+            _set_fields(struct.init(key), field)
+        elif name in _SCALAR_LISTS:
+            setattr(struct, key, list(field))
+        else:
+            setattr(struct, key, field)
 
 
 def _from_struct(kind: type, struct: Any) -> Any:
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -2,16 +2,31 @@
 
 import subprocess
 import sys
+import timeit
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from poplarhill.types import Resources
 from poplarhilld import peers
 from poplarhilld.peers.codec import Envelope, FrameError, decode, encode
 
 MEMBER = peers.MemberState("h1", "127.0.0.1", 7001, "dc1", 5, 9, False)
 
+HEARTBEAT = peers.Beat(
+    *("10.0.0.1", 7001, "dc1", 5, 0.5, True, True, ("h2", "h3")),
+    claims=(peers.Claim("dc1/0", 2**62, 30), peers.Claim("dc1/1", 7, 0)),
+    known=("10.0.0.2:7001",),
+    version=3,
+    tenure=9,
+    load=peers.Load(16.0, 0.5, 0.25),
+)
+STEP = peers.StepSpec(8, Resources(6.5, 64, 1), 0.06, (0,), "gpu", 2, "r1")
+OFFER = peers.OfferedJob(
+    *(4, peers.JobOffer("j1", "r", "s", "{}", (STEP, STEP), 1, 2, 1.5, 0.5, 0.25, 1.0))
+)
+
 
 @pytest.mark.parametrize(
     "message",
@@ -24,6 +39,11 @@
         peers.ConfigurationOffer(8, 1.5, "{}", 12.5),
         peers.ConfigurationNews(8, 12, ("{}", "")),
         peers.Goodbye(5),
+        HEARTBEAT,
+        OFFER,
+        peers.JobWithdrawn("j1", True),
+        peers.JobProgress("j1", (0, 3)),
+        peers.JobEnded("j1", "timeout", "too late", 1.5, True),
     ],
     ids=lambda message: type(message).__name__,
 )
@@ -32,6 +52,17 @@
     assert decode(encode(envelope)) == envelope
 
 
+# Once, encoding took 3 to 6 times as long as decoding, and leaders, which send a frame
+# for almost every task, were late on loaded days.
+@pytest.mark.parametrize("message", [HEARTBEAT, OFFER, peers.JobProgress("j1", (3,))])
+def test_encoding_is_no_dearer_than_twice_the_decoding(message) -> None:
+    envelope = Envelope("h1", message)
+    frame = encode(envelope)
+    encoding = min(timeit.repeat(lambda: encode(envelope), number=20, repeat=50))
+    decoding = min(timeit.repeat(lambda: decode(frame), number=20, repeat=50))
+    assert encoding <= 2 * decoding
+
+
 @settings(derandomize=True, deadline=None)
 @given(st.binary(max_size=200))
 def test_any_bytes_are_a_frame_or_a_frame_error(data: bytes) -> None:
