--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -198,7 +198,6 @@
         # loop has ended.
         await self._loops.start(
             self._http.run,
-            self._logs.run,
             self._peers.run,
             self._tick_loop,
             self._catalogue_loop,
@@ -213,6 +212,7 @@
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._wait_for_stop, signals)
             await group.spawn(self._loops.wait_failed)
+        self._logs.flush()  # a failed loop may be the one that writes the log
         await self._drain()
         abandoned, unanswered = len(self._submissions), self._http.in_flight
         await self._perform(self._submissions.abandon_all(uptime()))
@@ -276,11 +276,12 @@
     # Loops
 
     async def _tick_loop(self) -> None:
-        """Run the time-dependent decisions at short intervals."""
+        """Run the time-dependent decisions and write the log at short intervals."""
         while True:
             busy = len(self._submissions) or self._leader.workers
             await curio.sleep(_TICK_S if busy else _IDLE_TICK_S)
             await self._tick()
+            self._logs.flush()
 
     async def _tick(self) -> None:
         """Make the decisions that depend on time and perform their actions."""
--- a/packages/poplarhilld/src/poplarhilld/entry/logs.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/logs.py
@@ -4,12 +4,10 @@
 import os
 from collections import deque
 
-import curio
 import msgspec
 import structlog
 
 _MAX_LINES = 20_000  # about 5 MB of lines, a tenth of the smallest host's memory
-_FLUSH_INTERVAL_S = 0.1  # longest delay of a line
 _WRITE_BYTES = 65536  # capacity of a pipe
 
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
@@ -63,12 +61,6 @@
                 return
             self._unwritten = self._unwritten[written:]
 
-    async def run(self) -> None:
-        """Write lines until cancelled."""
-        while True:
-            await curio.sleep(_FLUSH_INTERVAL_S)
-            self.flush()
-
     def _next_block(self) -> bytes:
         parts = []
         size = 0
