Rare heartbeats every 1.8 s, so that earlier builds accept them; docs

Between 2 s of an earlier build's timeout and an interval of 2 s there was no room: in a fleet of both builds hosts that lead nothing would lose and find each other again and again. A fleet of both builds was not run.

--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -36,7 +36,7 @@
 # In a large fleet, between two hosts that lead nothing: until they have known each
 # other for a while, and afterwards.
 SLOW_HEARTBEAT_INTERVAL_S = 0.5
-RARE_HEARTBEAT_INTERVAL_S = 2.0
+RARE_HEARTBEAT_INTERVAL_S = 1.8  # below the 2 s after which earlier builds time out
 _TIMEOUT_HEARTBEATS = 4  # a host is lost after this many intervals of silence
 _SETTLED_S = 3.0  # a peer must be live this long before heartbeats to it become rare
 MAX_WORKERS_PER_LEADER = 80  # 80 workers mean about 700 tasks a second
