Look up how messages are stored, and the addresses of heartbeats, once

Addresses are still added with each heartbeat, so a forgotten host is found again. The tests of codec and hosts hold unchanged.

--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -114,44 +114,68 @@
         raise FrameError(f"not a frame: {error}") from error
 
 
-def _set_fields(struct: Any, value: NamedTuple) -> None:
+class _Field(NamedTuple):
+    """How a field of a message is stored in its struct.
+
+    Attributes:
+        key: Name of the field in the schema.
+        nested: Type of the message in it, or of each element of its list, if any.
+        is_list: Whether it is a list.
+    """
+
+    key: str
+    nested: type | None
+    is_list: bool
+
+
+@cache
+def _fields_of(kind: type) -> tuple[_Field, ...]:
+    """Return the fields of a type of message, in order."""
+    return tuple(
+        _Field(
+            _camel_case(name),
+            _LIST_ELEMENT_TYPES.get(name) or _STRUCT_FIELD_TYPES.get(name),
+            name in _LIST_ELEMENT_TYPES or name in _SCALAR_LISTS,
+        )
+        for name in kind._fields
+    )
+
+
+def _set_fields(struct: Any, message: NamedTuple) -> None:
     """Copy the fields of a message to a struct.
 
     Setting each field takes a tenth of the time that a conversion from a dict takes.
     """
-    for name, field in zip(value._fields, value, strict=True):
-        if not field:
+    for (key, nested, is_list), value in zip(
+        _fields_of(type(message)), message, strict=True
+    ):
+        if not value:
             continue  # equals the default of the schema
-        key = _camel_case(name)
-        if name in _LIST_ELEMENT_TYPES:
-            items = struct.init(key, len(field))
-            for index, item in enumerate(field):
-                _set_fields(items[index], item)
-        elif name in _STRUCT_FIELD_TYPES:
-            _set_fields(struct.init(key), field)
-        elif name in _SCALAR_LISTS:
-            setattr(struct, key, list(field))
+        if nested is None:
+            setattr(struct, key, list(value) if is_list else value)
+        elif is_list:
+            elements = struct.init(key, len(value))
+            for index, element in enumerate(value):
+                _set_fields(elements[index], element)
         else:
-            setattr(struct, key, field)
+            _set_fields(struct.init(key), value)
 
 
 def _from_struct(kind: type, struct: Any) -> Any:
     values = []
-    for name in kind._fields:
-        value = getattr(struct, _camel_case(name))
-        if name in _LIST_ELEMENT_TYPES:
-            value = tuple(
-                _from_struct(_LIST_ELEMENT_TYPES[name], item) for item in value
-            )
-        elif name in _STRUCT_FIELD_TYPES:
-            value = _from_struct(_STRUCT_FIELD_TYPES[name], value)
-        elif name in _SCALAR_LISTS:
-            value = tuple(value)
+    for key, nested, is_list in _fields_of(kind):
+        value = getattr(struct, key)
+        if is_list:
+            if nested is None:
+                value = tuple(value)
+            else:
+                value = tuple(_from_struct(nested, element) for element in value)
+        elif nested is not None:
+            value = _from_struct(nested, value)
         values.append(value)
     return kind(*values)
 
 
-@cache
 def _camel_case(name: str) -> str:
     first, *rest = name.split("_")
     return first + "".join(part.capitalize() for part in rest)
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import NamedTuple
 
 from poplarhill.types import Address
@@ -53,6 +54,7 @@
 # heartbeat is sent again after 1 s, and a busy host takes 0.6 s.
 _NEWCOMER_DELAY_S = 1.6
 _TAKEOVER_DELAY_S = 2.0  # to claim a remote shard; a host restarts in about a second
+_ADDRESS_LISTS_KEPT = 128  # peers list the same addresses in heartbeat after heartbeat
 _MAX_REASON_CHARS = 120  # of a peer's invalid input that a log line repeats
 _PAUSE_THRESHOLD_S = 0.45  # a tick late by three heartbeats: the process was paused
 
@@ -214,7 +216,7 @@
         if name == self._me.name:
             return []
         try:
-            known_addresses = [Address.from_text(text) for text in heartbeat.known]
+            known_addresses = _parse_addresses(heartbeat.known)
         except ValueError as error:
             return [LogDecision(HeartbeatIgnored(name, str(error)[:_MAX_REASON_CHARS]))]
         peer = self._peers.get(name)
@@ -676,3 +678,13 @@
 def _leadership_of(heartbeat: Beat) -> tuple:
     """Return the fields of a heartbeat that decide who leads a shard."""
     return heartbeat.claims, heartbeat.able, heartbeat.leaving
+
+
+@lru_cache(maxsize=_ADDRESS_LISTS_KEPT)
+def _parse_addresses(texts: tuple[str, ...]) -> tuple[Address, ...]:
+    """Return the addresses in a heartbeat.
+
+    Raises:
+        ValueError: A text is not an address.
+    """
+    return tuple(Address.from_text(text) for text in texts)
