Add the host to log lines without context variables

structlog copies the context of the process for each line to add one name that never changes; a leader writes about three lines a task. Decisions that name another host keep its name, which a new test guards; it passes on the code before as well.

--- a/packages/poplarhilld/src/poplarhilld/entry/logs.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/logs.py
@@ -3,6 +3,7 @@
 import fcntl
 import os
 from collections import deque
+from functools import partial
 
 import msgspec
 import structlog
@@ -79,7 +80,7 @@
     """
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
+            partial(_add_host, host),
             _add_problem_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
@@ -88,7 +89,17 @@
         logger_factory=lambda *_: buffer,
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(host=host)
+
+
+def _add_host(
+    host: str,
+    _logger: object,
+    _method: str,
+    event: structlog.typing.EventDict,
+) -> structlog.typing.EventDict:
+    """Add the name of this entry host."""
+    event.setdefault("host", host)  # some decisions name another host
+    return event
 
 
 def _add_problem_level(
--- a/packages/poplarhilld/tests/entry/test_logs.py
+++ b/packages/poplarhilld/tests/entry/test_logs.py
@@ -1,11 +1,13 @@
 """The log buffer: lines keep their order, and a stalled reader blocks nothing."""
 
+import json
 import os
 from collections.abc import Iterator
 
 import pytest
+import structlog
 
-from poplarhilld.entry.logs import _MAX_LINES, LogBuffer
+from poplarhilld.entry.logs import _MAX_LINES, LogBuffer, configure_logs
 
 
 @pytest.fixture
@@ -46,3 +48,20 @@
         return os.read(descriptor, 1 << 20)
     except BlockingIOError:
         return b""
+
+
+# Guards against the name of this host in the place of the host that a decision names.
+def test_a_line_has_the_name_of_its_host_unless_it_names_another(
+    pipe: tuple[int, int],
+) -> None:
+    reading, writing = pipe
+    buffer = LogBuffer(writing)
+    configure_logs(buffer, "h1")
+    log = structlog.get_logger()
+    log.info("Started", cores=2)
+    log.info("HostFound", host="h2")
+    buffer.flush()
+    started, found = map(json.loads, os.read(reading, 1000).splitlines())
+    assert (started["event"], started["host"], started["cores"]) == ("Started", "h1", 2)
+    assert (found["event"], found["host"]) == ("HostFound", "h2")
+    structlog.reset_defaults()
