Skip healthy workers and jobs that cannot start early in the placement

The health of each worker was asked in each pass, though few workers have a record, the free share and the fastest worker were computed before it was known whether any job fits, and the waiting tasks of a job were all collected to find what the smallest needs, though the tasks of a step need the same.

The decisions are the same: the tests that compare them under faults hold.

--- a/packages/poplarhilld/src/poplarhilld/leading/fitness.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/fitness.py
@@ -64,6 +64,10 @@
             return False
         return record.ejection is None or record.ejection.due(now)
 
+    def barred(self, now: float) -> set[str]:
+        """Return the names of the workers on which no task may be started now."""
+        return {name for name in self._records if not self.may_start(now, name)}
+
     def note_start(self, worker: str, run: Run) -> None:
         """Note that a run was ordered; on an ejected worker it is the probe."""
         record = self._records.get(worker)
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -146,6 +146,12 @@
     @property
     def least_cores(self) -> float:
         """Cores of its smallest waiting task; infinite if none waits."""
+        if len(self.offer.steps) == 1:
+            # All tasks need the same, so that the first one that waits is enough.
+            for task in self.tasks:
+                if task.run is None and not task.done:
+                    return task.spec.needs.cores
+            return math.inf
         needs = [task.spec.needs.cores for task in self.tasks if task.waiting]
         return min(needs, default=math.inf)
 
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -826,6 +826,8 @@
             for job_id, job in self._queue.items()
             if min_cores[job_id] <= initial_max_free and self._may_start_tasks(now, job)
         ]
+        if not waiting:
+            return []
         if len(waiting) > 1:
             waiting.sort(key=lambda job: rank(now, job))
         capacity_short = is_capacity_short(free, usable)
@@ -864,7 +866,8 @@
     def _workers_open_to_tasks(self, now: float) -> list[LeasedWorker]:
         """Return the usable workers whose health allows tasks now."""
         usable = self._usable_workers()
-        open_to_tasks = [w for w in usable if self._health.may_start(now, w.entry.name)]
+        barred = self._health.barred(now)
+        open_to_tasks = [w for w in usable if w.entry.name not in barred]
         if len(open_to_tasks) < len(usable):
             self._placement_up_to_date = False  # others return after a while
         return open_to_tasks
