Read a response before asking for its first event

h11 was asked for an event right after each call was sent, when nothing can have come: four questions a call instead of three.

--- a/packages/poplarhill/src/poplarhill/http/client.py
+++ b/packages/poplarhill/src/poplarhill/http/client.py
@@ -167,14 +167,13 @@
         headers: dict[str, str] = {}
         chunks: list[bytes] = []
         size = 0
+        # Asking for an event before any data has come would cost as much as one.
+        await self._read(status)
         while True:
             event = self._http.next_event()
             match event:
                 case h11.NEED_DATA:
-                    data = await self._sock.recv(_READ_BYTES)
-                    if not data and not status:
-                        raise ConnectionLostError("connection closed", sent=True)
-                    self._http.receive_data(data)
+                    await self._read(status)
                 case h11.Response():
                     status = event.status_code
                     headers = _header_map(event.headers)
@@ -194,6 +193,13 @@
             self._http.start_next_cycle()
         return Response(status, headers, b"".join(chunks))
 
+    async def _read(self, status: int) -> None:
+        """Receive data; `status` is 0 before the status line has been received."""
+        data = await self._sock.recv(_READ_BYTES)
+        if not data and not status:
+            raise ConnectionLostError("connection closed", sent=True)
+        self._http.receive_data(data)
+
 
 @lru_cache(maxsize=_REQUEST_HEADS_KEPT)
 def _request_head(
