--- a/packages/poplarhilld/src/poplarhilld/leading/fitness.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/fitness.py
@@ -64,7 +64,7 @@
             return False
         return record.ejection is None or record.ejection.due(now)
 
-    def barred(self, now: float) -> set[str]:
+    def excluded(self, now: float) -> set[str]:
         """Return the names of the workers on which no task may be started now."""
         return {name for name in self._records if not self.may_start(now, name)}
 
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -866,8 +866,8 @@
     def _workers_open_to_tasks(self, now: float) -> list[LeasedWorker]:
         """Return the usable workers whose health allows tasks now."""
         usable = self._usable_workers()
-        barred = self._health.barred(now)
-        open_to_tasks = [w for w in usable if w.entry.name not in barred]
+        excluded = self._health.excluded(now)
+        open_to_tasks = [w for w in usable if w.entry.name not in excluded]
         if len(open_to_tasks) < len(usable):
             self._placement_up_to_date = False  # others return after a while
         return open_to_tasks
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -621,7 +621,9 @@
         recent_by_address = {
             Address(peer.heartbeat.host, peer.heartbeat.port): peer for peer in recent
         }
-        heartbeat, full_heartbeat = self._heartbeats(recent, can_lead, load, version)
+        heartbeat, full_heartbeat = self._build_heartbeats(
+            recent, can_lead, load, version
+        )
         actions: list[ShardAction] = []
         for address, target in list(self._targets.items()):
             peer = recent_by_address.get(address)
@@ -642,7 +644,7 @@
             )
         return actions
 
-    def _heartbeats(
+    def _build_heartbeats(
         self,
         recent: Iterable[_Peer],
         can_lead: bool,
