--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -54,6 +54,9 @@
 # heartbeat is sent again after 1 s, and a busy host takes 0.6 s.
 _NEWCOMER_DELAY_S = 1.6
 _TAKEOVER_DELAY_S = 2.0  # to claim a remote shard; a host restarts in about a second
+# To claim a shard whose workers another host leads as part of another shard. Hosts that
+# lead nothing read the list of workers every 2 s, or later if the store is slow.
+_SPLIT_WAIT_S = 10.0
 _ADDRESS_LISTS_KEPT = 128  # peers list the same addresses in heartbeat after heartbeat
 _MAX_REASON_CHARS = 120  # of a peer's invalid input that a log line repeats
 _PAUSE_THRESHOLD_S = 0.45  # a tick late by three heartbeats: the process was paused
@@ -454,7 +457,7 @@
             return []  # that peer may lead it
         if self._leader_may_claim_split_shard(shard, shards):
             since = self._takeover_wait_since.setdefault(shard, now)
-            if now - since < _TAKEOVER_DELAY_S:
+            if now - since < _SPLIT_WAIT_S:
                 return []
         centre = data_centre(shard)
         reason = "it has no leader"
@@ -494,8 +497,8 @@
     ) -> bool:
         """Return whether another host leads the workers of a shard as part of another.
 
-        That host has not read yet that the shard was split off, or its claim is on
-        the way.
+        Either that host has not read yet that the shard was split off, or this host
+        has not read yet that it was merged again.
         """
         return any(
             _split_from(shard, {claim.shard: claim for claim in beat.claims}, shards)
--- a/packages/poplarhilld/tests/shards/test_large_fleet.py
+++ b/packages/poplarhilld/tests/shards/test_large_fleet.py
@@ -216,3 +216,17 @@
     fleet.silent.add(leader)
     fleet.run(HOST_TIMEOUT_S + TAKEOVER_S)
     assert len(fleet.leaders("dc1")) == 1
+
+
+# Once, hosts that read the list of workers 2 s after the leader claimed the shards that
+# it had merged again, as they seemed to have no leader.
+def test_merged_shards_stay_with_their_leader_while_others_know_the_split(
+    fleet: LargeFleet,
+) -> None:
+    [leader] = fleet.leaders("dc1")
+    for name in fleet.hosts:
+        fleet.shards[name] = SPLIT_SHARDS
+    fleet.run(2.0)
+    fleet.shards[leader] = SHARDS | {"dc1/0": 33, "dc1/1": 33}
+    fleet.run(4.0)
+    assert fleet.leaders("dc1") == {leader}
