--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -455,7 +455,7 @@
             and self._older_hosts_report_peer_not_live_here()
         ):
             return []  # that peer may lead it
-        if self._leader_may_claim_split_shard(shard, shards):
+        if self._is_led_within_another_shard(shard, shards):
             since = self._takeover_wait_since.setdefault(shard, now)
             if now - since < _SPLIT_WAIT_S:
                 return []
@@ -492,7 +492,7 @@
         taken = LeadershipTaken(shard, epoch, reason, len(self.live) + 1)
         return [LogDecision(taken)]
 
-    def _leader_may_claim_split_shard(
+    def _is_led_within_another_shard(
         self, shard: str, shards: Mapping[str, int]
     ) -> bool:
         """Return whether another host leads the workers of a shard as part of another.
