Give a job the whole timeout of its route

Callers saw: long jobs answered 504 up to 30 ms before the operator's timeout, while they would have waited on.

Cause: the margin that lets an answer arrive before its caller gives up was taken off whichever limit was shorter, the caller's or the route's. Nobody outside waits for the route's, so nothing is gained by it.

JobAnswered now tells the limit and what set it. The test of a job that ends just before the timeout can't be written against the old interface, which got one number; the old rule gives it up at 1.37 s. The two tests of the line and of the exact timeout failed before.

--- a/packages/poplarhilld/src/poplarhilld/submissions/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/messages.py
@@ -1,5 +1,6 @@
 """Submitted jobs, and the actions and log lines of the host that accepted them."""
 
+import math
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -8,6 +9,8 @@
 from poplarhilld.decisions import LogDecision
 from poplarhilld.peers.messages import JobWithdrawn, Load, OfferedJob, StepSpec
 
+ANSWER_MARGIN_S = 0.03  # lets the answer arrive before the caller gives up
+
 
 class Submission(NamedTuple):
     """A job as a caller submitted it.
@@ -17,14 +20,25 @@
         route: Route of the request.
         body: Input of its tasks.
         steps: Its steps, in order.
-        timeout_s: Longest time that the caller waits for the answer, s.
+        caller_timeout_s: Longest time that the caller waits for the answer, s;
+            infinite if the request does not say.
     """
 
     job_id: str
     route: Route
     body: str
     steps: tuple[StepSpec, ...]
-    timeout_s: float
+    caller_timeout_s: float = math.inf
+
+    @property
+    def limited_by_caller(self) -> bool:
+        """Whether the caller, rather than the route, sets the time limit."""
+        return self.caller_timeout_s - ANSWER_MARGIN_S < self.route.timeout_s
+
+    @property
+    def limit_s(self) -> float:
+        """Time after its arrival at which the job is given up, s."""
+        return min(self.route.timeout_s, self.caller_timeout_s - ANSWER_MARGIN_S)
 
 
 class LeaderView(NamedTuple):
@@ -109,6 +123,8 @@
         leader: Leader that the job was offered to last; empty if there was none.
         offers: How often the job was offered to a leader.
         took_s: Time since the job was received, s.
+        limit_s: Time after its arrival at which the job is given up, s.
+        limited_by: What sets that limit: `route` or `caller`.
     """
 
     job: str
@@ -118,6 +134,8 @@
     leader: str
     offers: int
     took_s: float
+    limit_s: float
+    limited_by: str
 
 
 class JobAbandoned(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -27,7 +27,6 @@
     WithdrawFromLeader,
 )
 
-ANSWER_MARGIN_S = 0.03  # lets the answer arrive before the caller gives up
 REPEAT_INTERVAL_S = 0.3  # delay that a lost offer or report causes
 # 0.6 s to detect that a leader is lost, plus the time until a successor takes over.
 LEADERLESS_TIMEOUT_S = 1.2
@@ -65,7 +64,7 @@
 
     @property
     def deadline(self) -> float:
-        return self.received_at + self.submission.timeout_s - ANSWER_MARGIN_S
+        return self.received_at + self.submission.limit_s
 
 
 class Submissions:
@@ -290,6 +289,8 @@
             job.leader,
             job.offers,
             round(now - job.received_at, 4),
+            round(submission.limit_s, 4),
+            "caller" if submission.limited_by_caller else "route",
         )
         actions: list[SubmissionAction] = [LogDecision(answered)]
         if withdraw:
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -18,6 +18,7 @@
     WithdrawFromLeader,
     choose_leader,
 )
+from poplarhilld.submissions.messages import ANSWER_MARGIN_S
 from poplarhilld.submissions.state import LEADERLESS_TIMEOUT_S, REPEAT_INTERVAL_S
 
 ROUTE = Route("r", "one.example", "/r/", "booking", 1.5, 0.06, 1.6, 0, 2)
@@ -45,6 +46,43 @@
     return call
 
 
+def limited(route_timeout_s: float, caller_timeout_s: float) -> Submissions:
+    """Return submissions with a job that the route and its caller limit."""
+    submissions = Submissions()
+    submissions.update_leaders(0.0, {"h1": LEADER})
+    route = ROUTE._replace(timeout_s=route_timeout_s)
+    steps = (StepSpec(4, Resources(6.8, 64, 0), 0.9),)
+    submissions.submit(0.0, 1, Submission("a", route, "{}", steps, caller_timeout_s))
+    return submissions
+
+
+# A job was given up 30 ms before the timeout of its route while its caller waited on.
+def test_a_job_that_ends_just_before_the_timeout_of_its_route_is_answered() -> None:
+    submissions = limited(route_timeout_s=1.4, caller_timeout_s=1.5)
+    assert not of_type(submissions.tick(1.39), AnswerCaller)
+    answers = submissions.apply_report(1.395, "h1", JobEnded("a"))
+    assert of_type(answers, AnswerCaller) == [AnswerCaller(1, None)]
+
+
+def test_a_job_is_given_up_at_the_timeout_of_its_route() -> None:
+    submissions = limited(route_timeout_s=1.4, caller_timeout_s=1.5)
+    [answer] = of_type(submissions.tick(1.4), AnswerCaller)
+    assert answer.failure.kind is ErrorKind.TIMEOUT
+
+
+def test_the_answer_leaves_before_the_caller_gives_up() -> None:
+    submissions = limited(route_timeout_s=2.0, caller_timeout_s=1.5)
+    [answer] = of_type(submissions.tick(1.5 - ANSWER_MARGIN_S), AnswerCaller)
+    assert answer.failure.kind is ErrorKind.TIMEOUT
+
+
+def test_the_log_says_what_limited_a_job() -> None:
+    for caller_timeout_s, limit in ((1.5, "caller"), (3.0, "route")):
+        submissions = limited(2.0, caller_timeout_s)
+        [line] = of_type(submissions.tick(2.0), LogDecision)
+        assert line.decision.limited_by == limit
+
+
 def test_a_job_is_offered_and_answered_once(submissions, submit) -> None:
     [offer] = of_type(submit(), OfferToLeader)
     assert (offer.host, offer.offered.offer.handovers) == ("h1", 0)
