Give up a job once two workers have crashed under a task of it

A leader now notes which process of which worker was lost under a task, if its address refuses connections or it has restarted. The process counts as crashed once the worker answers as another process or has left the store; if the same process answers again, a partition had refused connections, and the note goes. With one note a task runs alone on a worker that is set aside (an eighth of the workers at most), one task of a job at a time, so that the second crash convicts only the guilty. With two it waits until both are known, and the job fails if both crashed. Workers that only fall silent leave no note: their tasks start again as before.

Each host keeps it for 2 minutes, so the next leader, and the host to which the caller sends the job again, know it; a job that is known to be deadly is refused at once as failed.

--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -19,6 +19,7 @@
     QueryWorker,
     RenewLease,
     ReportJob,
+    ShareLosses,
     StartRun,
     StopRun,
 )
@@ -33,13 +34,15 @@
     RunEndKind,
     TokenSource,
 )
-from poplarhilld.peers.messages import JobEnded, JobOffer, StepSpec
+from poplarhilld.peers.messages import JobEnded, JobOffer, JobProgress, StepSpec
 
 LEASE_S = 1.0
 LINK_DELAY_S = 0.001
 ANSWER_TIMEOUT_S = 0.25
 TICK_S = 0.05
+RESTART_S = 3.0
 _END_POLL_INTERVAL_S = 0.005
+_CRASH_DELAY_S = 0.02  # from the start of a deadly task
 
 
 @dataclass
@@ -63,6 +66,7 @@
         ends: Ends of runs that no leader has acknowledged.
         unreachable: Whether no request reaches it; a renewal that it holds gets no
             reply either.
+        refusing: Whether its address refuses connections.
         broken: Whether every task that starts fails.
         stuck: Whether tasks that start never end.
         slowdown: Factor on run times.
@@ -76,6 +80,7 @@
     running: dict[Run, _Running] = field(default_factory=dict)
     ends: list[RunEnd] = field(default_factory=list)
     unreachable: bool = False
+    refusing: bool = False
     broken: bool = False
     stuck: bool = False
     slowdown: float = 1.0
@@ -168,6 +173,7 @@
         run_s: Run time of its tasks on a worker of the usual speed, s.
         needs: Capacity that each task uses.
         poison: Whether its tasks fail on every worker.
+        deadly: Names of its tasks that crash every worker that starts them.
         runs: Run times of tasks that differ from `run_s`, by task, s.
     """
 
@@ -175,6 +181,7 @@
     run_s: float
     needs: Resources
     poison: bool = False
+    deadly: frozenset[str] = frozenset()
     runs: dict[str, float] = field(default_factory=dict)
 
     def run_time_of(self, task: str) -> float:
@@ -201,6 +208,9 @@
         reports: Reports of leaders to entry hosts: time, host and report.
         violations: Invariants that were violated.
         starts: Count of start orders that workers accepted.
+        crashes: Crashes of workers: time, name of the worker, task that crashed it and
+            all tasks that it ran.
+        starts_by_task: Times of the starts of each task.
     """
 
     def __init__(self, workers: Iterable[SimulatedWorker], seed: int = 1) -> None:
@@ -215,6 +225,8 @@
         self.reports: list[tuple[float, str, object]] = []
         self.violations: list[str] = []
         self.starts = 0
+        self.crashes: list[tuple[float, str, str, tuple[str, ...]]] = []
+        self.starts_by_task: dict[str, list[float]] = {}
         self._events: list = []
         self._event_numbers = itertools.count()
 
@@ -229,9 +241,8 @@
         """Add a leader of some workers, or of all, with its own source of tokens."""
         leader = Leader(TokenSource(Address(f"10.0.0.{number}", 1)), LEASE_S)
         self.leaders[name] = leader
-        self.perform(
-            name, leader.set_workers(self.now, self.now, entries or self.entries)
-        )
+        led = self.entries if entries is None else entries
+        self.perform(name, leader.set_workers(self.now, self.now, led))
         return leader
 
     def job_outcome(self, job_id: str) -> JobEnded | None:
@@ -278,9 +289,26 @@
                     self._send_start(leader, worker, order)
                 case StopRun(worker, run, token):
                     self._schedule(LINK_DELAY_S, self._stop, leader, worker, run, token)
+                case ShareLosses(report):
+                    for other in self.leaders.keys() - {leader}:
+                        self._schedule(LINK_DELAY_S, self._share_losses, other, report)
                 case ReportJob(host, report):
                     self.reports.append((self.now, host, report))
 
+    def crash(self, name: str, task: str = "", down_s: float = RESTART_S) -> None:
+        """End the process of a worker; it restarts as a new incarnation."""
+        worker = self.workers[name]
+        worker.advance(self.now)
+        tasks = tuple(run.task for run in worker.running)
+        self.crashes.append((self.now, name, task, tasks))
+        worker.restart(self.now)
+        worker.refusing = True
+        self._schedule(down_s, setattr, worker, "refusing", False)
+
+    def _crash_by(self, name: str, run: Run) -> None:
+        if run in self.workers[name].running:
+            self.crash(name, run.task)
+
     def _schedule(self, delay_s: float, call: Callable, *args: object) -> None:
         due = self.now + delay_s
         heapq.heappush(
@@ -294,6 +322,9 @@
             return
         self.perform(leader, getattr(self.leaders[leader], method)(self.now, *args))
 
+    def _share_losses(self, leader: str, report: JobProgress) -> None:
+        self.leaders[leader].handle_losses(self.now, report)
+
     def _is_unreachable(self, leader: str, name: str) -> bool:
         return self.workers[name].unreachable or self.cut(leader, name)
 
@@ -302,6 +333,17 @@
         if leader in self.paused:
             self._schedule(TICK_S, self._renew, leader, entry, renewal)
             return
+        if self.workers[name].refusing:
+            self._schedule(
+                LINK_DELAY_S,
+                self._deliver_reply,
+                leader,
+                "handle_renewal_reply",
+                name,
+                renewal,
+                RenewalFailure.REFUSED,
+            )
+            return
         if self._is_unreachable(leader, name):
             lost = RenewalFailure.SILENT
             self._schedule(
@@ -322,7 +364,7 @@
     ) -> None:
         """Reply to a renewal once a run has ended, at the latest at `until`."""
         reply: LeaseReply | RenewalFailure = RenewalFailure.SILENT
-        if not self._is_unreachable(leader, name):
+        if not self._is_unreachable(leader, name) and not self.workers[name].refusing:
             # A renewal extends the lease when it arrives, not while it is held.
             reply = self.workers[name].renew(
                 self.now, renewal._replace(deadline_s=None)
@@ -348,8 +390,9 @@
         )
 
     def _query(self, leader: str, entry: WorkerEntry, renewal: Renewal) -> None:
-        if not self._is_unreachable(leader, entry.name):
-            reply = self.workers[entry.name].renew(self.now, renewal)
+        worker = self.workers[entry.name]
+        if not self._is_unreachable(leader, entry.name) and not worker.refusing:
+            reply = worker.renew(self.now, renewal)
             self._schedule(
                 LINK_DELAY_S,
                 self._deliver_reply,
@@ -386,6 +429,9 @@
         if self._is_unreachable(leader, name):
             reply = OrderReply(OrderOutcome.UNKNOWN)
             delay_s = ANSWER_TIMEOUT_S
+        elif self.workers[name].refusing:
+            reply = OrderReply(OrderOutcome.UNSENT)
+            delay_s = LINK_DELAY_S
         else:
             reply = self._apply_start(name, order)
             delay_s = LINK_DELAY_S
@@ -402,12 +448,17 @@
     def _apply_start(self, name: str, order: Order) -> OrderReply:
         job = self.jobs[order.run.task.split(".")[0]]
         reply = self.workers[name].start(self.now, order, job)
-        self.starts += reply.outcome is OrderOutcome.ACCEPTED
+        if reply.outcome is OrderOutcome.ACCEPTED:
+            self.starts += 1
+            self.starts_by_task.setdefault(order.run.task, []).append(self.now)
+            if order.run.task in job.deadly:
+                self._schedule(_CRASH_DELAY_S, self._crash_by, name, order.run)
         return reply
 
     def _stop(self, leader: str, entry: WorkerEntry, run: Run, token: int) -> None:
         answered = False
-        if not self._is_unreachable(leader, entry.name):
+        worker = self.workers[entry.name]
+        if not self._is_unreachable(leader, entry.name) and not worker.refusing:
             answered = self.workers[entry.name].stop(self.now, run, token)
         delay_s = LINK_DELAY_S if answered else ANSWER_TIMEOUT_S
         self._schedule(
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -24,6 +24,7 @@
     QueryWorker,
     RenewLease,
     ReportJob,
+    ShareLosses,
     StartRun,
     StopRun,
 )
@@ -526,6 +527,9 @@
                     await curio.spawn(self._query_worker(action), daemon=True)
                 case ReportJob(host, report):
                     pending.extend(await self._send(host, report))
+                case ShareLosses(report):
+                    for name in self._hosts.live:
+                        await self._send(name, report)
                 case OfferToLeader(host, offered):
                     pending.extend(await self._send(host, offered))
                 case WithdrawFromLeader(host, withdrawn):
@@ -570,6 +574,8 @@
                     actions = actions + self._submissions.cancel_job(now, job_id)
                 return actions
             case JobProgress() | JobEnded():
+                if isinstance(message, JobProgress) and message.losses:
+                    self._leader.handle_losses(now, message)
                 return self._submissions.apply_report(now, sender, message)
         _log.warning("FrameIgnored", kind=type(message).__name__, peer=sender)
         return []
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/leading/crashes.py
@@ -0,0 +1,97 @@
+"""Workers that may have crashed under a task, and the workers for suspected tasks.
+
+A task may crash each worker that starts it. The loss of a worker makes all tasks that
+it ran suspects. A suspect runs alone, so that a second crash convicts nobody else.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+
+from poplarhilld.leases import Run
+from poplarhilld.peers.messages import LostWorker, TaskLosses
+
+# A task under which so many workers crashed is given up.
+MAX_CRASHES = 2
+# Callers that retry a job do so within seconds, and a job runs for minutes at most.
+_KEPT_S = 120.0
+_MAX_JOBS = 2048
+_ISOLATED_FRACTION = 8  # one worker in so many may be set aside for suspects
+
+
+class LossRecords:
+    """Workers that were lost under the tasks of jobs, as this host has learnt it.
+
+    Each host keeps a copy, so that the next leader of a job has it too.
+    """
+
+    def __init__(self) -> None:
+        self._jobs: OrderedDict[str, tuple[float, dict[int, set[LostWorker]]]] = (
+            OrderedDict()
+        )
+
+    def note(self, now: float, job_id: str, losses: Iterable[TaskLosses]) -> None:
+        """Add the lost workers of tasks of a job."""
+        _, tasks = self._jobs.pop(job_id, (now, {}))
+        for number, workers in losses:
+            tasks.setdefault(number, set()).update(workers)
+        self._jobs[job_id] = (now, tasks)
+        while (
+            len(self._jobs) > _MAX_JOBS
+            or next(iter(self._jobs.values()))[0] < now - _KEPT_S
+        ):
+            self._jobs.popitem(last=False)
+
+    def clear(self, job_id: str, number: int, worker: LostWorker) -> None:
+        """Remove a worker that was only unreachable."""
+        _, tasks = self._jobs.get(job_id, (0.0, {}))
+        tasks.get(number, set()).discard(worker)
+
+    def of_job(self, job_id: str) -> Mapping[int, set[LostWorker]]:
+        """Return the lost workers of a job by the number of the task."""
+        return self._jobs.get(job_id, (0.0, {}))[1]
+
+
+class Isolation:
+    """Workers that are set aside for suspected tasks, each for one run at a time."""
+
+    def __init__(self) -> None:
+        self._runs: dict[str, Run | None] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._runs)
+
+    def __contains__(self, worker: str) -> bool:
+        return worker in self._runs
+
+    @property
+    def vacant(self) -> list[str]:
+        """Names of the workers that are set aside and that no suspect holds."""
+        return [name for name, run in self._runs.items() if run is None]
+
+    def may_grow(self, workers: int) -> bool:
+        """Return whether one more of a number of workers may be set aside."""
+        return len(self._runs) < max(1, workers // _ISOLATED_FRACTION)
+
+    def set_aside(self, worker: str) -> None:
+        """Set a worker aside; its present runs end before a suspect starts on it."""
+        self._runs[worker] = None
+
+    def occupy(self, worker: str, run: Run) -> None:
+        """Note the run of a suspect on a worker that is set aside."""
+        self._runs[worker] = run
+
+    def note_closed(self, worker: str, run: Run) -> None:
+        """Note that a run has ended; the worker of a suspect may be used by others."""
+        if self._runs.get(worker) == run:
+            del self._runs[worker]
+
+    def forget(self, worker: str) -> None:
+        """Forget a worker that was lost or that this host no longer leads."""
+        self._runs.pop(worker, None)
+
+    def release_vacant(self) -> bool:
+        """Give back the workers that wait for a suspect; return whether any did."""
+        vacant = self.vacant
+        for name in vacant:
+            del self._runs[name]
+        return bool(vacant)
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -7,7 +7,7 @@
 
 from poplarhilld.leading.estimates import CompletedRun
 from poplarhilld.leases import Run
-from poplarhilld.peers.messages import JobOffer, StepSpec
+from poplarhilld.peers.messages import JobOffer, LostWorker, StepSpec
 
 
 def task_name(job_id: str, step: int, index: int) -> str:
@@ -33,6 +33,7 @@
         next_number: Number of its next run.
         failures: Count of runs that failed.
         avoid: Workers on which a run of it failed, stalled or was lost.
+        lost: Workers that were lost during a run of it and may have crashed under it.
     """
 
     number: int
@@ -47,6 +48,7 @@
     next_number: int = 1
     failures: int = 0
     avoid: set[str] = field(default_factory=set)
+    lost: set[LostWorker] = field(default_factory=set)
 
     @property
     def waiting(self) -> bool:
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -6,7 +6,7 @@
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leases import Renewal, Run
-from poplarhilld.peers.messages import JobReport
+from poplarhilld.peers.messages import JobProgress, JobReport
 
 
 class Order(NamedTuple):
@@ -73,7 +73,22 @@
     report: JobReport
 
 
-LeaderAction = RenewLease | QueryWorker | StartRun | StopRun | ReportJob | LogDecision
+@dataclass(frozen=True)
+class ShareLosses:
+    """Tell all other hosts which workers were lost under tasks of a job."""
+
+    report: JobProgress
+
+
+LeaderAction = (
+    RenewLease
+    | QueryWorker
+    | StartRun
+    | StopRun
+    | ReportJob
+    | ShareLosses
+    | LogDecision
+)
 
 
 class WorkerTaken(NamedTuple):
@@ -205,6 +220,36 @@
     took_s: float
 
 
+class TaskSuspected(NamedTuple):
+    """Log line: a worker was lost that may have crashed under a task.
+
+    Attributes:
+        task: Name of the task.
+        worker: Name of the worker.
+        incarnation: When the lost process started, ms since the Unix epoch.
+        lost: Count of workers lost under the task that have not come back.
+    """
+
+    task: str
+    worker: str
+    incarnation: int
+    lost: int
+
+
+class TaskCleared(NamedTuple):
+    """Log line: a worker that was lost under a task responds again; it was cut off.
+
+    Attributes:
+        task: Name of the task.
+        worker: Name of the worker.
+        lost: Count of workers lost under the task that have not come back.
+    """
+
+    task: str
+    worker: str
+    lost: int
+
+
 class JobClosed(NamedTuple):
     """Log line: a leader has closed a job.
 
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -21,6 +21,7 @@
     find_starved,
     fits_in_time,
 )
+from poplarhilld.leading.crashes import MAX_CRASHES, Isolation, LossRecords
 from poplarhilld.leading.demand import Demand
 from poplarhilld.leading.estimates import CompletedRun, RunTimes
 from poplarhilld.leading.fitness import SILENCE_TIMEOUT_S, WorkerHealth
@@ -36,8 +37,11 @@
     ReportJob,
     RunOrdered,
     RunResolved,
+    ShareLosses,
     StartRun,
     StopRun,
+    TaskCleared,
+    TaskSuspected,
     WorkerConfirmed,
     WorkerReleased,
     WorkerState,
@@ -46,6 +50,7 @@
 from poplarhilld.leading.order import core_second_cost, rank
 from poplarhilld.leading.placement import (
     choose_worker,
+    could_run,
     fast_slowdown,
     is_capacity_short,
     max_slowdown_for,
@@ -74,6 +79,8 @@
     JobProgress,
     JobWithdrawn,
     Load,
+    LostWorker,
+    TaskLosses,
 )
 
 # Within this time, a leader that was cut off notices it and stops its runs.
@@ -115,6 +122,9 @@
         self._renewal_backoff_s: dict[str, float] = {}
         self._reclaim_at: dict[str, float] = {}
         self._lost: set[str] = set()
+        # Lost workers whose address refused a connection: their process has ended,
+        # or a partition refuses connections.
+        self._refused: set[str] = set()
         # Workers that may run tasks; None after a change of a worker.
         self._usable: list[LeasedWorker] | None = None
         self._jobs: dict[str, LedJob] = {}
@@ -128,6 +138,10 @@
         self._demand = Demand()
         self._starved_check_at = 0.0
         self._health = WorkerHealth()
+        self._losses = LossRecords()
+        # Jobs with a task under which a worker may have crashed.
+        self._suspects: dict[str, LedJob] = {}
+        self._isolation = Isolation()
 
     @property
     def workers(self) -> Mapping[str, LeasedWorker]:
@@ -230,6 +244,11 @@
             return [ReportJob(host, answered)]
         self._note_timeout(now, offer)
         job = self._make_job(now, host, offer)
+        self._restore_losses(job)
+        deadly = self._find_deadly_task(job)
+        if deadly is not None:
+            refusal = Refusal(ErrorKind.TASK_FAILED, _crash_detail(deadly))
+            return self._refuse(subscriber, offer, now, refusal)
         for task in job.tasks:
             if self._history.is_done(task.name):
                 job.finish(task)
@@ -243,6 +262,8 @@
         self._jobs[offer.job_id] = self._queue[offer.job_id] = job
         self._placement_up_to_date = False
         self._subscribers[offer.job_id] = {subscriber}
+        if any(task.lost for task in job.tasks):
+            self._suspects[offer.job_id] = job
         self._runs.add_job(job)
         self._adopt_orphans(now, job)
         actions: list[LeaderAction] = [
@@ -276,6 +297,14 @@
             actions += self.handle_withdrawal(now, host, JobWithdrawn(job_id))
         return actions
 
+    def handle_losses(self, now: float, report: JobProgress) -> None:
+        """Note the workers that another leader has lost under tasks of a job."""
+        self._losses.note(now, report.job_id, report.losses)
+        job = self._jobs.get(report.job_id)
+        if job is not None:
+            self._restore_losses(job)
+            self._suspects[job.job_id] = job
+
     def handle_renewal_reply(
         self,
         now: float,
@@ -365,6 +394,8 @@
                 actions += self._stop_run(now, self._workers[name], run)
         for job in list(self._jobs.values()):
             actions += self._check_deadline(now, job)
+        for job in list(self._suspects.values()):
+            actions += self._check_suspects(now, job)
         self._placement_up_to_date = False
         return actions + self._assign(now) + self._refuse_starved(now)
 
@@ -411,8 +442,10 @@
         self._usable = None
         self._placement_up_to_date = False
         self._lost.discard(name)
+        self._refused.discard(name)
         self._reclaim_at.pop(name, None)
         self._health.forget(name)
+        self._isolation.forget(name)
         self._times.forget(name)
         reservations = list(worker.reservations)
         for reservation in reservations:
@@ -429,12 +462,14 @@
             case RenewalFailure.FENCED:
                 return self._mark_fenced(now, worker)
             case RenewalFailure.REPLACED:
+                self._refused.add(name)
                 actions = self._mark_lost(
                     now, worker, failure.value, process_ended=True
                 )
                 pause_s = _REFUSED_RETRY_S
             case RenewalFailure.REFUSED:
                 # A network partition can refuse connections too, so wait for the lease.
+                self._refused.add(name)
                 actions = self._mark_lost(now, worker, failure.value)
                 pause_s = _REFUSED_RETRY_S
             case _:
@@ -462,6 +497,8 @@
             for run in worker.presumed_ended_runs():
                 task = self._runs.task_of(name, run)
                 if task is not None and task.run == run:
+                    if name in self._refused:
+                        actions += self._note_loss(now, worker, worker.incarnation, run)
                     self._forget_run(name, run)
                     task.avoid.add(name)
         return actions
@@ -514,6 +551,7 @@
         name = worker.entry.name
         actions: list[LeaderAction] = []
         was_confirmed = worker.confirmed
+        incarnation = worker.incarnation
         changes = worker.apply_renewal_reply(now, renewal, reply)
         if not was_confirmed:
             self._placement_up_to_date = False
@@ -524,10 +562,13 @@
             actions.append(LogDecision(confirmed))
         if name in self._lost:
             self._lost.discard(name)
+            self._refused.discard(name)
             self._placement_up_to_date = False
             self._usable = None
             actions.append(_worker_state(now, worker, "back", "responds again"))
         for change in changes:
+            if isinstance(change, RunClosed) and change.outcome is RunOutcome.LOST:
+                actions += self._note_loss(now, worker, incarnation, change.run)
             actions += self._apply_change(now, worker, change)
         return actions
 
@@ -625,7 +666,7 @@
                     actions.append(
                         _worker_state(now, worker, "ejected", "tasks failed")
                     )
-            case RunOutcome.ENDED | RunOutcome.NEVER_STARTED:
+            case RunOutcome.ENDED | RunOutcome.LOST | RunOutcome.NEVER_STARTED:
                 self._health.note_end(now, name, run)
         return actions + self._update_job(now, job, task)
 
@@ -633,6 +674,7 @@
         """Remove a run that is no longer under way; its task may wait again."""
         task = self._runs.task_of(worker, run)
         self._runs.forget(worker, run)
+        self._isolation.note_closed(worker, run)
         job = None if task is None else self._runs.job_of(task.name)
         if job is not None:
             self._queue[job.job_id] = job
@@ -661,6 +703,77 @@
             return []
         return [StopRun(worker.entry, run, worker.token)]
 
+    # Crashes of workers
+
+    def _note_loss(
+        self, now: float, worker: LeasedWorker, incarnation: int | None, run: Run
+    ) -> list[LeaderAction]:
+        """Suspect the task of a run whose worker was lost, and tell all hosts."""
+        name = worker.entry.name
+        job = self._runs.job_of(run.task)
+        if job is None or incarnation is None or worker.entry.draining:
+            return []
+        task = next(task for task in job.tasks if task.name == run.task)
+        lost = LostWorker(name, incarnation)
+        if lost in task.lost:
+            return []
+        task.lost.add(lost)
+        self._suspects[job.job_id] = job
+        losses = (TaskLosses(task.number, (lost,)),)
+        self._losses.note(now, job.job_id, losses)
+        suspected = TaskSuspected(task.name, name, incarnation, len(task.lost))
+        report = JobProgress(job.job_id, losses=losses)
+        return [LogDecision(suspected), ShareLosses(report)]
+
+    def _restore_losses(self, job: LedJob) -> None:
+        """Add to the tasks of a job the losses that were noted for it."""
+        for number, lost in self._losses.of_job(job.job_id).items():
+            if number < len(job.tasks):
+                job.tasks[number].lost |= lost
+
+    def _check_suspects(self, now: float, job: LedJob) -> list[LeaderAction]:
+        """Clear the tasks whose lost workers are back; give up a deadly job."""
+        actions: list[LeaderAction] = []
+        for task in job.tasks:
+            for lost in [lost for lost in task.lost if self._is_back(now, lost)]:
+                task.lost.discard(lost)
+                self._losses.clear(job.job_id, task.number, lost)
+                self._placement_up_to_date = False
+                cleared = TaskCleared(task.name, lost.worker, len(task.lost))
+                actions.append(LogDecision(cleared))
+        if not any(task.lost for task in job.tasks):
+            del self._suspects[job.job_id]
+        deadly = self._find_deadly_task(job)
+        if deadly is None or job.stopping:
+            return actions
+        report = _job_ended(job, ErrorKind.TASK_FAILED, _crash_detail(deadly))
+        return actions + self._close_job(now, job, report)
+
+    def _find_deadly_task(self, job: LedJob) -> LedTask | None:
+        """Return a task under which so many workers crashed that it is given up."""
+        for task in job.tasks:
+            if sum(map(self._has_crashed, task.lost)) >= MAX_CRASHES:
+                return task
+        return None
+
+    def _is_back(self, now: float, lost: LostWorker) -> bool:
+        """Return whether the lost process of a worker responds again."""
+        worker = self._workers.get(lost.worker)
+        return (
+            worker is not None
+            and lost.worker not in self._lost
+            and worker.incarnation == lost.incarnation
+            and worker.is_responsive(now)
+        )
+
+    def _has_crashed(self, lost: LostWorker) -> bool:
+        """Return whether the lost process of a worker is known to have ended."""
+        worker = self._workers.get(lost.worker)
+        if worker is not None and worker.incarnation not in (None, lost.incarnation):
+            return True
+        registered = lost.worker in self._entries or lost.worker in self._not_led_here
+        return not registered
+
     # Jobs
 
     def _subscribe(
@@ -825,6 +938,7 @@
         self._jobs.pop(job.job_id, None)
         self._queue.pop(job.job_id, None)
         self._subscribers.pop(job.job_id, None)
+        self._suspects.pop(job.job_id, None)
         self._runs.drop_job(job)
 
     # Placement
@@ -866,13 +980,16 @@
         max_free = initial_max_free
         fast = fast_slowdown(usable, self._times)
         actions: list[LeaderAction] = []
+        if self._suspects or self._isolation:
+            actions += self._assign_suspects(now, waiting, usable, free)
+            usable = [w for w in usable if w.entry.name not in self._isolation]
         for job in waiting:
             if min_cores[job.job_id] > max_free:
                 continue
             avoid_fast = capacity_short and tolerates_slow_worker(now, job)
             max_slowdown = max_slowdown_for(now, job, fast)
             for task in job.ready_tasks():
-                if task.spec.needs.cores > initial_max_free:
+                if task.lost or task.spec.needs.cores > initial_max_free:
                     continue
                 if task.spec.needs.cores > max_free:
                     break
@@ -895,6 +1012,75 @@
                     self._placement_up_to_date = False
         return actions
 
+    def _assign_suspects(
+        self,
+        now: float,
+        waiting: list[LedJob],
+        usable: list[LeasedWorker],
+        free: dict[str, Resources],
+    ) -> list[LeaderAction]:
+        """Start suspected tasks, each alone on a worker and one of a job at a time.
+
+        A second crash then convicts nobody else. A task that has lost as many workers
+        as convict it waits until it is known whether they crashed.
+        """
+        suspects = [
+            (job, task)
+            for job in waiting
+            if not any(task.lost and task.run for task in job.tasks)
+            for task in [t for t in job.ready_tasks() if t.lost][:1]
+            if len(task.lost) < MAX_CRASHES
+        ]
+        if not suspects and self._isolation.release_vacant():
+            self._placement_up_to_date = False
+        actions: list[LeaderAction] = []
+        for job, task in suspects:
+            worker = self._isolated_worker(job, task, usable, free, len(suspects))
+            if worker is not None:
+                actions += self._start_run(now, job, task, worker, free, len(usable))
+                self._isolation.occupy(worker.entry.name, task.run)
+        return actions
+
+    def _isolated_worker(
+        self,
+        job: LedJob,
+        task: LedTask,
+        usable: list[LeasedWorker],
+        free: dict[str, Resources],
+        suspects: int,
+    ) -> LeasedWorker | None:
+        """Return an idle worker that is set aside for a suspect, if there is one.
+
+        If there is none, sets one aside, so that it becomes idle once its runs end.
+        """
+        isolation = self._isolation
+        by_name = {worker.entry.name: worker for worker in usable}
+        for name in isolation.vacant:
+            if name not in by_name:
+                isolation.forget(name)
+        while True:
+            idle = [
+                by_name[name]
+                for name in isolation.vacant
+                if not any(by_name[name].reservations)
+            ]
+            worker = choose_worker(job, task, idle, free, self._times, False)
+            others = [
+                w
+                for w in usable
+                if w.entry.name not in isolation
+                and could_run(w.entry, job.offer.service, task.spec)
+            ]
+            if (
+                worker is not None
+                or not others
+                or len(isolation.vacant) >= suspects
+                or not isolation.may_grow(len(usable))
+            ):
+                return worker
+            emptiest = max(others, key=lambda w: free[w.entry.name].cores)
+            isolation.set_aside(emptiest.entry.name)
+
     def _workers_open_to_tasks(self, now: float) -> list[LeasedWorker]:
         """Return the usable workers whose health allows tasks now."""
         usable = self._usable_workers()
@@ -963,6 +1149,10 @@
     return JobEnded(job.job_id, kind.value, detail, retry_after_s, job.not_run)
 
 
+def _crash_detail(task: LedTask) -> str:
+    return f"{len(task.lost)} workers crashed while they ran task {task.number}"
+
+
 def _worker_state(
     now: float, worker: LeasedWorker, state: str, reason: str
 ) -> LogDecision:
--- a/packages/poplarhilld/src/poplarhilld/leases/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/messages.py
@@ -151,12 +151,14 @@
         DONE: The task succeeded.
         FAILED: The task failed.
         ENDED: The run ended without a result of the task.
+        LOST: The process of its worker ended.
         NEVER_STARTED: The worker did not start the run and will not start it.
     """
 
     DONE = "done"
     FAILED = "failed"
     ENDED = "ended"
+    LOST = "lost"
     NEVER_STARTED = "never_started"
 
 
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -128,6 +128,11 @@
         """Whether the worker has accepted this host's token."""
         return self._confirmed_at is not None
 
+    @property
+    def incarnation(self) -> int | None:
+        """When its process started, ms since the Unix epoch; `None` before a reply."""
+        return self._incarnation
+
     @property
     def reservations(self) -> Iterable[Reservation]:
         """Reservations of all runs that hold or may hold capacity."""
@@ -326,7 +331,7 @@
         ]
         for reservation in self._reservations.values():
             reservation.deadline_s = reply.clock_s + ORDER_VALIDITY_S
-        return [self._close_run(run, RunOutcome.ENDED) for run in ended]
+        return [self._close_run(run, RunOutcome.LOST) for run in ended]
 
     def _apply_end(self, run: Run, kind: RunEndKind) -> list[RunChange]:
         self._recent_ends.append(run)
--- a/packages/poplarhilld/src/poplarhilld/peers/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/__init__.py
@@ -19,6 +19,7 @@
 from poplarhilld.peers.messages import JobWithdrawn as JobWithdrawn
 from poplarhilld.peers.messages import LeaderDigest as LeaderDigest
 from poplarhilld.peers.messages import Load as Load
+from poplarhilld.peers.messages import LostWorker as LostWorker
 from poplarhilld.peers.messages import MemberState as MemberState
 from poplarhilld.peers.messages import Message as Message
 from poplarhilld.peers.messages import OfferedJob as OfferedJob
@@ -28,4 +29,5 @@
 from poplarhilld.peers.messages import SlotRequest as SlotRequest
 from poplarhilld.peers.messages import SlotReturn as SlotReturn
 from poplarhilld.peers.messages import StepSpec as StepSpec
+from poplarhilld.peers.messages import TaskLosses as TaskLosses
 from poplarhilld.peers.messages import WorkerSlots as WorkerSlots
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -22,6 +22,7 @@
     JobWithdrawn,
     LeaderDigest,
     Load,
+    LostWorker,
     MemberState,
     Message,
     OfferedJob,
@@ -32,6 +33,7 @@
     SlotReturn,
     StepSpec,
     Suspicion,
+    TaskLosses,
     WorkerSlots,
 )
 from poplarhilld.peers.packing import is_complete
@@ -70,6 +72,8 @@
     "claims": Claim,
     "leaders": LeaderDigest,
     "steps": StepSpec,
+    "losses": TaskLosses,
+    "lost": LostWorker,
 }
 _STRUCT_FIELD_TYPES: dict[str, type] = {
     "needs": Resources,
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -130,9 +130,20 @@
   cancelled @1 :Bool;
 }
 
+struct LostWorker {
+  worker @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct TaskLosses {
+  number @0 :UInt16;
+  lost @1 :List(LostWorker);
+}
+
 struct JobProgress {
   jobId @0 :Text;
   done @1 :List(UInt16);
+  losses @2 :List(TaskLosses);
 }
 
 struct JobEnded {
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -290,16 +290,44 @@
     cancelled: bool = False
 
 
+class LostWorker(NamedTuple):
+    """A process of a worker that a leader has lost.
+
+    Attributes:
+        worker: Name of the worker.
+        incarnation: When the process started, ms since the Unix epoch.
+    """
+
+    worker: str
+    incarnation: int
+
+
+class TaskLosses(NamedTuple):
+    """The workers that were lost while they ran, or may have run, a task.
+
+    Attributes:
+        number: Number of the task in its job.
+        lost: The workers; each has crashed or is only unreachable.
+    """
+
+    number: int
+    lost: tuple[LostWorker, ...]
+
+
 class JobProgress(NamedTuple):
     """Reports to an entry host which tasks of its job are done.
 
+    If it names lost workers, all hosts get it, since any may lead the job next.
+
     Attributes:
         job_id: Id of the job.
         done: Numbers of the tasks done since the last report.
+        losses: Workers that were lost under tasks of the job since the last report.
     """
 
     job_id: str
     done: tuple[int, ...] = ()
+    losses: tuple[TaskLosses, ...] = ()
 
 
 class JobEnded(NamedTuple):
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -23,6 +23,7 @@
     load=peers.Load(16.0, 0.5, 0.25),
 )
 STEP = peers.StepSpec(8, Resources(6.5, 64, 1), 0.06, (0,), "gpu", 2, "r1")
+LOST = peers.LostWorker("w1", 1_700_000_000_123)
 OFFER = peers.OfferedJob(
     *(4, peers.JobOffer("j1", "r", "s", "{}", (STEP, STEP), 1, 2, 1.5, 0.5, 0.25, 1.0))
 )
@@ -43,6 +44,7 @@
         OFFER,
         peers.JobWithdrawn("j1", True),
         peers.JobProgress("j1", (0, 3)),
+        peers.JobProgress("j1", losses=(peers.TaskLosses(3, (LOST, LOST)),)),
         peers.JobEnded("j1", "timeout", "too late", 1.5, True),
     ],
     ids=lambda message: type(message).__name__,
