Refuse a job that fits only shrunk workers for the moment, not for good

Callers would have seen: a job shown as failed because no worker was large enough at that moment, though the workers' capacity shrinks and grows while they run.

The list of workers now keeps the largest capacity that a host has read of each worker, and only a job that fits none of these is impossible. The test failed before (IMPOSSIBLE instead of OVERLOADED).

--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -70,6 +70,7 @@
         broken: Whether every task that starts fails.
         stuck: Whether tasks that start never end.
         slowdown: Factor on run times.
+        overloads: Times of the starts that took more than the free capacity.
         on_end: Callback for the end of a run; takes the time, the run and the kind.
     """
 
@@ -84,6 +85,7 @@
     broken: bool = False
     stuck: bool = False
     slowdown: float = 1.0
+    overloads: list[float] = field(default_factory=list)
     on_end: Callable[[float, Run, RunEndKind], None] = lambda at, run, kind: None
     _sequence: int = 0
     _closed: dict[str, int] = field(default_factory=dict)
@@ -128,6 +130,11 @@
                 float("inf") if self.stuck else until,
                 self.broken or job.poison,
             )
+            if (
+                sum(r.needs.cores for r in self.running.values())
+                > self.entry.room.cores
+            ):
+                self.overloads.append(now)
         return OrderReply(OrderOutcome.ACCEPTED, now)
 
     def stop(self, now: float, run: Run, token: int) -> bool:
--- a/packages/poplarhilld/src/poplarhilld/catalogue/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/catalogue/messages.py
@@ -77,8 +77,9 @@
         data_centre: Data centre of the worker.
         rack: Rack of the worker.
         labels: Labels that jobs may require.
-        room: Its capacity for tasks.
+        room: Its capacity for tasks, which may shrink and grow while it runs.
         draining: Whether it is draining and accepts no new tasks.
+        largest_room: The largest capacity that this host has read of it.
     """
 
     name: str
@@ -89,3 +90,4 @@
     labels: frozenset[str]
     room: Resources
     draining: bool = False
+    largest_room: Resources = Resources()
--- a/packages/poplarhilld/src/poplarhilld/catalogue/registry.py
+++ b/packages/poplarhilld/src/poplarhilld/catalogue/registry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from poplarhill.types import Resources
 from poplarhilld.catalogue.messages import WorkerEntry
 
 # Entries that expire during a platform outage return 2 s after it; this is twice that.
@@ -44,8 +45,8 @@
         before = dict(self._entries)
         gap_s = 0.0 if self._last_update is None else now - self._last_update
         self._last_update = now
-        self._entries.update(entries)
-        for name in entries:
+        for name, entry in entries.items():
+            self._entries[name] = _with_largest_room(entry, self._entries.get(name))
             self._grace_left_s.pop(name, None)
         for name in self._entries.keys() - entries.keys():
             left_s = self._grace_left_s.get(name, REJOIN_GRACE_S)
@@ -53,3 +54,10 @@
             if self._grace_left_s[name] <= 0:
                 del self._entries[name], self._grace_left_s[name]
         return before != self._entries
+
+
+def _with_largest_room(entry: WorkerEntry, known: WorkerEntry | None) -> WorkerEntry:
+    """Return an entry with the largest capacity that was read of its worker so far."""
+    rooms = [entry.room] if known is None else [entry.room, known.largest_room]
+    largest = Resources(*(max(sizes) for sizes in zip(*rooms, strict=True)))
+    return entry._replace(largest_room=largest)
--- a/packages/poplarhilld/src/poplarhilld/leading/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/admission.py
@@ -7,7 +7,7 @@
 from poplarhill.exceptions import ErrorKind
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.order import rank
-from poplarhilld.leading.placement import could_run
+from poplarhilld.leading.placement import could_run, could_run_at_largest
 from poplarhilld.leases import LeasedWorker
 
 RETRY_AFTER_S = 1.0  # a failover or a burst lasts about a second
@@ -84,8 +84,12 @@
         return Refusal(ErrorKind.NO_WORKERS, detail, RETRY_AFTER_S)
     entries = [worker.entry for worker in workers]
     for step in offer.steps:
-        if not any(could_run(entry, offer.service, step) for entry in entries):
-            return Refusal(ErrorKind.IMPOSSIBLE, "no worker is large enough for a task")
+        if any(could_run(entry, offer.service, step) for entry in entries):
+            continue
+        if any(could_run_at_largest(entry, offer.service, step) for entry in entries):
+            detail = "the workers that can run a task have shrunk"
+            return Refusal(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S)
+        return Refusal(ErrorKind.IMPOSSIBLE, "no worker is large enough for a task")
     if wait_s > 0 and not fits_in_time(now + wait_s, job):
         detail = f"expected to wait {wait_s:.2f} s and to run {job.run_s:.2f} s"
         return Refusal(ErrorKind.OVERLOADED, detail, max(wait_s, RETRY_AFTER_S))
--- a/packages/poplarhilld/src/poplarhilld/leading/placement.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/placement.py
@@ -91,6 +91,11 @@
     )
 
 
+def could_run_at_largest(worker: WorkerEntry, service: str, step: StepSpec) -> bool:
+    """Return whether a worker could run a task of a step at its largest capacity."""
+    return could_run(worker._replace(room=worker.largest_room), service, step)
+
+
 def choose_worker(
     job: LedJob,
     task: LedTask,
