Share the losses of all tasks of a tick in one report

A report a job would cost a leader a frame for each host and each task of a lost rack: 24 workers with two tasks each and 37 hosts are 1,776 frames at once. The losses that a leader notes now leave with its next tick in one JobProgress that names tasks of any jobs, and is encoded once. The test bounds the reports of a lost rack.

--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -218,6 +218,7 @@
         crashes: Crashes of workers: time, name of the worker, task that crashed it and
             all tasks that it ran.
         starts_by_task: Times of the starts of each task.
+        shared_losses: Reports of leaders to all hosts on lost workers, with the time.
     """
 
     def __init__(self, workers: Iterable[SimulatedWorker], seed: int = 1) -> None:
@@ -234,6 +235,7 @@
         self.starts = 0
         self.crashes: list[tuple[float, str, str, tuple[str, ...]]] = []
         self.starts_by_task: dict[str, list[float]] = {}
+        self.shared_losses: list[tuple[float, JobProgress]] = []
         self._events: list = []
         self._event_numbers = itertools.count()
 
@@ -297,6 +299,7 @@
                 case StopRun(worker, run, token):
                     self._schedule(LINK_DELAY_S, self._stop, leader, worker, run, token)
                 case ShareLosses(report):
+                    self.shared_losses.append((self.now, report))
                     for other in self.leaders.keys() - {leader}:
                         self._schedule(LINK_DELAY_S, self._share_losses, other, report)
                 case ReportJob(host, report):
@@ -330,7 +333,7 @@
         self.perform(leader, getattr(self.leaders[leader], method)(self.now, *args))
 
     def _share_losses(self, leader: str, report: JobProgress) -> None:
-        self.leaders[leader].handle_losses(self.now, report)
+        self.leaders[leader].handle_losses(self.now, report.losses)
 
     def _is_unreachable(self, leader: str, name: str) -> bool:
         return self.workers[name].unreachable or self.cut(leader, name)
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -575,7 +575,7 @@
                 return actions
             case JobProgress() | JobEnded():
                 if isinstance(message, JobProgress) and message.losses:
-                    self._leader.handle_losses(now, message)
+                    self._leader.handle_losses(now, message.losses)
                 return self._submissions.apply_report(now, sender, message)
         _log.warning("FrameIgnored", kind=type(message).__name__, peer=sender)
         return []
--- a/packages/poplarhilld/src/poplarhilld/leading/crashes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/crashes.py
@@ -5,7 +5,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from poplarhilld.leases import Run
 from poplarhilld.peers.messages import LostWorker, TaskLosses
@@ -14,41 +14,55 @@
 MAX_CRASHES = 2
 # Callers that retry a job do so within seconds, and a job runs for minutes at most.
 _KEPT_S = 120.0
-_MAX_JOBS = 2048
+_MAX_TASKS = 8192  # under 2 MB
 _ISOLATED_FRACTION = 8  # one worker in so many may be set aside for suspects
 
 
 class LossRecords:
-    """Workers that were lost under the tasks of jobs, as this host has learnt it.
+    """Workers that were lost under tasks, as this host has learnt it.
 
     Each host keeps a copy, so that the next leader of a job has it too.
     """
 
     def __init__(self) -> None:
-        self._jobs: OrderedDict[str, tuple[float, dict[int, set[LostWorker]]]] = (
+        self._tasks: OrderedDict[str, tuple[float, frozenset[LostWorker]]] = (
             OrderedDict()
         )
+        self._unshared: dict[str, list[LostWorker]] = {}
 
-    def note(self, now: float, job_id: str, losses: Iterable[TaskLosses]) -> None:
-        """Add the lost workers of tasks of a job."""
-        _, tasks = self._jobs.pop(job_id, (now, {}))
-        for number, workers in losses:
-            tasks.setdefault(number, set()).update(workers)
-        self._jobs[job_id] = (now, tasks)
-        while (
-            len(self._jobs) > _MAX_JOBS
-            or next(iter(self._jobs.values()))[0] < now - _KEPT_S
-        ):
-            self._jobs.popitem(last=False)
+    def note(self, now: float, task: str, lost: LostWorker) -> None:
+        """Note that this host has lost a worker under a task."""
+        self._add(now, TaskLosses(task, (lost,)))
+        self._unshared.setdefault(task, []).append(lost)
 
-    def clear(self, job_id: str, number: int, worker: LostWorker) -> None:
-        """Remove a worker that was only unreachable."""
-        _, tasks = self._jobs.get(job_id, (0.0, {}))
-        tasks.get(number, set()).discard(worker)
+    def note_shared(self, now: float, losses: Iterable[TaskLosses]) -> None:
+        """Note the workers that another host has lost under tasks."""
+        for one in losses:
+            self._add(now, one)
 
-    def of_job(self, job_id: str) -> Mapping[int, set[LostWorker]]:
-        """Return the lost workers of a job by the number of the task."""
-        return self._jobs.get(job_id, (0.0, {}))[1]
+    def clear(self, task: str, lost: LostWorker) -> None:
+        """Remove a worker that was only unreachable."""
+        noted_at, known = self._tasks.get(task, (0.0, frozenset()))
+        if lost in known:
+            self._tasks[task] = (noted_at, known - {lost})
+
+    def of_task(self, task: str) -> frozenset[LostWorker]:
+        """Return the workers that were lost under a task."""
+        return self._tasks.get(task, (0.0, frozenset()))[1]
+
+    def take_unshared(self) -> tuple[TaskLosses, ...]:
+        """Return what this host has noted since the last call."""
+        unshared, self._unshared = self._unshared, {}
+        return tuple(TaskLosses(task, tuple(lost)) for task, lost in unshared.items())
+
+    def _add(self, now: float, losses: TaskLosses) -> None:
+        _, known = self._tasks.pop(losses.task, (now, frozenset()))
+        self._tasks[losses.task] = (now, known.union(losses.lost))
+        while (
+            len(self._tasks) > _MAX_TASKS
+            or next(iter(self._tasks.values()))[0] < now - _KEPT_S
+        ):
+            self._tasks.popitem(last=False)
 
 
 class Isolation:
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True)
 class ShareLosses:
-    """Tell all other hosts which workers were lost under tasks of a job."""
+    """Tell all other hosts which workers were lost under tasks."""
 
     report: JobProgress
 
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from poplarhill.exceptions import ErrorKind
@@ -297,13 +297,14 @@
             actions += self.handle_withdrawal(now, host, JobWithdrawn(job_id))
         return actions
 
-    def handle_losses(self, now: float, report: JobProgress) -> None:
-        """Note the workers that another leader has lost under tasks of a job."""
-        self._losses.note(now, report.job_id, report.losses)
-        job = self._jobs.get(report.job_id)
-        if job is not None:
-            self._restore_losses(job)
-            self._suspects[job.job_id] = job
+    def handle_losses(self, now: float, losses: Iterable[TaskLosses]) -> None:
+        """Note the workers that another leader has lost under tasks."""
+        self._losses.note_shared(now, losses)
+        for one in losses:
+            job = self._runs.job_of(one.task)
+            if job is not None:
+                self._restore_losses(job)
+                self._suspects[job.job_id] = job
 
     def handle_renewal_reply(
         self,
@@ -396,6 +397,9 @@
             actions += self._check_deadline(now, job)
         for job in list(self._suspects.values()):
             actions += self._check_suspects(now, job)
+        losses = self._losses.take_unshared()
+        if losses:
+            actions.append(ShareLosses(JobProgress("", losses=losses)))
         self._placement_up_to_date = False
         return actions + self._assign(now) + self._refuse_starved(now)
 
@@ -708,7 +712,7 @@
     def _note_loss(
         self, now: float, worker: LeasedWorker, incarnation: int | None, run: Run
     ) -> list[LeaderAction]:
-        """Suspect the task of a run whose worker was lost, and tell all hosts."""
+        """Suspect the task of a run whose worker was lost."""
         name = worker.entry.name
         job = self._runs.job_of(run.task)
         if job is None or incarnation is None or worker.entry.draining:
@@ -719,17 +723,14 @@
             return []
         task.lost.add(lost)
         self._suspects[job.job_id] = job
-        losses = (TaskLosses(task.number, (lost,)),)
-        self._losses.note(now, job.job_id, losses)
+        self._losses.note(now, task.name, lost)
         suspected = TaskSuspected(task.name, name, incarnation, len(task.lost))
-        report = JobProgress(job.job_id, losses=losses)
-        return [LogDecision(suspected), ShareLosses(report)]
+        return [LogDecision(suspected)]
 
     def _restore_losses(self, job: LedJob) -> None:
-        """Add to the tasks of a job the losses that were noted for it."""
-        for number, lost in self._losses.of_job(job.job_id).items():
-            if number < len(job.tasks):
-                job.tasks[number].lost |= lost
+        """Add to the tasks of a job the losses that were noted for them."""
+        for task in job.tasks:
+            task.lost |= self._losses.of_task(task.name)
 
     def _check_suspects(self, now: float, job: LedJob) -> list[LeaderAction]:
         """Clear the tasks whose lost workers are back; give up a deadly job."""
@@ -737,7 +738,7 @@
         for task in job.tasks:
             for lost in [lost for lost in task.lost if self._is_back(now, lost)]:
                 task.lost.discard(lost)
-                self._losses.clear(job.job_id, task.number, lost)
+                self._losses.clear(task.name, lost)
                 self._placement_up_to_date = False
                 cleared = TaskCleared(task.name, lost.worker, len(task.lost))
                 actions.append(LogDecision(cleared))
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -136,7 +136,7 @@
 }
 
 struct TaskLosses {
-  number @0 :UInt16;
+  task @0 :Text;
   lost @1 :List(LostWorker);
 }
 
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -306,23 +306,24 @@
     """The workers that were lost while they ran, or may have run, a task.
 
     Attributes:
-        number: Number of the task in its job.
+        task: Name of the task, unique in the fleet.
         lost: The workers; each has crashed or is only unreachable.
     """
 
-    number: int
+    task: str
     lost: tuple[LostWorker, ...]
 
 
 class JobProgress(NamedTuple):
     """Reports to an entry host which tasks of its job are done.
 
-    If it names lost workers, all hosts get it, since any may lead the job next.
+    A report of lost workers is about the tasks of any jobs. It names no job, and all
+    hosts get it, since any may lead these jobs next.
 
     Attributes:
-        job_id: Id of the job.
+        job_id: Id of the job; empty in a report of lost workers.
         done: Numbers of the tasks done since the last report.
-        losses: Workers that were lost under tasks of the job since the last report.
+        losses: Workers that were lost under tasks since the last report.
     """
 
     job_id: str
--- a/packages/poplarhilld/tests/leading/test_crashes.py
+++ b/packages/poplarhilld/tests/leading/test_crashes.py
@@ -117,6 +117,19 @@
     assert not fleet.violations
 
 
+# A report a task would cost a leader a frame for each host and task of a lost rack.
+def test_the_losses_of_a_rack_are_shared_in_few_reports(fleet: World) -> None:
+    for number in range(24):
+        fleet.submit("h1", simulated_job(f"j{number}", run_s=1.0, left_s=PATIENCE_S))
+    fleet.run(0.1)
+    for number in range(24):
+        fleet.crash(f"w{number}")
+    fleet.run(PATIENCE_S)
+    reports = [report for _, report in fleet.shared_losses]
+    assert len(reports) <= 3
+    assert sum(len(report.losses) for report in reports) == 48
+
+
 # A partition that refuses connections looks like a crash until the workers are back.
 def test_tasks_of_workers_that_were_only_cut_off_are_not_given_up(
     fleet: World,
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -44,7 +44,7 @@
         OFFER,
         peers.JobWithdrawn("j1", True),
         peers.JobProgress("j1", (0, 3)),
-        peers.JobProgress("j1", losses=(peers.TaskLosses(3, (LOST, LOST)),)),
+        peers.JobProgress("", losses=(peers.TaskLosses("j1.0.0.3", (LOST,)),)),
         peers.JobEnded("j1", "timeout", "too late", 1.5, True),
     ],
     ids=lambda message: type(message).__name__,
