Tell a leader without the store which workers drain or have shrunk

Callers and workers would have seen: tasks started on a worker over its new capacity, or on one that had been draining for seconds, by a leader that the store turns away while it serves the workers and the other hosts. The leader went on by the last list that it had read, for as long as that lasted.

A leader that has missed two reads (1.4 s) sets a flag in its heartbeats. Hosts that have read the list, each 2 s, send it the workers that drain or are smaller than they were. So it knows within 3.6 s, against 4.5 s (contact_ms and one beat). A report only reduces; the next list tells the rest. A leader that reads the store ignores reports.

Evidence: the test over the real host with a store that fails starts tasks on the draining worker without the report. Only a report by stand-in was tested; no fleet of several hosts with a store that turns one away.

--- a/packages/poplarhill-dev/tests/adapter/test_whole_path.py
+++ b/packages/poplarhill-dev/tests/adapter/test_whole_path.py
@@ -7,8 +7,11 @@
 import msgspec
 
 from poplarhill.http import Request, Response, fetch
-from poplarhill.types import Address
+from poplarhill.types import Address, Resources
+from poplarhilld.peers import ReducedWorker, WorkersReport
+from poplarhilld.peers.codec import Envelope
 
+NEEDS = Resources(6.8, 64, 0)
 JOB_ID = "5c0e7a21d94b36f8"
 PATH = f"/r0/{JOB_ID}"
 
@@ -188,3 +191,41 @@
 
     platform.run_scenario(scenario)
     assert platform.exit_code == 0
+
+
+# Guards against a leader that goes on by the list that it read before the store turned
+# it away, while the store serves the other hosts and the workers.
+def test_a_leader_without_the_store_learns_of_smaller_workers_from_others(
+    platform,
+) -> None:
+    async def scenario(platform) -> None:
+        await wait_until_ready(platform)
+        platform.store.failing = 503
+        while not platform.host._hosts.outdated:
+            await curio.sleep(0.02)
+        first, second = platform.workers
+        report = WorkersReport(
+            (
+                ReducedWorker(first.simulated.entry.name, True, Resources(16.0, 64, 0)),
+                ReducedWorker(second.simulated.entry.name, False, NEEDS),
+            )
+        )
+        await platform.host._on_frame(Envelope("h2", report))
+        await platform.host._tick()
+        answer = await call(platform, "POST", PATH, job(tasks=4))
+        assert answer.status == 200
+        assert first.peak_cores == 0.0
+        assert second.peak_cores <= NEEDS.cores
+
+    platform.run_scenario(scenario)
+
+
+def test_a_leader_with_the_store_ignores_what_others_report(platform) -> None:
+    async def scenario(platform) -> None:
+        await wait_until_ready(platform)
+        name = platform.workers[0].simulated.entry.name
+        report = WorkersReport((ReducedWorker(name, True, NEEDS),))
+        await platform.host._on_frame(Envelope("h2", report))
+        assert not platform.host._registry.reduced
+
+    platform.run_scenario(scenario)
--- a/packages/poplarhilld/src/poplarhilld/catalogue/registry.py
+++ b/packages/poplarhilld/src/poplarhilld/catalogue/registry.py
@@ -1,9 +1,10 @@
 """The registered workers, and those that the platform has recently stopped listing."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from poplarhill.types import Resources
 from poplarhilld.catalogue.messages import WorkerEntry
+from poplarhilld.peers.messages import ReducedWorker
 
 # Entries that expire during a platform outage return 2 s after it; this is twice that.
 REJOIN_GRACE_S = 4.0
@@ -32,6 +33,31 @@
         """Return whether the platform lists a worker now."""
         return name in self._entries and name not in self._grace_left_s
 
+    @property
+    def reduced(self) -> tuple[ReducedWorker, ...]:
+        """The workers that are draining or have shrunk."""
+        return tuple(
+            ReducedWorker(entry.name, entry.draining, entry.room)
+            for entry in self._entries.values()
+            if entry.draining or entry.room != entry.largest_room
+        )
+
+    def reduce(self, reduced: Iterable[ReducedWorker]) -> bool:
+        """Apply what another host has read of workers; return whether any changed.
+
+        A worker only becomes smaller or draining by it; the next list tells the rest.
+        """
+        changed = False
+        for name, draining, room in reduced:
+            entry = self._entries.get(name)
+            if entry is None:
+                continue
+            smaller = Resources(*map(min, entry.room, room))
+            after = entry._replace(room=smaller, draining=entry.draining or draining)
+            changed = changed or after != entry
+            self._entries[name] = after
+        return changed
+
     def update(self, now: float, entries: Mapping[str, WorkerEntry]) -> bool:
         """Apply a list read from the platform.
 
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -39,6 +39,7 @@
     Load,
     Message,
     OfferedJob,
+    WorkersReport,
 )
 from poplarhilld.shards import (
     HostLost,
@@ -65,6 +66,8 @@
 _LEADER_REGISTRY_REFRESH_S = 0.7
 # A host that leads no shard needs the list of workers only for a takeover.
 _REGISTRY_REFRESH_S = 2.0
+# A leader that has missed two reads asks other hosts what they have read.
+_REGISTRY_OUTDATED_S = 2 * _LEADER_REGISTRY_REFRESH_S
 # Heartbeats carry addresses; the store is needed only to find unknown peers.
 _HOSTS_REFRESH_S = 5.0
 # The retries of eight hosts stay far below the request rates of the store.
@@ -155,6 +158,7 @@
             settings.peers.host,
         )
         self._registry_read = False
+        self._registry_read_at = now
         self._reachable_since: dict[str, float] = {}
         self._store_errors: dict[str, str] = {}
         self._shutting_down = False
@@ -289,6 +293,10 @@
     async def _tick(self) -> None:
         """Make the decisions that depend on time and perform their actions."""
         now = uptime()
+        unread_s = now - self._registry_read_at
+        self._hosts.set_outdated(
+            bool(self._hosts.claims) and unread_s > _REGISTRY_OUTDATED_S
+        )
         if self._busy.is_due(now):
             self._busy.measure(now, _processor_time_s())
         actions = self._hosts.tick(
@@ -391,6 +399,8 @@
                 await curio.sleep(_STORE_RETRY_S)
                 continue
             self._record_store_call("workers")
+            self._registry_read_at = uptime()
+            self._hosts.set_outdated(False)
             if self._registry.update(uptime(), workers) or not self._registry_read:
                 self._registry_read = True
                 self._shards = partition(self._registry.workers.values())
@@ -398,12 +408,28 @@
                 # Claims the shards that were split off led ones before their workers
                 # are taken for workers of another leader.
                 await self._tick()
+            await self._report_workers()
             await curio.sleep(
                 _LEADER_REGISTRY_REFRESH_S
                 if self._leader.workers
                 else _REGISTRY_REFRESH_S
             )
 
+    async def _report_workers(self) -> None:
+        """Tell leaders that can't read the list of workers which take fewer tasks."""
+        report = WorkersReport(self._registry.reduced)
+        if not report.reduced:
+            return
+        for name, beat in self._hosts.leaders.items():
+            if beat.outdated:
+                await self._send(name, report)
+
+    def _apply_workers_report(self, sender: str, report: WorkersReport) -> None:
+        """Apply what another host has read of workers, if this host can't read it."""
+        if self._hosts.outdated and self._registry.reduce(report.reduced):
+            self._shards = partition(self._registry.workers.values())
+            _log.info("WorkersReported", peer=sender, reduced=len(report.reduced))
+
     async def _hosts_loop(self) -> None:
         """Register this host in the store and read the addresses of its peers."""
         registered = False
@@ -573,6 +599,9 @@
                 if cancelled:
                     actions = actions + self._submissions.cancel_job(now, job_id)
                 return actions
+            case WorkersReport():
+                self._apply_workers_report(sender, message)
+                return []
             case JobProgress() | JobEnded():
                 if isinstance(message, JobProgress) and message.losses:
                     self._leader.handle_losses(now, message.losses)
--- a/packages/poplarhilld/src/poplarhilld/peers/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/__init__.py
@@ -23,6 +23,7 @@
 from poplarhilld.peers.messages import MemberState as MemberState
 from poplarhilld.peers.messages import Message as Message
 from poplarhilld.peers.messages import OfferedJob as OfferedJob
+from poplarhilld.peers.messages import ReducedWorker as ReducedWorker
 from poplarhilld.peers.messages import RefreshReply as RefreshReply
 from poplarhilld.peers.messages import RefreshRequest as RefreshRequest
 from poplarhilld.peers.messages import SlotGrant as SlotGrant
@@ -31,3 +32,4 @@
 from poplarhilld.peers.messages import StepSpec as StepSpec
 from poplarhilld.peers.messages import TaskLosses as TaskLosses
 from poplarhilld.peers.messages import WorkerSlots as WorkerSlots
+from poplarhilld.peers.messages import WorkersReport as WorkersReport
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -26,6 +26,7 @@
     MemberState,
     Message,
     OfferedJob,
+    ReducedWorker,
     RefreshReply,
     RefreshRequest,
     SlotGrant,
@@ -35,6 +36,7 @@
     Suspicion,
     TaskLosses,
     WorkerSlots,
+    WorkersReport,
 )
 from poplarhilld.peers.packing import is_complete
 
@@ -61,6 +63,7 @@
     JobWithdrawn: "jobWithdrawn",
     JobProgress: "jobProgress",
     JobEnded: "jobEnded",
+    WorkersReport: "workersReport",
 }
 _MESSAGE_TYPES: dict[str, type] = {
     variant: kind for kind, variant in _VARIANT_NAMES.items()
@@ -74,9 +77,11 @@
     "steps": StepSpec,
     "losses": TaskLosses,
     "lost": LostWorker,
+    "reduced": ReducedWorker,
 }
 _STRUCT_FIELD_TYPES: dict[str, type] = {
     "needs": Resources,
+    "room": Resources,
     "offer": JobOffer,
     "load": Load,
 }
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -183,6 +183,17 @@
   load @12 :Load;
   leaders @13 :List(LeaderDigest);
   nearby @14 :Bool;
+  outdated @15 :Bool;
+}
+
+struct ReducedWorker {
+  worker @0 :Text;
+  draining @1 :Bool;
+  room @2 :Resources;
+}
+
+struct WorkersReport {
+  reduced @0 :List(ReducedWorker);
 }
 
 struct LeaderDigest {
@@ -214,5 +225,6 @@
     jobWithdrawn @14 :JobWithdrawn;
     jobProgress @15 :JobProgress;
     jobEnded @16 :JobEnded;
+    workersReport @17 :WorkersReport;
   }
 }
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -444,6 +444,8 @@
         leaders: What a leader reports to nearby hosts of the other leaders.
         nearby: Whether the sender takes the receiver for a nearby host, so that
             `heard` lists all hosts that are nearby to the sender.
+        outdated: Whether the sender leads and has not read the list of workers for
+            some time; hosts that have read it then send it a `WorkersReport`.
     """
 
     host: str
@@ -461,6 +463,31 @@
     load: Load = Load()
     leaders: tuple[LeaderDigest, ...] = ()
     nearby: bool = False
+    outdated: bool = False
+
+
+class ReducedWorker(NamedTuple):
+    """A worker that takes fewer tasks than before.
+
+    Attributes:
+        worker: Name of the worker.
+        draining: Whether it accepts no new tasks.
+        room: Its capacity for tasks.
+    """
+
+    worker: str
+    draining: bool
+    room: Resources
+
+
+class WorkersReport(NamedTuple):
+    """Tells a leader that can't read the list of workers which take fewer tasks.
+
+    Attributes:
+        reduced: The workers, as the sender has just read them.
+    """
+
+    reduced: tuple[ReducedWorker, ...]
 
 
 Message = (
@@ -480,4 +507,5 @@
     | JobWithdrawn
     | JobProgress
     | JobEnded
+    | WorkersReport
 )
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -136,6 +136,7 @@
         self._relief_due_at = now
         self._last_heartbeats: dict[tuple[str, bool], Beat] = {}
         self._leading_since_epoch = 0
+        self._outdated = False
         self._leaving = False
         self.add_addresses(now, seeds)
 
@@ -196,6 +197,11 @@
         reporters.sort(key=lambda peer: peer.received_at)
         return [digest for peer in reporters for digest in peer.heartbeat.leaders]
 
+    @property
+    def outdated(self) -> bool:
+        """Whether this host leads and has not read the workers for some time."""
+        return self._outdated
+
     @property
     def claims(self) -> Mapping[str, Claim]:
         """Claims of the shards that this host leads, by shard."""
@@ -317,6 +323,10 @@
             actions += self._give_up(peer)
         return actions
 
+    def set_outdated(self, outdated: bool) -> None:
+        """Set whether this host leads and has not read the workers for some time."""
+        self._outdated = outdated
+
     def leave(self) -> None:
         """Start to shut down: claim shards only if no other host can lead them."""
         self._leaving = True
@@ -932,6 +942,7 @@
             version,
             self._leading_since_epoch,
             load,
+            outdated=self._outdated,
         )
 
     def _leader_digests(self) -> tuple[LeaderDigest, ...]:
--- a/packages/poplarhilld/tests/catalogue/test_catalogue.py
+++ b/packages/poplarhilld/tests/catalogue/test_catalogue.py
@@ -1,8 +1,10 @@
 """Routes by host and prefix, and workers that the platform stops listing."""
 
+from poplarhill.types import Resources
 from poplarhill_dev.leased import worker_entry
 from poplarhilld.catalogue import Catalogue, Registry, Route
 from poplarhilld.catalogue.registry import REJOIN_GRACE_S
+from poplarhilld.peers import ReducedWorker
 
 
 def test_the_route_with_the_longest_prefix_is_chosen() -> None:
@@ -45,3 +47,40 @@
     registry.update(0.0, {"w1": worker_entry("w1")})
     registry.update(60.0, {})
     assert "w1" in registry.workers
+
+
+SMALL = Resources(4.0, 32768, 0)
+
+
+def test_workers_that_drain_or_have_shrunk_are_reduced() -> None:
+    registry = Registry()
+    registry.update(0.0, {name: worker_entry(name) for name in ("w1", "w2", "w3")})
+    assert not registry.reduced
+    shrunk = worker_entry("w1")._replace(room=SMALL)
+    draining = worker_entry("w2")._replace(draining=True)
+    registry.update(1.0, {"w1": shrunk, "w2": draining, "w3": worker_entry("w3")})
+    assert registry.reduced == (
+        ReducedWorker("w1", False, SMALL),
+        ReducedWorker("w2", True, draining.room),
+    )
+
+
+# A report may be older than the last list, so that it must not give capacity back.
+def test_a_report_of_another_host_only_reduces_workers() -> None:
+    registry = Registry()
+    shrunk = worker_entry("w1")._replace(room=SMALL)
+    registry.update(0.0, {"w1": shrunk, "w2": worker_entry("w2")})
+    report = (
+        ReducedWorker("w1", False, Resources(8.0, 32768, 0)),
+        ReducedWorker("w2", True, SMALL),
+        ReducedWorker("unknown", True, SMALL),
+    )
+    assert registry.reduce(report)
+    assert registry.workers["w1"].room == SMALL
+    assert (registry.workers["w2"].room, registry.workers["w2"].draining) == (
+        SMALL,
+        True,
+    )
+    assert not registry.reduce(report)
+    registry.update(1.0, {"w1": worker_entry("w1"), "w2": worker_entry("w2")})
+    assert not registry.reduced
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -45,6 +45,7 @@
         peers.JobWithdrawn("j1", True),
         peers.JobProgress("j1", (0, 3)),
         peers.JobProgress("", losses=(peers.TaskLosses("j1.0.0.3", (LOST,)),)),
+        peers.WorkersReport((peers.ReducedWorker("w1", True, Resources(4.0, 64, 0)),)),
         peers.JobEnded("j1", "timeout", "too late", 1.5, True),
     ],
     ids=lambda message: type(message).__name__,
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -114,6 +114,14 @@
         assert hosts.leader("dc1/0") == "h0"
 
 
+def test_hosts_learn_that_a_leader_cannot_read_the_workers(fleet: Fleet) -> None:
+    for outdated in (True, False):
+        fleet.hosts["h0"].set_outdated(outdated)
+        fleet.run(0.5)
+        for name in ("h1", "h2", "h3"):
+            assert fleet.hosts[name].leaders["h0"].outdated is outdated
+
+
 def test_shards_too_large_for_one_leader_are_led_in_their_data_centres(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
