--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -21,7 +21,6 @@
     find_starved,
     fits_in_time,
 )
-from poplarhilld.leading.crashes import MAX_CRASHES, Isolation, LossRecords
 from poplarhilld.leading.demand import Demand
 from poplarhilld.leading.estimates import CompletedRun, RunTimes
 from poplarhilld.leading.fitness import SILENCE_TIMEOUT_S, WorkerHealth
@@ -40,8 +39,6 @@
     ShareLosses,
     StartRun,
     StopRun,
-    TaskCleared,
-    TaskSuspected,
     WorkerConfirmed,
     WorkerReleased,
     WorkerState,
@@ -50,7 +47,6 @@
 from poplarhilld.leading.order import core_second_cost, rank
 from poplarhilld.leading.placement import (
     choose_worker,
-    could_run,
     fast_slowdown,
     is_capacity_short,
     max_slowdown_for,
@@ -58,6 +54,7 @@
     tolerates_slow_worker,
 )
 from poplarhilld.leading.runs import RunTable
+from poplarhilld.leading.suspects import Suspects, find_deadly_task
 from poplarhilld.leases import (
     LeasedWorker,
     LeaseReply,
@@ -138,10 +135,7 @@
         self._demand = Demand()
         self._starved_check_at = 0.0
         self._health = WorkerHealth()
-        self._losses = LossRecords()
-        # Jobs with a task under which a worker may have crashed.
-        self._suspects: dict[str, LedJob] = {}
-        self._isolation = Isolation()
+        self._suspects = Suspects()
 
     @property
     def workers(self) -> Mapping[str, LeasedWorker]:
@@ -244,9 +238,10 @@
             return [ReportJob(host, answered)]
         self._note_timeout(now, offer)
         job = self._make_job(now, host, offer)
-        self._restore_losses(job)
-        deadly = self._find_deadly_task(job)
+        self._suspects.add_job(job)
+        deadly = find_deadly_task(job, self._has_crashed)
         if deadly is not None:
+            self._suspects.drop_job(offer.job_id)
             refusal = Refusal(ErrorKind.TASK_FAILED, _crash_detail(deadly))
             return self._refuse(subscriber, offer, now, refusal)
         for task in job.tasks:
@@ -258,12 +253,11 @@
         wait_s = self._expected_wait_s(now, job)
         refusal = self._refusal_for(now, job, wait_s)
         if refusal is not None and not self._runs.orphans_of(job):
+            self._suspects.drop_job(offer.job_id)
             return self._refuse(subscriber, offer, now, refusal)
         self._jobs[offer.job_id] = self._queue[offer.job_id] = job
         self._placement_up_to_date = False
         self._subscribers[offer.job_id] = {subscriber}
-        if any(task.lost for task in job.tasks):
-            self._suspects[offer.job_id] = job
         self._runs.add_job(job)
         self._adopt_orphans(now, job)
         actions: list[LeaderAction] = [
@@ -299,12 +293,11 @@
 
     def handle_losses(self, now: float, losses: Iterable[TaskLosses]) -> None:
         """Note the workers that another leader has lost under tasks."""
-        self._losses.note_shared(now, losses)
+        self._suspects.note_shared(now, losses)
         for one in losses:
             job = self._runs.job_of(one.task)
             if job is not None:
-                self._restore_losses(job)
-                self._suspects[job.job_id] = job
+                self._suspects.add_job(job)
 
     def handle_renewal_reply(
         self,
@@ -395,9 +388,9 @@
                 actions += self._stop_run(now, self._workers[name], run)
         for job in list(self._jobs.values()):
             actions += self._check_deadline(now, job)
-        for job in list(self._suspects.values()):
+        for job in self._suspects.jobs:
             actions += self._check_suspects(now, job)
-        losses = self._losses.take_unshared()
+        losses = self._suspects.take_unshared()
         if losses:
             actions.append(ShareLosses(JobProgress("", losses=losses)))
         self._placement_up_to_date = False
@@ -449,7 +442,7 @@
         self._refused.discard(name)
         self._reclaim_at.pop(name, None)
         self._health.forget(name)
-        self._isolation.forget(name)
+        self._suspects.forget_worker(name)
         self._times.forget(name)
         reservations = list(worker.reservations)
         for reservation in reservations:
@@ -678,7 +671,7 @@
         """Remove a run that is no longer under way; its task may wait again."""
         task = self._runs.task_of(worker, run)
         self._runs.forget(worker, run)
-        self._isolation.note_closed(worker, run)
+        self._suspects.note_closed(worker, run)
         job = None if task is None else self._runs.job_of(task.name)
         if job is not None:
             self._queue[job.job_id] = job
@@ -713,49 +706,22 @@
         self, now: float, worker: LeasedWorker, incarnation: int | None, run: Run
     ) -> list[LeaderAction]:
         """Suspect the task of a run whose worker was lost."""
-        name = worker.entry.name
         job = self._runs.job_of(run.task)
         if job is None or incarnation is None or worker.entry.draining:
             return []
-        task = next(task for task in job.tasks if task.name == run.task)
-        lost = LostWorker(name, incarnation)
-        if lost in task.lost:
-            return []
-        task.lost.add(lost)
-        self._suspects[job.job_id] = job
-        self._losses.note(now, task.name, lost)
-        suspected = TaskSuspected(task.name, name, incarnation, len(task.lost))
-        return [LogDecision(suspected)]
-
-    def _restore_losses(self, job: LedJob) -> None:
-        """Add to the tasks of a job the losses that were noted for them."""
-        for task in job.tasks:
-            task.lost |= self._losses.of_task(task.name)
+        lost = LostWorker(worker.entry.name, incarnation)
+        return self._suspects.note_loss(now, job, run, lost)
 
     def _check_suspects(self, now: float, job: LedJob) -> list[LeaderAction]:
         """Clear the tasks whose lost workers are back; give up a deadly job."""
-        actions: list[LeaderAction] = []
-        for task in job.tasks:
-            for lost in [lost for lost in task.lost if self._is_back(now, lost)]:
-                task.lost.discard(lost)
-                self._losses.clear(task.name, lost)
-                self._placement_up_to_date = False
-                cleared = TaskCleared(task.name, lost.worker, len(task.lost))
-                actions.append(LogDecision(cleared))
-        if not any(task.lost for task in job.tasks):
-            del self._suspects[job.job_id]
-        deadly = self._find_deadly_task(job)
+        cleared = self._suspects.clear(job, lambda lost: self._is_back(now, lost))
+        if cleared:
+            self._placement_up_to_date = False
+        deadly = find_deadly_task(job, self._has_crashed)
         if deadly is None or job.stopping:
-            return actions
+            return cleared
         report = _job_ended(job, ErrorKind.TASK_FAILED, _crash_detail(deadly))
-        return actions + self._close_job(now, job, report)
-
-    def _find_deadly_task(self, job: LedJob) -> LedTask | None:
-        """Return a task under which so many workers crashed that it is given up."""
-        for task in job.tasks:
-            if sum(map(self._has_crashed, task.lost)) >= MAX_CRASHES:
-                return task
-        return None
+        return cleared + self._close_job(now, job, report)
 
     def _is_back(self, now: float, lost: LostWorker) -> bool:
         """Return whether the lost process of a worker responds again."""
@@ -939,7 +905,7 @@
         self._jobs.pop(job.job_id, None)
         self._queue.pop(job.job_id, None)
         self._subscribers.pop(job.job_id, None)
-        self._suspects.pop(job.job_id, None)
+        self._suspects.drop_job(job.job_id)
         self._runs.drop_job(job)
 
     # Placement
@@ -981,9 +947,11 @@
         max_free = initial_max_free
         fast = fast_slowdown(usable, self._times)
         actions: list[LeaderAction] = []
-        if self._suspects or self._isolation:
+        if self._suspects.affect_placement:
             actions += self._assign_suspects(now, waiting, usable, free)
-            usable = [w for w in usable if w.entry.name not in self._isolation]
+            usable = [
+                w for w in usable if not self._suspects.is_set_aside(w.entry.name)
+            ]
         for job in waiting:
             if min_cores[job.job_id] > max_free:
                 continue
@@ -1020,68 +988,23 @@
         usable: list[LeasedWorker],
         free: dict[str, Resources],
     ) -> list[LeaderAction]:
-        """Start suspected tasks, each alone on a worker and one of a job at a time.
+        """Start suspected tasks, each alone on a worker.
 
-        A second crash then convicts nobody else. A task that has lost as many workers
-        as convict it waits until it is known whether they crashed.
+        A second crash then convicts nobody else.
         """
-        suspects = [
-            (job, task)
-            for job in waiting
-            if not any(task.lost and task.run for task in job.tasks)
-            for task in [t for t in job.ready_tasks() if t.lost][:1]
-            if len(task.lost) < MAX_CRASHES
-        ]
-        if not suspects and self._isolation.release_vacant():
+        suspects = self._suspects.waiting(waiting)
+        if not suspects and self._suspects.release_vacant():
             self._placement_up_to_date = False
         actions: list[LeaderAction] = []
         for job, task in suspects:
-            worker = self._isolated_worker(job, task, usable, free, len(suspects))
+            worker = self._suspects.choose_worker(
+                job, task, usable, free, self._times, len(suspects)
+            )
             if worker is not None:
                 actions += self._start_run(now, job, task, worker, free, len(usable))
-                self._isolation.occupy(worker.entry.name, task.run)
+                self._suspects.occupy(worker.entry.name, task.run)
         return actions
 
-    def _isolated_worker(
-        self,
-        job: LedJob,
-        task: LedTask,
-        usable: list[LeasedWorker],
-        free: dict[str, Resources],
-        suspects: int,
-    ) -> LeasedWorker | None:
-        """Return an idle worker that is set aside for a suspect, if there is one.
-
-        If there is none, sets one aside, so that it becomes idle once its runs end.
-        """
-        isolation = self._isolation
-        by_name = {worker.entry.name: worker for worker in usable}
-        for name in isolation.vacant:
-            if name not in by_name:
-                isolation.forget(name)
-        while True:
-            idle = [
-                by_name[name]
-                for name in isolation.vacant
-                if not any(by_name[name].reservations)
-            ]
-            worker = choose_worker(job, task, idle, free, self._times, False)
-            others = [
-                w
-                for w in usable
-                if w.entry.name not in isolation
-                and could_run(w.entry, job.offer.service, task.spec)
-            ]
-            if (
-                worker is not None
-                or not others
-                or len(isolation.vacant) >= suspects
-                or not isolation.may_grow(len(usable))
-            ):
-                return worker
-            emptiest = max(others, key=lambda w: free[w.entry.name].cores)
-            isolation.set_aside(emptiest.entry.name)
-
     def _workers_open_to_tasks(self, now: float) -> list[LeasedWorker]:
         """Return the usable workers whose health allows tasks now."""
         usable = self._usable_workers()
