Count the workers set aside for suspects by service

Callers would have seen: with few workers of a service among many of others, all of its workers held by suspects, and new jobs refused as overloaded: the eighth that may be set aside was counted over all usable workers of the leader. It is now counted over those of the service that fit, with those that were lost while a suspect held them. And new jobs no longer count suspects as ahead of them, as these wait for workers of their own; the test was refused for that as well.

--- a/packages/poplarhilld/src/poplarhilld/leading/crashes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/crashes.py
@@ -6,6 +6,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from poplarhilld.leases import Run
 from poplarhilld.peers.messages import LostWorker, TaskLosses
@@ -15,7 +16,7 @@
 # Callers that retry a job do so within seconds, and a job runs for minutes at most.
 _KEPT_S = 120.0
 _MAX_TASKS = 8192  # under 2 MB
-_ISOLATED_FRACTION = 8  # one worker in so many may be set aside for suspects
+_ISOLATED_FRACTION = 8  # one worker of a service in so many may be set aside
 
 
 class LossRecords:
@@ -65,47 +66,61 @@
             self._tasks.popitem(last=False)
 
 
+class _SetAside(NamedTuple):
+    """A worker that is set aside, and the run of a suspect on it, if there is one."""
+
+    service: str
+    run: Run | None = None
+
+
 class Isolation:
     """Workers that are set aside for suspected tasks, each for one run at a time."""
 
     def __init__(self) -> None:
-        self._runs: dict[str, Run | None] = {}
+        self._workers: dict[str, _SetAside] = {}
 
     def __bool__(self) -> bool:
-        return bool(self._runs)
+        return bool(self._workers)
 
     def __contains__(self, worker: str) -> bool:
-        return worker in self._runs
+        return worker in self._workers
 
     @property
     def vacant(self) -> list[str]:
         """Names of the workers that are set aside and that no suspect holds."""
-        return [name for name, run in self._runs.items() if run is None]
+        return [name for name, aside in self._workers.items() if aside.run is None]
+
+    def may_add(self, service: str, workers: int) -> bool:
+        """Return whether one more worker of a service may be set aside.
 
-    def may_grow(self, workers: int) -> bool:
-        """Return whether one more of a number of workers may be set aside."""
-        return len(self._runs) < max(1, workers // _ISOLATED_FRACTION)
+        Args:
+            service: The service.
+            workers: Count of its workers that may take tasks now.
+        """
+        set_aside = sum(one.service == service for one in self._workers.values())
+        return set_aside < max(1, workers // _ISOLATED_FRACTION)
 
-    def set_aside(self, worker: str) -> None:
+    def set_aside(self, worker: str, service: str) -> None:
         """Set a worker aside; its present runs end before a suspect starts on it."""
-        self._runs[worker] = None
+        self._workers[worker] = _SetAside(service)
 
     def occupy(self, worker: str, run: Run) -> None:
         """Note the run of a suspect on a worker that is set aside."""
-        self._runs[worker] = run
+        self._workers[worker] = self._workers[worker]._replace(run=run)
 
     def note_closed(self, worker: str, run: Run) -> None:
         """Note that a run has ended; the worker of a suspect may be used by others."""
-        if self._runs.get(worker) == run:
-            del self._runs[worker]
+        aside = self._workers.get(worker)
+        if aside is not None and aside.run == run:
+            del self._workers[worker]
 
     def forget(self, worker: str) -> None:
         """Forget a worker that was lost or that this host no longer leads."""
-        self._runs.pop(worker, None)
+        self._workers.pop(worker, None)
 
     def release_vacant(self) -> bool:
         """Give back the workers that wait for a suspect; return whether any did."""
         vacant = self.vacant
         for name in vacant:
-            del self._runs[name]
+            del self._workers[name]
         return bool(vacant)
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -801,7 +801,11 @@
 
     def _expected_wait_s(self, now: float, job: LedJob) -> float:
         usable = self._usable_workers()
-        return expected_wait_s(now, job, self._queue.values(), usable)
+        return expected_wait_s(now, job, self._unsuspected_jobs(), usable)
+
+    def _unsuspected_jobs(self) -> list[LedJob]:
+        """Return the queued jobs without suspects, which wait for their own workers."""
+        return [job for job in self._queue.values() if job.job_id not in self._suspects]
 
     def _refuse(
         self, subscriber: _Subscriber, offer: JobOffer, now: float, refusal: Refusal
@@ -852,7 +856,7 @@
             return []
         self._starved_check_at = now + _STARVED_INTERVAL_S
         by_service: dict[str, list[LedJob]] = {}
-        for job in self._queue.values():
+        for job in self._unsuspected_jobs():
             by_service.setdefault(job.offer.service, []).append(job)
         actions: list[LeaderAction] = []
         for service, jobs in by_service.items():
--- a/packages/poplarhilld/src/poplarhilld/leading/suspects.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/suspects.py
@@ -38,6 +38,9 @@
         """Whether a task is suspected or a worker is set aside."""
         return bool(self._jobs) or bool(self._isolation)
 
+    def __contains__(self, job_id: str) -> bool:
+        return job_id in self._jobs
+
     def add_job(self, job: LedJob) -> None:
         """Add to the tasks of a job the losses that are known of them."""
         for task in job.tasks:
@@ -148,21 +151,21 @@
             vacant = [by_name[name] for name in isolation.vacant]
             idle = [worker for worker in vacant if not any(worker.reservations)]
             worker = choose_worker(job, task, idle, free, times, avoid_fast=False)
-            others = [
-                other
-                for other in usable
-                if other.entry.name not in isolation
-                and could_run(other.entry, job.offer.service, task.spec)
+            fitting = [
+                name
+                for name, other in by_name.items()
+                if could_run(other.entry, job.offer.service, task.spec)
             ]
+            others = [name for name in fitting if name not in isolation]
             if (
                 worker is not None
                 or not others
                 or len(vacant) >= suspects
-                or not isolation.may_grow(len(usable))
+                or not isolation.may_add(job.offer.service, len(fitting))
             ):
                 return worker
-            emptiest = max(others, key=lambda other: free[other.entry.name].cores)
-            isolation.set_aside(emptiest.entry.name)
+            emptiest = max(others, key=lambda name: free[name].cores)
+            isolation.set_aside(emptiest, job.offer.service)
 
 
 def find_deadly_task(job: LedJob, has_crashed: Predicate) -> LedTask | None:
--- a/packages/poplarhilld/tests/leading/test_crashes.py
+++ b/packages/poplarhilld/tests/leading/test_crashes.py
@@ -169,3 +169,25 @@
         fleet.submit("h1", job)
     fleet.run(2.0)
     assert all(fleet.job_outcome(f"j{n}").error == "" for n in range(24))
+
+
+# Counted over all workers, the suspects of a small service could hold all of its own.
+def test_suspects_leave_workers_to_the_other_jobs_of_a_small_service() -> None:
+    workers = [SimulatedWorker(worker_entry(f"w{n}")) for n in range(24)]
+    for worker in workers[:3]:
+        worker.entry = worker.entry._replace(service="small")
+    world = World(workers)
+    world.add_leader("h1", 1)
+    world.run(0.2)
+    for number in range(6):
+        job = simulated_job(f"s{number}", tasks=1, run_s=4.0, left_s=PATIENCE_S)
+        offer = job.offer._replace(service="small")
+        world.submit("h1", job.__class__(offer, job.run_s, job.needs))
+    world.run(0.1)
+    world.crash("w0")
+    world.crash("w1")
+    world.run(4.5)
+    offer = simulated_job("new", tasks=1).offer._replace(service="small")
+    world.submit("h1", SimulatedJob(offer, 0.2, offer.steps[0].needs))
+    world.run(1.5)
+    assert world.job_outcome("new").error == ""
