Answer a job at its limit, not at the next tick

Cause: limits were looked at only when the loop ticked, each 50 ms. The loop now wakes at the next limit if that is sooner. The test of the next limit failed before, as there was none.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -286,7 +286,10 @@
         """Run the time-dependent decisions and write the log at short intervals."""
         while True:
             busy = len(self._submissions) or self._leader.workers
-            await curio.sleep(_TICK_S if busy else _IDLE_TICK_S)
+            interval_s = _TICK_S if busy else _IDLE_TICK_S
+            # A caller that waits little longer than the limit must still get an answer.
+            until_deadline_s = self._submissions.next_deadline - uptime()
+            await curio.sleep(max(0.0, min(interval_s, until_deadline_s)))
             await self._tick()
             self._logs.flush()
 
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -83,6 +83,11 @@
     def __len__(self) -> int:
         return len(self._jobs)
 
+    @property
+    def next_deadline(self) -> float:
+        """When the next job is given up, by the host's clock, s; infinite if none."""
+        return min((job.deadline for job in self._jobs.values()), default=math.inf)
+
     def is_in_flight(self, job_id: str) -> bool:
         """Return whether a job waits for its answer here."""
         return job_id in self._by_id
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -1,5 +1,6 @@
 """Submitted jobs: offers, handovers to another leader, and one answer each."""
 
+import math
 from collections.abc import Callable
 
 import pytest
@@ -76,6 +77,21 @@
     assert answer.failure.kind is ErrorKind.TIMEOUT
 
 
+# Answered at the next tick, a job was given up as much as 50 ms after its limit, when a
+# caller that waits little longer had left.
+def test_the_next_deadline_is_that_of_the_job_given_up_first(
+    submissions, submit
+) -> None:
+    assert submissions.next_deadline == math.inf
+    submit(1, "a", now=0.2)
+    submit(2, "b", now=0.1)
+    first = submissions.next_deadline
+    assert first == pytest.approx(0.1 + 1.5 - ANSWER_MARGIN_S)
+    [answer] = of_type(submissions.tick(first), AnswerCaller)
+    assert answer.number == 2
+    assert submissions.next_deadline > first
+
+
 def test_the_log_says_what_limited_a_job() -> None:
     for caller_timeout_s, limit in ((1.5, "caller"), (3.0, "route")):
         submissions = limited(2.0, caller_timeout_s)
