--- a/packages/poplarhilld/tests/leading/test_crashes.py
+++ b/packages/poplarhilld/tests/leading/test_crashes.py
@@ -13,7 +13,7 @@
     worker_entry,
 )
 
-PATIENCE_S = 30.0
+CALLER_TIMEOUT_S = 30.0
 STARTS_AFTER_CRASHES = 2  # the users allow fewer than three more
 
 
@@ -27,7 +27,7 @@
 
 def deadly_job(job_id: str, tasks: int = 8, deadly: int = 1) -> SimulatedJob:
     """Return a job of which the first tasks crash each worker that starts them."""
-    job = simulated_job(job_id, tasks=tasks, run_s=0.06, left_s=PATIENCE_S)
+    job = simulated_job(job_id, tasks=tasks, run_s=0.06, left_s=CALLER_TIMEOUT_S)
     names = frozenset(f"{job_id}.0.0.{number}" for number in range(deadly))
     return job.__class__(job.offer, job.run_s, job.needs, deadly=names)
 
@@ -65,7 +65,7 @@
         fleet.submit(
             f"h{number}", SimulatedJob(offer, 0.06, job.needs, deadly=job.deadly)
         )
-    fleet.run(PATIENCE_S)
+    fleet.run(CALLER_TIMEOUT_S)
     for task in job.deadly:
         crashes = crashes_of(fleet, task)
         if len(crashes) > 3:
@@ -96,11 +96,11 @@
 def test_jobs_beside_deadly_ones_are_completed(fleet: World) -> None:
     innocent = [f"ok{number}" for number in range(24)]
     for number, name in enumerate(innocent):
-        fleet.submit("h1", simulated_job(name, run_s=1.0, left_s=PATIENCE_S))
+        fleet.submit("h1", simulated_job(name, run_s=1.0, left_s=CALLER_TIMEOUT_S))
         if number % 4 == 0:
             fleet.submit("h1", deadly_job(f"bad{number}", tasks=2))
         fleet.run(0.1)
-    fleet.run(PATIENCE_S)
+    fleet.run(CALLER_TIMEOUT_S)
     assert [fleet.job_outcome(name).error for name in innocent] == [""] * len(innocent)
     assert all(len(crashes_of(fleet, f"bad{n}.0.0.0")) <= 2 for n in range(0, 24, 4))
     assert not fleet.violations
@@ -108,11 +108,13 @@
 
 def test_a_rack_that_is_lost_once_convicts_no_task(fleet: World) -> None:
     for number in range(8):
-        fleet.submit("h1", simulated_job(f"j{number}", run_s=1.0, left_s=PATIENCE_S))
+        fleet.submit(
+            "h1", simulated_job(f"j{number}", run_s=1.0, left_s=CALLER_TIMEOUT_S)
+        )
     fleet.run(0.1)
     for number in range(8):
         fleet.crash(f"w{number}")
-    fleet.run(PATIENCE_S)
+    fleet.run(CALLER_TIMEOUT_S)
     assert [fleet.job_outcome(f"j{n}").error for n in range(8)] == [""] * 8
     assert not fleet.violations
 
@@ -120,11 +122,13 @@
 # A report a task would cost a leader a frame for each host and task of a lost rack.
 def test_the_losses_of_a_rack_are_shared_in_few_reports(fleet: World) -> None:
     for number in range(24):
-        fleet.submit("h1", simulated_job(f"j{number}", run_s=1.0, left_s=PATIENCE_S))
+        fleet.submit(
+            "h1", simulated_job(f"j{number}", run_s=1.0, left_s=CALLER_TIMEOUT_S)
+        )
     fleet.run(0.1)
     for number in range(24):
         fleet.crash(f"w{number}")
-    fleet.run(PATIENCE_S)
+    fleet.run(CALLER_TIMEOUT_S)
     reports = [report for _, report in fleet.shared_losses]
     assert len(reports) <= 3
     assert sum(len(report.losses) for report in reports) == 48
@@ -134,7 +138,7 @@
 def test_tasks_of_workers_that_were_only_cut_off_are_not_given_up(
     fleet: World,
 ) -> None:
-    fleet.submit("h1", simulated_job("a", tasks=2, run_s=1.0, left_s=PATIENCE_S))
+    fleet.submit("h1", simulated_job("a", tasks=2, run_s=1.0, left_s=CALLER_TIMEOUT_S))
     for _ in range(3):
         fleet.run(0.5)
         cut = [worker for worker in fleet.workers.values() if worker.running]
@@ -143,7 +147,7 @@
         fleet.run(RESTART_S)
         for worker in cut:
             worker.refusing = False
-    fleet.run(PATIENCE_S / 2)
+    fleet.run(CALLER_TIMEOUT_S / 2)
     assert fleet.job_outcome("a").error == ""
     assert not fleet.violations
 
@@ -153,7 +157,7 @@
         fleet.submit("h1", deadly_job(f"bad{number}", tasks=2, deadly=2))
     fleet.run(1.0)
     first = len(fleet.crashes)
-    fleet.run(PATIENCE_S)
+    fleet.run(CALLER_TIMEOUT_S)
     later = [at for at, *_ in fleet.crashes[first:]]
     assert later
     for begin in later:
@@ -180,7 +184,7 @@
     world.add_leader("h1", 1)
     world.run(0.2)
     for number in range(6):
-        job = simulated_job(f"s{number}", tasks=1, run_s=4.0, left_s=PATIENCE_S)
+        job = simulated_job(f"s{number}", tasks=1, run_s=4.0, left_s=CALLER_TIMEOUT_S)
         offer = job.offer._replace(service="small")
         world.submit("h1", job.__class__(offer, job.run_s, job.needs))
     world.run(0.1)
