--- a/packages/poplarhilld/tests/leading/test_crashes.py
+++ b/packages/poplarhilld/tests/leading/test_crashes.py
@@ -1,5 +1,7 @@
 """Tasks that crash the workers that start them, and the tasks beside them."""
 
+from dataclasses import replace
+
 import pytest
 
 from poplarhill import ErrorKind
@@ -29,7 +31,7 @@
     """Return a job of which the first tasks crash each worker that starts them."""
     job = simulated_job(job_id, tasks=tasks, run_s=0.06, left_s=CALLER_TIMEOUT_S)
     names = frozenset(f"{job_id}.0.0.{number}" for number in range(deadly))
-    return job.__class__(job.offer, job.run_s, job.needs, deadly=names)
+    return replace(job, deadly=names)
 
 
 def crashes_of(world: World, task: str) -> list[float]:
@@ -62,9 +64,7 @@
             f"h{number}", leader.set_workers(fleet.now, fleet.now, fleet.entries)
         )
         offer = job.offer._replace(handovers=number - 1)
-        fleet.submit(
-            f"h{number}", SimulatedJob(offer, 0.06, job.needs, deadly=job.deadly)
-        )
+        fleet.submit(f"h{number}", replace(job, offer=offer))
     fleet.run(CALLER_TIMEOUT_S)
     for task in job.deadly:
         crashes = crashes_of(fleet, task)
@@ -186,12 +186,13 @@
     for number in range(6):
         job = simulated_job(f"s{number}", tasks=1, run_s=4.0, left_s=CALLER_TIMEOUT_S)
         offer = job.offer._replace(service="small")
-        world.submit("h1", job.__class__(offer, job.run_s, job.needs))
+        world.submit("h1", replace(job, offer=offer))
     world.run(0.1)
     world.crash("w0")
     world.crash("w1")
     world.run(4.5)
-    offer = simulated_job("new", tasks=1).offer._replace(service="small")
-    world.submit("h1", SimulatedJob(offer, 0.2, offer.steps[0].needs))
+    job = simulated_job("new", tasks=1)
+    offer = job.offer._replace(service="small")
+    world.submit("h1", replace(job, offer=offer))
     world.run(1.5)
     assert world.job_outcome("new").error == ""
