Refuse a job at once that its caller hardly waits long enough for

Callers of long jobs (0.9 s tasks, limits of 1.35 to 1.5 s) whose job was declared to run for twice their limit were held to the end: leaders refused a job only where 0.55 of its expected run time did not fit, and only if it had to wait as well. A leader now learns how far the run times of a route's jobs lie from their estimates, jobs that were cut off included, and refuses on arrival what one job in 20 would manage.

--- a/packages/poplarhilld/src/poplarhilld/leading/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/admission.py
@@ -11,9 +11,6 @@
 from poplarhilld.leases import LeasedWorker
 
 RETRY_AFTER_S = 1.0  # a failover or a burst lasts about a second
-_MIN_RUN_TIME_FACTOR = (
-    0.55  # one job in 40 runs for less than 0.55 of its expected time
-)
 
 
 class Refusal(NamedTuple):
@@ -90,6 +87,12 @@
             detail = "the workers that can run a task have shrunk"
             return Refusal(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S)
         return Refusal(ErrorKind.IMPOSSIBLE, "no worker is large enough for a task")
+    if not offer.handovers and not fits_in_time(now, job):
+        detail = (
+            f"it runs for about {job.run_s:.2f} s, and its caller waits for"
+            f" {job.deadline - now:.2f} s"
+        )
+        return Refusal(ErrorKind.EXPIRED, detail)
     if wait_s > 0 and not fits_in_time(now + wait_s, job):
         detail = f"expected to wait {wait_s:.2f} s and to run {job.run_s:.2f} s"
         return Refusal(ErrorKind.OVERLOADED, detail, max(wait_s, RETRY_AFTER_S))
@@ -132,5 +135,5 @@
 
 
 def fits_in_time(begin: float, job: LedJob) -> bool:
-    """Return whether a job that starts at a time may still meet its deadline."""
-    return begin + _MIN_RUN_TIME_FACTOR * job.run_s <= job.deadline
+    """Return whether a job that starts at a time has a chance to meet its deadline."""
+    return begin + job.least_run_s <= job.deadline
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -6,6 +6,7 @@
 from operator import mul
 
 from poplarhilld.leading.estimates import CompletedRun
+from poplarhilld.leading.spread import RunTimeSpread
 from poplarhilld.leases import Run
 from poplarhilld.peers.messages import JobOffer, LostWorker, StepSpec
 
@@ -31,6 +32,7 @@
         adopted: Whether an earlier leader ordered that run, so that its start time
             is unknown.
         next_number: Number of its next run.
+        took_s: Run time of the run that did it, s; 0 if that is unknown.
         failures: Count of runs that failed.
         avoid: Workers on which a run of it failed, stalled or was lost.
         lost: Workers that were lost during a run of it and may have crashed under it.
@@ -46,6 +48,7 @@
     ordered_at: float = 0.0
     adopted: bool = False
     next_number: int = 1
+    took_s: float = 0.0
     failures: int = 0
     avoid: set[str] = field(default_factory=set)
     lost: set[LostWorker] = field(default_factory=set)
@@ -68,6 +71,7 @@
             again.
         stopping: Whether it is closed but runs of it may still be under way.
         run_s: Expected run time of its longest chain of steps, s.
+        least_run_s: Run time that one job like it in 20 stays below, s.
         due: When it is to be done, by the stretch and allowance of its route and the
             leader's clock, s. The deadline may be later.
         core_second_cost: Queue cost of one core-second of it.
@@ -79,6 +83,7 @@
         step_s: Expected run time of a task of each step, s.
         earlier_wait_s: How long its caller had waited before the job arrived at its
             entry host, s.
+        spread: How far run times lie from their estimates.
     """
 
     def __init__(
@@ -88,6 +93,7 @@
         now: float,
         step_s: Sequence[float],
         earlier_wait_s: float = 0.0,
+        spread: RunTimeSpread | None = None,
     ) -> None:
         self.offer = offer
         self.host = host
@@ -115,6 +121,8 @@
         ]
         self._step_s = tuple(step_s)
         self.run_s = _longest_chain_s(offer, step_s)
+        spread = spread or RunTimeSpread()
+        self.least_run_s = spread.least_run_s(offer.route, self.run_s)
         asked_at = self.arrived_at - earlier_wait_s
         self.due = asked_at + offer.stretch * self.run_s + offer.allowance_s
         self.core_second_cost = 1.0
@@ -161,6 +169,22 @@
         needs = [task.spec.needs.cores for task in self.tasks if task.waiting]
         return min(needs, default=math.inf)
 
+    def ran_s(self, now: float) -> float | None:
+        """Return how long its longest chain of steps has run, s.
+
+        Returns:
+            `None` if that is unknown, because an earlier leader ordered a run.
+        """
+        step_s = [0.0] * len(self.offer.steps)
+        for task in self.tasks:
+            if task.adopted or (task.done and not task.took_s):
+                return None
+            ran_s = task.took_s
+            if task.run is not None:
+                ran_s = now - task.ordered_at
+            step_s[task.step] = max(step_s[task.step], ran_s)
+        return _longest_chain_s(self.offer, step_s)
+
     def ready_tasks(self) -> list[LedTask]:
         """Return the waiting tasks of which all earlier steps are done."""
         if self.stopping:
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -54,6 +54,7 @@
     tolerates_slow_worker,
 )
 from poplarhilld.leading.runs import RunTable
+from poplarhilld.leading.spread import RunTimeSpread
 from poplarhilld.leading.suspects import Suspects, find_deadly_task
 from poplarhilld.leases import (
     LeasedWorker,
@@ -132,6 +133,7 @@
         self._runs = RunTable()
         self._history = JobHistory()
         self._times = RunTimes()
+        self._spread = RunTimeSpread()
         self._demand = Demand()
         self._starved_check_at = 0.0
         self._health = WorkerHealth()
@@ -648,6 +650,7 @@
             case RunOutcome.DONE:
                 job.finish(task)
                 if not task.adopted:
+                    task.took_s = took_s
                     completed = CompletedRun(name, task.spec.run_time_s, took_s)
                     job.completed_runs.append(completed)
                 if self._health.note_success(now, name, run):
@@ -779,7 +782,7 @@
         longest_timeout_s = self._demand.longest_timeout_s(now, offer.route)
         # Time that the caller has spent on earlier attempts.
         earlier_wait_s = max(0.0, longest_timeout_s - timeout_s)
-        job = LedJob(offer, host, now, step_s, earlier_wait_s)
+        job = LedJob(offer, host, now, step_s, earlier_wait_s, self._spread)
         job.ran_before = self._history.was_ordered(offer.job_id)
         return job
 
@@ -891,6 +894,9 @@
         )
         actions.append(LogDecision(closed))
         self._times.learn(job.offer.route, job.completed_runs)
+        ran_s = job.ran_s(now)
+        if ran_s is not None:
+            self._spread.note(job.offer.route, job.run_s, ran_s, job.complete)
         job.stopping = True
         self._subscribers[job.job_id].clear()
         for task in job.under_way:
