Claim shards without a delay once all registered hosts are found

A host that has just started waits 0.3 s before it claims a shard, so as to hear of leaders first. Once each registered address has a live host or refuses connections no leader can be unknown, so the host claims at once. An address that is silent still costs the wait (test).

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -443,7 +443,8 @@
                         self._settings.name, self._advertised
                     )
                     registered = True
-                self._hosts.add_addresses(uptime(), await self._directory.hosts())
+                addresses = await self._directory.hosts()
+                self._hosts.set_registered_addresses(uptime(), addresses)
             except UnavailableError as error:
                 self._record_store_call("hosts", str(error))
                 await curio.sleep(_STORE_RETRY_S)
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -116,6 +116,8 @@
         self._tokens = tokens
         self._started_at = now
         self._may_claim_at = now + _CLAIM_DELAY_S
+        # Whether the addresses of all registered hosts are known.
+        self._registered_known = False
         self._last_tick_at = now
         self._peers: dict[str, Peer] = {}
         self._targets: dict[Address, Target] = {}
@@ -219,6 +221,13 @@
             if address != self._me.address and address not in self._targets:
                 self._targets[address] = Target(now, now)
 
+    def set_registered_addresses(
+        self, now: float, addresses: Iterable[Address]
+    ) -> None:
+        """Add the addresses of all hosts that are registered in the store."""
+        self.add_addresses(now, addresses)
+        self._registered_known = True
+
     @property
     def leading_since_epoch(self) -> int:
         """Epoch since which this host has led continuously; 0 if it leads nothing.
@@ -316,6 +325,9 @@
     def connection_refused(self, now: float, address: Address) -> list[ShardAction]:
         """Mark the host at an address that refuses connections as no longer live."""
         actions: list[ShardAction] = []
+        target = self._targets.get(address)
+        if target is not None:
+            target.refused_at = now
         for peer in self._peers.values():
             if (peer.heartbeat.host, peer.heartbeat.port) != address:
                 continue
@@ -407,6 +419,7 @@
         for shard in self._claims.keys() - shards.keys():
             actions += self._yield(shard, "", "the shard has no workers")
         claims_before = dict(self._claims)
+        may_claim = now >= self._may_claim_at or self._has_found_all_hosts(now)
         for shard in sorted(shards):
             parent = _split_from(shard, claims_before, shards)
             if parent is not None and parent.shard in self._claims:
@@ -418,7 +431,7 @@
                 actions += self._review_claim(
                     now, shard, shards, reachable_since.get(shard)
                 )
-            elif can_lead and self._is_eligible() and now >= self._may_claim_at:
+            elif can_lead and self._is_eligible() and may_claim:
                 actions += self._try_claim(
                     now, time_s, shard, shards, reachable_since.get(shard)
                 )
@@ -658,6 +671,23 @@
             ranked.append((remote, -load_preference, -cores, name))
         return min(ranked)[-1] if ranked else None
 
+    def _has_found_all_hosts(self, now: float) -> bool:
+        """Return whether each registered host is live or its process does not run.
+
+        Then no leader is unknown to this host.
+        """
+        if not self._registered_known:
+            return False
+        live = {
+            Address(peer.heartbeat.host, peer.heartbeat.port)
+            for peer in self._peers.values()
+            if peer.live
+        }
+        return all(
+            address in live or now - target.refused_at <= HOST_TIMEOUT_S
+            for address, target in self._targets.items()
+        )
+
     def _is_eligible(self) -> bool:
         """Return whether this host may lead: it stays, or it has no successor."""
         return not self._leaving or not self._has_successor()
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -138,6 +138,27 @@
         assert name in restarted.hosts["h3"].live
 
 
+# A restarted fleet left its workers without a leader for 0.3 s, although no host could
+# be missing.
+def test_a_host_that_has_found_all_others_leads_without_a_delay() -> None:
+    fleet = Fleet()
+    fleet.down = {"h3"}
+    for hosts in fleet.hosts.values():
+        hosts.set_registered_addresses(fleet.now, fleet.names)
+    fleet.run(0.25)
+    assert fleet.leaders("dc1/0") == ["h0"]
+    assert fleet.leaders("dc2/0") == ["h0"]
+
+
+def test_a_host_waits_for_one_that_is_only_silent() -> None:
+    fleet = Fleet()
+    fleet.paused = {"h3"}
+    for hosts in fleet.hosts.values():
+        hosts.set_registered_addresses(fleet.now, fleet.names)
+    fleet.run(0.25)
+    assert not fleet.leaders("dc1/0")
+
+
 def test_one_host_leads_a_small_fleet(fleet: Fleet) -> None:
     # If encoding changed the weight of a host, each host would take another one to be
     # the preferred leader and none would lead.
