Find restarted hosts at once, and claim shards 0.15 s after all addresses are known

Causes: heartbeats waited for the next tick (up to 0.075 s each way); the claim waited for 0.3 s after the start; a connection that was begun before the peer's machine had power got no answer and was given up only after 0.5 s and a pause. Now the first heartbeat of a host is answered in the same turn, on a new connection if the old one is not open yet; and the claim waits 0.15 s from when the registered addresses are known.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -42,6 +42,7 @@
     WorkersReport,
 )
 from poplarhilld.shards import (
+    AnswerNewPeer,
     HostLost,
     Hosts,
     LocalHost,
@@ -445,6 +446,7 @@
                     registered = True
                 addresses = await self._directory.hosts()
                 self._hosts.set_registered_addresses(uptime(), addresses)
+                await self._tick()  # sends the first heartbeats to them
             except UnavailableError as error:
                 self._record_store_call("hosts", str(error))
                 await curio.sleep(_STORE_RETRY_S)
@@ -571,6 +573,9 @@
                 case SendHeartbeat(address, beat):
                     self._heartbeats_sent.inc()
                     await self._peers.send(address, beat)
+                case AnswerNewPeer(address):
+                    await self._peers.reconnect(address)
+                    await self._tick()
                 case HostLost(host):
                     pending.extend(self._leader.handle_lost_host(uptime(), host))
 
--- a/packages/poplarhilld/src/poplarhilld/peers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/link.py
@@ -59,6 +59,11 @@
         """Count of frames that were not delivered."""
         return self._dropped
 
+    @property
+    def connected(self) -> bool:
+        """Whether a connection is open; the peer may have stopped responding."""
+        return self._sock is not None
+
     async def put(self, frame: bytes) -> None:
         """Send or queue a frame; a full queue drops its oldest frame."""
         if self._send_now(frame):
--- a/packages/poplarhilld/src/poplarhilld/peers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/links.py
@@ -61,6 +61,7 @@
         self._source = source
         self._sock = curio.tcp_server_socket(*listen)
         self._links: dict[Address, PeerLink] = {}
+        self._link_tasks: dict[PeerLink, curio.Task] = {}
         self._receiving: set[curio.Task] = set()
         self._encoded: deque[tuple[Message, bytes]] = deque(maxlen=_ENCODED_FRAMES_KEPT)
 
@@ -88,9 +89,21 @@
         if link is None:
             link = PeerLink(address, self._on_refused, self._source)
             self._links[address] = link
-            await curio.spawn(self._run_link, link, daemon=True)
+            task = await curio.spawn(self._run_link, link, daemon=True)
+            self._link_tasks[link] = task
         await link.put(self._encode(message))
 
+    async def reconnect(self, address: Address) -> None:
+        """Give up a connection to an address that is still being opened.
+
+        Its queued frames are dropped; the next message opens another connection.
+        """
+        link = self._links.get(address)
+        if link is None or link.connected:
+            return
+        del self._links[address]
+        await self._link_tasks[link].cancel(blocking=False)
+
     def _encode(self, message: Message) -> bytes:
         for encoded, frame in self._encoded:
             if encoded is message:
@@ -116,7 +129,9 @@
         try:
             await link.run()
         finally:
-            self._links.pop(link.address, None)
+            self._link_tasks.pop(link, None)
+            if self._links.get(link.address) is link:
+                del self._links[link.address]
 
     async def _receive(self, client: curio.io.Socket) -> None:
         splitter = _FrameSplitter()
--- a/packages/poplarhilld/src/poplarhilld/shards/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/__init__.py
@@ -1,5 +1,6 @@
 """Tracks which hosts are live and which of them leads which workers."""
 
+from poplarhilld.shards.messages import AnswerNewPeer as AnswerNewPeer
 from poplarhilld.shards.messages import HostFound as HostFound
 from poplarhilld.shards.messages import HostLost as HostLost
 from poplarhilld.shards.messages import LeadershipTaken as LeadershipTaken
--- a/packages/poplarhilld/src/poplarhilld/shards/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/messages.py
@@ -32,7 +32,21 @@
     host: str
 
 
-ShardAction = SendHeartbeat | HostLost | LogDecision
+@dataclass(frozen=True)
+class AnswerNewPeer:
+    """Send a heartbeat at once to a host that has just started or become known.
+
+    A connection to it that is still being opened may have begun before its process
+    ran, and would stay without an answer.
+
+    Attributes:
+        address: Address of the host.
+    """
+
+    address: Address
+
+
+ShardAction = SendHeartbeat | HostLost | AnswerNewPeer | LogDecision
 
 
 class HostFound(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/shards/peer.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/peer.py
@@ -1,6 +1,5 @@
 """What a host knows of another host and of the addresses that it sends to."""
 
-import math
 from dataclasses import dataclass
 
 from poplarhilld.peers.messages import Beat
@@ -60,10 +59,8 @@
         last_responsive_at: When a heartbeat was last sent while the host there was
             responding, or when the address was added, s.
         sent: Count of heartbeats sent.
-        refused_at: When the address last refused a connection, s.
     """
 
     next_heartbeat_at: float = 0.0
     last_responsive_at: float = 0.0
     sent: int = 0
-    refused_at: float = -math.inf
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -37,6 +37,7 @@
     interval_s,
 )
 from poplarhilld.shards.messages import (
+    AnswerNewPeer,
     HeartbeatIgnored,
     HostFound,
     HostGone,
@@ -58,6 +59,8 @@
 # Every tenth heartbeat to an address lists the addresses of the hosts in `heard`.
 _HEARTBEATS_PER_FULL = 10
 _CLAIM_DELAY_S = 0.3  # two heartbeats, so that a new host learns of existing leaders
+# The same once the addresses of all hosts are known: each answers the first heartbeat.
+_ANSWER_DELAY_S = 0.15
 # For this long after its start a host may not have found all its peers: a lost first
 # heartbeat is sent again after 1 s, and a busy host takes 0.6 s.
 _NEWCOMER_DELAY_S = 1.6
@@ -226,6 +229,8 @@
     ) -> None:
         """Add the addresses of all hosts that are registered in the store."""
         self.add_addresses(now, addresses)
+        if not self._registered_known and now < self._started_at + _CLAIM_DELAY_S:
+            self._may_claim_at = min(self._may_claim_at, now + _ANSWER_DELAY_S)
         self._registered_known = True
 
     @property
@@ -296,6 +301,7 @@
             known = self._targets.get(Address(heartbeat.host, heartbeat.port))
             if known is not None and heartbeat.data_centre == self._me.data_centre:
                 known.sent = 0  # the next heartbeat lists all addresses
+            actions.append(AnswerNewPeer(Address(heartbeat.host, heartbeat.port)))
         if _leadership_of(heartbeat) != _leadership_of(peer.heartbeat):
             self._note_change()
         peer.heartbeat, peer.received_at = heartbeat, now
@@ -325,9 +331,6 @@
     def connection_refused(self, now: float, address: Address) -> list[ShardAction]:
         """Mark the host at an address that refuses connections as no longer live."""
         actions: list[ShardAction] = []
-        target = self._targets.get(address)
-        if target is not None:
-            target.refused_at = now
         for peer in self._peers.values():
             if (peer.heartbeat.host, peer.heartbeat.port) != address:
                 continue
@@ -419,7 +422,6 @@
         for shard in self._claims.keys() - shards.keys():
             actions += self._yield(shard, "", "the shard has no workers")
         claims_before = dict(self._claims)
-        may_claim = now >= self._may_claim_at or self._has_found_all_hosts(now)
         for shard in sorted(shards):
             parent = _split_from(shard, claims_before, shards)
             if parent is not None and parent.shard in self._claims:
@@ -431,7 +433,7 @@
                 actions += self._review_claim(
                     now, shard, shards, reachable_since.get(shard)
                 )
-            elif can_lead and self._is_eligible() and may_claim:
+            elif can_lead and self._is_eligible() and now >= self._may_claim_at:
                 actions += self._try_claim(
                     now, time_s, shard, shards, reachable_since.get(shard)
                 )
@@ -671,23 +673,6 @@
             ranked.append((remote, -load_preference, -cores, name))
         return min(ranked)[-1] if ranked else None
 
-    def _has_found_all_hosts(self, now: float) -> bool:
-        """Return whether each registered host is live or its process does not run.
-
-        Then no leader is unknown to this host.
-        """
-        if not self._registered_known:
-            return False
-        live = {
-            Address(peer.heartbeat.host, peer.heartbeat.port)
-            for peer in self._peers.values()
-            if peer.live
-        }
-        return all(
-            address in live or now - target.refused_at <= HOST_TIMEOUT_S
-            for address, target in self._targets.items()
-        )
-
     def _is_eligible(self) -> bool:
         """Return whether this host may lead: it stays, or it has no successor."""
         return not self._leaving or not self._has_successor()
--- a/packages/poplarhilld/tests/peers/test_links.py
+++ b/packages/poplarhilld/tests/peers/test_links.py
@@ -8,6 +8,7 @@
 
 from poplarhill.types import Address
 from poplarhilld.peers import Goodbye, PeerLinks, decode, encode, links
+from poplarhilld.peers import link as link_module
 from poplarhilld.peers.codec import MAX_FRAME_BYTES, Envelope
 from poplarhilld.peers.link import LENGTH_BYTES, QUEUE_FRAMES, PeerLink
 
@@ -94,6 +95,45 @@
     assert first.message == Goodbye(10)
 
 
+# After a power loss hosts connected to peers whose machines were still off. They found
+# them only 0.6 s later, when the attempt was given up.
+def test_a_connection_that_gets_no_answer_is_opened_anew_once_the_peer_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    attempts: list[Address] = []
+
+    async def connect_from(source: str | None, *address: object) -> curio.io.Socket:
+        attempts.append(Address(*address))
+        if len(attempts) == 1:
+            await curio.sleep(LIMIT_S)
+        return await real_connect_from(source, *address)
+
+    real_connect_from = link_module.connect_from
+    monkeypatch.setattr(link_module, "connect_from", connect_from)
+    monkeypatch.setattr(link_module, "_CONNECT_TIMEOUT_S", LIMIT_S)
+
+    async def body(host: Host) -> None:
+        await host.links.send(host.address, Goodbye(1))
+        await until(lambda: bool(attempts))
+        await host.links.reconnect(host.address)
+        await host.links.send(host.address, Goodbye(2))
+        await until(lambda: bool(host.received))
+
+    assert run(body).received == [Envelope("h1", Goodbye(2))]
+
+
+def test_an_open_connection_is_kept() -> None:
+    async def body(host: Host) -> None:
+        await host.links.send(host.address, Goodbye(1))
+        await until(lambda: len(host.received) == 1)
+        await host.links.reconnect(host.address)
+        await host.links.send(host.address, Goodbye(2))
+        await until(lambda: len(host.received) == 2)
+        assert len(host.links._receiving) == 1
+
+    run(body)
+
+
 def test_a_refused_connection_is_reported_and_its_frame_dropped() -> None:
     async def body(host: Host) -> None:
         with socket.socket() as held:
