--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -151,6 +151,7 @@
         self._outcomes: dict[int, curio.Queue] = {}
         self._submission_count = 0
         self._loops = Supervisor()
+        self._tick_wanted = curio.Event()
         self._peers = PeerLinks(
             settings.name,
             settings.peers,
@@ -290,7 +291,9 @@
             interval_s = _TICK_S if busy else _IDLE_TICK_S
             # A caller that waits little longer than the limit must still get an answer.
             until_deadline_s = self._submissions.next_deadline - uptime()
-            await curio.sleep(max(0.0, min(interval_s, until_deadline_s)))
+            async with curio.ignore_after(max(0.0, min(interval_s, until_deadline_s))):
+                await self._tick_wanted.wait()
+            self._tick_wanted.clear()
             await self._tick()
             self._logs.flush()
 
@@ -446,7 +449,7 @@
                     registered = True
                 addresses = await self._directory.hosts()
                 self._hosts.set_registered_addresses(uptime(), addresses)
-                await self._tick()  # sends the first heartbeats to them
+                await self._tick_wanted.set()  # sends new hosts their first heartbeat
             except UnavailableError as error:
                 self._record_store_call("hosts", str(error))
                 await curio.sleep(_STORE_RETRY_S)
@@ -575,7 +578,7 @@
                     await self._peers.send(address, beat)
                 case AnswerNewPeer(address):
                     await self._peers.reconnect(address)
-                    await self._tick()
+                    await self._tick_wanted.set()
                 case HostLost(host):
                     pending.extend(self._leader.handle_lost_host(uptime(), host))
 
