--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -6,8 +6,10 @@
 import click
 import curio
 
+from poplarhill.story import read_lines
 from poplarhill_dev.demo import run_demo
 from poplarhill_dev.known_red import run_tests
+from poplarhill_dev.losses import find_losses, format_losses, plot_losses
 from poplarhill_dev.platform import PlatformStandIn
 from poplarhill_dev.replay import placement_cost, replay
 from poplarhill_dev.slopes import run_slopes
@@ -155,6 +157,24 @@
     sys.exit(1 if run_mutations(file, only) else 0)
 
 
+@main.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--plot", type=click.Path(path_type=Path), help="SVG file to write.")
+def losses(files: tuple[Path, ...], plot: Path | None) -> None:
+    """Show from the logs in FILES which jobs were not served, when and why."""
+    found = []
+    for path in files:
+        try:
+            with path.open("rb") as text:
+                found += read_lines(text)
+        except OSError as error:
+            raise click.ClickException(f"{path}: {error.strerror}") from error
+    lost = find_losses(found)
+    click.echo(format_losses(lost))
+    if plot is not None:
+        plot_losses(lost, plot)
+
+
 @main.command("known-red", context_settings={"ignore_unknown_options": True})
 @click.argument("arguments", nargs=-1)
 def known_red(arguments: tuple[str, ...]) -> None:
