Count an end that a worker tells only after its job was offered to the next leader

What callers could see: a task that was done ran a second time after its leader was lost. Cause: a leader that learns of a done run which it did not order noted it only if it did not have the job yet. A host that takes over offers the jobs of its own callers to itself in the same tick, before its workers have replied, so that their unacknowledged ends were dropped and the tasks waited, and started again once all workers had replied. Now the end counts for the task in any case; a second run of it is stopped.

--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -636,8 +636,8 @@
         self._runs.note_closed(name, run)
         task = self._runs.task_of(name, run)
         if task is None:
-            if outcome is RunOutcome.DONE and self._runs.job_of(run.task) is None:
-                self._history.note_done(run.task)
+            if outcome is RunOutcome.DONE:
+                return self._handle_unknown_done(now, run)
             return []
         job = self._runs.job_of(task.name)
         self._forget_run(name, run)
@@ -670,6 +670,25 @@
                 self._health.note_end(now, name, run)
         return actions + self._update_job(now, job, task)
 
+    def _handle_unknown_done(self, now: float, run: Run) -> list[LeaderAction]:
+        """Note that a run which this leader has neither ordered nor adopted is done.
+
+        An earlier leader ordered it, and it ended before this one led its worker.
+        """
+        job = self._runs.job_of(run.task)
+        if job is None:
+            self._history.note_done(run.task)
+            return []
+        task = next(task for task in job.tasks if task.name == run.task)
+        if task.done:
+            return []
+        job.finish(task)
+        actions: list[LeaderAction] = []
+        worker = self._workers.get(task.worker)
+        if task.run is not None and worker is not None:
+            actions += self._stop_run(now, worker, task.run)
+        return actions + self._update_job(now, job, task)
+
     def _forget_run(self, worker: str, run: Run) -> None:
         """Remove a run that is no longer under way; its task may wait again."""
         task = self._runs.task_of(worker, run)
--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -104,6 +104,26 @@
     assert world.starts == 2
 
 
+# Once, a host that took over from a lost leader offered the jobs of its own callers to
+# itself before its workers had replied. Their ends of runs were then ignored, and tasks
+# that were done ran a second time.
+def test_an_end_that_is_told_after_the_job_was_offered_again_counts(
+    world: World,
+) -> None:
+    job = simulated_job("a", tasks=2, run_s=0.2, left_s=8.0)
+    world.submit("h1", job)
+    world.run(0.1)
+    world.paused.add("h1")
+    world.run(0.3)
+    world.add_leader("h2", 2)
+    offer = job.offer._replace(handovers=1)
+    world.perform("h2", world.leaders["h2"].handle_offer(world.now, "e1", 1, offer))
+    world.run(2.0)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 2
+    assert not world.violations
+
+
 def test_a_worker_with_runs_of_unknown_size_has_no_free_capacity(world: World) -> None:
     worker = world.workers["w0"]
     world.submit("h1", simulated_job("a", tasks=8, run_s=0.5, left_s=3.0))
