Wait for the next leader until one beyond a cut has stopped; answer at once who can't wait

What callers could see: with a limit of more than 1.8 s, tasks of one job ran twice at the same time after a cut between data centres. A leader works on for a silent host for 1.5 s after it has lost it, the next leader started the tasks 1.2 s after it was offered the job. The test (one leader with the workers on each side) shows four tasks that run twice without the change. The wait now follows from the time until the other leader gives up, 1.8 s. Callers that wait 1.5 s lose nothing: a task that started after 1.2 s had 0.3 s at most.

Open: in fleets of more than 12 hosts a far leader notices a lost host only after four intervals of 3 s, so callers that wait as long are not protected there.

--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -80,9 +80,11 @@
     LostWorker,
     TaskLosses,
 )
+from poplarhilld.shards.intervals import GIVE_UP_DELAY_S, HEARTBEAT_INTERVAL_S
 
-# Within this time, a leader that was cut off notices it and stops its runs.
-HANDOVER_WAIT_S = 1.2
+# Within this time after a host has lost a leader, that leader has lost the host, given
+# up its work and stopped its runs.
+HANDOVER_WAIT_S = GIVE_UP_DELAY_S + 2 * HEARTBEAT_INTERVAL_S
 _RENEWAL_RETRY_S = 0.05  # 20 tries within a lease of 1 s
 _MAX_RENEWAL_RETRY_S = 0.5  # notices within half a second that a worker is back
 # After a refused connection or a reply by another worker: the process has probably
@@ -866,6 +868,10 @@
             return self._close_job(
                 now, job, _job_ended(job, kind, "the deadline of the job has passed")
             )
+        if self._waits_too_long_for_handover(now, job):
+            detail = "its leader was lost, and its tasks may still run there"
+            report = _job_ended(job, ErrorKind.WORKER_LOST, detail)
+            return self._close_job(now, job, report)
         if job.not_run and not fits_in_time(now, job):
             detail = f"no free capacity in time for a run time of {job.run_s:.2f} s"
             report = _job_ended(job, ErrorKind.OVERLOADED, detail, RETRY_AFTER_S)
@@ -1064,6 +1070,19 @@
             return False
         return all(w.confirmed and not w.fenced for w in self._workers.values())
 
+    def _waits_too_long_for_handover(self, now: float, job: LedJob) -> bool:
+        """Return whether tasks of a job from another leader can't start in time.
+
+        Before the workers have replied, its runs on them are not known.
+        """
+        if not job.offer.handovers or not self._not_led_here:
+            return False
+        if job.least_cores == math.inf or any(
+            worker.awaits_first_reply(now) for worker in self._workers.values()
+        ):
+            return False
+        return not fits_in_time(job.offered_at + HANDOVER_WAIT_S, job)
+
     def _start_run(
         self,
         now: float,
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -30,6 +30,7 @@
 )
 from poplarhilld.shards.forms import HeartbeatForms
 from poplarhilld.shards.intervals import (
+    GIVE_UP_DELAY_S,
     HEARTBEAT_INTERVAL_S,
     HOST_TIMEOUT_S,
     SMALL_FLEET_HOSTS,
@@ -73,9 +74,6 @@
 _PROBE_TIME_S = 2 * HEARTBEAT_INTERVAL_S
 # A host that has just been found is known to its leader a second later.
 _REPORT_DELAY_S = 2.0
-# From the loss of a silent host until the work for its callers stops. It may only have
-# been paused, and most callers wait no longer than this.
-_GIVE_UP_DELAY_S = 1.5
 _RELAY_LIFETIME_S = 3.0  # longer than it takes to replace the leader that relayed
 _INTERVALS_LIFETIME_S = 0.3  # hosts that settle may send often for that much longer
 _ADDRESS_LISTS_KEPT = 128  # peers list the same addresses in heartbeat after heartbeat
@@ -386,7 +384,7 @@
                 actions += self._mark_lost(now, peer, "silent")
         self._update_reports()
         for peer in self._peers.values():
-            if peer.lost_at is not None and now - peer.lost_at > _GIVE_UP_DELAY_S:
+            if peer.lost_at is not None and now - peer.lost_at > GIVE_UP_DELAY_S:
                 actions += self._give_up(peer)
         for peer in list(self._peers.values()):
             if self._is_reported_gone(now, peer):
--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -1,7 +1,13 @@
 """Two leaders of the same workers: the one with the higher token wins."""
 
+from poplarhill import ErrorKind
 from poplarhill_dev.leased import World, simulated_job
 from poplarhilld.leases import Run
+from poplarhilld.shards.intervals import (
+    GIVE_UP_DELAY_S,
+    HEARTBEAT_INTERVAL_S,
+    HOST_TIMEOUT_S,
+)
 
 
 def test_a_takeover_adopts_runs(world: World) -> None:
@@ -177,3 +183,64 @@
     world.perform("h1", leader.set_workers(world.now, world.now, entries))
     world.run(3.0)
     assert "w0" not in leader.workers
+
+
+# Once, a leader beyond a cut worked on for 1.5 s after it had lost the host of a job,
+# and the next one waited for 1.2 s only: callers that wait long got tasks run twice.
+def test_the_next_leader_starts_nothing_while_one_beyond_a_cut_works_on(
+    world: World,
+) -> None:
+    entries = world.entries
+    near = {name: entries[name] for name in ("w0", "w1")}
+    far = {name: entries[name] for name in ("w2", "w3")}
+    job = simulated_job("a", tasks=4, run_s=5.0, left_s=20.0)
+    world.submit("h1", job)
+    world.run(0.1)
+    world.cut = lambda leader, worker: (leader == "h1") == (worker in far)
+    world.run(HOST_TIMEOUT_S)
+    h1, h2 = world.leaders["h1"], world.add_leader("h2", 2, far)
+    world.perform("h2", h2.set_workers(world.now, world.now, far, frozenset(near)))
+    offer = job.offer._replace(handovers=1)
+    world.perform("h2", h2.handle_offer(world.now, "e1", 1, offer))
+    # The last heartbeat before the cut may have reached h1 one interval later.
+    world.run(GIVE_UP_DELAY_S + HEARTBEAT_INTERVAL_S)
+    world.perform("h1", h1.handle_lost_host(world.now, "e1"))
+    world.run(2.0)
+    assert not world.violations
+
+
+# Such jobs were held until their callers gave up, although no task of them could start.
+def test_a_job_whose_caller_does_not_wait_for_a_handover_is_answered_at_once(
+    world: World,
+) -> None:
+    entries = world.entries
+    near = {name: entries[name] for name in ("w0", "w1")}
+    far = {name: entries[name] for name in ("w2", "w3")}
+    h2 = world.add_leader("h2", 2, far)
+    world.perform("h2", h2.set_workers(world.now, world.now, far, frozenset(near)))
+    job = simulated_job("a", tasks=2, run_s=0.1, left_s=0.9, handovers=1)
+    world.submit("h2", job)
+    world.run(0.15)
+    outcome = world.job_outcome("a")
+    assert outcome.error == ErrorKind.WORKER_LOST.value
+    assert not outcome.not_run
+    assert world.starts == 0
+
+
+def test_a_job_whose_tasks_all_run_on_led_workers_is_kept(world: World) -> None:
+    entries = world.entries
+    near = {name: entries[name] for name in ("w0", "w1")}
+    far = {name: entries[name] for name in ("w2", "w3")}
+    job = simulated_job("a", tasks=2, run_s=0.5, left_s=0.9)
+    world.add_leader("h3", 3, far)
+    world.run(0.1)
+    world.submit("h3", job)
+    world.run(0.05)
+    world.paused.add("h3")
+    h2 = world.add_leader("h2", 2, far)
+    world.perform("h2", h2.set_workers(world.now, world.now, far, frozenset(near)))
+    offer = job.offer._replace(handovers=1)
+    world.perform("h2", h2.handle_offer(world.now, "e1", 1, offer))
+    world.run(0.8)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 2
