--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -169,6 +169,10 @@
         needs = [task.spec.needs.cores for task in self.tasks if task.waiting]
         return min(needs, default=math.inf)
 
+    def task(self, name: str) -> LedTask:
+        """Return the task of a name."""
+        return next(task for task in self.tasks if task.name == name)
+
     def ran_s(self, now: float) -> float | None:
         """Return how long its longest chain of steps has run, s.
 
--- a/packages/poplarhilld/src/poplarhilld/leading/spread.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/spread.py
@@ -15,6 +15,9 @@
 # more luck is refused, as its caller is better off with an answer at once.
 _LEAST_DEVIATIONS = -1.645
 
+# With a lower share the bound lies far beyond what was seen; it is the best guess then.
+_MIN_SHARE_ABOVE = 1e-6
+
 
 class _Spread(NamedTuple):
     """Moments of the logarithms for one route.
@@ -91,9 +94,7 @@
         return max(least, spread.mean), 0.0
     bound = (least - spread.mean) / deviation
     share_above = 0.5 * math.erfc(bound / math.sqrt(2))
-    if (
-        share_above < 1e-6
-    ):  # far beyond what was seen; the bound itself is the best guess
+    if share_above < _MIN_SHARE_ABOVE:
         return least, 0.0
     density = math.exp(-bound * bound / 2) / math.sqrt(2 * math.pi)
     hazard = density / share_above
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -24,6 +24,7 @@
 from poplarhilld.leading.demand import Demand
 from poplarhilld.leading.estimates import CompletedRun, RunTimes
 from poplarhilld.leading.fitness import SILENCE_TIMEOUT_S, WorkerHealth
+from poplarhilld.leading.handover import HANDOVER_WAIT_S, must_wait, waits_too_long
 from poplarhilld.leading.job import LedJob, LedTask
 from poplarhilld.leading.memory import JobHistory
 from poplarhilld.leading.messages import (
@@ -80,11 +81,7 @@
     LostWorker,
     TaskLosses,
 )
-from poplarhilld.shards.intervals import GIVE_UP_DELAY_S, HEARTBEAT_INTERVAL_S
 
-# Within this time after a host has lost a leader, that leader has lost the host, given
-# up its work and stopped its runs.
-HANDOVER_WAIT_S = GIVE_UP_DELAY_S + 2 * HEARTBEAT_INTERVAL_S
 _RENEWAL_RETRY_S = 0.05  # 20 tries within a lease of 1 s
 _MAX_RENEWAL_RETRY_S = 0.5  # notices within half a second that a worker is back
 # After a refused connection or a reply by another worker: the process has probably
@@ -613,7 +610,7 @@
         if job is None:
             self._runs.add_orphan(now, run, name)
             return []
-        task = next(task for task in job.tasks if task.name == run.task)
+        task = job.task(run.task)
         worker.set_needs(run, task.spec.needs)
         if task.waiting and not job.stopping:
             self._runs.adopt(now, run, task, name)
@@ -681,7 +678,7 @@
         if job is None:
             self._history.note_done(run.task)
             return []
-        task = next(task for task in job.tasks if task.name == run.task)
+        task = job.task(run.task)
         if task.done:
             return []
         job.finish(task)
@@ -868,7 +865,7 @@
             return self._close_job(
                 now, job, _job_ended(job, kind, "the deadline of the job has passed")
             )
-        if self._waits_too_long_for_handover(now, job):
+        if waits_too_long(now, job, bool(self._not_led_here), self._workers.values()):
             detail = "its leader was lost, and its tasks may still run there"
             report = _job_ended(job, ErrorKind.WORKER_LOST, detail)
             return self._close_job(now, job, report)
@@ -1055,33 +1052,13 @@
         )
 
     def _may_start_tasks(self, now: float, job: LedJob) -> bool:
-        """Return whether the tasks of a job may start now.
-
-        Runs of a job that another leader had may still be under way. Its tasks wait
-        until this leader leads all workers and knows their runs, or for
-        `HANDOVER_WAIT_S`.
-        """
+        """Return whether the tasks of a job may start now."""
         if job.stopping:
             return False
-        if not job.offer.handovers or now >= job.offered_at + HANDOVER_WAIT_S:
-            return True
-        self._placement_up_to_date = False  # the wait ends without an event
-        if self._not_led_here:
-            return False
-        return all(w.confirmed and not w.fenced for w in self._workers.values())
-
-    def _waits_too_long_for_handover(self, now: float, job: LedJob) -> bool:
-        """Return whether tasks of a job from another leader can't start in time.
-
-        Before the workers have replied, its runs on them are not known.
-        """
-        if not job.offer.handovers or not self._not_led_here:
-            return False
-        if job.least_cores == math.inf or any(
-            worker.awaits_first_reply(now) for worker in self._workers.values()
-        ):
+        if must_wait(now, job, bool(self._not_led_here), self._workers.values()):
+            self._placement_up_to_date = False  # the wait ends without an event
             return False
-        return not fits_in_time(job.offered_at + HANDOVER_WAIT_S, job)
+        return True
 
     def _start_run(
         self,
