--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -241,6 +241,7 @@
     world.perform("h2", h2.set_workers(world.now, world.now, far, frozenset(near)))
     offer = job.offer._replace(handovers=1)
     world.perform("h2", h2.handle_offer(world.now, "e1", 1, offer))
+    world.perform("h2", h2.tick(world.now))  # before the workers have replied
     world.run(0.8)
     assert world.job_outcome("a").error == ""
     assert world.starts == 2
