Split the leader's decisions by duty

Change: the state that its parts share is a class of its own (shared.py). Classes by duty work on it: leases on workers (group.py), offers (offers.py), starts of tasks (assignment.py), ends of runs (outcomes.py) and ends of jobs (closing.py). Leader is left with the events. No decision changes. Three tests and one mutation name the new places of what they replace; their checks are the same.

--- a/packages/poplarhill-dev/tests/adapter/test_split_shards.py
+++ b/packages/poplarhill-dev/tests/adapter/test_split_shards.py
@@ -33,13 +33,13 @@
             changed = entry._replace(rack="changed")
             platform.store.put("keyed.servers", entry.name, worker_record(changed))
         fenced: list[str] = []
-        mark_fenced = host._leader._mark_fenced
+        mark_fenced = host._leader._group.mark_fenced
 
         def note(now, worker):
             fenced.append(worker.entry.name)
             return mark_fenced(now, worker)
 
-        monkeypatch.setattr(host._leader, "_mark_fenced", note)
+        monkeypatch.setattr(host._leader._group, "mark_fenced", note)
         assert len(partition(host._registry.workers.values())) == 2
         await wait_until(lambda: len(host._hosts.claims) == 2)
         await curio.sleep(0.2)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -0,0 +1,96 @@
+"""Ends jobs: reports their outcome and stops their runs."""
+
+from poplarhill.exceptions import ErrorKind
+from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.job import LedJob
+from poplarhilld.leading.messages import (
+    JobClosed,
+    ReportJob,
+    StopRun,
+)
+from poplarhilld.leading.shared import LeaderState
+from poplarhilld.leases import (
+    LeasedWorker,
+    Run,
+)
+from poplarhilld.peers.messages import (
+    JobEnded,
+    JobProgress,
+)
+
+
+class JobCloser:
+    """Reports the outcomes of jobs and stops the runs that are left.
+
+    Args:
+        state: State of the leader.
+    """
+
+    def __init__(self, state: LeaderState) -> None:
+        self._state = state
+
+    def report(self, job: LedJob, report: JobEnded | JobProgress) -> list:
+        """Return a report to each subscriber of a job."""
+        hosts = {subscriber.host for subscriber in self._state.subscribers[job.job_id]}
+        return [ReportJob(host, report) for host in sorted(hosts)]
+
+    def close_job(self, now: float, job: LedJob, report: JobEnded) -> list:
+        """Report the outcome of a job and stop its remaining runs."""
+        actions = self.report(job, report)
+        self._state.history.note_outcome(now, report)
+        if not job.not_run:
+            self._state.history.note_ordered(now, job.job_id)
+        for subscriber in self._state.subscribers[job.job_id]:
+            self._state.history.note_answer(now, (subscriber, job.job_id), report)
+        closed = JobClosed(
+            job.job_id,
+            report.error or "complete",
+            report.detail,
+            round(now - job.arrived_at, 4),
+            job.run_count,
+        )
+        actions.append(LogDecision(closed))
+        self._state.times.learn(job.offer.route, job.completed_runs)
+        ran_s = job.ran_s(now)
+        if ran_s is not None:
+            self._state.spread.note(job.offer.route, job.run_s, ran_s, job.complete)
+        job.stopping = True
+        self._state.subscribers[job.job_id].clear()
+        for task in job.under_way:
+            worker = self._state.workers.get(task.worker)
+            if worker is not None:
+                actions += self.stop_run(now, worker, task.run)
+        if not job.under_way:
+            self.forget_job(job)
+        return actions
+
+    def forget_job(self, job: LedJob) -> None:
+        """Remove a job of which no run is left."""
+        self._state.jobs.pop(job.job_id, None)
+        self._state.queue.pop(job.job_id, None)
+        self._state.subscribers.pop(job.job_id, None)
+        self._state.suspects.drop_job(job.job_id)
+        self._state.runs.drop_job(job)
+
+    def stop_run(self, now: float, worker: LeasedWorker, run: Run) -> list:
+        """Order a worker to stop a run, unless such an order was sent just now."""
+        if not self._state.runs.note_stop_if_due(now, worker.entry.name, run):
+            return []
+        return [StopRun(worker.entry, run, worker.token)]
+
+    def forget_run(self, worker: str, run: Run) -> None:
+        """Remove a run that is no longer under way; its task may wait again."""
+        task = self._state.runs.task_of(worker, run)
+        self._state.runs.forget(worker, run)
+        self._state.suspects.note_closed(worker, run)
+        job = None if task is None else self._state.runs.job_of(task.name)
+        if job is not None:
+            self._state.queue[job.job_id] = job
+            self._state.placement_up_to_date = False
+
+
+def job_ended(
+    job: LedJob, kind: ErrorKind, detail: str, retry_after_s: float = 0.0
+) -> JobEnded:
+    """Return the report that a job has failed."""
+    return JobEnded(job.job_id, kind.value, detail, retry_after_s, job.not_run)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -0,0 +1,231 @@
+"""Holds the leases on the workers of a leader."""
+
+from poplarhilld.catalogue import WorkerEntry
+from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.closing import JobCloser
+from poplarhilld.leading.fitness import SILENCE_TIMEOUT_S
+from poplarhilld.leading.handover import HANDOVER_WAIT_S
+from poplarhilld.leading.job import LedTask
+from poplarhilld.leading.messages import (
+    LeaderAction,
+    RenewLease,
+    WorkerConfirmed,
+    WorkerReleased,
+    WorkerTaken,
+)
+from poplarhilld.leading.outcomes import RunOutcomes
+from poplarhilld.leading.shared import LeaderState, worker_state
+from poplarhilld.leases import (
+    LeasedWorker,
+    LeaseReply,
+    Renewal,
+    RenewalFailure,
+    Reservation,
+    ReservationState,
+    RunClosed,
+    RunOutcome,
+)
+
+_RENEWAL_RETRY_S = 0.05  # 20 tries within a lease of 1 s
+_MAX_RENEWAL_RETRY_S = 0.5  # notices within half a second that a worker is back
+# After a refused connection or a reply by another worker: the process has probably
+# ended, and it may restart under a new name.
+_REFUSED_RETRY_S = 0.2
+_RECLAIM_DELAY_S = 0.5  # lets the claim of the other leader reach this host first
+# Apart from degraded workers, run times vary by a factor of 4 at most.
+_STALL_FACTOR = 4.0
+_MIN_STALL_S = 0.25  # a shorter stall costs less than running the task again
+
+
+class WorkerGroup:
+    """Claims workers, renews their leases and notices which of them are lost.
+
+    Args:
+        state: State of the leader.
+        closer: Ends jobs.
+        outcomes: Applies what workers report of runs.
+    """
+
+    def __init__(
+        self, state: LeaderState, closer: JobCloser, outcomes: RunOutcomes
+    ) -> None:
+        self._state = state
+        self._closer = closer
+        self._outcomes = outcomes
+
+    def claim(self, now: float, time_s: float, entry: WorkerEntry) -> list:
+        """Claim a worker under a new fencing token."""
+        token = self._state.tokens.next(time_s)
+        worker = LeasedWorker(entry, token, self._state.lease_s, now)
+        self._state.workers[entry.name] = worker
+        self._state.note_worker_change()
+        return self._request_lease(now, worker, "first claimed by this host")
+
+    def reclaim(self, now: float, time_s: float, worker: LeasedWorker) -> list:
+        """Claim a fenced worker again, because this host leads its shard."""
+        worker.reclaim(now, self._state.tokens.next(time_s))
+        self._state.note_worker_change()
+        return self._request_lease(now, worker, "claimed again after it was fenced")
+
+    def _request_lease(self, now: float, worker: LeasedWorker, reason: str) -> list:
+        """Send the first lease renewal to a worker under a new token."""
+        entry = worker.entry
+        address = f"{entry.address.host}:{entry.address.port}"
+        taken = WorkerTaken(entry.name, address, worker.token, reason)
+        return [LogDecision(taken), RenewLease(entry, worker.next_renewal(now))]
+
+    def mark_fenced(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
+        """Start no more runs on a worker; its runs go on.
+
+        The worker has accepted a newer token, or this host no longer leads it.
+        """
+        name = worker.entry.name
+        worker.fenced = True
+        self._state.note_worker_change()
+        self._state.reclaim_at[name] = now + _RECLAIM_DELAY_S
+        return [
+            worker_state(
+                now, worker, "fenced", "it refused this token, or is no longer led here"
+            )
+        ]
+
+    def release(self, name: str, reason: str) -> list[LeaderAction]:
+        """Remove a worker that this host no longer leads."""
+        worker = self._state.workers.pop(name)
+        self._state.note_worker_change()
+        self._state.placement_up_to_date = False
+        self._state.lost.discard(name)
+        self._state.refused.discard(name)
+        self._state.reclaim_at.pop(name, None)
+        self._state.health.forget(name)
+        self._state.suspects.forget_worker(name)
+        self._state.times.forget(name)
+        reservations = list(worker.reservations)
+        for reservation in reservations:
+            self._state.runs.note_closed(name, reservation.run)
+            self._closer.forget_run(name, reservation.run)
+        released = WorkerReleased(name, worker.token, reason, len(reservations))
+        return [LogDecision(released)]
+
+    def handle_renewal_failure(
+        self, now: float, worker: LeasedWorker, failure: RenewalFailure
+    ) -> list[LeaderAction]:
+        """Mark a worker as fenced or lost, or retry its renewal."""
+        name = worker.entry.name
+        match failure:
+            case RenewalFailure.FENCED:
+                return self.mark_fenced(now, worker)
+            case RenewalFailure.REPLACED:
+                self._state.refused.add(name)
+                actions = self.mark_lost(now, worker, failure.value, process_ended=True)
+                pause_s = _REFUSED_RETRY_S
+            case RenewalFailure.REFUSED:
+                # A network partition can refuse connections too, so wait for the lease.
+                self._state.refused.add(name)
+                actions = self.mark_lost(now, worker, failure.value)
+                pause_s = _REFUSED_RETRY_S
+            case _:
+                actions = []
+                pause_s = self._state.renewal_backoff_s.get(name, _RENEWAL_RETRY_S)
+                self._state.renewal_backoff_s[name] = min(
+                    2 * pause_s, _MAX_RENEWAL_RETRY_S
+                )
+        actions.append(RenewLease(worker.entry, worker.next_renewal(now), pause_s))
+        return actions
+
+    def mark_lost(
+        self, now: float, worker: LeasedWorker, reason: str, process_ended: bool = False
+    ) -> list[LeaderAction]:
+        """Mark a worker as lost.
+
+        If its process has ended or its lease has expired, its runs have ended too,
+        and their tasks wait for another worker.
+        """
+        name = worker.entry.name
+        actions: list[LeaderAction] = []
+        if name not in self._state.lost:
+            self._state.lost.add(name)
+            self._state.note_worker_change()
+            actions.append(worker_state(now, worker, "lost", reason))
+        if process_ended or worker.lease_has_expired(now):
+            for run in worker.presumed_ended_runs():
+                task = self._state.runs.task_of(name, run)
+                if task is not None and task.run == run:
+                    if name in self._state.refused:
+                        actions += self._outcomes.note_loss(
+                            now, worker, worker.incarnation, run
+                        )
+                    self._closer.forget_run(name, run)
+                    task.avoid.add(name)
+        return actions
+
+    def check_worker(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
+        """Notice that a worker or one of its runs no longer responds."""
+        name = worker.entry.name
+        if worker.fenced:
+            if (
+                name not in self._state.entries
+                and now - self._state.reclaim_at[name] > HANDOVER_WAIT_S
+            ):
+                # By now the other leader has stopped or adopted the runs there.
+                return self.release(name, "led by another host or no longer registered")
+            return []
+        idle = not any(True for _ in worker.reservations)
+        if name not in self._state.entries and (idle or worker.lease_has_expired(now)):
+            return self.release(
+                name, "this host no longer leads it, or it is no longer registered"
+            )
+        if worker.confirmed and now - worker.last_reply_at > SILENCE_TIMEOUT_S:
+            return self.mark_lost(now, worker, "silent")
+        actions: list[LeaderAction] = []
+        for reservation in list(worker.reservations):
+            task = self._state.runs.task_of(name, reservation.run)
+            if self._state.runs.is_stopping(name, reservation.run):
+                actions += self._closer.stop_run(now, worker, reservation.run)
+            elif reservation.state is ReservationState.RUNNING and task is not None:
+                actions += self._check_stall(now, worker, task, reservation)
+        return actions
+
+    def _check_stall(
+        self, now: float, worker: LeasedWorker, task: LedTask, reservation: Reservation
+    ) -> list[LeaderAction]:
+        """Stop a stalled run so that its task moves, if that can meet the deadline."""
+        job = self._state.runs.job_of(task.name)
+        expected_s = job.expected_s(task)
+        limit_s = max(_STALL_FACTOR * expected_s, expected_s + _MIN_STALL_S)
+        if now - reservation.running_since < limit_s or now + expected_s > job.deadline:
+            return []
+        name = worker.entry.name
+        self._state.health.note_stall(name, reservation.run)
+        task.avoid.add(name)
+        return self._closer.stop_run(now, worker, reservation.run)
+
+    def apply_reply(
+        self, now: float, worker: LeasedWorker, renewal: Renewal, reply: LeaseReply
+    ) -> list[LeaderAction]:
+        """Apply what a worker replies about its runs."""
+        name = worker.entry.name
+        actions: list[LeaderAction] = []
+        was_confirmed = worker.confirmed
+        incarnation = worker.incarnation
+        changes = worker.apply_renewal_reply(now, renewal, reply)
+        if not was_confirmed:
+            self._state.placement_up_to_date = False
+            self._state.note_worker_change()
+            confirmed = WorkerConfirmed(
+                name, worker.token, len(reply.running), now - renewal.sent_at
+            )
+            actions.append(LogDecision(confirmed))
+        if name in self._state.lost:
+            self._state.lost.discard(name)
+            self._state.refused.discard(name)
+            self._state.placement_up_to_date = False
+            self._state.note_worker_change()
+            actions.append(worker_state(now, worker, "back", "responds again"))
+        for change in changes:
+            if isinstance(change, RunClosed) and change.outcome is RunOutcome.LOST:
+                actions += self._outcomes.note_loss(
+                    now, worker, incarnation, change.run
+                )
+            actions += self._outcomes.apply_change(now, worker, change)
+        return actions
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -0,0 +1,236 @@
+"""Accepts or refuses the jobs that entry hosts offer."""
+
+from poplarhill.exceptions import ErrorKind
+from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.admission import (
+    RETRY_AFTER_S,
+    Refusal,
+    expected_wait_s,
+    find_refusal,
+    find_starved,
+    fits_in_time,
+)
+from poplarhilld.leading.assignment import Assignment
+from poplarhilld.leading.closing import JobCloser, job_ended
+from poplarhilld.leading.handover import waits_too_long
+from poplarhilld.leading.job import LedJob
+from poplarhilld.leading.messages import (
+    JobTaken,
+    LeaderAction,
+    ReportJob,
+)
+from poplarhilld.leading.order import core_second_cost
+from poplarhilld.leading.outcomes import RunOutcomes, crash_detail
+from poplarhilld.leading.shared import LeaderState, Subscriber
+from poplarhilld.leading.suspects import find_deadly_task
+from poplarhilld.peers.messages import (
+    JobEnded,
+    JobOffer,
+)
+
+_STARVED_INTERVAL_S = 0.1  # a tenth of the shortest time limits of callers
+
+
+class Offers:
+    """Accepts jobs, or refuses those that cannot be completed in time.
+
+    Args:
+        state: State of the leader.
+        closer: Ends jobs.
+        outcomes: Applies what workers report of runs.
+        assignment: Places tasks on workers.
+    """
+
+    def __init__(
+        self,
+        state: LeaderState,
+        closer: JobCloser,
+        outcomes: RunOutcomes,
+        assignment: Assignment,
+    ) -> None:
+        self._state = state
+        self._closer = closer
+        self._outcomes = outcomes
+        self._assignment = assignment
+        self._starved_check_at = 0.0
+
+    def handle_offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
+        """Accept a job from an entry host, or refuse it."""
+        subscriber = Subscriber(host, number)
+        job = self._state.jobs.get(offer.job_id)
+        if job is not None:
+            return self._subscribe(now, job, subscriber, offer)
+        if self._state.history.is_cancelled(now, offer.job_id):
+            cancelled = Refusal(ErrorKind.CANCELLED, "the job was cancelled")
+            return self._refuse(subscriber, offer, now, cancelled)
+        completion = self._state.history.completion(offer.job_id)
+        if completion is not None:
+            return [ReportJob(host, completion)]
+        answered = self._state.history.answer((subscriber, offer.job_id))
+        if answered is not None:
+            return [ReportJob(host, answered)]
+        self._note_timeout(now, offer)
+        job = self._make_job(now, host, offer)
+        self._state.suspects.add_job(job)
+        deadly = find_deadly_task(job, self._outcomes.has_crashed)
+        if deadly is not None:
+            self._state.suspects.drop_job(offer.job_id)
+            refusal = Refusal(ErrorKind.TASK_FAILED, crash_detail(deadly))
+            return self._refuse(subscriber, offer, now, refusal)
+        for task in job.tasks:
+            if self._state.history.is_done(task.name):
+                job.finish(task)
+        self._state.demand.note_arrival(now, offer.route, job.open_core_seconds)
+        self._state.demand.note_work(now, offer.service, job.open_core_seconds)
+        job.core_second_cost = core_second_cost(now, job, self._state.demand)
+        wait_s = self._expected_wait_s(now, job)
+        refusal = self._refusal_for(now, job, wait_s)
+        if refusal is not None and not self._state.runs.orphans_of(job):
+            self._state.suspects.drop_job(offer.job_id)
+            return self._refuse(subscriber, offer, now, refusal)
+        self._state.jobs[offer.job_id] = self._state.queue[offer.job_id] = job
+        self._state.placement_up_to_date = False
+        self._state.subscribers[offer.job_id] = {subscriber}
+        self._state.runs.add_job(job)
+        self._outcomes.adopt_orphans(now, job)
+        actions: list[LeaderAction] = [
+            LogDecision(self._offer_line(job, wait_s, "taken"))
+        ]
+        if job.complete:
+            return actions + self._closer.close_job(now, job, JobEnded(job.job_id))
+        return actions + self._assignment.assign(now)
+
+    def _subscribe(
+        self, now: float, job: LedJob, subscriber: Subscriber, offer: JobOffer
+    ) -> list[LeaderAction]:
+        """Add a subscriber to a job that was accepted already."""
+        subscribers = self._state.subscribers[job.job_id]
+        if subscriber in subscribers and not job.stopping:
+            return []
+        if job.stopping:
+            job.stopping = False
+            self._state.placement_up_to_date = False
+            job.arrived_at = now - offer.elapsed_s
+            subscribers.clear()
+        subscribers.add(subscriber)
+        job.deadline = max(job.deadline, now + offer.left_s)
+        joined = LogDecision(self._offer_line(job, 0.0, "joined"))
+        return [joined, *self._assignment.assign(now)]
+
+    def _refusal_for(self, now: float, job: LedJob, wait_s: float) -> Refusal | None:
+        service = job.offer.service
+        service_workers = [
+            w for w in self._state.workers.values() if w.entry.service == service
+        ]
+        reachable = any(
+            self._state.is_usable(w) or w.awaits_first_reply(now)
+            for w in service_workers
+        )
+        return find_refusal(now, job, service_workers, reachable, wait_s)
+
+    def _make_job(self, now: float, host: str, offer: JobOffer) -> LedJob:
+        """Return a new job with its expected run times."""
+        step_s = [
+            self._state.times.expected_s(offer.route, step.run_time_s)
+            for step in offer.steps
+        ]
+        timeout_s = offer.elapsed_s + offer.left_s
+        longest_timeout_s = self._state.demand.longest_timeout_s(now, offer.route)
+        # Time that the caller has spent on earlier attempts.
+        earlier_wait_s = max(0.0, longest_timeout_s - timeout_s)
+        job = LedJob(offer, host, now, step_s, earlier_wait_s, self._state.spread)
+        job.ran_before = self._state.history.was_ordered(offer.job_id)
+        return job
+
+    def _note_timeout(self, now: float, offer: JobOffer) -> None:
+        """Update the longest recent timeout of callers of a route from a new offer.
+
+        A caller that retries has less time left than usual. If this offer raises the
+        longest timeout, the callers of queued jobs of the route have spent more time on
+        earlier attempts than was assumed, so these jobs become due earlier.
+        """
+        timeout_s = offer.elapsed_s + offer.left_s
+        longest_timeout_s = self._state.demand.longest_timeout_s(now, offer.route)
+        self._state.demand.note_timeout(now, offer.route, timeout_s)
+        if not 0 < longest_timeout_s < timeout_s:
+            return
+        for job in self._state.queue.values():
+            if job.offer.route == offer.route:
+                job.due -= timeout_s - longest_timeout_s
+
+    def _expected_wait_s(self, now: float, job: LedJob) -> float:
+        usable = self._state.usable_workers()
+        return expected_wait_s(now, job, self._state.unsuspected_jobs(), usable)
+
+    def _refuse(
+        self, subscriber: Subscriber, offer: JobOffer, now: float, refusal: Refusal
+    ) -> list[LeaderAction]:
+        host = subscriber.host
+        job = self._make_job(now, host, offer)
+        kind, detail, retry_after_s = refusal
+        report = job_ended(job, kind, detail, retry_after_s)
+        self._state.history.note_answer(now, (subscriber, offer.job_id), report)
+        line = self._offer_line(job, 0.0, f"refused: {kind.value}: {detail}")
+        return [LogDecision(line), ReportJob(host, report)]
+
+    def _offer_line(self, job: LedJob, wait_s: float, outcome: str) -> JobTaken:
+        """Return the log line on an offer that was taken, joined or refused."""
+        offer = job.offer
+        return JobTaken(
+            offer.job_id,
+            offer.route,
+            job.host,
+            len(job.tasks),
+            offer.handovers,
+            round(wait_s, 4),
+            round(job.run_s, 4),
+            len(self._state.jobs),
+            outcome,
+        )
+
+    def check_deadline(self, now: float, job: LedJob) -> list[LeaderAction]:
+        """Close a job as soon as it can no longer meet its deadline."""
+        if job.stopping:
+            if not job.under_way:
+                self._closer.forget_job(job)
+            return []
+        if now >= job.deadline:
+            kind = ErrorKind.EXPIRED if job.not_run else ErrorKind.TIMEOUT
+            return self._closer.close_job(
+                now, job, job_ended(job, kind, "the deadline of the job has passed")
+            )
+        if waits_too_long(
+            now, job, bool(self._state.not_led_here), self._state.workers.values()
+        ):
+            detail = "its leader was lost, and its tasks may still run there"
+            report = job_ended(job, ErrorKind.WORKER_LOST, detail)
+            return self._closer.close_job(now, job, report)
+        if job.not_run and not fits_in_time(now, job):
+            detail = f"no free capacity in time for a run time of {job.run_s:.2f} s"
+            report = job_ended(job, ErrorKind.OVERLOADED, detail, RETRY_AFTER_S)
+            return self._closer.close_job(now, job, report)
+        return []
+
+    def refuse_starved(self, now: float) -> list[LeaderAction]:
+        """Refuse the jobs that wait and that will not start in time."""
+        if now < self._starved_check_at or not self._state.queue:
+            return []
+        self._starved_check_at = now + _STARVED_INTERVAL_S
+        by_service: dict[str, list[LedJob]] = {}
+        for job in self._state.unsuspected_jobs():
+            by_service.setdefault(job.offer.service, []).append(job)
+        actions: list[LeaderAction] = []
+        for service, jobs in by_service.items():
+            cores = sum(
+                worker.entry.room.cores
+                for worker in self._state.usable_workers()
+                if worker.entry.service == service
+            )
+            arriving_cores = self._state.demand.work_rate(now, service)
+            for job in find_starved(now, jobs, cores, arriving_cores):
+                detail = (
+                    f"late, and {arriving_cores:.0f} of {cores:.0f} cores are asked"
+                )
+                report = job_ended(job, ErrorKind.OVERLOADED, detail, RETRY_AFTER_S)
+                actions += self._closer.close_job(now, job, report)
+        return actions
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -0,0 +1,201 @@
+"""Applies what workers report of runs to the jobs."""
+
+from poplarhill.exceptions import ErrorKind
+from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.closing import JobCloser, job_ended
+from poplarhilld.leading.estimates import CompletedRun
+from poplarhilld.leading.job import LedJob, LedTask
+from poplarhilld.leading.messages import (
+    LeaderAction,
+    RunResolved,
+)
+from poplarhilld.leading.shared import LeaderState, worker_state
+from poplarhilld.leading.suspects import find_deadly_task
+from poplarhilld.leases import (
+    LeasedWorker,
+    Run,
+    RunClosed,
+    RunDiscovered,
+    RunOutcome,
+)
+from poplarhilld.peers.messages import (
+    JobEnded,
+    JobProgress,
+    LostWorker,
+)
+
+
+class RunOutcomes:
+    """Applies the ends, losses and discoveries of runs to their jobs.
+
+    Args:
+        state: State of the leader.
+        closer: Ends jobs.
+    """
+
+    def __init__(self, state: LeaderState, closer: JobCloser) -> None:
+        self._state = state
+        self._closer = closer
+
+    def apply_change(
+        self, now: float, worker: LeasedWorker, change: RunClosed | RunDiscovered
+    ) -> list[LeaderAction]:
+        """Apply the end or the discovery of a run."""
+        self._state.placement_up_to_date = False
+        match change:
+            case RunDiscovered(run):
+                return self._handle_discovered_run(now, worker, run)
+            case RunClosed(run, outcome):
+                return self._handle_closed_run(now, worker, run, outcome)
+
+    def _handle_discovered_run(
+        self, now: float, worker: LeasedWorker, run: Run
+    ) -> list:
+        name = worker.entry.name
+        task = self._state.runs.task_of(name, run)
+        if task is not None and task.run == run:
+            return []
+        job = self._state.runs.job_of(run.task)
+        if job is None:
+            self._state.runs.add_orphan(now, run, name)
+            return []
+        task = job.task(run.task)
+        worker.set_needs(run, task.spec.needs)
+        if task.waiting and not job.stopping:
+            self._state.runs.adopt(now, run, task, name)
+            return []
+        return self._closer.stop_run(now, worker, run)
+
+    def adopt_orphans(self, now: float, job: LedJob) -> None:
+        """Adopt the runs of a job that an earlier leader ordered."""
+        for (run, name, _), task in self._state.runs.orphans_of(job):
+            worker = self._state.workers.get(name)
+            if worker is None:
+                continue
+            worker.set_needs(run, task.spec.needs)
+            if task.waiting:
+                self._state.runs.note_closed(name, run)
+                self._state.runs.adopt(now, run, task, name)
+                job.run_count += 1
+
+    def _handle_closed_run(
+        self, now: float, worker: LeasedWorker, run: Run, outcome: RunOutcome
+    ) -> list[LeaderAction]:
+        name = worker.entry.name
+        self._state.runs.note_closed(name, run)
+        task = self._state.runs.task_of(name, run)
+        if task is None:
+            if outcome is RunOutcome.DONE:
+                return self._handle_unknown_done(now, run)
+            return []
+        job = self._state.runs.job_of(task.name)
+        self._closer.forget_run(name, run)
+        took_s = now - task.ordered_at
+        resolved = RunResolved(
+            task.name, run.number, name, outcome.value, round(took_s, 4)
+        )
+        actions: list[LeaderAction] = [LogDecision(resolved)]
+        match outcome:
+            case RunOutcome.DONE:
+                job.finish(task)
+                if not task.adopted:
+                    task.took_s = took_s
+                    completed = CompletedRun(name, task.spec.run_time_s, took_s)
+                    job.completed_runs.append(completed)
+                if self._state.health.note_success(now, name, run):
+                    actions.append(
+                        worker_state(now, worker, "restored", "probes succeeded")
+                    )
+            case RunOutcome.FAILED:
+                task.failures += 1
+                task.avoid.add(name)
+                if self._state.health.note_failure(
+                    now, name, run, job.job_id, len(self._state.workers)
+                ):
+                    actions.append(worker_state(now, worker, "ejected", "tasks failed"))
+            case RunOutcome.ENDED | RunOutcome.LOST | RunOutcome.NEVER_STARTED:
+                self._state.health.note_end(now, name, run)
+        return actions + self._update_job(now, job, task)
+
+    def _handle_unknown_done(self, now: float, run: Run) -> list[LeaderAction]:
+        """Note that a run which this leader has neither ordered nor adopted is done.
+
+        An earlier leader ordered it, and it ended before this one led its worker.
+        """
+        job = self._state.runs.job_of(run.task)
+        if job is None:
+            self._state.history.note_done(run.task)
+            return []
+        task = job.task(run.task)
+        if task.done:
+            return []
+        job.finish(task)
+        actions: list[LeaderAction] = []
+        worker = self._state.workers.get(task.worker)
+        if task.run is not None and worker is not None:
+            actions += self._closer.stop_run(now, worker, task.run)
+        return actions + self._update_job(now, job, task)
+
+    def _update_job(self, now: float, job: LedJob, task: LedTask) -> list:
+        """Close a job or report its progress after one of its runs has ended."""
+        if job.stopping:
+            if not job.under_way:
+                self._closer.forget_job(job)
+            return []
+        if job.complete:
+            return self._closer.close_job(now, job, JobEnded(job.job_id))
+        if task.failures >= job.offer.max_attempts:
+            detail = f"task {task.number} failed {task.failures} times"
+            return self._closer.close_job(
+                now, job, job_ended(job, ErrorKind.TASK_FAILED, detail)
+            )
+        if task.done and len(job.tasks) > 1:
+            return self._closer.report(job, JobProgress(job.job_id, (task.number,)))
+        return []
+
+    def note_loss(
+        self, now: float, worker: LeasedWorker, incarnation: int | None, run: Run
+    ) -> list[LeaderAction]:
+        """Suspect the task of a run whose worker was lost."""
+        job = self._state.runs.job_of(run.task)
+        if job is None or incarnation is None or worker.entry.draining:
+            return []
+        lost = LostWorker(worker.entry.name, incarnation)
+        return self._state.suspects.note_loss(now, job, run, lost)
+
+    def check_suspects(self, now: float, job: LedJob) -> list[LeaderAction]:
+        """Clear the tasks whose lost workers are back; give up a deadly job."""
+        cleared = self._state.suspects.clear(job, lambda lost: self._is_back(now, lost))
+        if cleared:
+            self._state.placement_up_to_date = False
+        deadly = find_deadly_task(job, self.has_crashed)
+        if deadly is None or job.stopping:
+            return cleared
+        report = job_ended(job, ErrorKind.TASK_FAILED, crash_detail(deadly))
+        return cleared + self._closer.close_job(now, job, report)
+
+    def _is_back(self, now: float, lost: LostWorker) -> bool:
+        """Return whether the lost process of a worker responds again."""
+        worker = self._state.workers.get(lost.worker)
+        return (
+            worker is not None
+            and lost.worker not in self._state.lost
+            and worker.incarnation == lost.incarnation
+            and worker.is_responsive(now)
+        )
+
+    def has_crashed(self, lost: LostWorker) -> bool:
+        """Return whether the lost process of a worker is known to have ended."""
+        worker = self._state.workers.get(lost.worker)
+        if worker is not None and worker.incarnation not in (None, lost.incarnation):
+            return True
+        registered = (
+            lost.worker in self._state.entries
+            or lost.worker in self._state.not_led_here
+        )
+        return not registered
+
+
+def crash_detail(task: LedTask) -> str:
+    """Return why a task is not started again."""
+    return f"{len(task.lost)} workers crashed while they ran task {task.number}"
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -0,0 +1,117 @@
+"""State that the parts of a leader share."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from poplarhilld.catalogue import WorkerEntry
+from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.demand import Demand
+from poplarhilld.leading.estimates import RunTimes
+from poplarhilld.leading.fitness import WorkerHealth
+from poplarhilld.leading.job import LedJob
+from poplarhilld.leading.memory import JobHistory
+from poplarhilld.leading.messages import (
+    WorkerState,
+)
+from poplarhilld.leading.runs import RunTable
+from poplarhilld.leading.spread import RunTimeSpread
+from poplarhilld.leading.suspects import Suspects
+from poplarhilld.leases import (
+    LeasedWorker,
+    TokenSource,
+)
+
+
+class Subscriber(NamedTuple):
+    """An entry host that gets the reports on a job, and the number of its offer."""
+
+    host: str
+    offer_number: int
+
+
+class LeaderState:
+    """Workers, jobs and runs of a leader, and what it has learnt from them.
+
+    Args:
+        tokens: Source of fencing tokens.
+        lease_s: Longest lease that a worker grants, s.
+
+    Attributes:
+        workers: Workers that this host leads or has led, by name.
+        entries: Workers that this host is to lead, by name.
+        not_led_here: Names of the registered workers that other hosts lead.
+        renewal_backoff_s: Pause before the next renewal to a silent worker, s.
+        reclaim_at: When a fenced worker may be claimed again, s.
+        lost: Names of the workers that do not respond.
+        refused: Lost workers whose address refused a connection: their process has
+            ended, or a partition refuses connections.
+        jobs: Accepted jobs by id, until none of their runs is left.
+        queue: Jobs with waiting tasks by id.
+        subscribers: Entry hosts that get the reports on each job.
+        placement_up_to_date: Whether no task can start until an event or the time
+            changes that.
+        runs: Runs under way.
+        history: Outcomes of closed jobs.
+        times: Estimates of run times and of the speed of workers.
+        spread: How far run times lie from their estimates.
+        demand: Work that arrives, by route and service.
+        health: Workers that are ejected or on probation.
+        suspects: Tasks that may crash their workers.
+    """
+
+    def __init__(self, tokens: TokenSource, lease_s: float) -> None:
+        self.tokens = tokens
+        self.lease_s = lease_s
+        self.workers: dict[str, LeasedWorker] = {}
+        self.entries: Mapping[str, WorkerEntry] = {}
+        self.not_led_here: frozenset[str] = frozenset()
+        self.renewal_backoff_s: dict[str, float] = {}
+        self.reclaim_at: dict[str, float] = {}
+        self.lost: set[str] = set()
+        self.refused: set[str] = set()
+        # Workers that may run tasks; None after a change of a worker.
+        self._usable: list[LeasedWorker] | None = None
+        self.jobs: dict[str, LedJob] = {}
+        self.queue: dict[str, LedJob] = {}
+        self.subscribers: dict[str, set[Subscriber]] = {}
+        self.placement_up_to_date = False
+        self.runs = RunTable()
+        self.history = JobHistory()
+        self.times = RunTimes()
+        self.spread = RunTimeSpread()
+        self.demand = Demand()
+        self.health = WorkerHealth()
+        self.suspects = Suspects()
+
+    def note_worker_change(self) -> None:
+        """Work out the usable workers anew when they are next asked for."""
+        self._usable = None
+
+    def is_usable(self, worker: LeasedWorker) -> bool:
+        """Return whether a worker is led here, responds and is not draining."""
+        entry = worker.entry
+        return (
+            worker.confirmed
+            and not worker.fenced
+            and entry.name in self.entries
+            and not entry.draining
+            and entry.name not in self.lost
+        )
+
+    def usable_workers(self) -> list[LeasedWorker]:
+        """Return the workers that are usable; the list must not be changed."""
+        if self._usable is None:
+            self._usable = [w for w in self.workers.values() if self.is_usable(w)]
+        return self._usable
+
+    def unsuspected_jobs(self) -> list[LedJob]:
+        """Return the queued jobs without suspects, which wait for their own workers."""
+        return [job for job in self.queue.values() if job.job_id not in self.suspects]
+
+
+def worker_state(
+    now: float, worker: LeasedWorker, state: str, reason: str
+) -> LogDecision:
+    """Return the log line on a change of the state of a worker."""
+    heard_s = round(now - worker.last_reply_at, 3)
+    return LogDecision(WorkerState(worker.entry.name, state, reason, heard_s))
--- a/packages/poplarhilld/tests/leading/test_work_of_events.py
+++ b/packages/poplarhilld/tests/leading/test_work_of_events.py
@@ -11,8 +11,10 @@
     simulated_job,
     worker_entry,
 )
-from poplarhilld.leading import Leader, StartRun, state
+from poplarhilld.leading import StartRun, assignment
+from poplarhilld.leading.assignment import Assignment
 from poplarhilld.leading.placement import choose_worker
+from poplarhilld.leading.shared import LeaderState
 from poplarhilld.leases import LeasedWorker, OrderOutcome, OrderReply
 
 _STEPS = 150
@@ -69,13 +71,13 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_decisions_are_the_same_with_assignment_at_every_event(seed, monkeypatch):
     expected = actions_under_faults(seed)
-    assign = Leader._assign
+    assign = Assignment.assign
 
     def always(self, now):
-        self._placement_up_to_date = False
+        self._state.placement_up_to_date = False
         return assign(self, now)
 
-    monkeypatch.setattr(Leader, "_assign", always)
+    monkeypatch.setattr(Assignment, "assign", always)
     monkeypatch.setattr(
         LeasedWorker, "free_capacity", LeasedWorker._compute_free_capacity
     )
@@ -134,7 +136,7 @@
         chosen.append(choose_worker(*arguments))
         return chosen[-1]
 
-    monkeypatch.setattr(state, "choose_worker", count)
+    monkeypatch.setattr(assignment, "choose_worker", count)
     for number in range(20):
         world.submit("h1", simulated_job(f"j{number}", run_s=0.1))
     world.run(0.5)
@@ -174,7 +176,7 @@
     kept = actions_under_faults(seed)
 
     def compute(self):
-        return [w for w in self.workers.values() if self._is_usable(w)]
+        return [w for w in self.workers.values() if self.is_usable(w)]
 
-    monkeypatch.setattr(Leader, "_usable_workers", compute)
+    monkeypatch.setattr(LeaderState, "usable_workers", compute)
     assert actions_under_faults(seed) == kept
