Split the decisions on shards by duty

Change: what a host knows of the fleet is a class of its own (fleet.py), on which claims (claiming.py), liveness (liveness.py) and heartbeats (heartbeats.py) work. Hosts is left with the events and the order of a tick. No decision changes. Two modules import the heartbeat interval from where it is defined.

Result: the 81 tests of shards, entry, test_grown and test_split_shards pass.

--- a/packages/poplarhill-dev/src/poplarhill_dev/grown.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/grown.py
@@ -29,7 +29,7 @@
 from poplarhilld.leases import LeaseReply, Renewal, TokenSource
 from poplarhilld.peers.messages import JobReport, Load, OfferedJob
 from poplarhilld.shards import Hosts, LocalHost, SendHeartbeat, data_centre, partition
-from poplarhilld.shards.state import HEARTBEAT_INTERVAL_S
+from poplarhilld.shards.intervals import HEARTBEAT_INTERVAL_S
 from poplarhilld.submissions import (
     AnswerCaller,
     LeaderView,
