--- a/packages/poplarhill-dev/src/poplarhill_dev/loopback.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/loopback.py
@@ -1,6 +1,7 @@
 """Helpers for processes on loopback: free ports, waits and HTTP requests."""
 
 import json
+import os
 import random
 import socket
 import time
@@ -14,6 +15,9 @@
 _POLL_INTERVAL_S = 0.05
 # Below the ephemeral ports, which the system assigns to outgoing connections.
 _PORTS = range(12000, 32000)
+# Test processes of one run, each of which takes its own ports: one could otherwise
+# bind a port between the check and the use of another.
+_MAX_TEST_PROCESSES = 16
 
 
 class FleetError(Exception):
@@ -24,10 +28,29 @@
 _random = random.Random()
 
 
+def ports_of(test_process: str) -> range:
+    """Return the ports that a test process may use.
+
+    Args:
+        test_process: Id that pytest-xdist gives the process, such as `gw3`; empty
+            without pytest-xdist, which leaves all ports.
+
+    Raises:
+        ValueError: The id has no number below the largest count of processes.
+    """
+    if not test_process:
+        return _PORTS
+    number = int(test_process.removeprefix("gw"))
+    if number >= _MAX_TEST_PROCESSES:
+        raise ValueError(f"test process {test_process!r} has no ports of its own")
+    return _PORTS[number::_MAX_TEST_PROCESSES]
+
+
 def free_port() -> int:
     """Return a TCP port that is free now and was not returned before."""
+    ports = ports_of(os.environ.get("PYTEST_XDIST_WORKER", ""))
     while True:
-        port = _random.choice(_PORTS)
+        port = _random.choice(ports)
         with socket.socket() as sock:
             if port not in _returned_ports and _can_bind(sock, port):
                 _returned_ports.add(port)
