Split the entry host by duty

Its parts are now modules of entry/: the shared state, the performer of actions and peer messages, calls to workers, the loop of decisions that depend on time, the readers of the store, callers, shutdown and the pages for balancer and operators. EntryHost composes them; behaviour is unchanged.

--- a/packages/poplarhill-dev/tests/adapter/test_whole_path.py
+++ b/packages/poplarhill-dev/tests/adapter/test_whole_path.py
@@ -210,8 +210,8 @@
                 ReducedWorker(second.simulated.entry.name, False, NEEDS),
             )
         )
-        await platform.host._on_frame(Envelope("h2", report))
-        await platform.host._tick()
+        await platform.host._performer.on_frame(Envelope("h2", report))
+        await platform.host._ticker.tick()
         answer = await call(platform, "POST", PATH, job(tasks=4))
         assert answer.status == 200
         assert first.peak_cores == 0.0
@@ -225,7 +225,7 @@
         await wait_until_ready(platform)
         name = platform.workers[0].simulated.entry.name
         report = WorkersReport((ReducedWorker(name, True, NEEDS),))
-        await platform.host._on_frame(Envelope("h2", report))
+        await platform.host._performer.on_frame(Envelope("h2", report))
         assert not platform.host._registry.reduced
 
     platform.run_scenario(scenario)
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/entry/callers.py
@@ -0,0 +1,60 @@
+"""Runs the jobs that callers submit to an entry host."""
+
+import curio
+
+from poplarhill.exceptions import Failure
+from poplarhilld.entry.clock import uptime
+from poplarhilld.entry.metrics import EntryMetrics
+from poplarhilld.entry.performer import Performer
+from poplarhilld.entry.state import HostState
+from poplarhilld.peers.messages import JobWithdrawn
+from poplarhilld.submissions import Submission
+
+
+class Callers:
+    """Submits the jobs of callers and returns their outcomes.
+
+    Args:
+        state: State of this host.
+        performer: Performs the resulting actions.
+        metrics: Metrics of this process.
+    """
+
+    def __init__(
+        self, state: HostState, performer: Performer, metrics: EntryMetrics
+    ) -> None:
+        self._state = state
+        self._performer = performer
+        self._metrics = metrics
+        self._count = 0
+
+    async def submit(self, submission: Submission) -> Failure | None:
+        """Run a job and return its failure, or `None` once it is complete."""
+        state, perform = self._state, self._performer.perform
+        self._count += 1
+        number = self._count
+        outcome = state.outcomes[number] = curio.Queue()
+        begin = uptime()
+        route = submission.route.name
+        try:
+            await perform(state.submissions.submit(begin, number, submission))
+            failure = await outcome.get()
+        except curio.CancelledError:
+            withdrawal = state.submissions.drop_caller(uptime(), number)
+            await curio.disable_cancellation(perform(withdrawal))
+            raise
+        finally:
+            del state.outcomes[number]
+        self._metrics.latency.labels(route).observe(uptime() - begin)
+        kind = failure.kind.value if failure else "complete"
+        self._metrics.jobs.labels(route, kind).inc()
+        return failure
+
+    async def cancel(self, job_id: str) -> None:
+        """Cancel a job on all live hosts."""
+        performer = self._performer
+        withdrawn = JobWithdrawn(job_id, cancelled=True)
+        for name in self._state.hosts.live:
+            await performer.send(name, withdrawn)
+        own_name = self._state.settings.name
+        await performer.perform(performer.handle_message(own_name, withdrawn))
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/entry/pages.py
@@ -0,0 +1,58 @@
+"""The pages of an entry host for the balancer and for operators."""
+
+from collections.abc import Callable
+
+from poplarhill.http import Request, Response, json_response
+from poplarhilld.entry.clock import processor_time_s
+from poplarhilld.entry.logs import LogBuffer
+from poplarhilld.entry.metrics import EntryMetrics
+from poplarhilld.entry.state import HostState
+from poplarhilld.peers import PeerLinks
+
+_HTTP_OK = 200
+_HTTP_UNAVAILABLE = 503
+
+
+class Pages:
+    """Answers requests for the readiness and the metrics of an entry host.
+
+    Args:
+        state: State of this host.
+        peers: Links to the other hosts.
+        logs: Buffer of the log lines.
+        metrics: Metrics of this process.
+        ready: Returns whether this host accepts new jobs.
+    """
+
+    def __init__(
+        self,
+        state: HostState,
+        peers: PeerLinks,
+        logs: LogBuffer,
+        metrics: EntryMetrics,
+        ready: Callable[[], bool],
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._logs = logs
+        self._metrics = metrics
+        self._ready = ready
+
+    async def answer_readiness(self, request: Request) -> Response:
+        """Answer a readiness check of the balancer."""
+        ready = self._ready()
+        return json_response(_HTTP_OK if ready else _HTTP_UNAVAILABLE, {"ready": ready})
+
+    async def answer_metrics(self, request: Request) -> Response:
+        """Return the metrics in the Prometheus text format."""
+        metrics, state = self._metrics, self._state
+        metrics.in_flight.set(len(state.submissions))
+        metrics.led_workers.set(len(state.leader.workers))
+        metrics.led_jobs.set(len(state.leader.jobs))
+        metrics.live_hosts.set(len(state.hosts.live) + 1)
+        metrics.version.set(state.catalogue.version)
+        metrics.processor_s.set(processor_time_s())
+        metrics.lines_dropped.set(self._logs.dropped)
+        metrics.frames_dropped.set(self._peers.dropped)
+        headers = {"content-type": "text/plain; version=0.0.4"}
+        return Response(_HTTP_OK, headers, metrics.page())
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -0,0 +1,163 @@
+"""Performs the actions that the decisions return, and handles peers' messages."""
+
+from collections import deque
+from collections.abc import Iterable
+
+import structlog
+
+from poplarhill.types import Address
+from poplarhilld.decisions import LogDecision
+from poplarhilld.entry.clock import uptime
+from poplarhilld.entry.metrics import EntryMetrics
+from poplarhilld.entry.ports import WorkerClient
+from poplarhilld.entry.state import HostState
+from poplarhilld.entry.worker_calls import WorkerCalls
+from poplarhilld.leading import (
+    QueryWorker,
+    RenewLease,
+    ReportJob,
+    ShareLosses,
+    StartRun,
+    StopRun,
+)
+from poplarhilld.peers import PeerLinks
+from poplarhilld.peers.codec import Envelope
+from poplarhilld.peers.messages import (
+    Beat,
+    JobEnded,
+    JobProgress,
+    JobWithdrawn,
+    Message,
+    OfferedJob,
+    WorkersReport,
+)
+from poplarhilld.shards import AnswerNewPeer, HostLost, SendHeartbeat, partition
+from poplarhilld.submissions import AnswerCaller, OfferToLeader, WithdrawFromLeader
+
+_log = structlog.get_logger()
+
+
+class Performer:
+    """Performs actions and exchanges messages with the other hosts.
+
+    Args:
+        state: State of this host.
+        workers: Sends lease renewals and orders to workers.
+        metrics: Metrics of this process.
+    """
+
+    def __init__(
+        self, state: HostState, workers: WorkerClient, metrics: EntryMetrics
+    ) -> None:
+        self._state = state
+        self._metrics = metrics
+        self._heartbeats_sent = metrics.frames.labels("Beat")
+        self._worker_calls = WorkerCalls(
+            workers, state.leader, metrics, state.usage, self.perform
+        )
+        settings = state.settings
+        self._name = settings.name
+        self._peers = PeerLinks(
+            settings.name,
+            settings.peers,
+            self.on_frame,
+            self._on_refused,
+            settings.peers.host,
+        )
+
+    @property
+    def peers(self) -> PeerLinks:
+        """Links to the other hosts."""
+        return self._peers
+
+    async def perform(self, actions: Iterable) -> None:
+        """Perform actions in order, and those that result from them."""
+        state = self._state
+        pending = deque(actions)
+        while pending:
+            action = pending.popleft()
+            match action:
+                case LogDecision(decision):
+                    _log.info(type(decision).__name__, **decision._asdict())
+                case StartRun() | StopRun() | RenewLease() | QueryWorker():
+                    await self._worker_calls.begin(action)
+                case ReportJob(host, report):
+                    pending.extend(await self.send(host, report))
+                case ShareLosses(report):
+                    for name in state.hosts.live:
+                        await self.send(name, report)
+                case OfferToLeader(host, offered):
+                    pending.extend(await self.send(host, offered))
+                case WithdrawFromLeader(host, withdrawn):
+                    pending.extend(await self.send(host, withdrawn))
+                case AnswerCaller(number, failure):
+                    outcome_queue = state.outcomes.get(number)
+                    if outcome_queue is not None:
+                        await outcome_queue.put(failure)
+                case SendHeartbeat(address, beat):
+                    self._heartbeats_sent.inc()
+                    await self._peers.send(address, beat)
+                case AnswerNewPeer(address):
+                    await self._peers.reconnect(address)
+                    await state.tick_wanted.set()
+                case HostLost(host):
+                    pending.extend(state.leader.handle_lost_host(uptime(), host))
+
+    async def send(self, host: str, message: Message) -> list:
+        """Send a message to a host; handle it at once if that is this host.
+
+        Returns:
+            Actions that result from handling it here.
+        """
+        if host == self._name:
+            return self.handle_message(host, message)
+        address = self._state.hosts.address(host)
+        if address is not None:
+            self._metrics.frames.labels(type(message).__name__).inc()
+            await self._peers.send(address, message)
+        return []
+
+    def handle_message(self, sender: str, message: Message) -> list:
+        """Apply a message from a host, maybe this one; return the resulting actions."""
+        state = self._state
+        now = uptime()
+        match message:
+            case Beat():
+                return state.hosts.heartbeat_received(now, sender, message)
+            case OfferedJob(number, offer):
+                if not state.hosts.claims:
+                    return []
+                return state.leader.handle_offer(now, sender, number, offer)
+            case JobWithdrawn(job_id, cancelled):
+                actions = state.leader.handle_withdrawal(now, sender, message)
+                if cancelled:
+                    actions = actions + state.submissions.cancel_job(now, job_id)
+                return actions
+            case WorkersReport():
+                self._apply_workers_report(sender, message)
+                return []
+            case JobProgress() | JobEnded():
+                if isinstance(message, JobProgress) and message.losses:
+                    state.leader.handle_losses(now, message.losses)
+                return state.submissions.apply_report(now, sender, message)
+        _log.warning("FrameIgnored", kind=type(message).__name__, peer=sender)
+        return []
+
+    def _apply_workers_report(self, sender: str, report: WorkersReport) -> None:
+        """Apply what another host has read of workers, if this host can't read it."""
+        state = self._state
+        if state.hosts.outdated and state.registry.reduce(report.reduced):
+            state.shards = partition(state.registry.workers.values())
+            _log.info("WorkersReported", peer=sender, reduced=len(report.reduced))
+
+    async def on_frame(self, envelope: Envelope) -> None:
+        """Handle a message that a peer sent."""
+        if isinstance(envelope.message, Beat):
+            self._state.usage.heartbeats += 1
+        else:
+            self._state.usage.frames += 1
+        await self.perform(self.handle_message(envelope.sender, envelope.message))
+
+    async def _on_refused(self, address: Address) -> None:
+        """Report that a peer's address refused a connection."""
+        await self.perform(self._state.hosts.connection_refused(uptime(), address))
