Serve a request without tasks and timers of its own

The HTTP server ran each request in a task group of two tasks, one of which waited for the caller to close the connection, with three timeouts and five turns of the event loop. A request now runs in the task of its connection. One epoll instance watches all connections of a server for a close and cancels the handling task. Requests that arrive at once and responses that the socket accepts at once need no timer, and h11 checks a response head once for all responses that share it. Data that is pipelined stays in the socket, so a close behind it is noticed at once. A handler's own timeout is answered as an internal error.

--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -1,12 +1,11 @@
 """An HTTP/1.1 server on curio, based on h11.
 
-Each connection serves one request at a time. While a request is handled, the
-server also reads from the connection, and cancels the handler when the caller
-closes the connection. A caller that closes only its sending side is treated the
-same way, but still receives an error response.
+Each connection serves one request at a time, in one curio task. When the caller closes
+the connection while a request is handled, the server cancels the handler. A caller
+that closes only its sending side is treated the same way, but still receives an error
+response.
 """
 
-import contextlib
 import resource
 from collections.abc import Awaitable, Callable
 
@@ -14,6 +13,7 @@
 import structlog
 
 from poplarhill.exceptions import ErrorKind, Failure, error_body
+from poplarhill.http.closes import CloseWatcher
 from poplarhill.http.messages import Limits, Request, Response, json_response
 from poplarhill.http.session import RefusedError, Session, SessionEndedError
 
@@ -45,6 +45,8 @@
         self._max_connections = resource.getrlimit(resource.RLIMIT_NOFILE)[0] // 2
         self._open_connections = 0
         self._waiting_sessions: set[Session] = set()
+        self._sessions: dict[int, Session] = {}
+        self._closes = CloseWatcher(self._on_close)
         self._closing = False
         self._busy_connections = 0
         self._in_flight = 0
@@ -69,10 +71,12 @@
         """Accept connections until cancelled."""
         async with curio.TaskGroup(wait=all) as group, self._sock:
             reaper = await curio.spawn(self._reap, group, daemon=True)
+            watcher = await curio.spawn(self._closes.run, daemon=True)
             try:
                 while True:
                     await self._accept(group)
             finally:
+                await watcher.cancel()
                 await reaper.cancel()
                 await group.cancel_remaining()
 
@@ -122,18 +126,34 @@
             pass
 
     async def _serve(self, client: curio.io.Socket) -> None:
-        session = Session(client, self._limits)
+        session = Session(client, self._limits, await curio.current_task())
+        descriptor = client.fileno()
         self._open_connections += 1
+        self._sessions[descriptor] = session
+        self._closes.add(descriptor)
         try:
             async with client:
-                await self._serve_all(session)
+                try:
+                    await self._serve_all(session)
+                finally:
+                    self._closes.remove(descriptor)
+                    del self._sessions[descriptor]
         except (SessionEndedError, OSError, curio.TaskTimeout):
             return
+        except curio.TaskCancelled:
+            if not session.handling_cancelled:
+                raise
         except Exception:
             _log.exception("connection failed")
         finally:
             self._open_connections -= 1
 
+    async def _on_close(self, descriptor: int) -> None:
+        """Cancel the handling of a request whose caller closed its connection."""
+        session = self._sessions.get(descriptor)
+        if session is not None:
+            await session.closed_by_caller()
+
     async def _serve_all(self, session: Session) -> None:
         if self._open_connections > self._max_connections:
             detail = f"more than {self._max_connections} connections are open"
@@ -169,28 +189,26 @@
         self._in_flight += 1
         try:
             response = await self._handle(session, request)
-            close = self._closing and not session.has_pipelined_data
+            close = self._closing and not session.has_received_more()
             await session.send(response, close)
         finally:
             self._in_flight -= 1
 
     async def _handle(self, session: Session, request: Request) -> Response:
-        async with curio.TaskGroup(wait=any) as group:
-            handling = await group.spawn(self._call_handler(request))
-            await group.spawn(session.wait_for_close())
-        if group.completed is handling:
-            return handling.result
-        with contextlib.suppress(OSError, curio.TaskTimeout):
-            detail = "the caller closed its side of the connection"
-            await session.send(
-                _failure_response(Failure(ErrorKind.STOPPED, detail)), close=True
-            )
+        try:
+            async with session.cancel_if_closed():
+                return await self._call_handler(request)
+        except curio.TaskCancelled:
+            if not session.handling_cancelled:
+                raise
+        detail = "the caller closed its side of the connection"
+        session.send_now(_failure_response(Failure(ErrorKind.STOPPED, detail)))
         raise SessionEndedError
 
     async def _call_handler(self, request: Request) -> Response:
         try:
             return await self._handler(request)
-        except Exception:
+        except (Exception, curio.TaskTimeout):
             _log.exception("handler failed", method=request.method, path=request.path)
             return _failure_response(
                 Failure(ErrorKind.INTERNAL, "internal error in this process")
--- a/packages/poplarhill/src/poplarhill/http/session.py
+++ b/packages/poplarhill/src/poplarhill/http/session.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import socket
+from collections.abc import AsyncIterator
+from functools import lru_cache
 
 import curio
 import h11
@@ -16,11 +18,12 @@
 )
 
 _READ_BYTES = 65536
-_MAX_PIPELINED_BYTES = 65536
 _MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 _DISCARD_TIMEOUT_S = 2.0
 _MAX_DETAIL_CHARS = 120  # h11's own message and the beginning of the line
 _TOO_LARGE_HINTS = (413, 431)
+_END_OF_MESSAGE = h11.EndOfMessage()
+_RESPONSE_HEADS_KEPT = 256  # most responses of a server have one of a few heads
 
 
 class SessionEndedError(Exception):
@@ -45,16 +48,25 @@
     Args:
         client: The accepted socket.
         limits: Limits on requests.
+        task: The task that serves the connection.
     """
 
-    def __init__(self, client: curio.io.Socket, limits: Limits) -> None:
+    def __init__(
+        self, client: curio.io.Socket, limits: Limits, task: curio.Task
+    ) -> None:
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._client = client
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, limits.header_bytes)
-        self._pipelined_bytes = 0
+        self._task = task
+        self._request: h11.Request | None = None
+        self._chunks: list[bytes] = []
+        self._size = 0
         self._omit_body = False
         self._closed_idle = False
+        self._closed_by_caller = False
+        self._handling = False
+        self._handling_cancelled = False
 
     @property
     def reusable(self) -> bool:
@@ -66,6 +78,47 @@
         """Whether part of the next request has already been read."""
         return bool(self._http.trailing_data[0])
 
+    @property
+    def handling_cancelled(self) -> bool:
+        """Whether a handler was cancelled because the caller closed the connection."""
+        return self._handling_cancelled
+
+    def has_received_more(self) -> bool:
+        """Return whether part of the next request has arrived."""
+        if not self.has_pipelined_data:
+            with contextlib.suppress(OSError):
+                data = self._client._socket.recv(_READ_BYTES)
+                if data:
+                    self._http.receive_data(data)
+        return self.has_pipelined_data
+
+    @contextlib.asynccontextmanager
+    async def cancel_if_closed(self) -> AsyncIterator[None]:
+        """Cancel the task in this context once the caller closes the connection.
+
+        If it has done so before, the next blocking operation in the context is
+        cancelled.
+        """
+        self._handling = True
+        try:
+            if self._closed_by_caller:
+                await self._cancel()
+            yield
+        finally:
+            self._handling = False
+
+    async def closed_by_caller(self) -> None:
+        """Note that the caller closed the connection, or its sending side."""
+        if self._closed_idle:
+            return  # `close_idle` has shut down reading
+        self._closed_by_caller = True
+        if self._handling:
+            await self._cancel()
+
+    async def _cancel(self) -> None:
+        self._handling_cancelled = True
+        await self._task.cancel(blocking=False)
+
     async def wait_for_data(self) -> None:
         """Wait until the first bytes of a request have been received."""
         if not self.has_pipelined_data:
@@ -89,35 +142,39 @@
             RefusedError: The request violates the protocol or a limit.
             SessionEndedError: The caller closed the connection first.
         """
+        self._request, self._chunks, self._size = None, [], 0
+        request = self._next_request()
+        if request is not None:
+            return request  # without a timer: most requests arrive at once
         limit_s = self._limits.receive_s
         try:
             async with curio.timeout_after(limit_s):
-                return await self._receive()
+                while request is None:
+                    await self._send_continue()
+                    await self._read()
+                    request = self._next_request()
+                return request
         except curio.TaskTimeout as error:
             detail = f"request was not received completely within {limit_s:g} s"
             raise RefusedError(Failure(ErrorKind.REQUEST_TIMEOUT, detail)) from error
 
-    async def _receive(self) -> Request:
-        request: h11.Request | None = None
-        chunks: list[bytes] = []
-        size = 0
-        self._pipelined_bytes = 0
+    def _next_request(self) -> Request | None:
+        """Return the next request, or `None` if it has not arrived completely."""
         while True:
             match event := self._next_event():
                 case h11.NEED_DATA:
-                    await self._send_continue()
-                    await self._read()
+                    return None
                 case h11.Request():
-                    request = event
+                    self._request = event
                     self._check_headers(event)
                 case h11.Data():
-                    size += len(event.data)
-                    if size > self._limits.body_bytes:
+                    self._size += len(event.data)
+                    if self._size > self._limits.body_bytes:
                         detail = f"body is larger than {self._limits.body_bytes} bytes"
                         raise RefusedError(Failure(ErrorKind.TOO_LARGE, detail))
-                    chunks.append(bytes(event.data))
+                    self._chunks.append(bytes(event.data))
                 case h11.EndOfMessage():
-                    return _to_request(request, b"".join(chunks))
+                    return _to_request(self._request, b"".join(self._chunks))
                 case _:
                     raise SessionEndedError
 
@@ -137,24 +194,6 @@
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._client.sendall(self._http.send(interim))
 
-    async def wait_for_close(self) -> None:
-        """Wait until the caller closes the connection.
-
-        Pipelined data that arrives in the meantime is kept for the next request.
-        After `_MAX_PIPELINED_BYTES` this stops reading and never returns.
-        """
-        while self._pipelined_bytes <= _MAX_PIPELINED_BYTES:
-            data = await self._client.recv(_READ_BYTES)
-            if not data:
-                # `close_idle` has shut down reading, so the empty read does not mean
-                # that the caller has closed the connection.
-                if self._closed_idle:
-                    break
-                return
-            self._pipelined_bytes += len(data)
-            self._http.receive_data(data)
-        await curio.Event().wait()
-
     async def send(self, response: Response, close: bool = False) -> None:
         """Send a response.
 
@@ -166,11 +205,26 @@
             TaskTimeout: The caller did not read the response in time.
         """
         data = self._encode(response, close)
-        async with curio.timeout_after(self._limits.receive_s):
-            await self._client.sendall(data)
+        rest = data[self._send_part(data) :]
+        if rest:
+            async with curio.timeout_after(self._limits.receive_s):
+                await self._client.sendall(rest)
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
 
+    def send_now(self, response: Response) -> None:
+        """Send a last response as far as the socket accepts it without waiting."""
+        data = self._encode(response, close=True)
+        with contextlib.suppress(OSError):
+            self._send_part(data)
+
+    def _send_part(self, data: bytes) -> int:
+        """Send as much as the socket accepts now; return the count of bytes."""
+        try:
+            return self._client._socket.send(data)
+        except BlockingIOError:
+            return 0
+
     async def refuse(self, failure: Failure) -> None:
         """Send an error response, discard further input and close.
 
@@ -193,17 +247,14 @@
             left -= len(data)
 
     def _encode(self, response: Response, close: bool) -> bytes:
-        headers = list(response.headers.items())
-        headers.append(("content-length", str(len(response.body))))
-        if close:
-            headers.append(("connection", "close"))
-        body = b"" if self._omit_body else response.body
-        parts = (
-            h11.Response(status_code=response.status, headers=headers),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
+        head = _response_head(
+            response.status, tuple(response.headers.items()), len(response.body), close
         )
-        return b"".join(self._http.send(part) for part in parts)
+        parts = [self._http.send(head)]
+        if response.body and not self._omit_body:
+            parts.append(self._http.send(h11.Data(data=response.body)))
+        parts.append(self._http.send(_END_OF_MESSAGE))
+        return b"".join(parts)
 
     async def _read(self) -> None:
         data = await self._client.recv(_READ_BYTES)
@@ -223,6 +274,17 @@
             raise RefusedError(Failure(kind, detail)) from error
 
 
+@lru_cache(maxsize=_RESPONSE_HEADS_KEPT)
+def _response_head(
+    status: int, headers: tuple[tuple[str, str], ...], body_bytes: int, close: bool
+) -> h11.Response:
+    """Return the head of a response, which h11 checks only once."""
+    fields = [*headers, ("content-length", str(body_bytes))]
+    if close:
+        fields.append(("connection", "close"))
+    return h11.Response(status_code=status, headers=fields)
+
+
 def _to_request(event: h11.Request | None, body: bytes) -> Request:
     assert event is not None
     path, _, query = event.target.decode("ascii").partition("?")
--- a/packages/poplarhill/tests/http/test_server.py
+++ b/packages/poplarhill/tests/http/test_server.py
@@ -11,6 +11,7 @@
 from poplarhill.http import HttpServer, Limits, Request, Response, fetch
 
 HOST = "127.0.0.1"
+LARGE_BYTES = 16 * 1024 * 1024  # more than the socket buffers hold
 LIMITS = Limits(header_bytes=4096, body_bytes=10_000, receive_s=0.3, idle_s=5.0)
 
 
@@ -35,7 +36,10 @@
             except curio.CancelledError:
                 self.cancelled += 1
                 raise
-        return Response(200, {}, request.body)
+        if request.path == "/late":
+            await curio.timeout_after(0.01, curio.sleep, 60)
+        body = b"x" * LARGE_BYTES if request.path == "/large" else request.body
+        return Response(200, {}, body)
 
     async def send_bytes(self, data: bytes, half_close: bool = False) -> bytes:
         """Send bytes and return everything received until the server closes."""
@@ -96,6 +100,7 @@
         (post("/", b"x")[:-1], b"408", "request_timeout"),
         (b"POST / HT", b"408", "request_timeout"),
         (post("/fail", b"", "connection: close"), b"500", "internal"),
+        (post("/late", b"", "connection: close"), b"500", "internal"),
     ],
     ids=lambda value: value[:24] if isinstance(value, bytes) else None,
 )
@@ -206,6 +211,61 @@
     assert run_with_server(body).count(b"HTTP/1.1 200") == 42
 
 
+# Guards against a close that is seen only once the pipelined data has been read.
+def test_closing_after_pipelined_data_cancels_the_request(run_with_server) -> None:
+    async def body(served):
+        sock = await curio.open_connection(HOST, served.port)
+        await sock.sendall(post("/wait") + post("/", b"next"))
+        while not served.waiting:
+            await curio.sleep(0.01)
+        await sock.close()
+        while not served.cancelled:
+            await curio.sleep(0.01)
+        assert served.server.in_flight == 0
+
+    run_with_server(body)
+
+
+# Guards against a cancelled handler on a connection that only reuses the descriptor of
+# one that was closed, and against a close that is noted while no request is handled.
+def test_closed_connections_do_not_cancel_requests_of_later_ones(
+    run_with_server,
+) -> None:
+    async def body(served):
+        for _ in range(20):
+            sock = await curio.open_connection(HOST, served.port)
+            await sock.sendall(post("/", b"x"))
+            await sock.recv(65536)
+            later = await curio.open_connection(HOST, served.port)
+            await sock.close()
+            await later.sendall(post("/wait"))
+            await curio.sleep(0.005)
+            await later.close()
+        while served.cancelled < 20:
+            await curio.sleep(0.01)
+        waiting = await curio.spawn(
+            served.send_bytes, post("/wait", b"kept", "connection: close")
+        )
+        while served.waiting < 21:
+            await curio.sleep(0.01)
+        await served.proceed.set()
+        return await waiting.join()
+
+    assert run_with_server(body).endswith(b"kept")
+
+
+# Guards against a response that ends where the socket's buffer is full.
+def test_a_response_larger_than_the_socket_buffers_arrives_whole(
+    run_with_server,
+) -> None:
+    async def body(served):
+        return await served.send_bytes(post("/large", b"", "connection: close"))
+
+    head, _, received = run_with_server(body).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert len(received) == LARGE_BYTES
+
+
 def test_100_continue_is_sent_to_a_caller_that_expects_it(run_with_server) -> None:
     async def body(served):
         sock = await curio.open_connection(HOST, served.port)
