Start no task in an evacuated data centre

Cause: hosts did not read the operator's evacuate/ZONE records, so leaders went on starting tasks there.

Change: the store's records are read as a copy that is versioned by the end offset; heartbeats carry it, and the copy with the higher offset counts. Leaders don't count evacuated workers as usable, keep their leases, and give back what only those could run; entry hosts offer such jobs to another leader.

--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -19,6 +19,7 @@
 from poplarhilld.entry.ports import Directory, UnavailableError, WorkerClient
 from poplarhilld.entry.settings import EntrySettings
 from poplarhilld.entry.usage import BusyMeter, UsageMeter
+from poplarhilld.evacuation import EvacuationCopy, Evacuations
 from poplarhilld.leading import (
     Leader,
     QueryWorker,
@@ -28,7 +29,14 @@
     StartRun,
     StopRun,
 )
-from poplarhilld.leases import LeaseReply, Renewal, RenewalFailure, TokenSource
+from poplarhilld.leases import (
+    LeaseReply,
+    OrderOutcome,
+    OrderReply,
+    Renewal,
+    RenewalFailure,
+    TokenSource,
+)
 from poplarhilld.peers import PeerLinks
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.peers.messages import (
@@ -145,6 +153,7 @@
         self._hosts = Hosts(own_host, settings.seeds, self._tokens, now)
         self._catalogue = Catalogue()
         self._registry = Registry()
+        self._evacuations = EvacuationCopy()
         self._shards: dict[str, dict] = {}
         self._leader = Leader(self._tokens, settings.lease_s)
         self._submissions = Submissions()
@@ -370,23 +379,32 @@
             near = any(data_centre(shard) == own_data_centre for shard in claims)
             load = self._load(uptime())
             view[self._settings.name] = LeaderView(
-                self._hosts.leading_since_epoch, near, load
+                self._hosts.leading_since_epoch,
+                near,
+                load,
+                self._evacuations.leaves_nothing(load.cores, map(data_centre, claims)),
             )
         for name, beat in self._hosts.leaders.items():
             near = any(data_centre(c.shard) == own_data_centre for c in beat.claims)
-            view[name] = LeaderView(beat.tenure, near, beat.load)
+            led = (data_centre(claim.shard) for claim in beat.claims)
+            evacuated = self._evacuations.leaves_nothing(beat.load.cores, led)
+            view[name] = LeaderView(beat.tenure, near, beat.load, evacuated)
         return view
 
     async def _catalogue_loop(self) -> None:
         """Put each newer catalogue from the store in force."""
         while True:
+            catalogue, problem = None, ""
             try:
                 catalogue = await self._directory.next_catalogue()
             except UnavailableError as error:
-                self._record_store_call("catalogue", str(error))
+                problem = str(error)
+            self._record_store_call("catalogue", problem)
+            evacuations = self._directory.evacuations
+            await self._perform(self._update_evacuations("store", evacuations))
+            if problem:
                 await curio.sleep(_STORE_RETRY_S)
                 continue
-            self._record_store_call("catalogue")
             if catalogue is not None and catalogue.version > self._catalogue.version:
                 _log.info(
                     "CatalogueTaken",
@@ -396,6 +414,17 @@
                 )
                 self._catalogue = catalogue
 
+    def _update_evacuations(self, source: str, copy: Evacuations) -> list:
+        """Adopt what the store or a peer holds if it is newer; return the actions."""
+        changed, lines = self._evacuations.update(source, copy)
+        self._hosts.set_evacuations(self._evacuations.for_peers)
+        if not changed:
+            return []
+        return [
+            *lines,
+            *self._leader.set_evacuated(uptime(), self._evacuations.data_centres),
+        ]
+
     async def _registry_loop(self) -> None:
         """Read the registered workers from the store and divide them into shards."""
         while True:
@@ -601,7 +630,11 @@
         now = uptime()
         match message:
             case Beat():
-                return self._hosts.heartbeat_received(now, sender, message)
+                actions = self._hosts.heartbeat_received(now, sender, message)
+                if message.evacuations_end:
+                    copy = Evacuations(message.evacuations_end, message.evacuations)
+                    actions = actions + self._update_evacuations(sender, copy)
+                return actions
             case OfferedJob(number, offer):
                 if not self._hosts.claims:
                     return []
@@ -635,7 +668,12 @@
 
     async def _start_run(self, action: StartRun) -> None:
         begin = uptime()
-        reply = await self._worker_client.start(action.worker, action.order)
+        if action.worker.data_centre in self._evacuations.data_centres:
+            # Decided before the evacuation was known here; it waits for a connection
+            # for 0.5 s at most after this.
+            reply = OrderReply(OrderOutcome.UNSENT)
+        else:
+            reply = await self._worker_client.start(action.worker, action.order)
         self._metrics.order_latency.observe(uptime() - begin)
         self._metrics.orders.labels(reply.outcome.value).inc()
         self._usage.orders += 1
@@ -757,6 +795,10 @@
         metrics.led_jobs.set(len(self._leader.jobs))
         metrics.live_hosts.set(len(self._hosts.live) + 1)
         metrics.version.set(self._catalogue.version)
+        known = self._evacuations.data_centres | {*map(data_centre, self._shards)}
+        for name in known:
+            evacuated = name in self._evacuations.data_centres
+            metrics.evacuated.labels(name).set(evacuated)
         metrics.processor_s.set(_processor_time_s())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
--- a/packages/poplarhilld/src/poplarhilld/entry/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -43,6 +43,12 @@
         self.led_jobs = self._gauge("led_jobs", "Jobs at this host as their leader")
         self.live_hosts = self._gauge("live_hosts", "Live entry hosts, this one too")
         self.version = self._gauge("catalogue_version", "Version in force")
+        self.evacuated = Gauge(
+            "poplarhill_evacuated",
+            "Whether a data centre is evacuated, as this host knows",
+            ["data_centre"],
+            registry=self._registry,
+        )
         self.processor_s = self._gauge(
             "processor_seconds", "Processor time used since the start"
         )
--- a/packages/poplarhilld/src/poplarhilld/entry/ports.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ports.py
@@ -5,6 +5,7 @@
 
 from poplarhill.types import Address
 from poplarhilld.catalogue import Catalogue, WorkerEntry
+from poplarhilld.evacuation import Evacuations
 from poplarhilld.leading import Order
 from poplarhilld.leases import LeaseReply, OrderReply, Renewal, RenewalFailure, Run
 
@@ -41,6 +42,10 @@
 class Directory(Protocol):
     """Reads the platform's store and registers this host there."""
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuations in force, as `next_catalogue` last read them."""
+
     async def next_catalogue(self) -> Catalogue | None:
         """Wait for a newer catalogue; return `None` if none arrives for a while.
 
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/evacuation/state.py
@@ -0,0 +1,95 @@
+"""A host's copy of the evacuations in force."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from poplarhilld.decisions import LogDecision
+from poplarhilld.evacuation.messages import (
+    Evacuation,
+    EvacuationEnded,
+    Evacuations,
+    EvacuationStarted,
+)
+
+
+class EvacuationUpdate(NamedTuple):
+    """What new information has changed.
+
+    Attributes:
+        changed: Whether a data centre was evacuated or lifted.
+        lines: Log lines on it.
+    """
+
+    changed: bool = False
+    lines: tuple[LogDecision, ...] = ()
+
+
+_UNCHANGED = EvacuationUpdate()
+
+
+class EvacuationCopy:
+    """A host's copy of the evacuations that the store holds.
+
+    The host updates it from the store, and from the heartbeats of peers, which carry
+    their copies. Only the copy that includes more of the store's records counts, so a
+    peer that is behind neither restores nor drops an evacuation.
+    """
+
+    def __init__(self) -> None:
+        self._end = 0
+        self._in_force: dict[str, Evacuation] = {}
+        self._data_centres: frozenset[str] = frozenset()
+        self._any_seen = False
+
+    @property
+    def data_centres(self) -> frozenset[str]:
+        """Names of the evacuated data centres."""
+        return self._data_centres
+
+    @property
+    def for_peers(self) -> Evacuations:
+        """The copy as heartbeats carry it.
+
+        Its end is 0 until this host has seen an evacuation, here or in the copy of a
+        peer. Until then heartbeats stay the same when other records are written.
+        """
+        if not self._any_seen:
+            return Evacuations()
+        return Evacuations(self._end, tuple(self._in_force.values()))
+
+    def update(self, source: str, copy: Evacuations) -> EvacuationUpdate:
+        """Adopt a copy that includes more records than this one.
+
+        Args:
+            source: `store`, or the name of the peer that sent it.
+            copy: What the store or the peer holds.
+        """
+        if copy.in_force:
+            # A copy that is behind counts too: its host must be told of the end.
+            self._any_seen = True
+        if copy.end <= self._end:
+            return _UNCHANGED
+        before = self._in_force
+        self._end = copy.end
+        self._in_force = {one.data_centre: one for one in copy.in_force}
+        self._data_centres = frozenset(self._in_force)
+        lines: list[LogDecision] = []
+        for name, version in self._in_force.values():
+            if name not in before:
+                lines.append(LogDecision(EvacuationStarted(name, version, source)))
+        for name in before.keys() - self._in_force.keys():
+            ended = EvacuationEnded(name, copy.end - 1, source)
+            lines.append(LogDecision(ended))
+        return EvacuationUpdate(bool(lines), tuple(lines))
+
+    def leaves_nothing(self, cores: float, led: Iterable[str]) -> bool:
+        """Return whether a leader has no workers outside evacuated data centres.
+
+        Args:
+            cores: Cores of the workers to which it assigns tasks, as it reported.
+            led: Data centres in which it leads workers, as far as that is known.
+        """
+        if not self._data_centres:
+            return False
+        led = set(led)
+        return cores <= 0 or (bool(led) and led <= self._data_centres)
--- a/packages/poplarhilld/src/poplarhilld/leading/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/admission.py
@@ -20,11 +20,13 @@
         kind: Kind of the error.
         detail: Explanation for people.
         retry_after_s: Time after which to retry, s; 0 if a retry does not help.
+        elsewhere: Whether another leader may run the job.
     """
 
     kind: ErrorKind
     detail: str
     retry_after_s: float = 0.0
+    elsewhere: bool = False
 
 
 def expected_wait_s(
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -12,6 +12,7 @@
 )
 from poplarhilld.leading.assignment import Assignment
 from poplarhilld.leading.closing import JobCloser, job_ended
+from poplarhilld.leading.evacuated import EvacuatedJobs
 from poplarhilld.leading.handover import waits_too_long
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.messages import (
@@ -39,6 +40,7 @@
         closer: Ends jobs.
         outcomes: Applies what workers report of runs.
         assignment: Places tasks on workers.
+        evacuated: Refuses jobs that only evacuated workers could run.
     """
 
     def __init__(
@@ -47,11 +49,13 @@
         closer: JobCloser,
         outcomes: RunOutcomes,
         assignment: Assignment,
+        evacuated: EvacuatedJobs,
     ) -> None:
         self._state = state
         self._closer = closer
         self._outcomes = outcomes
         self._assignment = assignment
+        self._evacuated = evacuated
         self._starved_check_at = 0.0
 
     def handle_offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
@@ -118,6 +122,9 @@
         return [joined, *self._assignment.assign(now)]
 
     def _refusal_for(self, now: float, job: LedJob, wait_s: float) -> Refusal | None:
+        refusal = self._evacuated.find_refusal(now, job)
+        if refusal is not None:
+            return refusal
         service = job.offer.service
         service_workers = [
             w for w in self._state.workers.values() if w.entry.service == service
@@ -167,8 +174,10 @@
     ) -> list[LeaderAction]:
         host = subscriber.host
         job = self._make_job(now, host, offer)
-        kind, detail, retry_after_s = refusal
+        kind, detail, retry_after_s, elsewhere = refusal
         report = job_ended(job, kind, detail, retry_after_s)
+        if elsewhere:
+            report = report._replace(elsewhere=True, done=offer.done)
         self._state.history.note_answer(now, (subscriber, offer.job_id), report)
         line = self._offer_line(job, 0.0, f"refused: {kind.value}: {detail}")
         return [LogDecision(line), ReportJob(host, report)]
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -40,6 +40,7 @@
         workers: Workers that this host leads or has led, by name.
         entries: Workers that this host is to lead, by name.
         not_led_here: Names of the registered workers that other hosts lead.
+        evacuated: Names of the evacuated data centres.
         renewal_backoff_s: Pause before the next renewal to a silent worker, s.
         reclaim_at: When a fenced worker may be claimed again, s.
         lost: Names of the workers that do not respond.
@@ -65,6 +66,7 @@
         self.workers: dict[str, LeasedWorker] = {}
         self.entries: Mapping[str, WorkerEntry] = {}
         self.not_led_here: frozenset[str] = frozenset()
+        self.evacuated: frozenset[str] = frozenset()
         self.renewal_backoff_s: dict[str, float] = {}
         self.reclaim_at: dict[str, float] = {}
         self.lost: set[str] = set()
@@ -88,7 +90,10 @@
         self._usable = None
 
     def is_usable(self, worker: LeasedWorker) -> bool:
-        """Return whether a worker is led here, responds and is not draining."""
+        """Return whether a worker is led here, responds and may be given tasks.
+
+        A draining worker or one in an evacuated data centre may not.
+        """
         entry = worker.entry
         return (
             worker.confirmed
@@ -96,6 +101,7 @@
             and entry.name in self.entries
             and not entry.draining
             and entry.name not in self.lost
+            and entry.data_centre not in self.evacuated
         )
 
     def usable_workers(self) -> list[LeasedWorker]:
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -11,6 +11,7 @@
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.leading.assignment import Assignment
 from poplarhilld.leading.closing import JobCloser, job_ended
+from poplarhilld.leading.evacuated import EvacuatedJobs
 from poplarhilld.leading.group import WorkerGroup
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.messages import (
@@ -55,8 +56,13 @@
         self._outcomes = RunOutcomes(self._state, self._closer)
         self._group = WorkerGroup(self._state, self._closer, self._outcomes)
         self._assignment = Assignment(self._state)
+        self._evacuated = EvacuatedJobs(self._state, self._closer)
         self._offers = Offers(
-            self._state, self._closer, self._outcomes, self._assignment
+            self._state,
+            self._closer,
+            self._outcomes,
+            self._assignment,
+            self._evacuated,
         )
 
     @property
@@ -134,6 +140,21 @@
                 actions += self._group.reclaim(now, time_s, worker)
         return actions + self._assignment.assign(now)
 
+    def set_evacuated(
+        self, now: float, data_centres: frozenset[str]
+    ) -> list[LeaderAction]:
+        """Set the evacuated data centres; no task starts on workers there.
+
+        Leases and runs there are kept. Jobs that could only run there are given back
+        to their entry hosts.
+        """
+        if data_centres == self._state.evacuated:
+            return []
+        self._state.evacuated = data_centres
+        self._state.note_worker_change()
+        self._state.placement_up_to_date = False
+        return self._assignment.assign(now) + self._evacuated.give_up(now)
+
     def resign(self) -> list[LeaderAction]:
         """Release all workers and drop all jobs; the next leader adopts the runs."""
         actions: list[LeaderAction] = []
@@ -280,4 +301,5 @@
         if losses:
             actions.append(ShareLosses(JobProgress("", losses=losses)))
         self._state.placement_up_to_date = False
+        actions += self._evacuated.give_up(now)
         return actions + self._assignment.assign(now) + self._offers.refuse_starved(now)
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -7,6 +7,7 @@
 import capnp
 
 from poplarhill.types import Resources
+from poplarhilld.evacuation.messages import Evacuation
 from poplarhilld.peers.messages import (
     Beat,
     Claim,
@@ -78,6 +79,7 @@
     "losses": TaskLosses,
     "lost": LostWorker,
     "reduced": ReducedWorker,
+    "evacuations": Evacuation,
 }
 _STRUCT_FIELD_TYPES: dict[str, type] = {
     "needs": Resources,
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -152,6 +152,8 @@
   detail @2 :Text;
   retryAfterS @3 :Float64;
   notRun @4 :Bool;
+  elsewhere @5 :Bool;
+  done @6 :List(UInt16);
 }
 
 struct Claim {
@@ -184,6 +186,13 @@
   leaders @13 :List(LeaderDigest);
   nearby @14 :Bool;
   outdated @15 :Bool;
+  evacuations @16 :List(Evacuation);
+  evacuationsEnd @17 :UInt64;
+}
+
+struct Evacuation {
+  dataCentre @0 :Text;
+  version @1 :UInt64;
 }
 
 struct ReducedWorker {
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from poplarhill.types import Resources
+from poplarhilld.evacuation.messages import Evacuation
 
 
 class MemberState(NamedTuple):
@@ -340,6 +341,9 @@
         detail: One sentence that describes the failure.
         retry_after_s: Time after which to retry, s; 0 if a retry does not help.
         not_run: Whether no task of the job was ever started.
+        elsewhere: Whether another leader may run the job: it failed because the only
+            workers for it here are evacuated, and no run of it is left here.
+        done: Numbers of all tasks that are done, if another leader may run the job.
     """
 
     job_id: str
@@ -347,6 +351,8 @@
     detail: str = ""
     retry_after_s: float = 0.0
     not_run: bool = False
+    elsewhere: bool = False
+    done: tuple[int, ...] = ()
 
 
 JobReport = JobProgress | JobEnded
@@ -446,6 +452,9 @@
             `heard` lists all hosts that are nearby to the sender.
         outdated: Whether the sender leads and has not read the list of workers for
             some time; hosts that have read it then send it a `WorkersReport`.
+        evacuations: The evacuations in force in the sender's copy.
+        evacuations_end: Offset of the first record of the store that this copy does
+            not include; 0 if the sender has not seen any evacuation.
     """
 
     host: str
@@ -464,6 +473,8 @@
     leaders: tuple[LeaderDigest, ...] = ()
     nearby: bool = False
     outdated: bool = False
+    evacuations: tuple[Evacuation, ...] = ()
+    evacuations_end: int = 0
 
 
 class ReducedWorker(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -19,6 +19,7 @@
 
 from poplarhill.types import Address
 from poplarhilld.decisions import LogDecision
+from poplarhilld.evacuation.messages import Evacuations
 from poplarhilld.leases import TokenSource
 from poplarhilld.peers.messages import Beat, Claim, LeaderDigest, Load
 from poplarhilld.shards.capacity import (
@@ -140,6 +141,7 @@
         self._last_heartbeats: dict[tuple[str, bool], Beat] = {}
         self._leading_since_epoch = 0
         self._outdated = False
+        self._evacuations = Evacuations()
         self._leaving = False
         self.add_addresses(now, seeds)
 
@@ -341,6 +343,10 @@
         """Set whether this host leads and has not read the workers for some time."""
         self._outdated = outdated
 
+    def set_evacuations(self, copy: Evacuations) -> None:
+        """Set the copy of the evacuations that heartbeats carry."""
+        self._evacuations = copy
+
     def leave(self) -> None:
         """Start to shut down: claim shards only if no other host can lead them."""
         self._leaving = True
@@ -957,6 +963,8 @@
             self._leading_since_epoch,
             load,
             outdated=self._outdated,
+            evacuations=self._evacuations.in_force,
+            evacuations_end=self._evacuations.end,
         )
 
     def _leader_digests(self) -> tuple[LeaderDigest, ...]:
--- a/packages/poplarhilld/src/poplarhilld/submissions/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/messages.py
@@ -49,11 +49,13 @@
             leader has lost the jobs that it had.
         same_data_centre: Whether it leads workers in this host's data centre.
         load: Load that it reported last.
+        evacuated: Whether all its workers are in evacuated data centres.
     """
 
     tenure: int
     same_data_centre: bool
     load: Load
+    evacuated: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -50,6 +50,8 @@
             first leader was chosen.
         next_offer: When the offer is repeated, by the host's clock, s.
         done: Numbers of the tasks that are done.
+        refused_by: Leaders that could run it on evacuated workers only.
+        may_have_run: Whether a leader that gave it back had ordered runs of it.
     """
 
     number: int
@@ -61,6 +63,8 @@
     handovers: int = -1
     next_offer: float = 0.0
     done: set[int] = field(default_factory=set)
+    refused_by: set[str] = field(default_factory=set)
+    may_have_run: bool = False
 
     @property
     def deadline(self) -> float:
@@ -77,6 +81,8 @@
         self._jobs: dict[int, _PendingJob] = {}
         self._by_id: dict[str, set[int]] = {}
         self._leaders: Mapping[str, LeaderView] = {}
+        # Those that new jobs may go to: not to an evacuated one while there are others.
+        self._open_leaders: Mapping[str, LeaderView] = {}
         self._leaderless_since: float | None = None
         self._stop_at = math.inf
 
@@ -173,7 +179,10 @@
         self, now: float, leaders: Mapping[str, LeaderView]
     ) -> list[SubmissionAction]:
         """Update the known leaders and offer jobs again whose leader changed."""
-        self._leaders = leaders
+        self._leaders = self._open_leaders = leaders
+        if any(leader.evacuated for leader in leaders.values()):
+            not_evacuated = {n: v for n, v in leaders.items() if not v.evacuated}
+            self._open_leaders = not_evacuated or leaders
         if leaders:
             self._leaderless_since = None
         elif self._leaderless_since is None:
@@ -203,7 +212,10 @@
         name, reason = job.leader, "same leader"
         if name not in self._leaders:
             needs = sum(s.count * s.needs.cores for s in job.submission.steps)
-            name, reason = choose_leader(self._leaders, needs, job.submission.job_id)
+            leaders = self._open_leaders
+            if job.refused_by:
+                leaders = self._leaders_beside(job.refused_by) or leaders
+            name, reason = choose_leader(leaders, needs, job.submission.job_id)
         job.next_offer = now + REPEAT_INTERVAL_S
         leader = self._leaders.get(name)
         if leader is None:
@@ -270,8 +282,12 @@
     ) -> list[SubmissionAction]:
         if not report.error:
             return self._answer(now, job, None, withdraw=False)
+        if report.elsewhere:
+            actions = self._offer_elsewhere(now, job, report)
+            if actions:
+                return actions
         kind = ErrorKind(report.error)
-        if report.not_run and job.handovers:
+        if report.not_run and (job.handovers or job.may_have_run):
             # An earlier leader may have started some of its tasks.
             report = report._replace(not_run=False)
         # An answer of this kind would claim that no task was started.
@@ -281,6 +297,28 @@
         failure = Failure(kind, report.detail, report.retry_after_s or None)
         return self._answer(now, job, failure, withdraw=False)
 
+    def _offer_elsewhere(
+        self, now: float, job: _PendingJob, report: JobEnded
+    ) -> list[SubmissionAction]:
+        """Offer a job to another leader, if one is known that has usable workers.
+
+        The leader that gave it back has no run of it left, so this is no handover:
+        the next leader need not wait for runs that it does not know of.
+        """
+        job.refused_by.add(job.leader)
+        job.done.update(report.done)
+        job.may_have_run = job.may_have_run or not report.not_run
+        others = self._leaders_beside(job.refused_by)
+        if not any(leader.load.cores > 0 for leader in others.values()):
+            return []
+        job.leader, job.tenure = "", 0
+        job.handovers -= 1  # the next offer counts one
+        return self._offer_job(now, job)
+
+    def _leaders_beside(self, refused_by: set[str]) -> dict[str, LeaderView]:
+        """Return the leaders that new jobs may go to, without some of them."""
+        return {n: v for n, v in self._open_leaders.items() if n not in refused_by}
+
     def _answer(
         self, now: float, job: _PendingJob, failure: Failure | None, withdraw: bool
     ) -> list[SubmissionAction]:
