--- a/packages/poplarhilld/src/poplarhilld/leading/evacuated.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/evacuated.py
@@ -90,9 +90,10 @@
         found = False
         for worker in self._state.workers.values():
             entry = worker.entry
+            fits_now = could_run(entry, service, step)
             if entry.data_centre in self._state.evacuated:
-                found = found or could_run_at_largest(entry, service, step)
-            elif could_run(entry, service, step) and self._is_reachable(now, worker):
+                found = found or fits_now or could_run_at_largest(entry, service, step)
+            elif fits_now and self._is_reachable(now, worker):
                 return False
         return found
 
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -3,6 +3,7 @@
 import subprocess
 import sys
 import timeit
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
@@ -10,6 +11,7 @@
 
 from poplarhill.types import Resources
 from poplarhilld import peers
+from poplarhilld.evacuation import Evacuation
 from poplarhilld.peers.codec import Envelope, FrameError, decode, encode
 
 MEMBER = peers.MemberState("h1", "127.0.0.1", 7001, "dc1", 5, 9, False)
@@ -47,6 +49,8 @@
         peers.JobProgress("", losses=(peers.TaskLosses("j1.0.0.3", (LOST,)),)),
         peers.WorkersReport((peers.ReducedWorker("w1", True, Resources(4.0, 64, 0)),)),
         peers.JobEnded("j1", "timeout", "too late", 1.5, True),
+        peers.JobEnded("j1", "no_workers", "", 1.5, True, True, (0, 3)),
+        HEARTBEAT._replace(evacuations=(Evacuation("dc1", 5),), evacuations_end=7),
     ],
     ids=lambda message: type(message).__name__,
 )
@@ -110,3 +114,38 @@
     command = [sys.executable, "-c", DECODE, TRUNCATED_FRAME]
     done = subprocess.run(command, capture_output=True, text=True, timeout=60)
     assert done.returncode == 0, done.stderr
+
+
+DECODE_OLD = """
+import sys
+import capnp
+capnp.remove_import_hook()
+schema = capnp.load(sys.argv[1])
+frame = schema.Frame.from_bytes_packed(bytes.fromhex(sys.argv[2]))
+print(frame.sender, getattr(frame, str(frame.which())).to_dict())
+"""
+NEW_FIELDS = ("evacuations @", "evacuationsEnd @", "elsewhere @", "done @6")
+
+
+# Builds from before the evacuation must read a frame with fields that they don't know.
+@pytest.mark.parametrize(
+    "message",
+    [
+        HEARTBEAT._replace(evacuations=(Evacuation("dc1", 5),), evacuations_end=7),
+        peers.JobEnded("j1", "no_workers", "", 1.5, True, True, (0, 3)),
+    ],
+    ids=lambda message: type(message).__name__,
+)
+def test_an_older_peer_ignores_the_fields_of_the_evacuation(message, tmp_path) -> None:
+    schema = Path(peers.__file__).with_name("frames.capnp").read_text()
+    lines = [line for line in schema.splitlines() if line.strip()[:1] != "#"]
+    old = tmp_path / "frames.capnp"
+    kept = (line for line in lines if not line.strip().startswith(NEW_FIELDS))
+    old.write_text("\n".join(kept))
+    assert "evacuation" not in old.read_text().split("struct Evacuation")[0]
+    frame = encode(Envelope("h1", message)).hex()
+    command = [sys.executable, "-c", DECODE_OLD, str(old), frame]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.startswith("h1 {")
+    assert "evacuat" not in done.stdout and "elsewhere" not in done.stdout
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -249,3 +249,46 @@
     ]
     assert len(of_type(actions, WithdrawFromLeader)) == 2
     assert not len(submissions)
+
+
+GIVEN_BACK = JobEnded(
+    "a", ErrorKind.NO_WORKERS.value, "evacuated", 1.0, not_run=True, elsewhere=True
+)
+
+
+# Guards against a wait of 1.8 s at the next leader, which a handover would cost.
+def test_a_job_that_a_leader_gives_back_is_offered_to_another_one(
+    submissions, submit
+) -> None:
+    submissions.update_leaders(0.0, {"h1": LEADER, "h2": LEADER})
+    submit()
+    actions = submissions.apply_report(0.1, "h1", GIVEN_BACK)
+    [offer] = of_type(actions, OfferToLeader)
+    assert (offer.host, offer.offered.offer.handovers) == ("h2", 0)
+    assert not submissions.apply_report(0.1, "h1", GIVEN_BACK)
+    [answer] = of_type(submissions.apply_report(0.2, "h2", GIVEN_BACK), AnswerCaller)
+    assert answer.failure.kind is ErrorKind.NO_WORKERS
+    assert answer.failure.retry_after_s == 1.0
+
+
+def test_a_job_that_was_given_back_after_a_run_is_never_answered_as_not_run(
+    submissions, submit
+) -> None:
+    submissions.update_leaders(0.0, {"h1": LEADER, "h2": LEADER})
+    submit()
+    begun = GIVEN_BACK._replace(not_run=False, done=(0, 2))
+    [offer] = of_type(submissions.apply_report(0.1, "h1", begun), OfferToLeader)
+    assert offer.offered.offer.done == (0, 2)
+    [answer] = of_type(submissions.apply_report(0.2, "h2", GIVEN_BACK), AnswerCaller)
+    assert answer.failure.kind is ErrorKind.WORKER_LOST
+
+
+def test_an_evacuated_leader_is_offered_no_job_while_there_is_another(
+    submissions, submit
+) -> None:
+    evacuated = LEADER._replace(evacuated=True)
+    full = LeaderView(7, False, Load(100.0, 0.0, 900.0))
+    submissions.update_leaders(0.0, {"h1": evacuated, "h2": full})
+    assert of_type(submit(), OfferToLeader)[0].host == "h2"
+    submissions.update_leaders(0.0, {"h1": evacuated})
+    assert of_type(submit(2, "b"), OfferToLeader)[0].host == "h1"
