Publish evacuations through the product's own configuration log

Cause: the product's daemon and command had no evacuation.

Change: the document has a section evacuations; the workers of such a data centre drain. poplarhill evacuation start, lift and list publish and show it, status names the data centres, and the daemon refuses what only they could run as not run.

--- a/packages/poplarhill-dev/tests/test_operators_command.py
+++ b/packages/poplarhill-dev/tests/test_operators_command.py
@@ -143,3 +143,23 @@
     result = run("config", "show")
     assert result.exit_code == code(ErrorKind.PLATFORM_UNAVAILABLE)
     assert result.stderr.count("\n") == 1
+
+
+def test_an_evacuation_is_published_with_a_note_and_lifted(
+    published: Run, path: Path
+) -> None:
+    workers = {"w2": {"host": "10.0.0.2", "port": 80, "data_centre": "dc1"}}
+    document = {"services": {"booking": {"workers": workers}}}
+    assert published("evacuation", "start", "dc1", "--note", "a fire").exit_code
+    path.write_text(json.dumps(document))
+    publish = ("config", "publish", str(path), "--base", "1")
+    assert not published(*publish, "--note", "a second data centre").exit_code
+    assert not published("evacuation", "start", "dc1", "--note", "a fire").exit_code
+    assert published("evacuation", "list").output == "dc1 a fire\n"
+    assert published("worker", "list").output.endswith("evacuated\n")
+    assert published("evacuation", "start", "dc1", "--note", "again").exit_code
+    assert not published("evacuation", "lift", "dc1", "--note", "put out").exit_code
+    assert published("evacuation", "list").output == ""
+    assert json.loads(published("config", "show").stdout)["services"]
+    assert "lift evacuation of dc1: put out" in published("config", "history").output
+    assert published("evacuation", "lift", "dc1", "--note", "again").exit_code
--- a/packages/poplarhill/src/poplarhill/cli/main.py
+++ b/packages/poplarhill/src/poplarhill/cli/main.py
@@ -4,6 +4,7 @@
 
 from poplarhill.cli._support import CommandGroup
 from poplarhill.cli.config import config
+from poplarhill.cli.evacuations import evacuation
 from poplarhill.cli.jobs import job
 from poplarhill.cli.logs import log
 from poplarhill.cli.services import service
@@ -17,5 +18,5 @@
     """Manage the configuration, workers, jobs and logs of poplarhill."""
 
 
-for command in (config, service, worker, status, job, log):
+for command in (config, service, worker, evacuation, status, job, log):
     main.add_command(command)
--- a/packages/poplarhill/src/poplarhill/cli/status.py
+++ b/packages/poplarhill/src/poplarhill/cli/status.py
@@ -20,6 +20,8 @@
     click.echo(f"jobs in flight {answer.jobs_in_flight}")
     click.echo(f"queued tasks   {answer.queued_tasks}")
     click.echo(f"live hosts     {answer.live_hosts}")
+    if answer.evacuated:
+        click.echo(f"evacuated      {', '.join(answer.evacuated)}")
 
 
 def _format_configuration(answer: HostStatus) -> str:
--- a/packages/poplarhill/src/poplarhill/cli/workers.py
+++ b/packages/poplarhill/src/poplarhill/cli/workers.py
@@ -24,8 +24,11 @@
 @platform_option
 def list_workers(platform: tuple[str, int]) -> None:
     """List every worker with its address, location and state."""
-    for spec in read_fold(platform).configuration.workers.values():
+    configuration = read_fold(platform).configuration
+    for spec in configuration.workers.values():
         state = "draining" if spec.draining else "in service"
+        if spec.data_centre in configuration.evacuated:
+            state = "evacuated"
         place = f"{spec.data_centre or '-'}/{spec.rack or '-'}"
         address = f"{spec.host}:{spec.port}"
         click.echo(f"{spec.name} {spec.service} {address} {place} {state}")
--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -1,8 +1,9 @@
 """The JSON schema and the typed form of the configuration document.
 
 A document holds defaults for the whole fleet, the services with their workers,
-the customers, and a short list of exceptions. An exception overrides fields of one
-worker and states a reason.
+the customers, the evacuated data centres, and a short list of exceptions. An exception
+overrides fields of one worker and states a reason. The workers of an evacuated data
+centre drain.
 """
 
 from typing import Any, NamedTuple
@@ -90,6 +91,16 @@
                 "properties": {"weight": _POSITIVE, "quota_tasks": _COUNT},
             },
         },
+        "evacuations": {
+            "type": "object",
+            "propertyNames": {"pattern": _NAME},
+            "additionalProperties": {
+                "type": "object",
+                "additionalProperties": False,
+                "required": ["note"],
+                "properties": {"note": {"type": "string", "pattern": r"\S"}},
+            },
+        },
         "exceptions": {
             "type": "object",
             "propertyNames": {"pattern": _NAME},
@@ -165,9 +176,10 @@
         version: Version of the document; the empty document has version 0, and
             each accepted change adds 1.
         defaults: Settings for the whole fleet.
-        workers: Every worker by name, with exceptions applied.
+        workers: Every worker by name, with exceptions and evacuations applied.
         customers: Every customer by name.
         services: Names of the services.
+        evacuated: Names of the evacuated data centres.
     """
 
     version: int
@@ -175,6 +187,13 @@
     workers: dict[str, WorkerSpec]
     customers: dict[str, CustomerSpec]
     services: frozenset[str]
+    evacuated: frozenset[str] = frozenset()
+
+    @property
+    def data_centres(self) -> frozenset[str]:
+        """Names of the data centres that have workers or are evacuated."""
+        named = (worker.data_centre for worker in self.workers.values())
+        return self.evacuated.union(name for name in named if name)
 
     @classmethod
     def from_document(cls, version: int, document: Document) -> "Configuration":
@@ -190,6 +209,7 @@
             workers=_workers(document),
             customers=customers_of(document),
             services=frozenset(document.get("services", {})),
+            evacuated=evacuated_in(document),
         )
 
 
@@ -234,18 +254,32 @@
     return merged
 
 
+def evacuated_in(document: Document) -> frozenset[str]:
+    """Return the names of the evacuated data centres."""
+    return frozenset(document.get("evacuations", ()))
+
+
 def worker_spec(
-    service: str, name: str, fields: Document, override: Document
+    service: str,
+    name: str,
+    fields: Document,
+    override: Document,
+    evacuated: frozenset[str],
 ) -> WorkerSpec:
-    """Return the typed form of a worker with its overrides applied."""
+    """Return the typed form of a worker with its overrides applied.
+
+    It drains if its data centre is evacuated.
+    """
     values = apply_patch(fields, override)
-    return WorkerSpec(name=name, service=service, **values)
+    spec = WorkerSpec(name=name, service=service, **values)
+    return spec._replace(draining=True) if spec.data_centre in evacuated else spec
 
 
 def _workers(document: Document) -> dict[str, WorkerSpec]:
     set_fields = overrides(document)
+    evacuated = evacuated_in(document)
     return {
-        name: worker_spec(service, name, worker, set_fields.get(name, {}))
+        name: worker_spec(service, name, worker, set_fields.get(name, {}), evacuated)
         for service, fields in document.get("services", {}).items()
         for name, worker in fields["workers"].items()
     }
--- a/packages/poplarhill/src/poplarhill/configuration/revision.py
+++ b/packages/poplarhill/src/poplarhill/configuration/revision.py
@@ -12,6 +12,7 @@
     Defaults,
     Document,
     customers_of,
+    evacuated_in,
     overrides,
     worker_spec,
 )
@@ -36,7 +37,11 @@
         SettingsError: The document is invalid; lists every problem by path.
     """
     check(_touched_part(new, patch), SCHEMA)
+    evacuated = evacuated_in(new)
     names = _affected_workers(old, new, patch)
+    if changed := previous.evacuated ^ evacuated:
+        specs = previous.workers.values()
+        names.update(spec.name for spec in specs if spec.data_centre in changed)
     workers = _revise_workers(previous, new, names)
     _check_exceptions(new, workers)
     customers = previous.customers
@@ -46,6 +51,7 @@
         workers=workers,
         customers=customers_of(new) if "customers" in patch else customers,
         services=frozenset(new.get("services", {})),
+        evacuated=evacuated,
     )
 
 
@@ -92,7 +98,7 @@
 def _has_entries(path: tuple[str, ...]) -> bool:
     """Return whether the object at a path maps names to entries."""
     match path:
-        case () | ("services" | "customers" | "exceptions",):
+        case () | ("services" | "customers" | "exceptions" | "evacuations",):
             return True
         case ("services", _) | ("services", _, "workers"):
             return True
@@ -135,6 +141,7 @@
 ) -> dict[str, WorkerSpec]:
     workers = dict(previous.workers)
     set_fields = overrides(new)
+    evacuated = evacuated_in(new)
     problems = []
     for name in sorted(names):
         services = [s for s in new.get("services", {}) if name in _workers_of(new, s)]
@@ -142,7 +149,7 @@
         for service in services[:1]:
             fields = _workers_of(new, service)[name]
             override = set_fields.get(name, {})
-            workers[name] = worker_spec(service, name, fields, override)
+            workers[name] = worker_spec(service, name, fields, override, evacuated)
         for service in services[1:]:
             path = f"/services/{service}/workers/{name}"
             problems.append(f"{path}: worker named twice")
--- a/packages/poplarhill/src/poplarhill/status.py
+++ b/packages/poplarhill/src/poplarhill/status.py
@@ -21,6 +21,8 @@
         queued_tasks: Count of tasks that wait for a slot.
         live_hosts: Count of entry hosts that the host considers live,
             including itself.
+        evacuated: Names of the data centres that are evacuated by the configuration
+            in force.
     """
 
     name: str
@@ -32,3 +34,4 @@
     jobs_in_flight: int
     queued_tasks: int
     live_hosts: int
+    evacuated: tuple[str, ...] = ()
--- a/packages/poplarhill/tests/configuration/test_revision.py
+++ b/packages/poplarhill/tests/configuration/test_revision.py
@@ -123,3 +123,40 @@
 def test_a_patch_that_is_not_an_object_is_refused(patch) -> None:
     with pytest.raises(SettingsError):
         revise(Configuration.from_document(0, {}), {}, apply_patch({}, patch), patch)
+
+
+EVACUATED = {"evacuations": {"dc1": {"note": "a fire"}}}
+MOVED = {"services": {"a": {"workers": {"w1": {"data_centre": "dc2"}}}}}
+
+
+# The evacuation of a data centre changes workers that its patch does not name.
+@pytest.mark.parametrize(
+    ("patches", "draining"),
+    [
+        ([EVACUATED], {"w1"}),
+        ([EVACUATED, {"evacuations": {"dc1": None}}], set()),
+        ([EVACUATED, {"evacuations": None}], set()),
+        ([EVACUATED, MOVED], set()),
+        ([MOVED, EVACUATED], set()),
+        ([EVACUATED, {"services": {"a": None}}], set()),
+        ([{"evacuations": {"dc1": {"note": " "}}}], None),
+    ],
+)
+def test_an_evacuation_drains_the_workers_of_its_data_centre(patches, draining) -> None:
+    workers = {
+        name: {"host": "10.0.0.1", "port": 1, "data_centre": data_centre}
+        for name, data_centre in (("w1", "dc1"), ("w2", "dc2"))
+    }
+    document = {"services": {"a": {"workers": workers}}}
+    configuration = Configuration.from_document(0, document)
+    for patch in patches:
+        new = apply_patch(document, patch)
+        whole = outcome(Configuration.from_document, configuration.version + 1, new)
+        revised = outcome(revise, configuration, document, new, patch)
+        assert revised == whole
+        document, configuration = new, revised
+    if draining is None:
+        assert configuration is None
+        return
+    specs = configuration.workers.values()
+    assert {spec.name for spec in specs if spec.draining} == draining
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -172,6 +172,10 @@
         age_s = status.configuration_age_s
         self._metrics.configuration_version.set(status.configuration_version)
         self._metrics.configuration_age.set(math.inf if age_s is None else age_s)
+        configuration = self._dispatcher.configuration
+        for name in configuration.data_centres if configuration else ():
+            evacuated = name in self._dispatcher.evacuated
+            self._metrics.evacuated.labels(name).set(evacuated)
         hosts = self._dispatcher.hosts
         age_s = hosts.freshness.hosts_age(self._clock())
         self._metrics.live_hosts.set(len(hosts.live))
--- a/packages/poplarhilld/src/poplarhilld/dispatch/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/admission.py
@@ -10,6 +10,7 @@
 
 _NOT_READY_RETRY_S = 1.0
 _SHUTDOWN_RETRY_S = 0.1
+_EVACUATED_RETRY_S = 1.0  # an operator may lift an evacuation at any time
 
 
 class Admission:
@@ -65,8 +66,27 @@
         if not _fits_any_worker(spec, placement):
             detail = "no worker is large enough for a task of this job"
             return Failure(ErrorKind.IMPOSSIBLE, detail)
+        evacuated = self.evacuation_failure(spec, placement)
+        if evacuated is not None:
+            return evacuated
         return self._limits.admit(now, spec, self._backlog(now, spec, placement))
 
+    def evacuation_failure(self, spec: JobSpec, placement: Placement) -> Failure | None:
+        """Return the failure of a job that only evacuated workers could run, if so."""
+        evacuated = self._configuration.evacuated
+        if not evacuated:
+            return None
+        found = False
+        for worker in placement.workers(spec.service):
+            if fits(worker, spec.resources):
+                if not worker.draining:
+                    return None
+                found = found or worker.data_centre in evacuated
+        if not found:
+            return None
+        detail = "the workers that could run it are in evacuated data centres"
+        return Failure(ErrorKind.NO_WORKERS, detail, _EVACUATED_RETRY_S)
+
     def release(self, spec: JobSpec) -> None:
         """Record that an admitted job has been answered."""
         if self._limits is not None:
--- a/packages/poplarhilld/src/poplarhilld/dispatch/core.py
+++ b/packages/poplarhilld/src/poplarhilld/dispatch/core.py
@@ -1,9 +1,10 @@
 """The dispatcher: a pure state machine from events to actions."""
 
+from collections.abc import Sequence
 from random import Random
 
 from poplarhill.configuration import Configuration, Defaults
-from poplarhill.exceptions import Failure
+from poplarhill.exceptions import ErrorKind, Failure, RunState
 from poplarhill.status import HostStatus
 from poplarhill.types import JobSpec
 from poplarhilld.claims.keys import needs_claim
@@ -19,6 +20,7 @@
 from poplarhilld.claims.messages import Output as ClaimOutput
 from poplarhilld.claims.state import ClaimState
 from poplarhilld.configuration.messages import (
+    ConfigurationInForce,
     LogRead,
     Output,
 )
@@ -51,6 +53,7 @@
 from poplarhilld.dispatch.hosts import EntryHosts, Load
 from poplarhilld.dispatch.identity import Identity
 from poplarhilld.dispatch.workers import Workers
+from poplarhilld.evacuation import lines_on_change
 from poplarhilld.freshness import PAUSE_THRESHOLD_S
 from poplarhilld.jobs import (
     Job,
@@ -131,6 +134,11 @@
     def _version(self) -> int:
         return self._configuration.version if self._configuration else 0
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Names of the evacuated data centres, by the configuration in force."""
+        return self._configuration.evacuated if self._configuration else frozenset()
+
     @property
     def hosts(self) -> EntryHosts:
         """This host's view of the entry hosts."""
@@ -148,6 +156,7 @@
             jobs_in_flight=self.jobs_in_flight,
             queued_tasks=self._placement.waiting if self._placement else 0,
             live_hosts=len(self._hosts.live),
+            evacuated=tuple(sorted(self.evacuated)),
         )
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -168,7 +177,7 @@
             case TaskSucceeded() | TaskUnsent() | TaskLost():
                 self._handle_report(now, event, actions)
             case ConfigurationChanged(configuration):
-                self._configure(configuration)
+                actions += self._configure(configuration, "log")
             case Started():
                 self._hosts.start(now)
                 self._apply_configuration_outputs(
@@ -201,6 +210,8 @@
             case Ticked():
                 self._apply_claim_outputs(now, self._claims.tick(now), actions)
                 actions += self._hosts.tick(now, self._load())
+                if self.evacuated:
+                    self._end_evacuated_jobs(now, actions)
         self._update_live_hosts()
         actions += self._hosts.configuration_in_force(now, self._version)
         self._expire_jobs(now, actions)
@@ -301,13 +312,19 @@
     ) -> None:
         """Carry out the decisions on the configuration."""
         actions += to_actions(outputs)
-        if self._configuration_state.configuration is not None:
-            self._configure(self._configuration_state.configuration)
+        if self._configuration_state.configuration is None:
+            return
+        in_force = (o for o in outputs if isinstance(o, ConfigurationInForce))
+        source = next((output.source for output in in_force), "log")
+        actions += self._configure(self._configuration_state.configuration, source)
 
-    def _configure(self, configuration: Configuration) -> None:
+    def _configure(self, configuration: Configuration, source: str) -> Sequence[Action]:
         current = self._configuration
         if current is not None and configuration.version <= current.version:
-            return
+            return ()
+        lines = lines_on_change(
+            self.evacuated, configuration.evacuated, {}, configuration.version, source
+        )
         self._configuration = configuration
         self._claims.configure(configuration.defaults.key_window_s)
         self._admission.configure(configuration)
@@ -324,6 +341,22 @@
         else:
             self._placement.configure(configuration)
             self._workers.configure(configuration)
+        return lines
+
+    def _end_evacuated_jobs(self, now: float, actions: list[Action]) -> None:
+        """Answer the jobs whose queued tasks only evacuated workers could run.
+
+        Tasks that run there finish first.
+        """
+        for job in self._jobs:
+            if job.running or not job.has_queued:
+                continue
+            failure = self._admission.evacuation_failure(job.spec, self._placement)
+            if failure is None:
+                continue
+            if job.run_state is RunState.MAY_HAVE_RUN:
+                failure = Failure(ErrorKind.WORKER_LOST, failure.detail)
+            self._end_job(now, job.spec.job_id, failure, actions)
 
     def _run_time_s(self, service: str) -> float:
         return self._workers.health.times.mean_s(service) if self._workers else 0.0
--- a/packages/poplarhilld/src/poplarhilld/evacuation/state.py
+++ b/packages/poplarhilld/src/poplarhilld/evacuation/state.py
@@ -1,6 +1,6 @@
 """A host's copy of the evacuations in force."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from poplarhilld.decisions import LogDecision
@@ -27,6 +27,30 @@
 _UNCHANGED = EvacuationUpdate()
 
 
+def lines_on_change(
+    before: frozenset[str],
+    after: frozenset[str],
+    versions: Mapping[str, int],
+    version: int,
+    source: str,
+) -> tuple[LogDecision, ...]:
+    """Return a log line for each evacuation that starts or ends.
+
+    Args:
+        before: Names of the data centres that were evacuated before.
+        after: Names of those that are evacuated now.
+        versions: Versions of evacuations in force that differ from `version`.
+        version: Version of what the host knows now.
+        source: Where the host has it from.
+    """
+    started = [
+        EvacuationStarted(name, versions.get(name, version), source)
+        for name in sorted(after - before)
+    ]
+    ended = [EvacuationEnded(name, version, source) for name in sorted(before - after)]
+    return tuple(LogDecision(line) for line in [*started, *ended])
+
+
 class EvacuationCopy:
     """A host's copy of the evacuations that the store holds.
 
@@ -69,18 +93,15 @@
             self._any_seen = True
         if copy.end <= self._end:
             return _UNCHANGED
-        before = self._in_force
+        before = self._data_centres
         self._end = copy.end
         self._in_force = {one.data_centre: one for one in copy.in_force}
         self._data_centres = frozenset(self._in_force)
-        lines: list[LogDecision] = []
-        for name, version in self._in_force.values():
-            if name not in before:
-                lines.append(LogDecision(EvacuationStarted(name, version, source)))
-        for name in before.keys() - self._in_force.keys():
-            ended = EvacuationEnded(name, copy.end - 1, source)
-            lines.append(LogDecision(ended))
-        return EvacuationUpdate(bool(lines), tuple(lines))
+        versions = dict(copy.in_force)
+        lines = lines_on_change(
+            before, self._data_centres, versions, copy.end - 1, source
+        )
+        return EvacuationUpdate(bool(lines), lines)
 
     def leaves_nothing(self, cores: float, led: Iterable[str]) -> bool:
         """Return whether a leader has no workers outside evacuated data centres.
--- a/packages/poplarhilld/src/poplarhilld/jobs/table.py
+++ b/packages/poplarhilld/src/poplarhilld/jobs/table.py
@@ -33,6 +33,9 @@
     def __len__(self) -> int:
         return len(self._jobs)
 
+    def __iter__(self) -> Iterator[Job]:
+        return iter(list(self._jobs.values()))
+
     def __contains__(self, job_id: str) -> bool:
         return job_id in self._jobs
 
--- a/packages/poplarhilld/src/poplarhilld/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/metrics.py
@@ -69,6 +69,12 @@
             "Version of the configuration in force",
             registry=self._registry,
         )
+        self.evacuated = Gauge(
+            "poplarhill_evacuated",
+            "Whether a data centre is evacuated, as this host knows",
+            ["data_centre"],
+            registry=self._registry,
+        )
 
         self.configuration_age = Gauge(
             "poplarhill_configuration_age_seconds",
--- a/packages/poplarhilld/tests/dispatch/test_core.py
+++ b/packages/poplarhilld/tests/dispatch/test_core.py
@@ -8,7 +8,7 @@
 from poplarhill.configuration import Configuration
 from poplarhill.types import Address
 from poplarhilld.dispatch import Dispatcher, Identity
-from poplarhilld.dispatch.actions import AnswerJob, SendTask, StopTask
+from poplarhilld.dispatch.actions import AnswerJob, LogDecision, SendTask, StopTask
 from poplarhilld.dispatch.events import (
     ConfigurationChanged,
     JobCancelled,
@@ -18,6 +18,7 @@
     TaskUnsent,
     Ticked,
 )
+from poplarhilld.evacuation import EvacuationEnded, EvacuationStarted
 from poplarhilld.jobs import Completed
 
 IDENTITY = Identity("h1", "dc1", Address("127.0.0.1", 7001), 1, {})
@@ -103,3 +104,47 @@
     now = 10.0 if isinstance(event, Ticked) else 1.0
     answers = actions_of_type(AnswerJob, dispatcher.handle(now, event))
     assert [answer.outcome.kind for answer in answers] == [kind]
+
+
+def evacuate(dispatcher, version: int, *data_centres: str) -> list:
+    """Put a configuration in force in which w0 is in dc0 and w1 in dc1."""
+    changed = document(2)
+    for n, worker in enumerate(changed["services"]["booking"]["workers"].values()):
+        worker["data_centre"] = f"dc{n}"
+    changed["evacuations"] = {name: {"note": "a fire"} for name in data_centres}
+    configuration = Configuration.from_document(version, changed)
+    actions = dispatcher.handle(1.0, ConfigurationChanged(configuration))
+    return actions + dispatcher.handle(1.0, Ticked())
+
+
+def lines(actions: list) -> list:
+    found = [line.decision for line in actions_of_type(LogDecision, actions)]
+    return [one for one in found if type(one).__name__.startswith("Evacuation")]
+
+
+# Guards the product's own path, on which workers grant no leases.
+def test_no_task_is_sent_to_an_evacuated_data_centre(dispatcher) -> None:
+    actions = evacuate(dispatcher, 2, "dc0")
+    assert lines(actions) == [EvacuationStarted("dc0", 2, "log")]
+    sends = actions_of_type(SendTask, dispatcher.handle(1.0, JobSubmitted(job(5))))
+    assert {send.worker.name for send in sends} == {"w1"}
+    assert lines(evacuate(dispatcher, 3)) == [EvacuationEnded("dc0", 3, "log")]
+    assert dispatcher.status(1.0).evacuated == ()
+
+
+def test_with_all_workers_evacuated_jobs_are_refused_and_running_tasks_finish(
+    dispatcher,
+) -> None:
+    sends = actions_of_type(SendTask, dispatcher.handle(0.0, JobSubmitted(job(4))))
+    dispatcher.handle(0.0, JobSubmitted(job(1, "queued", 9.0)))
+    dispatcher.handle(0.0, JobSubmitted(job(1, "new", 9.0)))
+    actions = evacuate(dispatcher, 2, "dc0", "dc1")
+    actions += dispatcher.handle(1.0, JobSubmitted(job(1, "late", 9.0)))
+    answers = actions_of_type(AnswerJob, actions)
+    assert {answer.job_id for answer in answers} == {"queued", "new", "late"}
+    assert {answer.outcome.kind for answer in answers} == {ErrorKind.NO_WORKERS}
+    assert all(answer.outcome.retry_after_s for answer in answers)
+    for send in sends:
+        ended = dispatcher.handle(1.0, TaskSucceeded(send.task, send.worker.name, b""))
+    [answer] = actions_of_type(AnswerJob, ended)
+    assert isinstance(answer.outcome, Completed)
