--- a/packages/poplarhilld/src/poplarhilld/evacuation/state.py
+++ b/packages/poplarhilld/src/poplarhilld/evacuation/state.py
@@ -5,7 +5,6 @@
 
 from poplarhilld.decisions import LogDecision
 from poplarhilld.evacuation.messages import (
-    Evacuation,
     EvacuationEnded,
     Evacuations,
     EvacuationStarted,
@@ -60,10 +59,10 @@
     """
 
     def __init__(self) -> None:
-        self._end = 0
-        self._in_force: dict[str, Evacuation] = {}
+        self._copy = Evacuations()
         self._data_centres: frozenset[str] = frozenset()
         self._any_seen = False
+        self._for_peers = Evacuations()
 
     @property
     def data_centres(self) -> frozenset[str]:
@@ -77,9 +76,7 @@
         Its end is 0 until this host has seen an evacuation, here or in the copy of a
         peer. Until then heartbeats stay the same when other records are written.
         """
-        if not self._any_seen:
-            return Evacuations()
-        return Evacuations(self._end, tuple(self._in_force.values()))
+        return self._for_peers
 
     def update(self, source: str, copy: Evacuations) -> EvacuationUpdate:
         """Adopt a copy that includes more records than this one.
@@ -88,15 +85,17 @@
             source: `store`, or the name of the peer that sent it.
             copy: What the store or the peer holds.
         """
-        if copy.in_force:
+        if copy.in_force and not self._any_seen:
             # A copy that is behind counts too: its host must be told of the end.
             self._any_seen = True
-        if copy.end <= self._end:
+            self._for_peers = self._copy
+        if copy.end <= self._copy.end:
             return _UNCHANGED
         before = self._data_centres
-        self._end = copy.end
-        self._in_force = {one.data_centre: one for one in copy.in_force}
-        self._data_centres = frozenset(self._in_force)
+        self._copy = copy
+        if self._any_seen:
+            self._for_peers = copy
+        self._data_centres = frozenset(one.data_centre for one in copy.in_force)
         versions = dict(copy.in_force)
         lines = lines_on_change(
             before, self._data_centres, versions, copy.end - 1, source
--- a/packages/poplarhilld/src/poplarhilld/leading/evacuated.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/evacuated.py
@@ -30,7 +30,7 @@
 
     def find_refusal(self, now: float, job: LedJob) -> Refusal | None:
         """Return why an offered job is refused, or `None` if it is not for this."""
-        if not self._state.evacuated:
+        if not self._state.evacuated or self._may_run_here(now, job):
             return None
         for step in job.offer.steps:
             if self._needs_evacuated(now, job.offer.service, step):
@@ -54,7 +54,9 @@
         actions: list[LeaderAction] = []
         known: dict[_Kind, bool] = {}
         for job in list(self._state.queue.values()):
-            if job.stopping or job.under_way or not self._is_held(now, job, known):
+            if job.stopping or job.under_way or self._may_run_here(now, job):
+                continue
+            if not self._is_held(now, job, known):
                 continue
             failed = any(task.failures for task in job.tasks)
             detail = _detail(job.offer.service)
@@ -66,6 +68,12 @@
             actions += self._closer.close_job(now, job, report)
         return actions
 
+    def _may_run_here(self, now: float, job: LedJob) -> bool:
+        """Return whether a worker may still report a run that a lost leader ordered."""
+        return bool(job.offer.handovers) and any(
+            worker.awaits_first_reply(now) for worker in self._state.workers.values()
+        )
+
     def _is_held(self, now: float, job: LedJob, known: dict[_Kind, bool]) -> bool:
         """Return whether a waiting task of a job could only run where it may not.
 
--- a/packages/poplarhilld/tests/leading/test_evacuation.py
+++ b/packages/poplarhilld/tests/leading/test_evacuation.py
@@ -80,6 +80,24 @@
     assert not world.violations
 
 
+# Guards against a job that is given back before the workers have told of its runs.
+def test_a_job_of_a_lost_leader_waits_for_the_replies_of_evacuated_workers(
+    world: World,
+) -> None:
+    job = simulated_job("a", tasks=16, run_s=0.5, left_s=3.0)
+    world.submit("h1", job)
+    world.run(0.1)
+    world.paused.add("h1")
+    world.add_leader("h2", 2)
+    evacuate(world, BOTH, "h2")
+    offer = job.offer._replace(handovers=1)
+    world.perform("h2", world.leaders["h2"].handle_offer(world.now, "e1", 1, offer))
+    assert world.job_outcome("a") is None
+    world.run(0.8)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 16
+
+
 # Guards against jobs that wait for their deadline although nothing can run them.
 def test_with_both_data_centres_evacuated_jobs_are_refused_at_once(world) -> None:
     world.submit("h1", simulated_job("a", tasks=16, run_s=0.4))
