--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -104,6 +104,7 @@
 @click.option("--seconds", default=20.0, help="How long faults are injected, s.")
 @click.option("--hosts", default=4, help="Entry hosts to start.")
 @click.option("--workers", default=6, help="Workers to start.")
+@click.option("--evacuations", is_flag=True, help="Evacuate data centres as well.")
 @click.option("--regressions", is_flag=True, help="Run every seed that ever failed.")
 @click.option("--out", type=click.Path(path_type=Path), default=Path("results"))
 def soak(
@@ -112,6 +113,7 @@
     seconds: float,
     hosts: int,
     workers: int,
+    evacuations: bool,
     regressions: bool,
     out: Path,
 ) -> None:
@@ -121,7 +123,7 @@
 
     first, _, last = (seeds or str(seed)).partition("-")
     numbers = range(int(first), int(last or first) + 1)
-    soaks = [Soak(number, hosts, workers, seconds) for number in numbers]
+    soaks = [Soak(number, hosts, workers, seconds, evacuations) for number in numbers]
     if regressions:
         soaks = [regression.soak for regression in REGRESSIONS]
     sys.exit(1 if run_soaks(soaks, out) else 0)
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/checker.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/checker.py
@@ -16,6 +16,9 @@
         `ended`, `code` (exit code), `forced` (killed after its grace period).
     worker_lives: Lives of killed workers: `worker`, `life`, `ended` (the last time
         at which the worker is known to have run tasks).
+    evacuations: Evacuations: `data_centre`, `machines` (the names that its workers
+        have, followed by `-` and a number once they are renamed), `acked` (null until
+        the store acknowledged it), `lifted` (when the lift was sent; null before).
     disturbed: Faults: `target` (a host, or `*` for all), `kind`, `begin`, `end`
         (null while the fault lasts).
     runs: Trace lines of workers: `worker`, `life`, `at`, and either `start`, `spec`,
@@ -37,6 +40,10 @@
 WORKER_CORES = 16.0
 # An acknowledged version must be in force on every undisturbed host within this time.
 _APPLY_LIMIT_S = 2.0
+# No task starts in an evacuated data centre after this time, plus the second one while
+# hosts can't rely on the store or on each other.
+_EVACUATION_LIMIT_S = 5.0
+_UNSTABLE_LIMIT_S = 6.0
 _ROLLBACK_TOLERANCE_S = 0.25
 # A host that shuts down may leave a request unanswered if none of its tasks started
 # and the request ended within this time after it was sent.
@@ -133,6 +140,27 @@
             yield f"{worker} in life {life} ran tasks of {most:g} cores"
 
 
+def _runs_after_evacuation(trace: Trace) -> Iterator[str]:
+    for entry in trace["evacuations"]:
+        if entry["acked"] is None:
+            continue
+        begin = entry["acked"] + _EVACUATION_LIMIT_S
+        end = float("inf") if entry["lifted"] is None else entry["lifted"]
+        for run in _runs(trace):
+            if run.worker.split("-")[0] not in entry["machines"]:
+                continue
+            since = run.begin - _UNSTABLE_LIMIT_S
+            if begin < run.begin < end and not any(
+                _overlaps(fault, since, run.begin, "store", "link", "pause")
+                for fault in trace["disturbed"]
+            ):
+                yield (
+                    f"{run.task} started on {run.worker} "
+                    f"{run.begin - entry['acked']:.3f} s after {entry['data_centre']} "
+                    "was evacuated"
+                )
+
+
 def _unsolicited_runs(trace: Trace) -> Iterator[str]:
     jobs = {job["job"]: job for job in trace["jobs"]}
     for run in _runs(trace):
@@ -290,15 +318,23 @@
         fault
         for fault in trace["disturbed"]
         if fault["target"] in (host, _ALL_HOSTS)
-        and (not kinds or fault["kind"] in kinds)
+        and _overlaps(fault, begin, end, *kinds)
+    ]
+
+
+def _overlaps(fault: dict, begin: float, end: float, *kinds: str) -> bool:
+    """Return whether a fault of one of some kinds was in effect in a time span."""
+    return (
+        (not kinds or fault["kind"] in kinds)
         and fault["begin"] <= end
         and (fault["end"] is None or fault["end"] >= begin)
-    ]
+    )
 
 
 _GUARANTEES: dict[str, Callable[[Trace], Iterator[str]]] = {
     "a task never runs twice at the same time": _overlapping_runs,
     "a worker's room is never exceeded": _overcommitted_workers,
+    "no task starts in an evacuated data centre": _runs_after_evacuation,
     "only what a caller sent runs": _unsolicited_runs,
     "not run means no start": _runs_of_refused_jobs,
     "completed means that every task was done": _incomplete_jobs,
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/faults.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/faults.py
@@ -115,6 +115,18 @@
     """Publish a configuration version that adds one route and drops another."""
 
 
+class Evacuate(NamedTuple):
+    """Evacuate a data centre and lift it again.
+
+    Attributes:
+        data_centre: The data centre.
+        for_s: How long it is evacuated, s.
+    """
+
+    data_centre: str
+    for_s: float
+
+
 Fault = (
     EndHost
     | ReloadHost
@@ -126,4 +138,5 @@
     | EndWorker
     | HarmWorker
     | Publish
+    | Evacuate
 )
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/injector.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/injector.py
@@ -7,11 +7,13 @@
 import msgspec
 
 from poplarhill.http import ConnectionLostError, Request, fetch
+from poplarhill_dev.fleet import data_centre
 from poplarhill_dev.relay_plan import Break, LinkFault
 from poplarhill_dev.soak.callers import JOBS_PREFIX, ROUTE_TIMEOUT_S, TraceSink
 from poplarhill_dev.soak.faults import (
     EndHost,
     EndWorker,
+    Evacuate,
     Fault,
     ForgetHistory,
     HarmLink,
@@ -121,6 +123,8 @@
                 await self._apply_faults(port, faults, WorkerFaults(), for_s)
             case Publish():
                 await self.publish()
+            case Evacuate():
+                await self._evacuate(fault)
 
     async def publish(self) -> None:
         """Publish a configuration version with a route that no other version has."""
@@ -134,6 +138,24 @@
             entry["acked"] = time.monotonic()
             self.versions.append(version)
 
+    async def _evacuate(self, fault: Evacuate) -> None:
+        """Evacuate a data centre, and lift it after a while."""
+        name = fault.data_centre
+        machines = [
+            worker
+            for worker in self._fleet.ids
+            if data_centre(int(worker[1:]) - 1) == name
+        ]
+        entry = {"data_centre": name, "machines": machines, "acked": None}
+        entry["lifted"] = None
+        self._note("evacuations", entry)
+        record = WrittenRecord("keyed.op", f"evacuate/{name}", {})
+        await self._put_record(record)
+        entry["acked"] = time.monotonic()
+        await curio.sleep(fault.for_s)
+        entry["lifted"] = time.monotonic()
+        await self._put_record(WrittenRecord("keyed.op", record.key, None))
+
     async def register_workers(self) -> None:
         """Write the entry of every worker to the store."""
         for worker in self._fleet.ids:
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/run.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/run.py
@@ -41,12 +41,14 @@
         hosts: Number of entry hosts.
         workers: Number of workers.
         seconds: Duration of fault injection, s.
+        evacuations: Whether data centres are evacuated beside the other faults.
     """
 
     seed: int
     hosts: int = 4
     workers: int = 6
     seconds: float = 20.0
+    evacuations: bool = False
 
 
 class Verdict(NamedTuple):
@@ -69,7 +71,7 @@
     """Run a soak; keep its logs and trace in `results` if a guarantee is violated."""
     hosts = [f"h{number + 1}" for number in range(soak.hosts)]
     workers = [f"w{number + 1}" for number in range(soak.workers)]
-    schedule = draw_schedule(soak.seed, hosts, workers, soak.seconds)
+    schedule = draw_schedule(soak.seed, hosts, workers, soak.seconds, soak.evacuations)
     results.mkdir(parents=True, exist_ok=True)
     # Concurrent soaks of one seed must not share files.
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{soak.seed}-", dir=results))
--- a/packages/poplarhill-dev/src/poplarhill_dev/soak/schedule.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/soak/schedule.py
@@ -3,10 +3,12 @@
 from random import Random
 from typing import NamedTuple
 
+from poplarhill_dev.fleet import DATA_CENTRES
 from poplarhill_dev.relay_plan import Break, LinkFault
 from poplarhill_dev.soak.faults import (
     EndHost,
     EndWorker,
+    Evacuate,
     Fault,
     ForgetHistory,
     HarmLink,
@@ -27,6 +29,8 @@
 _SHORT_FAULT_S = (0.1, 1.0)
 _LONG_FAULT_S = (1.0, 4.0)
 _RESTART_DELAY_S = (0.0, 3.0)
+# Two of three are long enough for starts after the users' bound of 5 s.
+_EVACUATION_S = ((6.5, 9.0), (6.5, 9.0), (0.05, 1.0))
 _MAX_CLOCK_OFFSET_S = 2.0  # of a host's wall clock
 
 
@@ -55,7 +59,11 @@
 
 
 def draw_schedule(
-    seed: int, hosts: list[str], workers: list[str], seconds: float
+    seed: int,
+    hosts: list[str],
+    workers: list[str],
+    seconds: float,
+    evacuations: bool = False,
 ) -> Schedule:
     """Draw the faults of a seed for a fleet.
 
@@ -64,6 +72,7 @@
         hosts: Names of the entry hosts.
         workers: Names of the workers' machines.
         seconds: Duration of fault injection, s.
+        evacuations: Whether data centres are evacuated beside the other faults.
     """
     random = Random(f"soak {seed}")
     families = _draw_families(random)
@@ -75,9 +84,31 @@
         family = random.choice(families)
         faults.append(ScheduledFault(at, _FAMILIES[family](random, hosts, workers)))
         at += random.uniform(*random.choice(_GAPS_S)) / rate
+    if evacuations:
+        faults = sorted([*faults, *_draw_evacuations(seed, seconds)], key=_time_of)
     return Schedule(seed, families, relayed, tuple(faults))
 
 
+def _time_of(scheduled: ScheduledFault) -> float:
+    return scheduled.at
+
+
+def _draw_evacuations(seed: int, seconds: float) -> list[ScheduledFault]:
+    """Draw evacuations, by a source of their own: seeds keep their other faults.
+
+    Two or more may be in force at once, but each data centre has one at a time.
+    """
+    random = Random(f"evacuation {seed}")
+    faults = []
+    for data_centre in DATA_CENTRES:
+        at = random.uniform(0.0, seconds)
+        while at < seconds:
+            for_s = random.uniform(*random.choice(_EVACUATION_S))
+            faults.append(ScheduledFault(at, Evacuate(data_centre, for_s)))
+            at += for_s + random.uniform(0.5, seconds)
+    return faults
+
+
 def clock_offset_s(seed: int, host: str, life: int) -> float:
     """Return the error of the wall clock in one life of a host, s."""
     return Random(f"clock {seed} {host} {life}").uniform(
--- a/packages/poplarhill-dev/tests/soak/test_checker.py
+++ b/packages/poplarhill-dev/tests/soak/test_checker.py
@@ -29,6 +29,7 @@
         "versions": [{"version": 1, "sent": 1.0, "acked": 1.1}],
         "lives": [{**life, "ended": 33.0, "code": 0, "forced": False}],
         "worker_lives": [],
+        "evacuations": [],
         "disturbed": [],
         "runs": runs,
         "recovered": [{"host": "h1", "after_s": 0.2}],
@@ -69,6 +70,11 @@
     trace["probes"].append({**trace["probes"][0], **late})
 
 
+def evacuate(trace: dict) -> None:
+    place = {"data_centre": "dc1", "machines": ["w1"]}
+    trace["evacuations"].append({**place, "acked": 5.0, "lifted": 10.2})
+
+
 def roll_back(trace: dict) -> None:
     late = {"status": 404, "sent": 9.5, "ended": 9.6}
     trace["probes"].append({**trace["probes"][0], **late})
@@ -78,6 +84,7 @@
 VIOLATIONS: list[tuple[str, Callable[[dict], None]]] = [
     ("a task never runs twice at the same time", lambda t: add_second_run(t, 10.2)),
     ("a worker's room is never exceeded", exceed_capacity),
+    ("no task starts in an evacuated data centre", evacuate),
     ("only what a caller sent runs", lambda t: t["runs"][0].update(spec="{}")),
     ("only what a caller sent runs", lambda t: t["jobs"][0].update(at=10.2)),
     ("not run means no start", refuse_request),
@@ -120,6 +127,7 @@
     paused = {"target": "h1", "kind": "pause", "begin": 9.0, "end": 11.0}
     trace["disturbed"].append(paused)
     add_outdated_answer(trace)
+    evacuate(trace)
     assert check_soak(trace) == []
 
 
