Merge evacuation of data centres

The evacuation was written against the unsplit entry host and shards; its lines moved to entry/state.py, store.py, performer.py, worker_calls.py and pages.py, and to shards/fleet.py and heartbeats.py.

--- a/packages/poplarhilld/src/poplarhilld/entry/pages.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/pages.py
@@ -8,6 +8,7 @@
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.state import HostState
 from poplarhilld.peers import PeerLinks
+from poplarhilld.shards import data_centre
 
 _HTTP_OK = 200
 _HTTP_UNAVAILABLE = 503
@@ -51,6 +52,9 @@
         metrics.led_jobs.set(len(state.leader.jobs))
         metrics.live_hosts.set(len(state.hosts.live) + 1)
         metrics.version.set(state.catalogue.version)
+        evacuated = state.evacuations.data_centres
+        for name in evacuated | {*map(data_centre, state.shards)}:
+            metrics.evacuated.labels(name).set(name in evacuated)
         metrics.processor_s.set(processor_time_s())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -12,6 +12,7 @@
 from poplarhilld.entry.ports import WorkerClient
 from poplarhilld.entry.state import HostState
 from poplarhilld.entry.worker_calls import WorkerCalls
+from poplarhilld.evacuation import Evacuations
 from poplarhilld.leading import (
     QueryWorker,
     RenewLease,
@@ -53,7 +54,12 @@
         self._metrics = metrics
         self._heartbeats_sent = metrics.frames.labels("Beat")
         self._worker_calls = WorkerCalls(
-            workers, state.leader, metrics, state.usage, self.perform
+            workers,
+            state.leader,
+            state.evacuations,
+            metrics,
+            state.usage,
+            self.perform,
         )
         settings = state.settings
         self._name = settings.name
@@ -123,7 +129,11 @@
         now = uptime()
         match message:
             case Beat():
-                return state.hosts.heartbeat_received(now, sender, message)
+                actions = state.hosts.heartbeat_received(now, sender, message)
+                if message.evacuations_end:
+                    copy = Evacuations(message.evacuations_end, message.evacuations)
+                    actions = actions + self._adopt_evacuations(sender, copy)
+                return actions
             case OfferedJob(number, offer):
                 if not state.hosts.claims:
                     return []
@@ -143,6 +153,20 @@
         _log.warning("FrameIgnored", kind=type(message).__name__, peer=sender)
         return []
 
+    async def update_evacuations(self, copy: Evacuations) -> None:
+        """Put the evacuations that were read from the store in force."""
+        await self.perform(self._adopt_evacuations("store", copy))
+
+    def _adopt_evacuations(self, source: str, copy: Evacuations) -> list:
+        """Adopt what the store or a peer holds if it is newer; return the actions."""
+        state = self._state
+        changed, lines = state.evacuations.update(source, copy)
+        state.hosts.set_evacuations(state.evacuations.for_peers)
+        if not changed:
+            return []
+        evacuated = state.evacuations.data_centres
+        return [*lines, *state.leader.set_evacuated(uptime(), evacuated)]
+
     def _apply_workers_report(self, sender: str, report: WorkersReport) -> None:
         """Apply what another host has read of workers, if this host can't read it."""
         state = self._state
--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -7,6 +7,7 @@
 from poplarhilld.catalogue import Catalogue, Registry, WorkerEntry
 from poplarhilld.entry.settings import EntrySettings
 from poplarhilld.entry.usage import BusyMeter, UsageMeter
+from poplarhilld.evacuation import EvacuationCopy
 from poplarhilld.leading import Leader
 from poplarhilld.leases import TokenSource
 from poplarhilld.peers.messages import Load
@@ -30,6 +31,7 @@
         outcomes: Where the caller of each submission waits for its outcome.
         catalogue: Catalogue of routes in force; its version is 0 until one is read.
         registry: Workers as read from the store.
+        evacuations: Evacuated data centres, as this host knows.
         shards: Workers of each shard, by name.
         registry_read: Whether the list of workers was ever read.
         registry_read_at: When the list was read last, s; the start before that.
@@ -57,6 +59,7 @@
         self.outcomes: dict[int, curio.Queue] = {}
         self.catalogue = Catalogue()
         self.registry = Registry()
+        self.evacuations = EvacuationCopy()
         self.shards: dict[str, dict[str, WorkerEntry]] = {}
         self.registry_read = False
         self.registry_read_at = now
@@ -78,12 +81,18 @@
         claims = self.hosts.claims
         if claims:
             near = any(data_centre(shard) == own_data_centre for shard in claims)
+            load = self.load(now)
             view[self.settings.name] = LeaderView(
-                self.hosts.leading_since_epoch, near, self.load(now)
+                self.hosts.leading_since_epoch,
+                near,
+                load,
+                self.evacuations.leaves_nothing(load.cores, map(data_centre, claims)),
             )
         for name, beat in self.hosts.leaders.items():
             near = any(data_centre(c.shard) == own_data_centre for c in beat.claims)
-            view[name] = LeaderView(beat.tenure, near, beat.load)
+            led = (data_centre(claim.shard) for claim in beat.claims)
+            evacuated = self.evacuations.leaves_nothing(beat.load.cores, led)
+            view[name] = LeaderView(beat.tenure, near, beat.load, evacuated)
         return view
 
     def last_reply_of_led_shards(self, now: float) -> dict[str, float]:
--- a/packages/poplarhilld/src/poplarhilld/entry/store.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/store.py
@@ -54,13 +54,16 @@
         """Put each newer catalogue from the store in force."""
         state = self._state
         while True:
+            catalogue, problem = None, ""
             try:
                 catalogue = await self._directory.next_catalogue()
             except UnavailableError as error:
-                self._record_call("catalogue", str(error))
+                problem = str(error)
+            self._record_call("catalogue", problem)
+            await self._performer.update_evacuations(self._directory.evacuations)
+            if problem:
                 await curio.sleep(_STORE_RETRY_S)
                 continue
-            self._record_call("catalogue")
             if catalogue is not None and catalogue.version > state.catalogue.version:
                 _log.info(
                     "CatalogueTaken",
--- a/packages/poplarhilld/src/poplarhilld/entry/worker_calls.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/worker_calls.py
@@ -8,8 +8,9 @@
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.ports import WorkerClient
 from poplarhilld.entry.usage import UsageMeter
+from poplarhilld.evacuation import EvacuationCopy
 from poplarhilld.leading import Leader, QueryWorker, RenewLease, StartRun, StopRun
-from poplarhilld.leases import LeaseReply
+from poplarhilld.leases import LeaseReply, OrderOutcome, OrderReply
 
 WorkerAction = StartRun | StopRun | RenewLease | QueryWorker
 
@@ -20,6 +21,7 @@
     Args:
         client: Sends lease renewals and orders to workers.
         leader: Decides what follows from a reply.
+        evacuations: Evacuated data centres, as this host knows.
         metrics: Metrics of this process.
         usage: Counts the calls.
         perform: Performs actions.
@@ -29,12 +31,14 @@
         self,
         client: WorkerClient,
         leader: Leader,
+        evacuations: EvacuationCopy,
         metrics: EntryMetrics,
         usage: UsageMeter,
         perform: Callable[[Iterable], Awaitable[None]],
     ) -> None:
         self._client = client
         self._leader = leader
+        self._evacuations = evacuations
         self._metrics = metrics
         self._usage = usage
         self._perform = perform
@@ -53,7 +57,12 @@
 
     async def _start_run(self, action: StartRun) -> None:
         begin = uptime()
-        reply = await self._client.start(action.worker, action.order)
+        if action.worker.data_centre in self._evacuations.data_centres:
+            # Decided before the evacuation was known here; it waits for a connection
+            # for 0.5 s at most after this.
+            reply = OrderReply(OrderOutcome.UNSENT)
+        else:
+            reply = await self._client.start(action.worker, action.order)
         self._metrics.order_latency.observe(uptime() - begin)
         self._metrics.orders.labels(reply.outcome.value).inc()
         self._usage.orders += 1
--- a/packages/poplarhilld/src/poplarhilld/shards/fleet.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/fleet.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from poplarhill.types import Address
+from poplarhilld.evacuation.messages import Evacuations
 from poplarhilld.leases import TokenSource
 from poplarhilld.peers.messages import Beat, Claim, LeaderDigest
 from poplarhilld.shards.intervals import (
@@ -68,6 +69,7 @@
         busy: Share of its processor that this host uses.
         leaving: Whether this host is shutting down.
         outdated: Whether this host leads and has not read the workers for some time.
+        evacuations: The copy of the evacuations that heartbeats carry.
         leading_since_epoch: Epoch since which this host has led continuously; 0 if it
             leads nothing.
     """
@@ -90,6 +92,7 @@
         self.busy = 0.0
         self.leaving = False
         self.outdated = False
+        self.evacuations = Evacuations()
         self.leading_since_epoch = 0
 
     @property
--- a/packages/poplarhilld/src/poplarhilld/shards/heartbeats.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/heartbeats.py
@@ -84,6 +84,8 @@
             self._fleet.leading_since_epoch,
             load,
             outdated=self._fleet.outdated,
+            evacuations=self._fleet.evacuations.in_force,
+            evacuations_end=self._fleet.evacuations.end,
         )
 
     def _leader_digests(self) -> tuple[LeaderDigest, ...]:
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -17,6 +17,7 @@
 
 from poplarhill.types import Address
 from poplarhilld.decisions import LogDecision
+from poplarhilld.evacuation.messages import Evacuations
 from poplarhilld.leases import TokenSource
 from poplarhilld.peers.messages import Beat, Claim, Load
 from poplarhilld.shards.capacity import (
@@ -217,6 +218,10 @@
         """Set whether this host leads and has not read the workers for some time."""
         self._fleet.outdated = outdated
 
+    def set_evacuations(self, copy: Evacuations) -> None:
+        """Set the copy of the evacuations that heartbeats carry."""
+        self._fleet.evacuations = copy
+
     def leave(self) -> None:
         """Start to shut down: claim shards only if no other host can lead them."""
         self._fleet.leaving = True
