Connect to peers without a thread that resolves the address

curio resolves each address in a worker thread, and a starting host connects to all others at once: 16 threads were started. Numeric addresses of peers are now resolved in place. The function is not exported from poplarhill.http yet: tests of the relay rely on the delay of the one there.

--- a/packages/poplarhilld/src/poplarhilld/peers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/link.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from poplarhill.http import connect_from
+from poplarhill.http.connecting import connect_from
 from poplarhill.types import Address
 
 LENGTH_BYTES = 4
