Keep the queue of a leader in order

Cause: each event that freed capacity ranked and sorted all queued jobs, and each offer ranked them all to add up the work ahead.

Change: JobQueue keeps its jobs by cost and arrival. Cost, open work and the smallest waiting task of a job are kept and change only with a task. Placement reads the queue until the free capacity is below the smallest waiting task. Lateness depends on the time and is checked for the jobs that are read. A job that waits after a handover and lies behind that point no longer keeps the placement open until the next tick; nothing could start then, and whatever frees capacity opens it again.

A test runs the leaders under faults with a full sort and sum in place of the kept order.

--- a/packages/poplarhilld/src/poplarhilld/leading/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/admission.py
@@ -1,7 +1,7 @@
 """Admission of jobs at a leader, and the expected time until they start."""
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
 from poplarhill.exceptions import ErrorKind
@@ -9,6 +9,7 @@
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.order import rank
 from poplarhilld.leading.placement import could_run, could_run_at_largest
+from poplarhilld.leading.queue import JobQueue
 from poplarhilld.leases import LeasedWorker
 
 RETRY_AFTER_S = 1.0  # a failover or a burst lasts about a second
@@ -31,7 +32,8 @@
 def expected_wait_s(
     now: float,
     job: LedJob,
-    jobs: Iterable[LedJob],
+    queue: JobQueue,
+    suspects: Collection[str],
     cores: ServiceCores,
 ) -> float:
     """Return roughly how long a job will wait for free capacity, s.
@@ -39,16 +41,13 @@
     Args:
         now: The leader's clock, s.
         job: The job.
-        jobs: Jobs that were accepted before it and have waiting tasks.
+        queue: Jobs that were accepted before it and have waiting tasks.
+        suspects: Ids of the jobs with suspected tasks, which wait for own workers.
         cores: Cores of the workers of its service that may be given tasks.
     """
     if not cores.total:
         return 0.0
-    own = rank(now, job)
-    ahead = 0.0
-    for other in jobs:
-        if other.least_cores < math.inf and rank(now, other) <= own:
-            ahead += other.open_core_seconds
+    ahead = queue.work_ahead_of(now, job, suspects)
     if not ahead and cores.free >= sum(t.spec.needs.cores for t in job.ready_tasks()):
         return 0.0
     return ahead / cores.total
--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -1,6 +1,7 @@
 """Places the waiting tasks of a leader on its workers."""
 
 import math
+from collections.abc import Iterable, Iterator
 
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.capacity import FreeCapacity
@@ -12,7 +13,6 @@
     RunOrdered,
     StartRun,
 )
-from poplarhilld.leading.order import rank
 from poplarhilld.leading.placement import (
     choose_worker,
     fast_slowdown,
@@ -46,32 +46,26 @@
         if self._state.placement_up_to_date:
             return []
         self._state.placement_up_to_date = True
-        min_cores: dict[str, float] = {}
-        for job_id, job in list(self._state.queue.items()):
-            min_cores[job_id] = job.least_cores
-            if min_cores[job_id] == math.inf:
-                # None of its tasks waits; `_forget_run` puts it back.
-                del self._state.queue[job_id]
-        if not self._state.queue:
+        queue = self._state.queue
+        queue.drop_exhausted()  # `forget_run` puts them back
+        least_cores = queue.least_cores
+        if least_cores == math.inf:
             return []
         capacity = self._capacity_open_to_tasks(now)
         if not len(capacity):
             return []
         initial_max_free = capacity.max_free_cores
-        waiting = [
-            job
-            for job_id, job in self._state.queue.items()
-            if min_cores[job_id] <= initial_max_free and self._may_start_tasks(now, job)
-        ]
-        if not waiting:
+        if least_cores > initial_max_free:
             return []
-        if len(waiting) > 1:
-            waiting.sort(key=lambda job: rank(now, job))
+        waiting: Iterable[LedJob] = self._waiting_jobs(now, initial_max_free)
         capacity_short = is_capacity_short(capacity)
         max_free = initial_max_free
         fast = fast_slowdown(capacity)
         actions: list[LeaderAction] = []
         if self._state.suspects.affect_placement:
+            waiting = list(waiting)
+            if not waiting:
+                return []
             actions += self._assign_suspects(now, waiting, capacity)
             capacity = self._state.capacity_of(
                 worker
@@ -79,7 +73,9 @@
                 if not self._state.suspects.is_set_aside(worker.entry.name)
             )
         for job in waiting:
-            if min_cores[job.job_id] > max_free:
+            if least_cores > max_free:
+                break
+            if job.least_cores > max_free:
                 continue
             avoid_fast = capacity_short and tolerates_slow_worker(now, job)
             max_slowdown = max_slowdown_for(now, job, fast)
@@ -138,11 +134,22 @@
             self._state.placement_up_to_date = False  # others return after a while
         return self._state.capacity_of(open_to_tasks)
 
+    def _waiting_jobs(self, now: float, max_free: float) -> Iterator[LedJob]:
+        """Yield the jobs that may start tasks, in queue order.
+
+        Args:
+            now: The leader's clock, s.
+            max_free: Free cores of the worker that has most of them.
+        """
+        for job in self._state.queue.by_rank(now):
+            if job.least_cores <= max_free and self._may_start_tasks(now, job):
+                yield job
+
     def _may_start_tasks(self, now: float, job: LedJob) -> bool:
         """Return whether the tasks of a job may start now."""
         if job.stopping:
             return False
-        if must_wait(
+        if job.offer.handovers and must_wait(
             now, job, bool(self._state.not_led_here), self._state.workers.values()
         ):
             self._state.placement_up_to_date = False  # the wait ends without an event
--- a/packages/poplarhilld/src/poplarhilld/leading/capacity.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/capacity.py
@@ -55,12 +55,16 @@
         self._free_cores: dict[str, float] = {}
         self._rows: dict[str, tuple[float, _Row]] = {}
         self._by_slowdown: dict[float, list[_Row]] = {}
-        self._by_service: dict[str, ServiceCores] = {}
+        self._free_cores_of: dict[str, dict[str, float]] = {}
+        self._total_cores_of: dict[str, float] = {}
         for worker in workers:
             name = worker.entry.name
             self._workers[name] = worker
             self._insert(name, slowdowns.get(name, USUAL_SLOWDOWN))
-        self._total_cores = sum([w.entry.room.cores for w in self._workers.values()])
+            service, cores = worker.entry.service, worker.entry.room.cores
+            total = self._total_cores_of.get(service, 0.0)
+            self._total_cores_of[service] = total + cores
+        self._total_cores = sum(self._total_cores_of.values())
 
     def __len__(self) -> int:
         return len(self._workers)
@@ -97,16 +101,11 @@
 
     def of_service(self, service: str) -> ServiceCores:
         """Return the cores of the workers of a service."""
-        found = self._by_service.get(service)
-        if found is None:
-            total = free = 0.0
-            for name, worker in self._workers.items():
-                entry = worker.entry
-                if entry.service == service:
-                    total += entry.room.cores
-                    free += max(0.0, self._free_cores[name])
-            found = self._by_service[service] = ServiceCores(total, free)
-        return found
+        free_cores = self._free_cores_of.get(service, {}).values()
+        return ServiceCores(
+            self._total_cores_of.get(service, 0.0),
+            sum([cores for cores in free_cores if cores > 0.0]),
+        )
 
     def slowdown_at(self, fraction: int) -> float:
         """Return the slowdown that one worker in `fraction` does not exceed."""
@@ -158,20 +157,23 @@
         ):
             self._delete(old_slowdown, row)
             self._insert(name, slowdown)
-            self._by_service.clear()
 
     def remove(self, name: str) -> None:
         """Remove a worker that may take no more tasks."""
         worker = self._workers.pop(name)
         self._delete(*self._rows.pop(name))
+        service, cores = worker.entry.service, worker.entry.room.cores
         del self._free[name], self._free_cores[name]
-        self._total_cores -= worker.entry.room.cores
-        self._by_service.clear()
+        del self._free_cores_of[service][name]
+        self._total_cores_of[service] -= cores
+        self._total_cores -= cores
 
     def _insert(self, name: str, slowdown: float) -> None:
         worker = self._workers[name]
         free = self._free[name] = worker.free_capacity()
         self._free_cores[name] = free.cores
+        of_service = self._free_cores_of.setdefault(worker.entry.service, {})
+        of_service[name] = free.cores
         row = _Row(free.cores, name, worker)
         self._rows[name] = slowdown, row
         insort(self._by_slowdown.setdefault(slowdown, []), row)
--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -67,7 +67,7 @@
     def forget_job(self, job: LedJob) -> None:
         """Remove a job of which no run is left."""
         self._state.jobs.pop(job.job_id, None)
-        self._state.queue.pop(job.job_id, None)
+        self._state.queue.discard(job.job_id)
         self._state.subscribers.pop(job.job_id, None)
         self._state.suspects.drop_job(job.job_id)
         self._state.runs.drop_job(job)
@@ -85,7 +85,7 @@
         self._state.suspects.note_closed(worker, run)
         job = None if task is None else self._state.runs.job_of(task.name)
         if job is not None:
-            self._state.queue[job.job_id] = job
+            self._state.queue.add(job)
             self._state.placement_up_to_date = False
 
 
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -63,6 +63,7 @@
     """A job that was offered to this leader.
 
     Attributes:
+        job_id: Its id.
         offered_at: When it was offered, by the leader's clock, s.
         arrived_at: When it arrived at its entry host, by the leader's clock, s.
         deadline: When its caller stops waiting, by the leader's clock, s.
@@ -74,7 +75,9 @@
         least_run_s: Run time that one job like it in 20 stays below, s.
         due: When it is to be done, by the stretch and allowance of its route and the
             leader's clock, s. The deadline may be later.
-        core_second_cost: Queue cost of one core-second of it.
+        open_core_seconds: Expected work of its tasks that are not done, core-seconds.
+        queue_cost: Core-seconds of its open tasks in relation to its value.
+        least_cores: Cores of its smallest waiting task; infinite if none waits.
 
     Args:
         offer: The offer.
@@ -96,6 +99,7 @@
         spread: RunTimeSpread | None = None,
     ) -> None:
         self.offer = offer
+        self.job_id = offer.job_id
         self.host = host
         self.offered_at = now
         self.arrived_at = now - offer.elapsed_s
@@ -119,18 +123,15 @@
             step.needs.cores * run_s
             for step, run_s in zip(offer.steps, step_s, strict=True)
         ]
+        self._core_second_cost = 1.0
+        self._update_work()
+        self.update_least_cores()
         self._step_s = tuple(step_s)
         self.run_s = _longest_chain_s(offer, step_s)
         spread = spread or RunTimeSpread()
         self.least_run_s = spread.least_run_s(offer.route, self.run_s)
         asked_at = self.arrived_at - earlier_wait_s
         self.due = asked_at + offer.stretch * self.run_s + offer.allowance_s
-        self.core_second_cost = 1.0
-
-    @property
-    def job_id(self) -> str:
-        """Its id."""
-        return self.offer.job_id
 
     @property
     def complete(self) -> bool:
@@ -148,26 +149,35 @@
         """Tasks with a run that is or may be under way."""
         return [task for task in self.tasks if task.run is not None]
 
-    @property
-    def open_core_seconds(self) -> float:
-        """Expected work of its tasks that are not done, core-seconds."""
-        return sum(map(mul, self._pending, self._task_core_seconds))
+    def set_core_second_cost(self, cost: float) -> None:
+        """Set the queue cost of one core-second of it."""
+        self._core_second_cost = cost
+        self._update_work()
+
+    def _update_work(self) -> None:
+        work = sum(map(mul, self._pending, self._task_core_seconds))
+        self.open_core_seconds = work
+        self.queue_cost = work * self._core_second_cost
+
+    def is_late(self, now: float) -> bool:
+        """Return whether nothing of it has started and it can't be done when due."""
+        if self.run_count:
+            return False
+        end = now + self.run_s
+        return end > self.due or end > self.deadline
 
     def expected_s(self, task: LedTask) -> float:
         """Return the expected run time of a task on a usual worker, s."""
         return self._step_s[task.step]
 
-    @property
-    def least_cores(self) -> float:
-        """Cores of its smallest waiting task; infinite if none waits."""
-        if len(self.offer.steps) == 1:
-            # All tasks need the same, so that the first one that waits is enough.
-            for task in self.tasks:
-                if task.run is None and not task.done:
-                    return task.spec.needs.cores
-            return math.inf
-        needs = [task.spec.needs.cores for task in self.tasks if task.waiting]
-        return min(needs, default=math.inf)
+    def update_least_cores(self) -> None:
+        """Work out `least_cores` after a task of it has changed."""
+        self.least_cores = math.inf
+        for task in self.tasks:
+            if task.run is None and not task.done:
+                self.least_cores = min(self.least_cores, task.spec.needs.cores)
+                if len(self.offer.steps) == 1:
+                    break  # all tasks need the same
 
     def task(self, name: str) -> LedTask:
         """Return the task of a name."""
@@ -204,6 +214,8 @@
         if not task.done:
             task.done = True
             self._pending[task.step] -= 1
+            self._update_work()
+            self.update_least_cores()
 
     def on_worker(self, step: int, worker: str) -> int:
         """Return how many tasks of a step run on a worker."""
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -82,13 +82,14 @@
                 job.finish(task)
         self._state.demand.note_arrival(now, offer.route, job.open_core_seconds)
         self._state.demand.note_work(now, offer.service, job.open_core_seconds)
-        job.core_second_cost = core_second_cost(now, job, self._state.demand)
+        job.set_core_second_cost(core_second_cost(now, job, self._state.demand))
         wait_s = self._expected_wait_s(now, job)
         refusal = self._refusal_for(now, job, wait_s)
         if refusal is not None and not self._state.runs.orphans_of(job):
             self._state.suspects.drop_job(offer.job_id)
             return self._refuse(subscriber, offer, now, refusal)
-        self._state.jobs[offer.job_id] = self._state.queue[offer.job_id] = job
+        self._state.jobs[offer.job_id] = job
+        self._state.queue.add(job)
         self._state.placement_up_to_date = False
         self._state.subscribers[offer.job_id] = {subscriber}
         self._state.runs.add_job(job)
@@ -111,6 +112,7 @@
             job.stopping = False
             self._state.placement_up_to_date = False
             job.arrived_at = now - offer.elapsed_s
+            self._state.queue.update(job)
             subscribers.clear()
         subscribers.add(subscriber)
         job.deadline = max(job.deadline, now + offer.left_s)
@@ -152,13 +154,15 @@
         self._state.demand.note_timeout(now, offer.route, timeout_s)
         if not 0 < longest_timeout_s < timeout_s:
             return
-        for job in self._state.queue.values():
+        for job in self._state.queue.jobs:
             if job.offer.route == offer.route:
                 job.due -= timeout_s - longest_timeout_s
 
     def _expected_wait_s(self, now: float, job: LedJob) -> float:
         cores = self._state.capacity().of_service(job.offer.service)
-        return expected_wait_s(now, job, self._state.unsuspected_jobs(), cores)
+        return expected_wait_s(
+            now, job, self._state.queue, self._state.suspects.job_ids, cores
+        )
 
     def _refuse(
         self, subscriber: Subscriber, offer: JobOffer, now: float, refusal: Refusal
--- a/packages/poplarhilld/src/poplarhilld/leading/order.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/order.py
@@ -43,5 +43,4 @@
 
 def rank(now: float, job: LedJob) -> Rank:
     """Return the rank of a job; jobs that would be late go behind all others."""
-    late = not job.run_count and now + job.run_s > min(job.due, job.deadline)
-    return Rank(late, job.open_core_seconds * job.core_second_cost, job.arrived_at)
+    return Rank(job.is_late(now), job.queue_cost, job.arrived_at)
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -98,6 +98,7 @@
         match outcome:
             case RunOutcome.DONE:
                 job.finish(task)
+                self._state.queue.update(job)
                 if not task.adopted:
                     task.took_s = took_s
                     completed = CompletedRun(name, task.spec.run_time_s, took_s)
@@ -130,6 +131,7 @@
         if task.done:
             return []
         job.finish(task)
+        self._state.queue.update(job)
         actions: list[LeaderAction] = []
         worker = self._state.workers.get(task.worker)
         if task.run is not None and worker is not None:
--- a/packages/poplarhilld/src/poplarhilld/leading/runs.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -70,6 +70,7 @@
         task.ordered_at, task.adopted = now, adopted
         task.next_number = max(task.next_number, run.number + 1)
         self._tasks[worker, run] = task
+        self._note_task_change(task)
 
     def forget(self, worker: str, run: Run) -> None:
         """Remove a run that is no longer under way."""
@@ -77,6 +78,12 @@
         task = self._tasks.pop((worker, run), None)
         if task is not None and (task.worker, task.run) == (worker, run):
             task.run, task.worker = None, ""
+            self._note_task_change(task)
+
+    def _note_task_change(self, task: LedTask) -> None:
+        job = self._jobs.get(task.name)
+        if job is not None:
+            job.update_least_cores()
 
     def note_closed(self, worker: str, run: Run) -> None:
         """Note that a run has ended: it needs no stop order and is no orphan."""
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -14,6 +14,7 @@
 from poplarhilld.leading.messages import (
     WorkerState,
 )
+from poplarhilld.leading.queue import JobQueue
 from poplarhilld.leading.runs import RunTable
 from poplarhilld.leading.spread import RunTimeSpread
 from poplarhilld.leading.suspects import Suspects
@@ -49,7 +50,7 @@
         changed_workers: Names of the workers whose free capacity or slowdown has
             changed since the last call of `capacity`.
         jobs: Accepted jobs by id, until none of their runs is left.
-        queue: Jobs with waiting tasks by id.
+        queue: Jobs with waiting tasks.
         subscribers: Entry hosts that get the reports on each job.
         placement_up_to_date: Whether no task can start until an event or the time
             changes that.
@@ -78,7 +79,7 @@
         self._by_service: dict[str, list[LeasedWorker]] = {}
         self.changed_workers: set[str] = set()
         self.jobs: dict[str, LedJob] = {}
-        self.queue: dict[str, LedJob] = {}
+        self.queue = JobQueue()
         self.subscribers: dict[str, set[Subscriber]] = {}
         self.placement_up_to_date = False
         self.runs = RunTable()
@@ -140,7 +141,7 @@
 
     def unsuspected_jobs(self) -> list[LedJob]:
         """Return the queued jobs without suspects, which wait for their own workers."""
-        return [job for job in self.queue.values() if job.job_id not in self.suspects]
+        return [job for job in self.queue.jobs if job.job_id not in self.suspects]
 
 
 def worker_state(
--- a/packages/poplarhilld/src/poplarhilld/leading/suspects.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/suspects.py
@@ -1,6 +1,6 @@
 """The jobs of a leader under whose tasks workers may have crashed."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.capacity import FreeCapacity
@@ -32,6 +32,11 @@
         """The jobs with a suspected task."""
         return list(self._jobs.values())
 
+    @property
+    def job_ids(self) -> Collection[str]:
+        """Ids of the jobs with a suspected task."""
+        return self._jobs.keys()
+
     @property
     def affect_placement(self) -> bool:
         """Whether a task is suspected or a worker is set aside."""
--- a/packages/poplarhilld/tests/leading/test_work_of_events.py
+++ b/packages/poplarhilld/tests/leading/test_work_of_events.py
@@ -1,5 +1,6 @@
 """Work that the leader skips for events, and that its decisions stay the same."""
 
+import math
 import sys
 from random import Random
 
@@ -13,7 +14,9 @@
 )
 from poplarhilld.leading import StartRun, assignment
 from poplarhilld.leading.assignment import Assignment
+from poplarhilld.leading.order import rank
 from poplarhilld.leading.placement import choose_worker
+from poplarhilld.leading.queue import JobQueue
 from poplarhilld.leading.shared import LeaderState
 from poplarhilld.leases import LeasedWorker, OrderOutcome, OrderReply
 
@@ -189,3 +192,33 @@
     monkeypatch.setattr(LeaderState, "workers_of", of_service)
     monkeypatch.setattr(LeaderState, "capacity", capacity)
     assert actions_under_faults(seed) == kept
+
+
+# Guards against a queue whose order or whose kept figures outlive a change of a job.
+@pytest.mark.parametrize("seed", range(4))
+def test_the_kept_order_of_the_queue_changes_no_decision(seed, monkeypatch):
+    kept = actions_under_faults(seed)
+    checked = 0
+
+    def by_rank(self, now):
+        nonlocal checked
+        for job in self.jobs:
+            waiting = [task.spec.needs.cores for task in job.tasks if task.waiting]
+            assert job.least_cores == min(waiting, default=math.inf)
+            checked += 1
+        return iter(sorted(self.jobs, key=lambda job: rank(now, job)))
+
+    def work_ahead_of(self, now, job, excluded):
+        own = rank(now, job)
+        return sum(
+            other.open_core_seconds
+            for other in self.jobs
+            if other.least_cores < math.inf
+            and other.job_id not in excluded
+            and rank(now, other) <= own
+        )
+
+    monkeypatch.setattr(JobQueue, "by_rank", by_rank)
+    monkeypatch.setattr(JobQueue, "work_ahead_of", work_ahead_of)
+    assert actions_under_faults(seed) == kept
+    assert checked > 100
