Spend fewer calls on each reply of a worker

Cause: a reply went over the last 256 ends of its worker, each end of a run put its job into the queue and out again, and each tick went over all entries although none had changed.

Change: recent ends are looked up in a dictionary. A job enters the queue only if one of its tasks waits. set_workers returns early if the entries are the same, no worker is fenced and none of them is led elsewhere. Runs that a worker lists are discovered in the order of its reply; before, the order was that of a set and differed between processes.

--- a/packages/poplarhilld/src/poplarhilld/leading/capacity.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/capacity.py
@@ -26,12 +26,9 @@
     free: float
 
 
-class _Row(NamedTuple):
-    """A worker among those of the same slowdown, which are ordered by these fields."""
-
-    cores: float
-    name: str
-    worker: LeasedWorker
+# Free cores, name and the worker itself. Workers of the same slowdown are ordered by
+# these. A plain tuple, since one is made for each start and each end of a run.
+_Row = tuple[float, str, LeasedWorker]
 
 
 class FreeCapacity:
@@ -60,10 +57,11 @@
         for worker in workers:
             name = worker.entry.name
             self._workers[name] = worker
-            self._insert(name, slowdowns.get(name, USUAL_SLOWDOWN))
             service, cores = worker.entry.service, worker.entry.room.cores
             total = self._total_cores_of.get(service, 0.0)
             self._total_cores_of[service] = total + cores
+            self._free_cores_of.setdefault(service, {})
+            self._insert(name, slowdowns.get(name, USUAL_SLOWDOWN))
         self._total_cores = sum(self._total_cores_of.values())
 
     def __len__(self) -> int:
@@ -92,7 +90,7 @@
     @property
     def max_free_cores(self) -> float:
         """Free cores of the worker that has most of them, with a tolerance."""
-        most = [rows[-1].cores for rows in self._by_slowdown.values()]
+        most = [rows[-1][0] for rows in self._by_slowdown.values()]
         return max(most, default=-math.inf) + TOLERANCE
 
     def of(self, name: str) -> Resources:
@@ -151,10 +149,8 @@
             return
         slowdown = self._slowdowns.get(name, USUAL_SLOWDOWN)
         old_slowdown, row = self._rows[name]
-        if (
-            self._workers[name].free_capacity() != self._free[name]
-            or slowdown != old_slowdown
-        ):
+        free = self._workers[name].free_capacity()
+        if free is not self._free[name] or slowdown != old_slowdown:
             self._delete(old_slowdown, row)
             self._insert(name, slowdown)
 
@@ -172,11 +168,14 @@
         worker = self._workers[name]
         free = self._free[name] = worker.free_capacity()
         self._free_cores[name] = free.cores
-        of_service = self._free_cores_of.setdefault(worker.entry.service, {})
-        of_service[name] = free.cores
-        row = _Row(free.cores, name, worker)
+        self._free_cores_of[worker.entry.service][name] = free.cores
+        row = (free.cores, name, worker)
         self._rows[name] = slowdown, row
-        insort(self._by_slowdown.setdefault(slowdown, []), row)
+        rows = self._by_slowdown.get(slowdown)
+        if rows is None:
+            self._by_slowdown[slowdown] = [row]
+        else:
+            insort(rows, row)
 
     def _delete(self, slowdown: float, row: _Row) -> None:
         rows = self._by_slowdown[slowdown]
--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -1,5 +1,7 @@
 """Ends jobs: reports their outcome and stops their runs."""
 
+import math
+
 from poplarhill.exceptions import ErrorKind
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.job import LedJob
@@ -80,12 +82,12 @@
 
     def forget_run(self, worker: str, run: Run) -> None:
         """Remove a run that is no longer under way; its task may wait again."""
-        task = self._state.runs.task_of(worker, run)
-        self._state.runs.forget(worker, run)
+        task = self._state.runs.forget(worker, run)
         self._state.suspects.note_closed(worker, run)
         job = None if task is None else self._state.runs.job_of(task.name)
         if job is not None:
-            self._state.queue.add(job)
+            if job.least_cores < math.inf:
+                self._state.queue.add(job)
             self._state.placement_up_to_date = False
 
 
--- a/packages/poplarhilld/src/poplarhilld/leading/fitness.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/fitness.py
@@ -72,6 +72,8 @@
 
         Records of healthy workers are dropped, so that later calls check fewer.
         """
+        if not self._records:
+            return False
         healthy = [name for name, one in self._records.items() if one.is_clear(now)]
         for name in healthy:
             del self._records[name]
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -116,6 +116,7 @@
         for number in offer.done:
             if number < len(self.tasks):
                 self.tasks[number].done = True
+        self._has_one_step = len(offer.steps) == 1
         self._pending = [0] * len(offer.steps)
         for task in self.tasks:
             self._pending[task.step] += not task.done
@@ -172,12 +173,15 @@
 
     def update_least_cores(self) -> None:
         """Work out `least_cores` after a task of it has changed."""
-        self.least_cores = math.inf
+        least_cores = math.inf
         for task in self.tasks:
             if task.run is None and not task.done:
-                self.least_cores = min(self.least_cores, task.spec.needs.cores)
-                if len(self.offer.steps) == 1:
+                cores = task.spec.needs.cores
+                if cores < least_cores:
+                    least_cores = cores
+                if self._has_one_step:
                     break  # all tasks need the same
+        self.least_cores = least_cores
 
     def task(self, name: str) -> LedTask:
         """Return the task of a name."""
@@ -215,7 +219,8 @@
             task.done = True
             self._pending[task.step] -= 1
             self._update_work()
-            self.update_least_cores()
+            if task.run is None:
+                self.update_least_cores()
 
     def on_worker(self, step: int, worker: str) -> int:
         """Return how many tasks of a step run on a worker."""
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -89,6 +89,8 @@
                 return self._handle_unknown_done(now, run)
             return []
         job = self._state.runs.job_of(task.name)
+        if outcome is RunOutcome.DONE:
+            self._finish(job, task)
         self._closer.forget_run(name, run)
         took_s = now - task.ordered_at
         resolved = RunResolved(
@@ -97,8 +99,6 @@
         actions: list[LeaderAction] = [LogDecision(resolved)]
         match outcome:
             case RunOutcome.DONE:
-                job.finish(task)
-                self._state.queue.update(job)
                 if not task.adopted:
                     task.took_s = took_s
                     completed = CompletedRun(name, task.spec.run_time_s, took_s)
@@ -130,14 +130,17 @@
         task = job.task(run.task)
         if task.done:
             return []
-        job.finish(task)
-        self._state.queue.update(job)
+        self._finish(job, task)
         actions: list[LeaderAction] = []
         worker = self._state.workers.get(task.worker)
         if task.run is not None and worker is not None:
             actions += self._closer.stop_run(now, worker, task.run)
         return actions + self._update_job(now, job, task)
 
+    def _finish(self, job: LedJob, task: LedTask) -> None:
+        job.finish(task)
+        self._state.queue.update(job)
+
     def _update_job(self, now: float, job: LedJob, task: LedTask) -> list:
         """Close a job or report its progress after one of its runs has ended."""
         if job.stopping:
--- a/packages/poplarhilld/src/poplarhilld/leading/runs.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -72,13 +72,15 @@
         self._tasks[worker, run] = task
         self._note_task_change(task)
 
-    def forget(self, worker: str, run: Run) -> None:
-        """Remove a run that is no longer under way."""
+    def forget(self, worker: str, run: Run) -> LedTask | None:
+        """Remove a run that is no longer under way, and return its task, if known."""
         self._orphans.pop((worker, run), None)
         task = self._tasks.pop((worker, run), None)
         if task is not None and (task.worker, task.run) == (worker, run):
             task.run, task.worker = None, ""
-            self._note_task_change(task)
+            if not task.done:
+                self._note_task_change(task)
+        return task
 
     def _note_task_change(self, task: LedTask) -> None:
         job = self._jobs.get(task.name)
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -43,7 +43,7 @@
         entries: Workers that this host is to lead, by name.
         not_led_here: Names of the registered workers that other hosts lead.
         renewal_backoff_s: Pause before the next renewal to a silent worker, s.
-        reclaim_at: When a fenced worker may be claimed again, s.
+        reclaim_at: When each fenced worker may be claimed again, s.
         lost: Names of the workers that do not respond.
         refused: Lost workers whose address refused a connection: their process has
             ended, or a partition refuses connections.
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -118,6 +118,8 @@
         if entries != self._state.entries or not_led_here != self._state.not_led_here:
             self._state.placement_up_to_date = False
             self._state.note_worker_change()
+        elif not self._state.reclaim_at and not_led_here.isdisjoint(entries):
+            return self._assignment.assign(now)  # all are claimed and none is fenced
         self._state.entries = entries
         self._state.not_led_here = not_led_here
         for name in self._state.workers.keys() & not_led_here:
@@ -195,7 +197,8 @@
             return []
         if not isinstance(reply, LeaseReply):
             return self._group.handle_renewal_failure(now, worker, reply)
-        self._state.renewal_backoff_s.pop(name, None)
+        if self._state.renewal_backoff_s:
+            self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
         return actions + self._assignment.assign(now)
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -1,6 +1,5 @@
 """State of one leased worker: its lease, its free capacity and its runs."""
 
-from collections import deque
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from enum import Enum
@@ -94,6 +93,7 @@
         token: Fencing token of this host for the worker.
         fenced: Whether this host must start no runs on the worker, because the
             worker has accepted a newer token or this host no longer leads it.
+        confirmed: Whether the worker has accepted this host's token.
         last_reply_at: When the worker last replied, by the leader's clock, s. Before
             the first reply, this is when this host first claimed the worker.
         reservations: Reservations of all runs that hold or may hold capacity; a
@@ -120,6 +120,7 @@
         self._note_change = note_change
         self.token = token
         self.fenced = False
+        self.confirmed = False
         self._lease_s = lease_s
         self._claimed_at = now
         self._incarnation: int | None = None
@@ -130,16 +131,11 @@
         self._may_run_until_s = 0.0
         self._reservations: dict[Run, Reservation] = {}
         self.reservations: Collection[Reservation] = self._reservations.values()
-        self._confirmed_at: float | None = None
         self._unknown_needs = 0
         self._free_capacity: Resources | None = None
         self._free_capacity_entry = entry
-        self._recent_ends: deque[Run] = deque(maxlen=_MAX_RECENT_ENDS)
-
-    @property
-    def confirmed(self) -> bool:
-        """Whether the worker has accepted this host's token."""
-        return self._confirmed_at is not None
+        # The newest last; a dictionary, since each reply looks up all listed runs.
+        self._recent_ends: dict[Run, None] = {}
 
     @property
     def incarnation(self) -> int | None:
@@ -201,7 +197,7 @@
         self.token = token
         self.fenced = False
         self._claimed_at = now
-        self._confirmed_at = None
+        self.confirmed = False
 
     def lease_has_expired(self, now: float) -> bool:
         """Return whether a worker without replies can no longer run anything.
@@ -241,7 +237,7 @@
             changes += self._start_incarnation(reply)
         self._record_clock(now, reply.clock_s)
         if renewal.token == self.token:
-            self._confirmed_at = self._confirmed_at or now
+            self.confirmed = True
         for end in reply.ends:
             if end.sequence > self._last_seen_end:
                 self._last_seen_end = end.sequence
@@ -338,7 +334,9 @@
         return [self._close_run(run, RunOutcome.LOST) for run in ended]
 
     def _apply_end(self, run: Run, kind: RunEndKind) -> list[RunChange]:
-        self._recent_ends.append(run)
+        self._recent_ends[run] = None
+        if len(self._recent_ends) > _MAX_RECENT_ENDS:
+            del self._recent_ends[next(iter(self._recent_ends))]
         if run not in self._reservations:
             # An unknown run, such as one of an earlier leader, is closed like others.
             self._add(Reservation(run, Resources(), ReservationState.RUNNING, 0.0, 0.0))
@@ -354,7 +352,8 @@
         self, now: float, renewal: Renewal, reply: LeaseReply
     ) -> list[RunChange]:
         changes: list[RunChange] = []
-        listed = set(reply.running).difference(self._recent_ends)
+        ended = self._recent_ends
+        listed = {run: None for run in reply.running if run not in ended}
         for run in listed:
             reservation = self._reservations.get(run)
             if reservation is None:
