Spend fewer calls on placement, stalls and learning

Cause: each tick looked up task and job of every run to see whether it stalls; each end of a run made spare records of evidence; each placement sorted all slowdowns and walked the queue twice.

Change: a reservation keeps the time before which it can't count as stalled. The queue tells the smallest waiting task as it drops its exhausted jobs. The slowdown of the fast workers is kept until a slowdown changes. Losses and ends from before an offer are looked up only if there are any.

--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -46,9 +46,8 @@
         if self._state.placement_up_to_date:
             return []
         self._state.placement_up_to_date = True
-        queue = self._state.queue
-        queue.drop_exhausted()  # `forget_run` puts them back
-        least_cores = queue.least_cores
+        # `forget_run` puts the exhausted jobs back.
+        least_cores = self._state.queue.drop_exhausted()
         if least_cores == math.inf:
             return []
         capacity = self._capacity_open_to_tasks(now)
@@ -142,19 +141,15 @@
             max_free: Free cores of the worker that has most of them.
         """
         for job in self._state.queue.by_rank(now):
-            if job.least_cores <= max_free and self._may_start_tasks(now, job):
-                yield job
-
-    def _may_start_tasks(self, now: float, job: LedJob) -> bool:
-        """Return whether the tasks of a job may start now."""
-        if job.stopping:
-            return False
-        if job.offer.handovers and must_wait(
-            now, job, bool(self._state.not_led_here), self._state.workers.values()
-        ):
-            self._state.placement_up_to_date = False  # the wait ends without an event
-            return False
-        return True
+            if job.least_cores > max_free or job.stopping:
+                continue
+            if job.offer.handovers and must_wait(
+                now, job, bool(self._state.not_led_here), self._state.workers.values()
+            ):
+                # The wait ends without an event.
+                self._state.placement_up_to_date = False
+                continue
+            yield job
 
     def _start_run(
         self,
--- a/packages/poplarhilld/src/poplarhilld/leading/capacity.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/capacity.py
@@ -52,6 +52,8 @@
         self._free_cores: dict[str, float] = {}
         self._rows: dict[str, tuple[float, _Row]] = {}
         self._by_slowdown: dict[float, list[_Row]] = {}
+        # Kept until a slowdown changes.
+        self._slowdown_at: dict[int, float] = {}
         self._free_cores_of: dict[str, dict[str, float]] = {}
         self._total_cores_of: dict[str, float] = {}
         for worker in workers:
@@ -107,12 +109,12 @@
 
     def slowdown_at(self, fraction: int) -> float:
         """Return the slowdown that one worker in `fraction` does not exceed."""
-        index = (len(self._workers) - 1) // fraction
-        for slowdown in sorted(self._by_slowdown):
-            index -= len(self._by_slowdown[slowdown])
-            if index < 0:
-                return slowdown
-        raise ValueError("there is no worker")
+        found = self._slowdown_at.get(fraction)
+        if found is None:
+            index = (len(self._workers) - 1) // fraction
+            found = sorted([slowdown for slowdown, _ in self._rows.values()])[index]
+            self._slowdown_at[fraction] = found
+        return found
 
     def fitting(
         self, needs: Resources, avoid_fast: bool, max_slowdown: float
@@ -131,10 +133,12 @@
         if avoid_fast:
             healthy = bisect_right(slowdowns, MAX_HEALTHY_SLOWDOWN)
             slowdowns[:healthy] = slowdowns[:healthy][::-1]
-        least = (needs.cores - TOLERANCE,)
+        least_cores = needs.cores - TOLERANCE
         for slowdown in slowdowns:
             rows = self._by_slowdown[slowdown]
-            for index in range(bisect_left(rows, least), len(rows)):
+            if rows[-1][0] < least_cores:
+                continue
+            for index in range(bisect_left(rows, (least_cores,)), len(rows)):
                 _, name, worker = rows[index]
                 free = self._free[name]
                 if (
@@ -145,14 +149,18 @@
 
     def update(self, name: str) -> None:
         """Read the free capacity and the slowdown of a worker again."""
-        if name not in self._workers:
+        worker = self._workers.get(name)
+        if worker is None:
             return
         slowdown = self._slowdowns.get(name, USUAL_SLOWDOWN)
         old_slowdown, row = self._rows[name]
-        free = self._workers[name].free_capacity()
-        if free is not self._free[name] or slowdown != old_slowdown:
+        if slowdown != old_slowdown:
             self._delete(old_slowdown, row)
             self._insert(name, slowdown)
+        elif worker.free_capacity() is not self._free[name]:
+            rows = self._by_slowdown[slowdown]
+            del rows[bisect_left(rows, row)]
+            insort(rows, self._read(name, slowdown))
 
     def remove(self, name: str) -> None:
         """Remove a worker that may take no more tasks."""
@@ -164,21 +172,24 @@
         self._total_cores_of[service] -= cores
         self._total_cores -= cores
 
-    def _insert(self, name: str, slowdown: float) -> None:
+    def _read(self, name: str, slowdown: float) -> _Row:
+        """Read the free capacity of a worker and return its row."""
         worker = self._workers[name]
         free = self._free[name] = worker.free_capacity()
         self._free_cores[name] = free.cores
         self._free_cores_of[worker.entry.service][name] = free.cores
         row = (free.cores, name, worker)
         self._rows[name] = slowdown, row
-        rows = self._by_slowdown.get(slowdown)
-        if rows is None:
-            self._by_slowdown[slowdown] = [row]
-        else:
-            insort(rows, row)
+        return row
+
+    def _insert(self, name: str, slowdown: float) -> None:
+        row = self._read(name, slowdown)
+        insort(self._by_slowdown.setdefault(slowdown, []), row)
+        self._slowdown_at.clear()
 
     def _delete(self, slowdown: float, row: _Row) -> None:
         rows = self._by_slowdown[slowdown]
         del rows[bisect_left(rows, row)]
         if not rows:
             del self._by_slowdown[slowdown]
+        self._slowdown_at.clear()
--- a/packages/poplarhilld/src/poplarhilld/leading/crashes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/crashes.py
@@ -31,6 +31,9 @@
         )
         self._unshared: dict[str, list[LostWorker]] = {}
 
+    def __bool__(self) -> bool:
+        return bool(self._tasks)
+
     def note(self, now: float, task: str, lost: LostWorker) -> None:
         """Note that this host has lost a worker under a task."""
         self._add(now, TaskLosses(task, (lost,)))
--- a/packages/poplarhilld/src/poplarhilld/leading/estimates.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/estimates.py
@@ -245,17 +245,21 @@
 def _sample(
     worker: str, log_slowdown: float, runs: list[CompletedRun], regression: _Regression
 ) -> _WorkerSample:
-    declared = [math.log(run.declared_s) for run in runs]
-    took = [math.log(run.took_s) for run in runs]
-    expected = sum(regression.expected(log_s) for log_s in declared) / len(runs)
-    noise = sum(_noise_variance(run.took_s) for run in runs) / len(runs)
-    mean = sum(took) / len(runs)
+    declared = took = expected = noise = 0.0
+    for run in runs:
+        log_declared = math.log(run.declared_s)
+        declared += log_declared
+        took += math.log(run.took_s)
+        expected += regression.expected(log_declared)
+        noise += _noise_variance(run.took_s)
+    count = len(runs)
+    mean = took / count
     return _WorkerSample(
         worker,
-        mean - expected,
-        sum(declared) / len(runs),
+        mean - expected / count,
+        declared / count,
         mean - log_slowdown,
-        noise / len(runs),
+        noise / count / count,
     )
 
 
--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -35,6 +35,7 @@
 # Apart from degraded workers, run times vary by a factor of 4 at most.
 _STALL_FACTOR = 4.0
 _MIN_STALL_S = 0.25  # a shorter stall costs less than running the task again
+_ROUNDING_S = 1e-6  # far more than the rounding error of a sum of times
 
 
 class WorkerGroup:
@@ -185,6 +186,7 @@
                 elif (
                     reservation.state is ReservationState.RUNNING
                     and now - reservation.running_since >= _MIN_STALL_S
+                    and now >= reservation.stall_check_at
                 ):
                     task = runs.task_of(name, reservation.run)
                     if task is not None:
@@ -224,7 +226,11 @@
         job = self._state.runs.job_of(task.name)
         expected_s = job.expected_s(task)
         limit_s = max(_STALL_FACTOR * expected_s, expected_s + _MIN_STALL_S)
-        if now - reservation.running_since < limit_s or now + expected_s > job.deadline:
+        if now - reservation.running_since < limit_s:
+            check_at = reservation.running_since + limit_s - _ROUNDING_S
+            reservation.stall_check_at = check_at
+            return []
+        if now + expected_s > job.deadline:
             return []
         name = worker.entry.name
         self._state.health.note_stall(name, reservation.run)
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -207,11 +207,14 @@
         """Return the waiting tasks of which all earlier steps are done."""
         if self.stopping:
             return []
+        waiting = [task for task in self.tasks if task.run is None and not task.done]
+        if self._has_one_step:
+            return waiting
         open_steps = [
             all(not self._pending[earlier] for earlier in step.after)
             for step in self.offer.steps
         ]
-        return [task for task in self.tasks if task.waiting and open_steps[task.step]]
+        return [task for task in waiting if open_steps[task.step]]
 
     def finish(self, task: LedTask) -> None:
         """Mark a task as done."""
--- a/packages/poplarhilld/src/poplarhilld/leading/memory.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/memory.py
@@ -78,6 +78,11 @@
         if len(self._done) > _MOST_TASKS:
             self._done.popitem(last=False)
 
+    @property
+    def any_done(self) -> bool:
+        """Whether any task was done before its job was offered here."""
+        return bool(self._done)
+
     def is_done(self, task: str) -> bool:
         """Return whether a task was done before its job was offered here."""
         return task in self._done
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -77,9 +77,10 @@
             self._state.suspects.drop_job(offer.job_id)
             refusal = Refusal(ErrorKind.TASK_FAILED, crash_detail(deadly))
             return self._refuse(subscriber, offer, now, refusal)
-        for task in job.tasks:
-            if self._state.history.is_done(task.name):
-                job.finish(task)
+        if self._state.history.any_done:
+            for task in job.tasks:
+                if self._state.history.is_done(task.name):
+                    job.finish(task)
         self._state.demand.note_arrival(now, offer.route, job.open_core_seconds)
         self._state.demand.note_work(now, offer.service, job.open_core_seconds)
         job.set_core_second_cost(core_second_cost(now, job, self._state.demand))
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -43,10 +43,10 @@
         """Apply the end or the discovery of a run."""
         self._state.placement_up_to_date = False
         match change:
-            case RunDiscovered(run):
-                return self._handle_discovered_run(now, worker, run)
             case RunClosed(run, outcome):
                 return self._handle_closed_run(now, worker, run, outcome)
+            case RunDiscovered(run):
+                return self._handle_discovered_run(now, worker, run)
 
     def _handle_discovered_run(
         self, now: float, worker: LeasedWorker, run: Run
--- a/packages/poplarhilld/src/poplarhilld/leading/queue.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/queue.py
@@ -46,11 +46,6 @@
         """The jobs, in the order in which they entered the queue."""
         return [row.job for row in self._rows_by_id.values()]
 
-    @property
-    def least_cores(self) -> float:
-        """Cores of the smallest waiting task; infinite if none waits."""
-        return min([row.job.least_cores for row in self._rows], default=math.inf)
-
     def add(self, job: LedJob) -> None:
         """Add a job, unless the queue has it."""
         if job.job_id not in self._rows_by_id:
@@ -59,7 +54,9 @@
     def update(self, job: LedJob) -> None:
         """Move a job to its place after its cost or its arrival time has changed."""
         row = self._rows_by_id.get(job.job_id)
-        if row is not None and row[:2] != (job.queue_cost, job.arrived_at):
+        if row is not None and (
+            row.cost != job.queue_cost or row.arrived_at != job.arrived_at
+        ):
             del self._rows[bisect_left(self._rows, row)]
             self._insert(job, row.number)
 
@@ -69,11 +66,20 @@
         if row is not None:
             del self._rows[bisect_left(self._rows, row)]
 
-    def drop_exhausted(self) -> None:
-        """Remove the jobs without a waiting task."""
-        exhausted = [row.job for row in self._rows if row.job.least_cores == math.inf]
-        for job in exhausted:
-            self.discard(job.job_id)
+    def drop_exhausted(self) -> float:
+        """Remove the jobs without a waiting task.
+
+        Returns:
+            Cores of the smallest waiting task; infinite if none waits.
+        """
+        if not self._rows:
+            return math.inf
+        least_cores = [row[3].least_cores for row in self._rows]
+        if math.inf in least_cores:
+            for job in [row.job for row in self._rows]:
+                if job.least_cores == math.inf:
+                    self.discard(job.job_id)
+        return min(least_cores)
 
     def by_rank(self, now: float) -> Iterator[LedJob]:
         """Yield the jobs in the order to start them: by cost, the late ones last.
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -230,6 +230,8 @@
         actions: list[LeaderAction] = []
         changes = worker.apply_order_reply(now, run, reply)
         match reply.outcome:
+            case OrderOutcome.ACCEPTED:
+                pass
             case OrderOutcome.OUTDATED:
                 task = self._state.runs.task_of(name, run)
                 if task is not None:
--- a/packages/poplarhilld/src/poplarhilld/leading/suspects.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/suspects.py
@@ -47,6 +47,8 @@
 
     def add_job(self, job: LedJob) -> None:
         """Add to the tasks of a job the losses that are known of them."""
+        if not self._losses:
+            return
         for task in job.tasks:
             task.lost |= self._losses.of_task(task.name)
         if any(task.lost for task in job.tasks):
@@ -174,6 +176,6 @@
 def find_deadly_task(job: LedJob, has_crashed: Predicate) -> LedTask | None:
     """Return a task under which so many workers crashed that it is given up."""
     for task in job.tasks:
-        if sum(map(has_crashed, task.lost)) >= MAX_CRASHES:
+        if task.lost and sum(map(has_crashed, task.lost)) >= MAX_CRASHES:
             return task
     return None
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -71,6 +71,7 @@
             that is sent at or after this time can prove that the run never started.
         running_since: When this leader learnt that it runs, by the leader's clock,
             s; 0 before that.
+        stall_check_at: Until then it can't count as stalled, by the leader's clock, s.
     """
 
     run: Run
@@ -79,6 +80,7 @@
     deadline_s: float
     last_event_at: float
     running_since: float = 0.0
+    stall_check_at: float = 0.0
 
 
 class LeasedWorker:
@@ -266,10 +268,8 @@
             return []
         match reply.outcome:
             case OrderOutcome.ACCEPTED:
-                reservation.state, reservation.running_since = (
-                    ReservationState.RUNNING,
-                    now,
-                )
+                reservation.state = ReservationState.RUNNING
+                reservation.running_since = now
                 return []
             case OrderOutcome.UNKNOWN:
                 reservation.state = ReservationState.UNCERTAIN
--- a/packages/poplarhilld/src/poplarhilld/outliers/failures.py
+++ b/packages/poplarhilld/src/poplarhilld/outliers/failures.py
@@ -62,11 +62,17 @@
 
     def evidence(self, worker: str) -> Evidence:
         """Return the evidence on a worker."""
-        return self._workers.setdefault(worker, Evidence())
+        found = self._workers.get(worker)
+        if found is None:
+            found = self._workers[worker] = Evidence()
+        return found
 
     def baseline(self, worker: str) -> float:
         """Return the failure ratio of the other workers of the service, bounded."""
-        own = self.evidence(worker).tally
+        return self._baseline(self.evidence(worker))
+
+    def _baseline(self, evidence: Evidence) -> float:
+        own = evidence.tally
         failures = self._total.failures - own.failures + _PRIOR_FAILURES
         outcomes = self._total.outcomes - own.outcomes + _PRIOR_OUTCOMES
         return min(max(failures / outcomes, _MIN_BASELINE), _MAX_BASELINE)
@@ -74,7 +80,7 @@
     def succeeded(self, worker: str) -> None:
         """Record a success of a worker."""
         evidence = self.evidence(worker)
-        baseline = self.baseline(worker)
+        baseline = self._baseline(evidence)
         bad = _bad_ratio(baseline)
         self._count(evidence, failures=0.0)
         evidence.score += math.log((1 - bad) / (1 - baseline))
@@ -98,7 +104,7 @@
             self._retract(job, workers)
             return
         evidence = self.evidence(worker)
-        baseline = self.baseline(worker)
+        baseline = self._baseline(evidence)
         added = min(
             math.log(_bad_ratio(baseline) / baseline),
             EVIDENCE_THRESHOLD / MIN_FAILED_JOBS,
@@ -129,8 +135,10 @@
         self._add(own, failures, 1.0)
 
     def _add(self, own: _Tally, failures: float, outcomes: float) -> None:
-        failures = max(failures, -own.failures)
-        outcomes = max(outcomes, -own.outcomes)
+        if failures < -own.failures:
+            failures = -own.failures
+        if outcomes < -own.outcomes:
+            outcomes = -own.outcomes
         own.failures += failures
         own.outcomes += outcomes
         self._total.failures += failures
