Spend fewer calls on starts, ends and renewals of runs

Change: a reply without runs to a worker without runs skips the comparison of runs. The largest free capacity is read again only after it was used. Stop orders, orphans and limits of health are looked up only if there are any. A success on a worker without evidence against it skips the likelihood, which could only lower its score. A report to one host is not sorted.

--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 
 from poplarhilld.decisions import LogDecision
-from poplarhilld.leading.capacity import FreeCapacity
+from poplarhilld.leading.capacity import TOLERANCE, FreeCapacity
 from poplarhilld.leading.handover import must_wait
 from poplarhilld.leading.job import LedJob, LedTask
 from poplarhilld.leading.messages import (
@@ -50,7 +50,8 @@
         least_cores = self._state.queue.drop_exhausted()
         if least_cores == math.inf:
             return []
-        capacity = self._capacity_open_to_tasks(now)
+        limited = self._state.health.limits_tasks(now)
+        capacity = self._capacity_open_to_tasks(now, limited)
         if not len(capacity):
             return []
         initial_max_free = capacity.max_free_cores
@@ -89,12 +90,16 @@
                         # After a while the job accepts any worker.
                         self._state.placement_up_to_date = False
                     break
+                was_largest = (
+                    capacity.of(worker.entry.name).cores + TOLERANCE >= max_free
+                )
                 actions += self._start_run(now, job, task, worker, capacity)
-                if not self._state.health.may_start(now, worker.entry.name):
+                if limited and not self._state.health.may_start(now, worker.entry.name):
                     # Ejected workers get one probe at a time.
                     capacity.remove(worker.entry.name)
                     self._state.placement_up_to_date = False
-                max_free = capacity.max_free_cores
+                if was_largest:
+                    max_free = capacity.max_free_cores
         return actions
 
     def _assign_suspects(
@@ -120,10 +125,15 @@
                 self._state.suspects.occupy(worker.entry.name, task.run)
         return actions
 
-    def _capacity_open_to_tasks(self, now: float) -> FreeCapacity:
-        """Return the free capacity of the usable workers whose health allows tasks."""
+    def _capacity_open_to_tasks(self, now: float, limited: bool) -> FreeCapacity:
+        """Return the free capacity of the usable workers whose health allows tasks.
+
+        Args:
+            now: The leader's clock, s.
+            limited: Whether the health of any worker limits its tasks.
+        """
         capacity = self._state.capacity()
-        if not self._state.health.limits_tasks(now):
+        if not limited:
             return capacity
         excluded = self._state.health.excluded(now)
         open_to_tasks = [
--- a/packages/poplarhilld/src/poplarhilld/leading/capacity.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/capacity.py
@@ -157,10 +157,12 @@
         if slowdown != old_slowdown:
             self._delete(old_slowdown, row)
             self._insert(name, slowdown)
-        elif worker.free_capacity() is not self._free[name]:
+            return
+        free = worker.free_capacity()
+        if free is not self._free[name]:
             rows = self._by_slowdown[slowdown]
             del rows[bisect_left(rows, row)]
-            insort(rows, self._read(name, slowdown))
+            insort(rows, self._note(worker, slowdown, free))
 
     def remove(self, name: str) -> None:
         """Remove a worker that may take no more tasks."""
@@ -172,10 +174,10 @@
         self._total_cores_of[service] -= cores
         self._total_cores -= cores
 
-    def _read(self, name: str, slowdown: float) -> _Row:
-        """Read the free capacity of a worker and return its row."""
-        worker = self._workers[name]
-        free = self._free[name] = worker.free_capacity()
+    def _note(self, worker: LeasedWorker, slowdown: float, free: Resources) -> _Row:
+        """Note the free capacity of a worker and return its row."""
+        name = worker.entry.name
+        self._free[name] = free
         self._free_cores[name] = free.cores
         self._free_cores_of[worker.entry.service][name] = free.cores
         row = (free.cores, name, worker)
@@ -183,7 +185,8 @@
         return row
 
     def _insert(self, name: str, slowdown: float) -> None:
-        row = self._read(name, slowdown)
+        worker = self._workers[name]
+        row = self._note(worker, slowdown, worker.free_capacity())
         insort(self._by_slowdown.setdefault(slowdown, []), row)
         self._slowdown_at.clear()
 
--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -33,7 +33,11 @@
 
     def report(self, job: LedJob, report: JobEnded | JobProgress) -> list:
         """Return a report to each subscriber of a job."""
-        hosts = {subscriber.host for subscriber in self._state.subscribers[job.job_id]}
+        subscribers = self._state.subscribers[job.job_id]
+        if len(subscribers) == 1:
+            (only,) = subscribers
+            return [ReportJob(only.host, report)]
+        hosts = {subscriber.host for subscriber in subscribers}
         return [ReportJob(host, report) for host in sorted(hosts)]
 
     def close_job(self, now: float, job: LedJob, report: JobEnded) -> list:
--- a/packages/poplarhilld/src/poplarhilld/leading/estimates.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/estimates.py
@@ -159,18 +159,20 @@
     def learn(self, route: str, runs: Iterable[CompletedRun]) -> None:
         """Update the estimates with the runs of one job, once the job is closed."""
         regression = self._routes.get(route, _PRIOR_ROUTE)
-        worker_samples = [
-            _sample(worker, self._estimate(worker).mean, worker_runs, regression)
-            for worker, worker_runs in _by_worker(runs).items()
-        ]
+        worker_samples: list[_WorkerSample] = []
+        before: dict[str, _Estimate] = {}
+        for worker, worker_runs in _by_worker(runs).items():
+            estimate = before[worker] = self._estimate(worker)
+            worker_samples.append(
+                _sample(worker, estimate.mean, worker_runs, regression)
+            )
         if not worker_samples:
             return
-        before = {
-            sample.worker: self._estimate(sample.worker) for sample in worker_samples
-        }
         precision = 1 / _JOB_VARIANCE
-        weighted_sum = 0.0
+        weighted_sum = declared = usual = 0.0
         for sample in worker_samples:
+            declared += sample.declared
+            usual += sample.usual
             variance = before[sample.worker].variance + sample.noise
             precision += 1 / variance
             weighted_sum += (sample.ratio - before[sample.worker].mean) / variance
@@ -186,8 +188,7 @@
             )
             self._learn_worker(sample, before[sample.worker], job_deviation)
         self._routes[route] = regression.updated(
-            sum(sample.declared for sample in worker_samples) / len(worker_samples),
-            sum(sample.usual for sample in worker_samples) / len(worker_samples),
+            declared / len(worker_samples), usual / len(worker_samples)
         )
         self._centre()
 
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -11,9 +11,12 @@
 from poplarhilld.peers.messages import JobOffer, LostWorker, StepSpec
 
 
-def task_name(job_id: str, step: int, index: int) -> str:
-    """Return the name of a task, which is unique in the fleet."""
-    return f"{job_id}.0.{step}.{index}"
+def step_prefix(job_id: str, step: int) -> str:
+    """Return what the names of the tasks of a step begin with.
+
+    The name of a task is unique in the fleet.
+    """
+    return f"{job_id}.0.{step}."
 
 
 @dataclass
@@ -110,8 +113,9 @@
         self.completed_runs: list[CompletedRun] = []
         self.tasks: list[LedTask] = []
         for number, step in enumerate(offer.steps):
+            prefix = step_prefix(offer.job_id, number)
             for index in range(step.count):
-                name = task_name(offer.job_id, number, index)
+                name = f"{prefix}{index}"
                 self.tasks.append(LedTask(len(self.tasks), name, number, step))
         for number in offer.done:
             if number < len(self.tasks):
--- a/packages/poplarhilld/src/poplarhilld/leading/runs.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -68,13 +68,15 @@
     ) -> None:
         task.run, task.worker = run, worker
         task.ordered_at, task.adopted = now, adopted
-        task.next_number = max(task.next_number, run.number + 1)
+        if task.next_number <= run.number:
+            task.next_number = run.number + 1
         self._tasks[worker, run] = task
         self._note_task_change(task)
 
     def forget(self, worker: str, run: Run) -> LedTask | None:
         """Remove a run that is no longer under way, and return its task, if known."""
-        self._orphans.pop((worker, run), None)
+        if self._orphans:
+            self._orphans.pop((worker, run), None)
         task = self._tasks.pop((worker, run), None)
         if task is not None and (task.worker, task.run) == (worker, run):
             task.run, task.worker = None, ""
@@ -89,8 +91,10 @@
 
     def note_closed(self, worker: str, run: Run) -> None:
         """Note that a run has ended: it needs no stop order and is no orphan."""
-        self._stop_due.pop((worker, run), None)
-        self._orphans.pop((worker, run), None)
+        if self._stop_due:
+            self._stop_due.pop((worker, run), None)
+        if self._orphans:
+            self._orphans.pop((worker, run), None)
 
     def add_orphan(self, now: float, run: Run, worker: str) -> None:
         """Add a run that belongs to no job of this leader."""
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -201,6 +201,8 @@
             self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
+        if self._state.placement_up_to_date:
+            return actions
         return actions + self._assignment.assign(now)
 
     def handle_state_reply(
@@ -252,6 +254,8 @@
                 self._state.health.note_no_reply(now, name)
         for change in changes:
             actions += self._outcomes.apply_change(now, worker, change)
+        if self._state.placement_up_to_date:
+            return actions
         return actions + self._assignment.assign(now)
 
     def handle_stop_reply(
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -96,6 +96,8 @@
         fenced: Whether this host must start no runs on the worker, because the
             worker has accepted a newer token or this host no longer leads it.
         confirmed: Whether the worker has accepted this host's token.
+        incarnation: When its process started, ms since the Unix epoch; `None` before a
+            reply.
         last_reply_at: When the worker last replied, by the leader's clock, s. Before
             the first reply, this is when this host first claimed the worker.
         reservations: Reservations of all runs that hold or may hold capacity; a
@@ -125,7 +127,7 @@
         self.confirmed = False
         self._lease_s = lease_s
         self._claimed_at = now
-        self._incarnation: int | None = None
+        self.incarnation: int | None = None
         self._clock_at_reply_s = 0.0
         self.last_reply_at = now
         self._last_seen_end = 0
@@ -139,11 +141,6 @@
         # The newest last; a dictionary, since each reply looks up all listed runs.
         self._recent_ends: dict[Run, None] = {}
 
-    @property
-    def incarnation(self) -> int | None:
-        """When its process started, ms since the Unix epoch; `None` before a reply."""
-        return self._incarnation
-
     def awaits_first_reply(self, now: float) -> bool:
         """Return whether the worker was claimed just now and may still reply."""
         return not self.confirmed and now - self._claimed_at < 2 * MAX_REPLY_AGE_S
@@ -207,7 +204,7 @@
         Allows for a slow clock of the worker and for a last renewal by another
         leader.
         """
-        if self._incarnation is None:
+        if self.incarnation is None:
             return False
         left_s = max(0.0, self._may_run_until_s - self._clock_at_reply_s)
         return now > self.last_reply_at + left_s / _MIN_CLOCK_RATE + TAKEOVER_GRACE_S
@@ -215,14 +212,12 @@
     def next_renewal(self, now: float) -> Renewal:
         """Return the renewal to send now and note the lease that it asks for."""
         deadline_s = None
-        if (
-            self._incarnation is not None
-            and now - self.last_reply_at <= MAX_REPLY_AGE_S
-        ):
+        if self.incarnation is not None and now - self.last_reply_at <= MAX_REPLY_AGE_S:
             # If renewals without replies extended the lease, this leader could
             # never conclude that it has expired.
             deadline_s = self.clock_s(now) + self._lease_s
-            self._may_run_until_s = max(self._may_run_until_s, deadline_s)
+            if deadline_s > self._may_run_until_s:
+                self._may_run_until_s = deadline_s
         wait_s = RENEWAL_WAIT_S if self.confirmed else 0.0
         return Renewal(self.token, self._last_seen_end, deadline_s, wait_s, now)
 
@@ -235,7 +230,7 @@
             Runs that were discovered or gave up their capacity.
         """
         changes: list[RunChange] = []
-        if self._incarnation != reply.incarnation:
+        if self.incarnation != reply.incarnation:
             changes += self._start_incarnation(reply)
         self._record_clock(now, reply.clock_s)
         if renewal.token == self.token:
@@ -244,7 +239,8 @@
             if end.sequence > self._last_seen_end:
                 self._last_seen_end = end.sequence
                 changes += self._apply_end(end.run, end.kind)
-        changes += self._apply_running(now, renewal, reply)
+        if reply.running or self._reservations:
+            changes += self._apply_running(now, renewal, reply)
         return changes
 
     def reserve(self, now: float, run: Run, needs: Resources) -> float:
@@ -253,7 +249,8 @@
         The deadline is by the worker's clock, s.
         """
         deadline_s = self.clock_s(now) + ORDER_VALIDITY_S
-        self._may_run_until_s = max(self._may_run_until_s, deadline_s)
+        if deadline_s > self._may_run_until_s:
+            self._may_run_until_s = deadline_s
         self._add(Reservation(run, needs, ReservationState.ORDERED, deadline_s, now))
         return deadline_s
 
@@ -317,8 +314,8 @@
         They ended with the previous incarnation. Orders without a known outcome may
         still reach the new one, so they keep their capacity until they expire.
         """
-        first_reply = self._incarnation is None
-        self._incarnation = reply.incarnation
+        first_reply = self.incarnation is None
+        self.incarnation = reply.incarnation
         self._last_seen_end = 0
         self._may_run_until_s = reply.clock_s + self._lease_s
         self._recent_ends.clear()
--- a/packages/poplarhilld/src/poplarhilld/outliers/failures.py
+++ b/packages/poplarhilld/src/poplarhilld/outliers/failures.py
@@ -80,6 +80,11 @@
     def succeeded(self, worker: str) -> None:
         """Record a success of a worker."""
         evidence = self.evidence(worker)
+        if not evidence.score:
+            # A success only lowers the score, which is at its lowest.
+            self._count(evidence, failures=0.0)
+            evidence.jobs.clear()
+            return
         baseline = self._baseline(evidence)
         bad = _bad_ratio(baseline)
         self._count(evidence, failures=0.0)
