Bound the function calls of a leader's decisions

Change: the check of deadlines calls a function only for jobs that may be due; renewals, starts, learning and the work of a job with one step take fewer calls.

--- a/packages/poplarhilld/src/poplarhilld/leading/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/admission.py
@@ -48,7 +48,7 @@
     if not cores.total:
         return 0.0
     ahead = queue.work_ahead_of(now, job, suspects)
-    if not ahead and cores.free >= sum(t.spec.needs.cores for t in job.ready_tasks()):
+    if not ahead and cores.free >= sum([t.spec.needs.cores for t in job.ready_tasks()]):
         return 0.0
     return ahead / cores.total
 
--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -90,15 +90,13 @@
                         # After a while the job accepts any worker.
                         self._state.placement_up_to_date = False
                     break
-                was_largest = (
-                    capacity.of(worker.entry.name).cores + TOLERANCE >= max_free
-                )
+                free_cores = capacity.of(worker.entry.name).cores
                 actions += self._start_run(now, job, task, worker, capacity)
                 if limited and not self._state.health.may_start(now, worker.entry.name):
                     # Ejected workers get one probe at a time.
                     capacity.remove(worker.entry.name)
                     self._state.placement_up_to_date = False
-                if was_largest:
+                if free_cores + TOLERANCE >= max_free:
                     max_free = capacity.max_free_cores
         return actions
 
--- a/packages/poplarhilld/src/poplarhilld/leading/estimates.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/estimates.py
@@ -76,7 +76,7 @@
         if not self.samples:
             return declared
         slope = self.covariance / self.variance if self.variance > 0 else 0.0
-        slope = min(1.0, max(0.0, slope))
+        slope = _clamp(slope, 0.0, 1.0)
         return self.usual + slope * (declared - self.declared)
 
     def updated(self, declared: float, usual: float) -> "_Regression":
@@ -206,8 +206,8 @@
         ):
             variance = _CHANGED_VARIANCE
         gain = variance / (variance + noise)
-        step = max(-_MAX_STEP, min(_MAX_STEP, gain * deviation))
-        mean = max(_MIN_LOG_SLOWDOWN, min(_MAX_LOG_SLOWDOWN, before.mean + step))
+        step = _clamp(gain * deviation, -_MAX_STEP, _MAX_STEP)
+        mean = _clamp(before.mean + step, _MIN_LOG_SLOWDOWN, _MAX_LOG_SLOWDOWN)
         self._workers[sample.worker] = _Estimate(mean, (1 - gain) * variance)
         self._set_slowdown(sample.worker, math.exp(mean))
 
@@ -235,6 +235,12 @@
             self._routes[route] = regression._replace(usual=regression.usual + shift)
 
 
+def _clamp(value: float, least: float, most: float) -> float:
+    if value < least:
+        return least
+    return most if value > most else value
+
+
 def _by_worker(runs: Iterable[CompletedRun]) -> dict[str, list[CompletedRun]]:
     runs_of: dict[str, list[CompletedRun]] = {}
     for run in runs:
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -114,9 +114,11 @@
         self.tasks: list[LedTask] = []
         for number, step in enumerate(offer.steps):
             prefix = step_prefix(offer.job_id, number)
-            for index in range(step.count):
-                name = f"{prefix}{index}"
-                self.tasks.append(LedTask(len(self.tasks), name, number, step))
+            first = len(self.tasks)
+            self.tasks += [
+                LedTask(first + index, f"{prefix}{index}", number, step)
+                for index in range(step.count)
+            ]
         for number in offer.done:
             if number < len(self.tasks):
                 self.tasks[number].done = True
@@ -160,7 +162,10 @@
         self._update_work()
 
     def _update_work(self) -> None:
-        work = sum(map(mul, self._pending, self._task_core_seconds))
+        if self._has_one_step:
+            work = self._pending[0] * self._task_core_seconds[0]
+        else:
+            work = sum(map(mul, self._pending, self._task_core_seconds))
         self.open_core_seconds = work
         self.queue_cost = work * self._core_second_cost
 
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -191,8 +191,20 @@
             outcome,
         )
 
-    def check_deadline(self, now: float, job: LedJob) -> list[LeaderAction]:
-        """Close a job as soon as it can no longer meet its deadline."""
+    def check_deadlines(self, now: float) -> list[LeaderAction]:
+        """Close the jobs that can no longer meet their deadline."""
+        actions: list[LeaderAction] = []
+        for job in list(self._state.jobs.values()):
+            # On most ticks nothing is due for most jobs, so this calls no function.
+            if (
+                job.stopping
+                or job.offer.handovers
+                or now + job.least_run_s >= job.deadline
+            ):
+                actions += self._check_deadline(now, job)
+        return actions
+
+    def _check_deadline(self, now: float, job: LedJob) -> list[LeaderAction]:
         if job.stopping:
             if not job.under_way:
                 self._closer.forget_job(job)
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -62,7 +62,7 @@
         task = job.task(run.task)
         worker.set_needs(run, task.spec.needs)
         if task.waiting and not job.stopping:
-            self._state.runs.adopt(now, run, task, name)
+            self._state.runs.note_started(now, run, task, name, adopted=True)
             return []
         return self._closer.stop_run(now, worker, run)
 
@@ -75,7 +75,7 @@
             worker.set_needs(run, task.spec.needs)
             if task.waiting:
                 self._state.runs.note_closed(name, run)
-                self._state.runs.adopt(now, run, task, name)
+                self._state.runs.note_started(now, run, task, name, adopted=True)
                 job.run_count += 1
 
     def _handle_closed_run(
--- a/packages/poplarhilld/src/poplarhilld/leading/runs.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -55,17 +55,18 @@
         """Return the task of a run that is under way, if this leader has it."""
         return self._tasks.get((worker, run))
 
-    def note_started(self, now: float, run: Run, task: LedTask, worker: str) -> None:
-        """Note that a run was ordered for a task."""
-        self._note_run(now, run, task, worker, adopted=False)
-
-    def adopt(self, now: float, run: Run, task: LedTask, worker: str) -> None:
-        """Note that a run which an earlier leader ordered belongs to a task."""
-        self._note_run(now, run, task, worker, adopted=True)
-
-    def _note_run(
-        self, now: float, run: Run, task: LedTask, worker: str, adopted: bool
+    def note_started(
+        self, now: float, run: Run, task: LedTask, worker: str, adopted: bool = False
     ) -> None:
+        """Note that a run of a task was ordered.
+
+        Args:
+            now: The leader's clock, s.
+            run: The run.
+            task: The task.
+            worker: Name of the worker.
+            adopted: Whether an earlier leader ordered it.
+        """
         task.run, task.worker = run, worker
         task.ordered_at, task.adopted = now, adopted
         if task.next_number <= run.number:
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -279,8 +279,7 @@
         for run, name, _ in self._state.runs.unclaimed(now):
             if name in self._state.workers:
                 actions += self._closer.stop_run(now, self._state.workers[name], run)
-        for job in list(self._state.jobs.values()):
-            actions += self._offers.check_deadline(now, job)
+        actions += self._offers.check_deadlines(now)
         for job in self._state.suspects.jobs:
             actions += self._outcomes.check_suspects(now, job)
         losses = self._state.suspects.take_unshared()
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -232,7 +232,7 @@
         changes: list[RunChange] = []
         if self.incarnation != reply.incarnation:
             changes += self._start_incarnation(reply)
-        self._record_clock(now, reply.clock_s)
+        self._clock_at_reply_s, self.last_reply_at = reply.clock_s, now
         if renewal.token == self.token:
             self.confirmed = True
         for end in reply.ends:
@@ -259,7 +259,7 @@
     ) -> list[RunChange]:
         """Apply the reply to an order to start a run."""
         if reply.clock_s is not None:
-            self._record_clock(now, reply.clock_s)
+            self._clock_at_reply_s, self.last_reply_at = reply.clock_s, now
         reservation = self._reservations.get(run)
         if reservation is None or reservation.state is ReservationState.RUNNING:
             return []
@@ -305,9 +305,6 @@
             if reservation.state is not ReservationState.ORDERED
         ]
 
-    def _record_clock(self, now: float, clock_s: float) -> None:
-        self._clock_at_reply_s, self.last_reply_at = clock_s, now
-
     def _start_incarnation(self, reply: LeaseReply) -> list[RunChange]:
         """Reset the state for a new incarnation and close the running runs.
 
--- a/packages/poplarhilld/src/poplarhilld/outliers/failures.py
+++ b/packages/poplarhilld/src/poplarhilld/outliers/failures.py
@@ -22,6 +22,8 @@
 _PRIOR_FAILURES = 0.5
 _PRIOR_OUTCOMES = 25.0
 _DECAY_OUTCOMES = 200.0
+# Part of the earlier counts that each outcome adds; negative, as they decay.
+_DECAY = (1 - 1 / _DECAY_OUTCOMES) - 1
 _MAX_REMEMBERED_JOBS = 4096
 
 
@@ -134,9 +136,8 @@
                 self._add(evidence.tally, -1.0, -1.0)
 
     def _count(self, evidence: Evidence, failures: float) -> None:
-        keep = 1 - 1 / _DECAY_OUTCOMES
         own = evidence.tally
-        self._add(own, own.failures * (keep - 1), own.outcomes * (keep - 1))
+        self._add(own, own.failures * _DECAY, own.outcomes * _DECAY)
         self._add(own, failures, 1.0)
 
     def _add(self, own: _Tally, failures: float, outcomes: float) -> None:
