Keep the orders of slowdowns, and learn with fewer calls

Change: the orders in which workers are tried are kept until a slowdown changes. Runs with the same declared time share its logarithm and estimate. Counts of failures are added in one place.

--- a/packages/poplarhill-dev/tests/test_leader_costs.py
+++ b/packages/poplarhill-dev/tests/test_leader_costs.py
@@ -12,11 +12,11 @@
 @pytest.mark.parametrize(
     ("workers", "tasks_per_s", "run_factor", "left_s", "most_calls"),
     [
-        (44, 160.0, 1.0, 1.5, 255),
-        (44, 500.0, 2.0, 5.0, 330),
-        (80, 160.0, 1.0, 1.5, 280),
-        (80, 500.0, 1.0, 1.5, 300),
-        (80, 500.0, 2.5, 5.0, 320),
+        (44, 160.0, 1.0, 1.5, 250),
+        (44, 500.0, 2.0, 5.0, 325),
+        (80, 160.0, 1.0, 1.5, 273),
+        (80, 500.0, 1.0, 1.5, 292),
+        (80, 500.0, 2.5, 5.0, 313),
     ],
 )
 def test_the_decisions_for_a_task_take_few_calls(
--- a/packages/poplarhilld/src/poplarhilld/leading/capacity.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/capacity.py
@@ -52,8 +52,9 @@
         self._free_cores: dict[str, float] = {}
         self._rows: dict[str, tuple[float, _Row]] = {}
         self._by_slowdown: dict[float, list[_Row]] = {}
-        # Kept until a slowdown changes.
+        # Both are kept until a slowdown changes.
         self._slowdown_at: dict[int, float] = {}
+        self._orders: dict[bool, list[float]] = {}
         self._free_cores_of: dict[str, dict[str, float]] = {}
         self._total_cores_of: dict[str, float] = {}
         for worker in workers:
@@ -129,14 +130,10 @@
             avoid_fast: Whether to prefer the slowest healthy worker to the fastest.
             max_slowdown: Largest slowdown of a worker.
         """
-        slowdowns = sorted([s for s in self._by_slowdown if s <= max_slowdown])
-        if avoid_fast:
-            healthy = bisect_right(slowdowns, MAX_HEALTHY_SLOWDOWN)
-            slowdowns[:healthy] = slowdowns[:healthy][::-1]
         least_cores = needs.cores - TOLERANCE
-        for slowdown in slowdowns:
+        for slowdown in self._slowdown_order(avoid_fast):
             rows = self._by_slowdown[slowdown]
-            if rows[-1][0] < least_cores:
+            if slowdown > max_slowdown or rows[-1][0] < least_cores:
                 continue
             for index in range(bisect_left(rows, (least_cores,)), len(rows)):
                 _, name, worker = rows[index]
@@ -147,6 +144,16 @@
                 ):
                     yield worker
 
+    def _slowdown_order(self, avoid_fast: bool) -> list[float]:
+        found = self._orders.get(avoid_fast)
+        if found is None:
+            found = sorted(self._by_slowdown)
+            if avoid_fast:
+                healthy = bisect_right(found, MAX_HEALTHY_SLOWDOWN)
+                found[:healthy] = found[:healthy][::-1]
+            self._orders[avoid_fast] = found
+        return found
+
     def update(self, name: str) -> None:
         """Read the free capacity and the slowdown of a worker again."""
         worker = self._workers.get(name)
@@ -189,6 +196,7 @@
         row = self._note(worker, slowdown, worker.free_capacity())
         insort(self._by_slowdown.setdefault(slowdown, []), row)
         self._slowdown_at.clear()
+        self._orders.clear()
 
     def _delete(self, slowdown: float, row: _Row) -> None:
         rows = self._by_slowdown[slowdown]
@@ -196,3 +204,4 @@
         if not rows:
             del self._by_slowdown[slowdown]
         self._slowdown_at.clear()
+        self._orders.clear()
--- a/packages/poplarhilld/src/poplarhilld/leading/estimates.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/estimates.py
@@ -182,11 +182,10 @@
             offset = sample.ratio - before[sample.worker].mean
             # How far the job deviates from its estimate, by its runs on the other
             # workers. The rest of the deviation is attributed to this worker.
-            job_deviation = _Estimate(
-                (weighted_sum - offset / variance) / other_precision,
-                1 / other_precision,
+            job_mean = (weighted_sum - offset / variance) / other_precision
+            self._learn_worker(
+                sample, before[sample.worker], job_mean, 1 / other_precision
             )
-            self._learn_worker(sample, before[sample.worker], job_deviation)
         self._routes[route] = regression.updated(
             declared / len(worker_samples), usual / len(worker_samples)
         )
@@ -196,11 +195,15 @@
         return self._workers.get(worker, _PRIOR_WORKER)
 
     def _learn_worker(
-        self, sample: _WorkerSample, before: _Estimate, job_deviation: _Estimate
+        self,
+        sample: _WorkerSample,
+        before: _Estimate,
+        job_mean: float,
+        job_variance: float,
     ) -> None:
         variance = before.variance + _DRIFT_VARIANCE
-        deviation = sample.ratio - job_deviation.mean - before.mean
-        noise = job_deviation.variance + sample.noise
+        deviation = sample.ratio - job_mean - before.mean
+        noise = job_variance + sample.noise
         if deviation * deviation > _MAX_DEVIATIONS * _MAX_DEVIATIONS * (
             variance + noise
         ):
@@ -253,11 +256,15 @@
     worker: str, log_slowdown: float, runs: list[CompletedRun], regression: _Regression
 ) -> _WorkerSample:
     declared = took = expected = noise = 0.0
+    declared_s = log_declared = run_expected = 0.0
     for run in runs:
-        log_declared = math.log(run.declared_s)
+        if run.declared_s != declared_s:  # all runs of a step declare the same
+            declared_s = run.declared_s
+            log_declared = math.log(declared_s)
+            run_expected = regression.expected(log_declared)
         declared += log_declared
         took += math.log(run.took_s)
-        expected += regression.expected(log_declared)
+        expected += run_expected
         noise += _noise_variance(run.took_s)
     count = len(runs)
     mean = took / count
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -126,6 +126,7 @@
         self._pending = [0] * len(offer.steps)
         for task in self.tasks:
             self._pending[task.step] += not task.done
+        self._open_tasks = sum(self._pending)
         self._task_core_seconds = [
             step.needs.cores * run_s
             for step, run_s in zip(offer.steps, step_s, strict=True)
@@ -143,7 +144,7 @@
     @property
     def complete(self) -> bool:
         """Whether all its tasks are done."""
-        return not any(self._pending)
+        return not self._open_tasks
 
     @property
     def not_run(self) -> bool:
@@ -230,6 +231,7 @@
         if not task.done:
             task.done = True
             self._pending[task.step] -= 1
+            self._open_tasks -= 1
             self._update_work()
             if task.run is None:
                 self.update_least_cores()
--- a/packages/poplarhilld/src/poplarhilld/outliers/failures.py
+++ b/packages/poplarhilld/src/poplarhilld/outliers/failures.py
@@ -85,7 +85,8 @@
         if not evidence.score:
             # A success only lowers the score, which is at its lowest.
             self._count(evidence, failures=0.0)
-            evidence.jobs.clear()
+            if evidence.jobs:
+                evidence.jobs.clear()
             return
         baseline = self._baseline(evidence)
         bad = _bad_ratio(baseline)
@@ -136,9 +137,17 @@
                 self._add(evidence.tally, -1.0, -1.0)
 
     def _count(self, evidence: Evidence, failures: float) -> None:
-        own = evidence.tally
-        self._add(own, own.failures * _DECAY, own.outcomes * _DECAY)
-        self._add(own, failures, 1.0)
+        own, total = evidence.tally, self._total
+        decayed_failures = own.failures * _DECAY
+        decayed_outcomes = own.outcomes * _DECAY
+        own.failures += decayed_failures
+        own.outcomes += decayed_outcomes
+        own.failures += failures
+        own.outcomes += 1.0
+        total.failures += decayed_failures
+        total.outcomes += decayed_outcomes
+        total.failures += failures
+        total.outcomes += 1.0
 
     def _add(self, own: _Tally, failures: float, outcomes: float) -> None:
         if failures < -own.failures:
