--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -1,5 +1,7 @@
 """Ends jobs: reports their outcome and stops their runs."""
 
+import math
+
 from poplarhill.exceptions import ErrorKind
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.job import LedJob
@@ -31,7 +33,11 @@
 
     def report(self, job: LedJob, report: JobEnded | JobProgress) -> list:
         """Return a report to each subscriber of a job."""
-        hosts = {subscriber.host for subscriber in self._state.subscribers[job.job_id]}
+        subscribers = self._state.subscribers[job.job_id]
+        if len(subscribers) == 1:
+            (only,) = subscribers
+            return [ReportJob(only.host, report)]
+        hosts = {subscriber.host for subscriber in subscribers}
         return [ReportJob(host, report) for host in sorted(hosts)]
 
     def close_job(self, now: float, job: LedJob, report: JobEnded) -> list:
@@ -67,7 +73,7 @@
     def forget_job(self, job: LedJob) -> None:
         """Remove a job of which no run is left."""
         self._state.jobs.pop(job.job_id, None)
-        self._state.queue.pop(job.job_id, None)
+        self._state.queue.discard(job.job_id)
         self._state.subscribers.pop(job.job_id, None)
         self._state.suspects.drop_job(job.job_id)
         self._state.runs.drop_job(job)
@@ -80,12 +86,12 @@
 
     def forget_run(self, worker: str, run: Run) -> None:
         """Remove a run that is no longer under way; its task may wait again."""
-        task = self._state.runs.task_of(worker, run)
-        self._state.runs.forget(worker, run)
+        task = self._state.runs.forget(worker, run)
         self._state.suspects.note_closed(worker, run)
         job = None if task is None else self._state.runs.job_of(task.name)
         if job is not None:
-            self._state.queue[job.job_id] = job
+            if job.least_cores < math.inf:
+                self._state.queue.add(job)
             self._state.placement_up_to_date = False
 
 
--- a/packages/poplarhilld/src/poplarhilld/leading/estimates.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/estimates.py
@@ -9,7 +9,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 USUAL_SLOWDOWN = 1.0  # of a worker of which nothing is known
@@ -76,7 +76,7 @@
         if not self.samples:
             return declared
         slope = self.covariance / self.variance if self.variance > 0 else 0.0
-        slope = min(1.0, max(0.0, slope))
+        slope = _clamp(slope, 0.0, 1.0)
         return self.usual + slope * (declared - self.declared)
 
     def updated(self, declared: float, usual: float) -> "_Regression":
@@ -118,9 +118,16 @@
 
 
 class RunTimes:
-    """Estimates of the run times of routes and of the speed of workers."""
+    """Estimates of the run times of routes and of the speed of workers.
 
-    def __init__(self) -> None:
+    Args:
+        note_change: Called with the name of a worker whose rounded slowdown changes.
+    """
+
+    def __init__(
+        self, note_change: Callable[[str], object] = lambda worker: None
+    ) -> None:
+        self._note_change = note_change
         self._routes: dict[str, _Regression] = {}
         self._workers: dict[str, _Estimate] = {}
         self._slowdowns: dict[str, float] = {}
@@ -147,22 +154,25 @@
         self._workers.pop(worker, None)
         self._slowdowns.pop(worker, None)
         self._rounded_slowdowns.pop(worker, None)
+        self._note_change(worker)
 
     def learn(self, route: str, runs: Iterable[CompletedRun]) -> None:
         """Update the estimates with the runs of one job, once the job is closed."""
         regression = self._routes.get(route, _PRIOR_ROUTE)
-        worker_samples = [
-            _sample(worker, self._estimate(worker).mean, worker_runs, regression)
-            for worker, worker_runs in _by_worker(runs).items()
-        ]
+        worker_samples: list[_WorkerSample] = []
+        before: dict[str, _Estimate] = {}
+        for worker, worker_runs in _by_worker(runs).items():
+            estimate = before[worker] = self._estimate(worker)
+            worker_samples.append(
+                _sample(worker, estimate.mean, worker_runs, regression)
+            )
         if not worker_samples:
             return
-        before = {
-            sample.worker: self._estimate(sample.worker) for sample in worker_samples
-        }
         precision = 1 / _JOB_VARIANCE
-        weighted_sum = 0.0
+        weighted_sum = declared = usual = 0.0
         for sample in worker_samples:
+            declared += sample.declared
+            usual += sample.usual
             variance = before[sample.worker].variance + sample.noise
             precision += 1 / variance
             weighted_sum += (sample.ratio - before[sample.worker].mean) / variance
@@ -172,14 +182,12 @@
             offset = sample.ratio - before[sample.worker].mean
             # How far the job deviates from its estimate, by its runs on the other
             # workers. The rest of the deviation is attributed to this worker.
-            job_deviation = _Estimate(
-                (weighted_sum - offset / variance) / other_precision,
-                1 / other_precision,
+            job_mean = (weighted_sum - offset / variance) / other_precision
+            self._learn_worker(
+                sample, before[sample.worker], job_mean, 1 / other_precision
             )
-            self._learn_worker(sample, before[sample.worker], job_deviation)
         self._routes[route] = regression.updated(
-            sum(sample.declared for sample in worker_samples) / len(worker_samples),
-            sum(sample.usual for sample in worker_samples) / len(worker_samples),
+            declared / len(worker_samples), usual / len(worker_samples)
         )
         self._centre()
 
@@ -187,24 +195,31 @@
         return self._workers.get(worker, _PRIOR_WORKER)
 
     def _learn_worker(
-        self, sample: _WorkerSample, before: _Estimate, job_deviation: _Estimate
+        self,
+        sample: _WorkerSample,
+        before: _Estimate,
+        job_mean: float,
+        job_variance: float,
     ) -> None:
         variance = before.variance + _DRIFT_VARIANCE
-        deviation = sample.ratio - job_deviation.mean - before.mean
-        noise = job_deviation.variance + sample.noise
+        deviation = sample.ratio - job_mean - before.mean
+        noise = job_variance + sample.noise
         if deviation * deviation > _MAX_DEVIATIONS * _MAX_DEVIATIONS * (
             variance + noise
         ):
             variance = _CHANGED_VARIANCE
         gain = variance / (variance + noise)
-        step = max(-_MAX_STEP, min(_MAX_STEP, gain * deviation))
-        mean = max(_MIN_LOG_SLOWDOWN, min(_MAX_LOG_SLOWDOWN, before.mean + step))
+        step = _clamp(gain * deviation, -_MAX_STEP, _MAX_STEP)
+        mean = _clamp(before.mean + step, _MIN_LOG_SLOWDOWN, _MAX_LOG_SLOWDOWN)
         self._workers[sample.worker] = _Estimate(mean, (1 - gain) * variance)
         self._set_slowdown(sample.worker, math.exp(mean))
 
     def _set_slowdown(self, worker: str, slowdown: float) -> None:
         self._slowdowns[worker] = slowdown
-        self._rounded_slowdowns[worker] = round(slowdown, _SLOWDOWN_DIGITS)
+        rounded = round(slowdown, _SLOWDOWN_DIGITS)
+        if self._rounded_slowdowns.get(worker) != rounded:
+            self._rounded_slowdowns[worker] = rounded
+            self._note_change(worker)
 
     def _centre(self) -> None:
         """Shift the estimates so that the mean worker has a slowdown of 1.
@@ -223,6 +238,12 @@
             self._routes[route] = regression._replace(usual=regression.usual + shift)
 
 
+def _clamp(value: float, least: float, most: float) -> float:
+    if value < least:
+        return least
+    return most if value > most else value
+
+
 def _by_worker(runs: Iterable[CompletedRun]) -> dict[str, list[CompletedRun]]:
     runs_of: dict[str, list[CompletedRun]] = {}
     for run in runs:
@@ -234,17 +255,25 @@
 def _sample(
     worker: str, log_slowdown: float, runs: list[CompletedRun], regression: _Regression
 ) -> _WorkerSample:
-    declared = [math.log(run.declared_s) for run in runs]
-    took = [math.log(run.took_s) for run in runs]
-    expected = sum(regression.expected(log_s) for log_s in declared) / len(runs)
-    noise = sum(_noise_variance(run.took_s) for run in runs) / len(runs)
-    mean = sum(took) / len(runs)
+    declared = took = expected = noise = 0.0
+    declared_s = log_declared = run_expected = 0.0
+    for run in runs:
+        if run.declared_s != declared_s:  # all runs of a step declare the same
+            declared_s = run.declared_s
+            log_declared = math.log(declared_s)
+            run_expected = regression.expected(log_declared)
+        declared += log_declared
+        took += math.log(run.took_s)
+        expected += run_expected
+        noise += _noise_variance(run.took_s)
+    count = len(runs)
+    mean = took / count
     return _WorkerSample(
         worker,
-        mean - expected,
-        sum(declared) / len(runs),
+        mean - expected / count,
+        declared / count,
         mean - log_slowdown,
-        noise / len(runs),
+        noise / count / count,
     )
 
 
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -43,10 +43,10 @@
         """Apply the end or the discovery of a run."""
         self._state.placement_up_to_date = False
         match change:
-            case RunDiscovered(run):
-                return self._handle_discovered_run(now, worker, run)
             case RunClosed(run, outcome):
                 return self._handle_closed_run(now, worker, run, outcome)
+            case RunDiscovered(run):
+                return self._handle_discovered_run(now, worker, run)
 
     def _handle_discovered_run(
         self, now: float, worker: LeasedWorker, run: Run
@@ -62,7 +62,7 @@
         task = job.task(run.task)
         worker.set_needs(run, task.spec.needs)
         if task.waiting and not job.stopping:
-            self._state.runs.adopt(now, run, task, name)
+            self._state.runs.note_started(now, run, task, name, adopted=True)
             return []
         return self._closer.stop_run(now, worker, run)
 
@@ -75,7 +75,7 @@
             worker.set_needs(run, task.spec.needs)
             if task.waiting:
                 self._state.runs.note_closed(name, run)
-                self._state.runs.adopt(now, run, task, name)
+                self._state.runs.note_started(now, run, task, name, adopted=True)
                 job.run_count += 1
 
     def _handle_closed_run(
@@ -89,6 +89,8 @@
                 return self._handle_unknown_done(now, run)
             return []
         job = self._state.runs.job_of(task.name)
+        if outcome is RunOutcome.DONE:
+            self._finish(job, task)
         self._closer.forget_run(name, run)
         took_s = now - task.ordered_at
         resolved = RunResolved(
@@ -97,7 +99,6 @@
         actions: list[LeaderAction] = [LogDecision(resolved)]
         match outcome:
             case RunOutcome.DONE:
-                job.finish(task)
                 if not task.adopted:
                     task.took_s = took_s
                     completed = CompletedRun(name, task.spec.run_time_s, took_s)
@@ -129,13 +130,17 @@
         task = job.task(run.task)
         if task.done:
             return []
-        job.finish(task)
+        self._finish(job, task)
         actions: list[LeaderAction] = []
         worker = self._state.workers.get(task.worker)
         if task.run is not None and worker is not None:
             actions += self._closer.stop_run(now, worker, task.run)
         return actions + self._update_job(now, job, task)
 
+    def _finish(self, job: LedJob, task: LedTask) -> None:
+        job.finish(task)
+        self._state.queue.update(job)
+
     def _update_job(self, now: float, job: LedJob, task: LedTask) -> list:
         """Close a job or report its progress after one of its runs has ended."""
         if job.stopping:
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -91,16 +91,15 @@
 
     def load(self, now: float) -> Load:
         """Return the capacity, free capacity and queued work of this leader."""
-        cores = free = 0.0
-        for worker in self._state.usable_workers():
-            cores += worker.entry.room.cores
-            free += max(0.0, worker.free_capacity().cores)
+        capacity = self._state.capacity()
         queued = sum(
-            job.open_core_seconds
-            for job in self._state.jobs.values()
-            if not job.run_count
+            [
+                job.open_core_seconds
+                for job in self._state.jobs.values()
+                if not job.run_count
+            ]
         )
-        return Load(cores, free, queued)
+        return Load(capacity.total_cores, capacity.usable_free_cores, queued)
 
     def set_workers(
         self,
@@ -125,6 +124,8 @@
         if entries != self._state.entries or not_led_here != self._state.not_led_here:
             self._state.placement_up_to_date = False
             self._state.note_worker_change()
+        elif not self._state.reclaim_at and not_led_here.isdisjoint(entries):
+            return self._assignment.assign(now)  # all are claimed and none is fenced
         self._state.entries = entries
         self._state.not_led_here = not_led_here
         for name in self._state.workers.keys() & not_led_here:
@@ -217,9 +218,12 @@
             return []
         if not isinstance(reply, LeaseReply):
             return self._group.handle_renewal_failure(now, worker, reply)
-        self._state.renewal_backoff_s.pop(name, None)
+        if self._state.renewal_backoff_s:
+            self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
+        if self._state.placement_up_to_date:
+            return actions
         return actions + self._assignment.assign(now)
 
     def handle_state_reply(
@@ -249,6 +253,8 @@
         actions: list[LeaderAction] = []
         changes = worker.apply_order_reply(now, run, reply)
         match reply.outcome:
+            case OrderOutcome.ACCEPTED:
+                pass
             case OrderOutcome.OUTDATED:
                 task = self._state.runs.task_of(name, run)
                 if task is not None:
@@ -269,6 +275,8 @@
                 self._state.health.note_no_reply(now, name)
         for change in changes:
             actions += self._outcomes.apply_change(now, worker, change)
+        if self._state.placement_up_to_date:
+            return actions
         return actions + self._assignment.assign(now)
 
     def handle_stop_reply(
@@ -288,13 +296,11 @@
     def tick(self, now: float) -> list[LeaderAction]:
         """Do what is due because time has passed: timeouts, retries, deadlines."""
         actions: list[LeaderAction] = []
-        for worker in list(self._state.workers.values()):
-            actions += self._group.check_worker(now, worker)
+        actions += self._group.check_workers(now)
         for run, name, _ in self._state.runs.unclaimed(now):
             if name in self._state.workers:
                 actions += self._closer.stop_run(now, self._state.workers[name], run)
-        for job in list(self._state.jobs.values()):
-            actions += self._offers.check_deadline(now, job)
+        actions += self._offers.check_deadlines(now)
         for job in self._state.suspects.jobs:
             actions += self._outcomes.check_suspects(now, job)
         losses = self._state.suspects.take_unshared()
