--- a/packages/poplarhilld/src/poplarhilld/leading/evacuated.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/evacuated.py
@@ -53,7 +53,7 @@
             return []
         actions: list[LeaderAction] = []
         known: dict[_Kind, bool] = {}
-        for job in list(self._state.queue.values()):
+        for job in self._state.queue.jobs:
             if job.stopping or job.under_way or self._may_run_here(now, job):
                 continue
             if not self._is_held(now, job, known):
