--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -28,7 +28,13 @@
     StartRun,
     StopRun,
 )
-from poplarhilld.leases import LeaseReply, Renewal, RenewalFailure, TokenSource
+from poplarhilld.leases import (
+    LeaseReply,
+    OrderReply,
+    Renewal,
+    RenewalFailure,
+    TokenSource,
+)
 from poplarhilld.peers import PeerLinks
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.peers.messages import (
@@ -502,7 +508,9 @@
         worker.
         """
         renewal = Renewal(0, 0, None, 0.0, uptime())
-        reply = await self._worker_client.renew(worker, renewal)
+        replies = curio.Queue()
+        await self._worker_client.renew(worker, renewal, replies.put)
+        reply = await replies.get()
         return reply not in (RenewalFailure.SILENT, RenewalFailure.REFUSED)
 
     async def _wait_for_stop(self, signals: SignalWaiter) -> None:
@@ -553,13 +561,13 @@
                 case LogDecision(decision):
                     _log.info(type(decision).__name__, **decision._asdict())
                 case StartRun():
-                    await curio.spawn(self._start_run(action), daemon=True)
+                    await self._start_run(action)
                 case StopRun():
-                    await curio.spawn(self._stop_run(action), daemon=True)
+                    await self._stop_run(action)
                 case RenewLease():
-                    await curio.spawn(self._renew_repeatedly(action), daemon=True)
+                    await self._renew(action)
                 case QueryWorker():
-                    await curio.spawn(self._query_worker(action), daemon=True)
+                    await self._query_worker(action)
                 case ReportJob(host, report):
                     pending.extend(await self._send(host, report))
                 case ShareLosses(report):
@@ -635,65 +643,64 @@
 
     async def _start_run(self, action: StartRun) -> None:
         begin = uptime()
-        reply = await self._worker_client.start(action.worker, action.order)
-        self._metrics.order_latency.observe(uptime() - begin)
-        self._metrics.orders.labels(reply.outcome.value).inc()
-        self._usage.orders += 1
         name, run = action.worker.name, action.order.run
-        await self._perform(self._leader.handle_start_reply(uptime(), name, run, reply))
 
-    async def _stop_run(self, action: StopRun) -> None:
-        answered = await self._worker_client.stop(
-            action.worker, action.run, action.token
-        )
-        self._metrics.stops.labels(str(answered).lower()).inc()
-        name = action.worker.name
-        await self._perform(
-            self._leader.handle_stop_reply(uptime(), name, action.run, answered)
-        )
+        async def on_reply(reply: OrderReply) -> None:
+            now = uptime()
+            self._metrics.order_latency.observe(now - begin)
+            self._metrics.orders.labels(reply.outcome.value).inc()
+            self._usage.orders += 1
+            await self._perform(self._leader.handle_start_reply(now, name, run, reply))
 
-    async def _renew_repeatedly(self, action: RenewLease) -> None:
-        """Renew a lease, and send each further renewal from the same curio task.
+        await self._worker_client.start(action.worker, action.order, on_reply)
 
-        The task keeps its connection, which spares the event loop most of the work.
-        """
-        next_renewal: RenewLease | None = action
-        while next_renewal is not None:
-            next_renewal = await self._renew_once(next_renewal)
+    async def _stop_run(self, action: StopRun) -> None:
+        name, run = action.worker.name, action.run
 
-    async def _renew_once(self, action: RenewLease) -> RenewLease | None:
-        """Renew a lease, after a pause if one is set, and return the next renewal.
+        async def on_reply(answered: bool) -> None:
+            self._metrics.stops.labels(str(answered).lower()).inc()
+            await self._perform(
+                self._leader.handle_stop_reply(uptime(), name, run, answered)
+            )
 
-        Returns:
-            The renewal to send next; `None` if the leader asks for none, such as
-            after the worker has left or the token has changed.
-        """
-        renewal = action.renewal
-        name = action.worker.name
+        await self._worker_client.stop(action.worker, run, action.token, on_reply)
+
+    async def _renew(self, action: RenewLease) -> None:
+        """Renew a lease, after a pause if one is set."""
         if action.pause_s:
-            await curio.sleep(action.pause_s)
-            worker = self._leader.workers.get(name)
-            if worker is None or worker.token != renewal.token or worker.fenced:
-                return None
-            renewal = worker.next_renewal(uptime())
-        reply = await self._worker_client.renew(action.worker, renewal)
-        outcome = "ok" if isinstance(reply, LeaseReply) else reply.value
-        self._metrics.renewals.labels(outcome).inc()
-        self._usage.renewals += 1
-        actions = self._leader.handle_renewal_reply(uptime(), name, renewal, reply)
-        next_renewal = next(
-            (one for one in actions if isinstance(one, RenewLease)), None
-        )
-        await self._perform(one for one in actions if one is not next_renewal)
-        return next_renewal
+            await curio.spawn(self._renew_after_pause, action, daemon=True)
+        else:
+            await self._renew_now(action.worker, action.renewal)
+
+    async def _renew_after_pause(self, action: RenewLease) -> None:
+        """Renew a lease later, unless the worker has left or the token has changed."""
+        await curio.sleep(action.pause_s)
+        worker = self._leader.workers.get(action.worker.name)
+        if worker is None or worker.token != action.renewal.token or worker.fenced:
+            return
+        await self._renew_now(action.worker, worker.next_renewal(uptime()))
+
+    async def _renew_now(self, worker: WorkerEntry, renewal: Renewal) -> None:
+        async def on_reply(reply: LeaseReply | RenewalFailure) -> None:
+            outcome = "ok" if isinstance(reply, LeaseReply) else reply.value
+            self._metrics.renewals.labels(outcome).inc()
+            self._usage.renewals += 1
+            await self._perform(
+                self._leader.handle_renewal_reply(uptime(), worker.name, renewal, reply)
+            )
+
+        await self._worker_client.renew(worker, renewal, on_reply)
 
     async def _query_worker(self, action: QueryWorker) -> None:
         """Ask a worker for its state at once, beside the renewal under way."""
-        reply = await self._worker_client.renew(action.worker, action.renewal)
-        name = action.worker.name
-        await self._perform(
-            self._leader.handle_state_reply(uptime(), name, action.renewal, reply)
-        )
+        name, renewal = action.worker.name, action.renewal
+
+        async def on_reply(reply: LeaseReply | RenewalFailure) -> None:
+            await self._perform(
+                self._leader.handle_state_reply(uptime(), name, renewal, reply)
+            )
+
+        await self._worker_client.renew(action.worker, renewal, on_reply)
 
     # Shutdown
 
--- a/packages/poplarhilld/src/poplarhilld/entry/ports.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ports.py
@@ -1,6 +1,6 @@
 """Interfaces from an entry host to the platform, which adapters implement."""
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol
 
 from poplarhill.types import Address
@@ -18,18 +18,37 @@
 
 
 class WorkerClient(Protocol):
-    """Sends lease renewals and orders to workers."""
+    """Sends lease renewals and orders to workers.
 
-    async def renew(
-        self, worker: WorkerEntry, renewal: Renewal
-    ) -> LeaseReply | RenewalFailure:
-        """Renew the lease on a worker; return its state, or why it gave none."""
-
-    async def start(self, worker: WorkerEntry, order: Order) -> OrderReply:
-        """Order a worker to start a run and return its answer."""
+    Each of these calls returns once the request is on its way. The reply is passed to
+    `on_reply`, later and exactly once unless the event loop ends before. `on_reply`
+    must not block: the task that runs it reads the connection to the worker.
+    """
 
-    async def stop(self, worker: WorkerEntry, run: Run, token: int) -> bool:
-        """Order a worker to stop a run; return whether it answered."""
+    async def renew(
+        self,
+        worker: WorkerEntry,
+        renewal: Renewal,
+        on_reply: Callable[[LeaseReply | RenewalFailure], Awaitable[None]],
+    ) -> None:
+        """Renew the lease on a worker; pass on its state, or why it gave none."""
+
+    async def start(
+        self,
+        worker: WorkerEntry,
+        order: Order,
+        on_reply: Callable[[OrderReply], Awaitable[None]],
+    ) -> None:
+        """Order a worker to start a run and pass on its answer."""
+
+    async def stop(
+        self,
+        worker: WorkerEntry,
+        run: Run,
+        token: int,
+        on_reply: Callable[[bool], Awaitable[None]],
+    ) -> None:
+        """Order a worker to stop a run; pass on whether it answered."""
 
     async def close_idle_connections(self) -> None:
         """Close connections that have been idle for some time."""
