--- a/packages/poplarhill-dev/tests/adapter/test_evacuation.py
+++ b/packages/poplarhill-dev/tests/adapter/test_evacuation.py
@@ -120,10 +120,14 @@
         [worker, _] = host._leader.workers.values()
         order = Order(Run("a.0.0.0", 1), '{"run_s":1}', 1e12, worker.token)
         await host._performer.on_frame(heartbeat(9, Evacuation("dc1", 6)))
-        await host._performer._worker_calls._start_run(StartRun(worker.entry, order))
+        calls, unsent = host._performer._worker_calls, host._metrics.orders
+        await calls.begin(StartRun(worker.entry, order))
+        await wait_until(lambda: unsent.labels("unsent")._value.get() == 1)
         assert not any(worker.simulated.running for worker in platform.workers)
         await host._performer.on_frame(heartbeat(10))
-        await host._performer._worker_calls._start_run(StartRun(worker.entry, order))
-        assert any(worker.simulated.running for worker in platform.workers)
+        await calls.begin(StartRun(worker.entry, order))
+        await wait_until(
+            lambda: any(worker.simulated.running for worker in platform.workers)
+        )
 
     platform.run_scenario(scenario)
--- a/packages/poplarhilld/src/poplarhilld/entry/reachability.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/reachability.py
@@ -50,5 +50,7 @@
         worker.
         """
         renewal = Renewal(0, 0, None, 0.0, uptime())
-        reply = await self._workers.renew(worker, renewal)
+        replies = curio.Queue()
+        await self._workers.renew(worker, renewal, replies.put)
+        reply = await replies.get()
         return reply not in (RenewalFailure.SILENT, RenewalFailure.REFUSED)
--- a/packages/poplarhilld/src/poplarhilld/entry/worker_calls.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/worker_calls.py
@@ -4,13 +4,20 @@
 
 import curio
 
+from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.entry.clock import uptime
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.ports import WorkerClient
 from poplarhilld.entry.usage import UsageMeter
 from poplarhilld.evacuation import EvacuationCopy
 from poplarhilld.leading import Leader, QueryWorker, RenewLease, StartRun, StopRun
-from poplarhilld.leases import LeaseReply, OrderOutcome, OrderReply
+from poplarhilld.leases import (
+    LeaseReply,
+    OrderOutcome,
+    OrderReply,
+    Renewal,
+    RenewalFailure,
+)
 
 WorkerAction = StartRun | StopRun | RenewLease | QueryWorker
 
@@ -44,78 +51,79 @@
         self._perform = perform
 
     async def begin(self, action: WorkerAction) -> None:
-        """Begin a call; its reply is handled in a curio task of its own."""
+        """Send a call; its reply is handled later, when it has arrived."""
         match action:
             case StartRun():
-                await curio.spawn(self._start_run(action), daemon=True)
+                await self._start_run(action)
             case StopRun():
-                await curio.spawn(self._stop_run(action), daemon=True)
+                await self._stop_run(action)
             case RenewLease():
-                await curio.spawn(self._renew_repeatedly(action), daemon=True)
+                await self._renew(action)
             case QueryWorker():
-                await curio.spawn(self._query_worker(action), daemon=True)
+                await self._query_worker(action)
 
     async def _start_run(self, action: StartRun) -> None:
         begin = uptime()
+        name, run = action.worker.name, action.order.run
+
+        async def on_reply(reply: OrderReply) -> None:
+            now = uptime()
+            self._metrics.order_latency.observe(now - begin)
+            self._metrics.orders.labels(reply.outcome.value).inc()
+            self._usage.orders += 1
+            await self._perform(self._leader.handle_start_reply(now, name, run, reply))
+
         if action.worker.data_centre in self._evacuations.data_centres:
-            # Decided before the evacuation was known here; it waits for a connection
-            # for 0.5 s at most after this.
-            reply = OrderReply(OrderOutcome.UNSENT)
+            # Decided before the evacuation was known here.
+            unsent = OrderReply(OrderOutcome.UNSENT)
+            await curio.spawn(on_reply, unsent, daemon=True)
         else:
-            reply = await self._client.start(action.worker, action.order)
-        self._metrics.order_latency.observe(uptime() - begin)
-        self._metrics.orders.labels(reply.outcome.value).inc()
-        self._usage.orders += 1
-        name, run = action.worker.name, action.order.run
-        await self._perform(self._leader.handle_start_reply(uptime(), name, run, reply))
+            await self._client.start(action.worker, action.order, on_reply)
 
     async def _stop_run(self, action: StopRun) -> None:
-        answered = await self._client.stop(action.worker, action.run, action.token)
-        self._metrics.stops.labels(str(answered).lower()).inc()
-        name = action.worker.name
-        await self._perform(
-            self._leader.handle_stop_reply(uptime(), name, action.run, answered)
-        )
-
-    async def _renew_repeatedly(self, action: RenewLease) -> None:
-        """Renew a lease, and send each further renewal from the same curio task.
-
-        The task keeps its connection, which spares the event loop most of the work.
-        """
-        next_renewal: RenewLease | None = action
-        while next_renewal is not None:
-            next_renewal = await self._renew_once(next_renewal)
-
-    async def _renew_once(self, action: RenewLease) -> RenewLease | None:
-        """Renew a lease, after a pause if one is set, and return the next renewal.
-
-        Returns:
-            The renewal to send next; `None` if the leader asks for none, such as
-            after the worker has left or the token has changed.
-        """
-        renewal = action.renewal
-        name = action.worker.name
+        name, run = action.worker.name, action.run
+
+        async def on_reply(answered: bool) -> None:
+            self._metrics.stops.labels(str(answered).lower()).inc()
+            await self._perform(
+                self._leader.handle_stop_reply(uptime(), name, run, answered)
+            )
+
+        await self._client.stop(action.worker, run, action.token, on_reply)
+
+    async def _renew(self, action: RenewLease) -> None:
+        """Renew a lease, after a pause if one is set."""
         if action.pause_s:
-            await curio.sleep(action.pause_s)
-            worker = self._leader.workers.get(name)
-            if worker is None or worker.token != renewal.token or worker.fenced:
-                return None
-            renewal = worker.next_renewal(uptime())
-        reply = await self._client.renew(action.worker, renewal)
-        outcome = "ok" if isinstance(reply, LeaseReply) else reply.value
-        self._metrics.renewals.labels(outcome).inc()
-        self._usage.renewals += 1
-        actions = self._leader.handle_renewal_reply(uptime(), name, renewal, reply)
-        next_renewal = next(
-            (one for one in actions if isinstance(one, RenewLease)), None
-        )
-        await self._perform(one for one in actions if one is not next_renewal)
-        return next_renewal
+            await curio.spawn(self._renew_after_pause, action, daemon=True)
+        else:
+            await self._renew_now(action.worker, action.renewal)
+
+    async def _renew_after_pause(self, action: RenewLease) -> None:
+        """Renew a lease later, unless the worker has left or the token has changed."""
+        await curio.sleep(action.pause_s)
+        worker = self._leader.workers.get(action.worker.name)
+        if worker is None or worker.token != action.renewal.token or worker.fenced:
+            return
+        await self._renew_now(action.worker, worker.next_renewal(uptime()))
+
+    async def _renew_now(self, worker: WorkerEntry, renewal: Renewal) -> None:
+        async def on_reply(reply: LeaseReply | RenewalFailure) -> None:
+            outcome = "ok" if isinstance(reply, LeaseReply) else reply.value
+            self._metrics.renewals.labels(outcome).inc()
+            self._usage.renewals += 1
+            await self._perform(
+                self._leader.handle_renewal_reply(uptime(), worker.name, renewal, reply)
+            )
+
+        await self._client.renew(worker, renewal, on_reply)
 
     async def _query_worker(self, action: QueryWorker) -> None:
         """Ask a worker for its state at once, beside the renewal under way."""
-        reply = await self._client.renew(action.worker, action.renewal)
-        name = action.worker.name
-        await self._perform(
-            self._leader.handle_state_reply(uptime(), name, action.renewal, reply)
-        )
+        name, renewal = action.worker.name, action.renewal
+
+        async def on_reply(reply: LeaseReply | RenewalFailure) -> None:
+            await self._perform(
+                self._leader.handle_state_reply(uptime(), name, renewal, reply)
+            )
+
+        await self._client.renew(action.worker, renewal, on_reply)
