--- a/packages/poplarhill-dev/tests/adapter/test_evacuation.py
+++ b/packages/poplarhill-dev/tests/adapter/test_evacuation.py
@@ -32,6 +32,11 @@
     return await fetch(*platform.settings.callers, request, 10.0)
 
 
+async def page(platform) -> bytes:
+    request = Request("GET", "/metrics")
+    return (await fetch(*platform.settings.metrics, request, 5.0)).body
+
+
 def put(platform, value: dict | None, data_centre: str = "dc1") -> None:
     platform.store.put("keyed.op", f"evacuate/{data_centre}", value)
 
@@ -58,11 +63,11 @@
         assert (answer.status, error["run_state"]) == (503, "not_run")
         assert int(answer.headers["retry-after"]) >= 1
         assert not any(worker.peak_cores for worker in platform.workers)
-        page = await fetch(*platform.settings.metrics, Request("GET", "/metrics"), 5.0)
-        assert b'poplarhill_evacuated{data_centre="dc1"} 1.0' in page.body
+        assert b'poplarhill_evacuated{data_centre="dc1"} 1.0' in await page(platform)
         put(platform, None)
         async with curio.timeout_after(BOUND_S):
             await wait_until(lambda: not evacuated(platform))
+        assert b'poplarhill_evacuated{data_centre="dc1"} 0.0' in await page(platform)
         assert (await submit(platform, 1)).status == 200
         leader = platform.host._leader
         assert tokens == [worker.token for worker in leader.workers.values()]
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -173,6 +173,7 @@
         self._metrics.configuration_version.set(status.configuration_version)
         self._metrics.configuration_age.set(math.inf if age_s is None else age_s)
         configuration = self._dispatcher.configuration
+        self._metrics.evacuated.clear()
         for name in configuration.data_centres if configuration else ():
             evacuated = name in self._dispatcher.evacuated
             self._metrics.evacuated.labels(name).set(evacuated)
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -795,10 +795,8 @@
         metrics.led_jobs.set(len(self._leader.jobs))
         metrics.live_hosts.set(len(self._hosts.live) + 1)
         metrics.version.set(self._catalogue.version)
-        known = self._evacuations.data_centres | {*map(data_centre, self._shards)}
-        for name in known:
-            evacuated = name in self._evacuations.data_centres
-            metrics.evacuated.labels(name).set(evacuated)
+        evacuated = self._evacuations.data_centres
+        metrics.set_evacuated(evacuated, map(data_centre, self._shards))
         metrics.processor_s.set(_processor_time_s())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
--- a/packages/poplarhilld/src/poplarhilld/entry/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms of an entry host."""
 
+from collections.abc import Iterable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -55,6 +57,12 @@
         self.lines_dropped = self._gauge("log_lines_dropped", "Log lines dropped")
         self.frames_dropped = self._gauge("peer_frames_dropped", "Frames dropped")
 
+    def set_evacuated(self, evacuated: frozenset[str], known: Iterable[str]) -> None:
+        """Set which of the known data centres are evacuated."""
+        self.evacuated.clear()
+        for name in evacuated.union(known):
+            self.evacuated.labels(name).set(name in evacuated)
+
     def page(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
