--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -212,9 +212,7 @@
         name, reason = job.leader, "same leader"
         if name not in self._leaders:
             needs = sum(s.count * s.needs.cores for s in job.submission.steps)
-            leaders = self._open_leaders
-            if job.refused_by:
-                leaders = self._leaders_beside(job.refused_by) or leaders
+            leaders = self._candidates(job)
             name, reason = choose_leader(leaders, needs, job.submission.job_id)
         job.next_offer = now + REPEAT_INTERVAL_S
         leader = self._leaders.get(name)
@@ -315,6 +313,22 @@
         job.handovers -= 1  # the next offer counts one
         return self._offer_job(now, job)
 
+    def _candidates(self, job: _PendingJob) -> Mapping[str, LeaderView]:
+        """Return the leaders among which to choose one for a job."""
+        if job.refused_by:
+            return self._leaders_beside(job.refused_by) or self._open_leaders
+        if job.handovers >= 0 and self._open_leaders is not self._leaders:
+            # Its leader was lost. Runs of it on evacuated workers can finish only if
+            # the next leader of these workers gets it; that one gives it back if there
+            # are none.
+            successors = {
+                name: leader
+                for name, leader in self._leaders.items()
+                if leader.evacuated and leader.same_data_centre
+            }
+            return successors or self._open_leaders
+        return self._open_leaders
+
     def _leaders_beside(self, refused_by: set[str]) -> dict[str, LeaderView]:
         """Return the leaders that new jobs may go to, without some of them."""
         return {n: v for n, v in self._open_leaders.items() if n not in refused_by}
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -292,3 +292,18 @@
     assert of_type(submit(), OfferToLeader)[0].host == "h2"
     submissions.update_leaders(0.0, {"h1": evacuated})
     assert of_type(submit(2, "b"), OfferToLeader)[0].host == "h1"
+
+
+# Guards against the end of what runs in an evacuated data centre whose leader is lost.
+def test_a_job_of_a_lost_leader_goes_to_the_next_one_of_the_evacuated_workers(
+    submissions, submit
+) -> None:
+    submit()
+    near = LEADER._replace(tenure=9, evacuated=True)
+    far = LEADER._replace(same_data_centre=False)
+    actions = submissions.update_leaders(0.2, {"h2": far, "h3": near})
+    [offer] = of_type(actions, OfferToLeader)
+    assert (offer.host, offer.offered.offer.handovers) == ("h3", 1)
+    begun = GIVEN_BACK._replace(not_run=False)
+    [offer] = of_type(submissions.apply_report(0.3, "h3", begun), OfferToLeader)
+    assert (offer.host, offer.offered.offer.handovers) == ("h2", 1)
