--- a/packages/poplarhilld/src/poplarhilld/entry/pages.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/pages.py
@@ -53,8 +53,7 @@
         metrics.live_hosts.set(len(state.hosts.live) + 1)
         metrics.version.set(state.catalogue.version)
         evacuated = state.evacuations.data_centres
-        for name in evacuated | {*map(data_centre, state.shards)}:
-            metrics.evacuated.labels(name).set(name in evacuated)
+        metrics.set_evacuated(evacuated, map(data_centre, state.shards))
         metrics.processor_s.set(processor_time_s())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
