Test a leader's kept figures with preferences and several steps

The leaders under faults also run jobs with labels, racks, a limit of tasks on a worker and a second step, and the choice of a worker is compared with a minimum over all. Sums of no worker are floats again (load of a leader without workers).

--- a/packages/poplarhilld/src/poplarhilld/leading/capacity.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/capacity.py
@@ -65,7 +65,7 @@
             self._total_cores_of[service] = total + cores
             self._free_cores_of.setdefault(service, {})
             self._insert(name, slowdowns.get(name, USUAL_SLOWDOWN))
-        self._total_cores = sum(self._total_cores_of.values())
+        self._total_cores = sum(self._total_cores_of.values(), 0.0)
 
     def __len__(self) -> int:
         return len(self._workers)
@@ -83,12 +83,12 @@
     @property
     def free_cores(self) -> float:
         """Free cores of all workers; overfull workers count as negative."""
-        return sum(self._free_cores.values())
+        return sum(self._free_cores.values(), 0.0)
 
     @property
     def usable_free_cores(self) -> float:
         """Free cores of all workers; overfull workers count as zero."""
-        return sum([cores for cores in self._free_cores.values() if cores > 0.0])
+        return sum([cores for cores in self._free_cores.values() if cores > 0.0], 0.0)
 
     @property
     def max_free_cores(self) -> float:
@@ -105,7 +105,7 @@
         free_cores = self._free_cores_of.get(service, {}).values()
         return ServiceCores(
             self._total_cores_of.get(service, 0.0),
-            sum([cores for cores in free_cores if cores > 0.0]),
+            sum([cores for cores in free_cores if cores > 0.0], 0.0),
         )
 
     def slowdown_at(self, fraction: int) -> float:
--- a/packages/poplarhilld/tests/leading/test_free_capacity.py
+++ b/packages/poplarhilld/tests/leading/test_free_capacity.py
@@ -6,10 +6,13 @@
 import pytest
 
 from poplarhill.types import Resources
-from poplarhill_dev.leased import worker_entry
+from poplarhill_dev.leased import job_offer, worker_entry
 from poplarhilld.leading.capacity import MAX_HEALTHY_SLOWDOWN, FreeCapacity
 from poplarhilld.leading.estimates import USUAL_SLOWDOWN
+from poplarhilld.leading.job import LedJob
+from poplarhilld.leading.placement import choose_worker
 from poplarhilld.leases import LeasedWorker, OrderOutcome, OrderReply, Run
+from poplarhilld.peers.messages import StepSpec
 
 _NEEDS = [Resources(cores, 64 * cores, 0) for cores in (2.0, 3.5, 6.8, 7.4, 12.0)]
 
@@ -90,3 +93,42 @@
         )
         found = [worker.entry.name for worker in capacity.fitting(*query)]
         assert found == preferred(left, slowdowns, *query)
+
+
+# Guards against a worker that is taken because it comes first in the order, although
+# another one is in the rack of the data or has not failed the task.
+@pytest.mark.parametrize("seed", range(4))
+def test_the_chosen_worker_is_the_best_of_all(seed):
+    random = Random(seed)
+    for _ in range(100):
+        workers = [
+            LeasedWorker(worker_entry(f"w{n}", rack=f"r{n % 3}"), 1, 1.0, 0.0)
+            for n in range(12)
+        ]
+        for worker in workers:
+            worker.reserve(0.0, Run("other", 1), random.choice(_NEEDS))
+        slowdowns = {f"w{n}": round(random.uniform(0.5, 2.0), 1) for n in range(12)}
+        step = StepSpec(
+            1,
+            random.choice(_NEEDS),
+            0.2,
+            label=random.choice(("", "r1")),
+            data_rack=random.choice(("", "r1", "r2")),
+        )
+        job = LedJob(job_offer("a")._replace(steps=(step,)), "e1", 0.0, [0.2])
+        job.tasks[0].avoid = {f"w{random.randrange(12)}" for _ in range(8)}
+        avoid_fast = random.random() < 0.5
+        names = preferred(workers, slowdowns, step.needs, avoid_fast, math.inf)
+        racks = {worker.entry.name: worker.entry.rack for worker in workers}
+        best = min(
+            (name for name in names if step.label in ("", racks[name])),
+            key=lambda name: (
+                name in job.tasks[0].avoid,
+                step.data_rack not in ("", racks[name]),
+                names.index(name),
+            ),
+            default=None,
+        )
+        capacity = FreeCapacity(workers, slowdowns)
+        chosen = choose_worker(job, job.tasks[0], capacity, avoid_fast)
+        assert (chosen and chosen.entry.name) == best
--- a/packages/poplarhilld/tests/leading/test_work_of_events.py
+++ b/packages/poplarhilld/tests/leading/test_work_of_events.py
@@ -2,10 +2,12 @@
 
 import math
 import sys
+from dataclasses import replace
 from random import Random
 
 import pytest
 
+from poplarhill.types import Resources
 from poplarhill_dev.leased import (
     SimulatedWorker,
     World,
@@ -19,14 +21,40 @@
 from poplarhilld.leading.queue import JobQueue
 from poplarhilld.leading.shared import LeaderState
 from poplarhilld.leases import LeasedWorker, OrderOutcome, OrderReply
+from poplarhilld.peers.messages import StepSpec
 
 _STEPS = 150
 
 
-def actions_under_faults(seed: int) -> list[str]:
-    """Return all actions of the leaders of a simulation with many faults."""
+def varied_steps(random: Random) -> tuple[StepSpec, ...]:
+    """Return the steps of a job that has preferences and may have a second step."""
+    needs = Resources(random.choice((3.5, 6.8, 12.0)), 64, 0)
+    first = StepSpec(
+        random.randint(1, 4),
+        needs,
+        random.uniform(0.05, 0.5),
+        label=random.choice(("", "r1")),
+        max_per_worker=random.choice((0, 1)),
+        data_rack=random.choice(("", "r0")),
+    )
+    second = StepSpec(
+        random.randint(1, 3), Resources(needs.cores / 2, 64, 0), 0.1, (0,)
+    )
+    return (first, second)[: random.randint(1, 2)]
+
+
+def actions_under_faults(seed: int, varied: bool = False) -> list[str]:
+    """Return all actions of the leaders of a simulation with many faults.
+
+    Args:
+        seed: Seed of every random choice.
+        varied: Whether jobs have preferences and several steps.
+    """
     random = Random(seed)
-    workers = [SimulatedWorker(worker_entry(f"w{n}")) for n in range(6)]
+    workers = [
+        SimulatedWorker(worker_entry(f"w{n}", rack=f"r{n % 2}" if varied else "r1"))
+        for n in range(6)
+    ]
     world = World(workers, seed)
     recorded: list[str] = []
     perform = world.perform
@@ -61,6 +89,10 @@
             tasks=random.randint(1, 8),
             handovers=random.choice((0, 0, 0, 1)),
         )
+        if varied:
+            steps = varied_steps(random)
+            offer = job.offer._replace(steps=steps)
+            job = replace(job, offer=offer, needs=steps[0].needs)
         world.submit("h1", job)
         world.run(random.uniform(0.01, 0.08))
         if step == _STEPS // 2:
@@ -176,8 +208,9 @@
 # Guards against lists of workers or an order of free capacity that outlive a change
 # of one of them.
 @pytest.mark.parametrize("seed", range(4))
-def test_the_kept_lists_of_workers_change_no_decision(seed, monkeypatch):
-    kept = actions_under_faults(seed)
+@pytest.mark.parametrize("varied", [False, True])
+def test_the_kept_lists_of_workers_change_no_decision(seed, varied, monkeypatch):
+    kept = actions_under_faults(seed, varied)
 
     def usable(self):
         return [w for w in self.workers.values() if self.is_usable(w)]
@@ -191,13 +224,14 @@
     monkeypatch.setattr(LeaderState, "usable_workers", usable)
     monkeypatch.setattr(LeaderState, "workers_of", of_service)
     monkeypatch.setattr(LeaderState, "capacity", capacity)
-    assert actions_under_faults(seed) == kept
+    assert actions_under_faults(seed, varied) == kept
 
 
 # Guards against a queue whose order or whose kept figures outlive a change of a job.
 @pytest.mark.parametrize("seed", range(4))
-def test_the_kept_order_of_the_queue_changes_no_decision(seed, monkeypatch):
-    kept = actions_under_faults(seed)
+@pytest.mark.parametrize("varied", [False, True])
+def test_the_kept_order_of_the_queue_changes_no_decision(seed, varied, monkeypatch):
+    kept = actions_under_faults(seed, varied)
     checked = 0
 
     def by_rank(self, now):
@@ -220,5 +254,5 @@
 
     monkeypatch.setattr(JobQueue, "by_rank", by_rank)
     monkeypatch.setattr(JobQueue, "work_ahead_of", work_ahead_of)
-    assert actions_under_faults(seed) == kept
+    assert actions_under_faults(seed, varied) == kept
     assert checked > 100
