--- a/packages/poplarhilld/src/poplarhilld/entry/callers.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/callers.py
@@ -37,7 +37,10 @@
         begin = uptime()
         route = submission.route.name
         try:
+            was_idle = not len(state.submissions)
             await perform(state.submissions.submit(begin, number, submission))
+            if was_idle:
+                await state.pause.shorten()  # the job may end before an idle pause
             failure = await outcome.get()
         except curio.CancelledError:
             withdrawal = state.submissions.drop_caller(uptime(), number)
--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -99,7 +99,7 @@
                     await self._peers.send(address, beat)
                 case AnswerNewPeer(address):
                     await self._peers.reconnect(address)
-                    await state.tick_wanted.set()
+                    await state.pause.end()
                 case HostLost(host):
                     pending.extend(state.leader.handle_lost_host(uptime(), host))
 
@@ -157,7 +157,10 @@
         else:
             self._state.usage.frames += 1
         await self.perform(self.handle_message(envelope.sender, envelope.message))
+        if self._state.hosts.changed:
+            await self._state.pause.shorten()
 
     async def _on_refused(self, address: Address) -> None:
         """Report that a peer's address refused a connection."""
         await self.perform(self._state.hosts.connection_refused(uptime(), address))
+        await self._state.pause.shorten()
--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -5,6 +5,7 @@
 import curio
 
 from poplarhilld.catalogue import Catalogue, Registry, WorkerEntry
+from poplarhilld.entry.pause import Pause
 from poplarhilld.entry.settings import EntrySettings
 from poplarhilld.entry.usage import BusyMeter, UsageMeter
 from poplarhilld.leading import Leader
@@ -36,7 +37,7 @@
         reachable_since: Since when each leaderless shard has been reachable, s.
         usage: Counts what the processor time is spent on.
         busy: Measures the share of the processor in use.
-        tick_wanted: Set to make the decisions that depend on time at once.
+        pause: Pause until the next decisions that depend on time.
         shutting_down: Whether this host has begun to stop.
     """
 
@@ -63,7 +64,7 @@
         self.reachable_since: dict[str, float] = {}
         self.usage = UsageMeter(now)
         self.busy = BusyMeter(now, settings.cores)
-        self.tick_wanted = curio.Event()
+        self.pause = Pause()
         self.shutting_down = False
 
     def load(self, now: float) -> Load:
--- a/packages/poplarhilld/src/poplarhilld/entry/store.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/store.py
@@ -110,7 +110,7 @@
                     registered = True
                 addresses = await self._directory.hosts()
                 state.hosts.set_registered_addresses(uptime(), addresses)
-                await state.tick_wanted.set()  # sends new hosts their first heartbeat
+                await state.pause.end()  # sends new hosts their first heartbeat
             except UnavailableError as error:
                 self._record_call("hosts", str(error))
                 await curio.sleep(_STORE_RETRY_S)
--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -2,8 +2,6 @@
 
 import time
 
-import curio
-
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.entry.clock import processor_time_s, uptime
 from poplarhilld.entry.logs import LogBuffer
@@ -35,13 +33,17 @@
         """Run the time-dependent decisions and write the log at short intervals."""
         state = self._state
         while True:
-            busy = len(state.submissions) or state.leader.workers
-            interval_s = TICK_S if busy else _IDLE_TICK_S
+            now = uptime()
+            if len(state.submissions) or state.leader.workers:
+                shortest_s = longest_s = TICK_S
+            else:
+                shortest_s = _IDLE_TICK_S
+                longest_s = max(shortest_s, state.hosts.next_tick_at(now) - now)
             # A caller that waits little longer than the limit must still get an answer.
-            until_deadline_s = state.submissions.next_deadline - uptime()
-            async with curio.ignore_after(max(0.0, min(interval_s, until_deadline_s))):
-                await state.tick_wanted.wait()
-            state.tick_wanted.clear()
+            until_deadline_s = state.submissions.next_deadline - now
+            await state.pause.wait(
+                min(shortest_s, until_deadline_s), min(longest_s, until_deadline_s)
+            )
             await self.tick()
             self._logs.flush()
 
@@ -49,12 +51,22 @@
         """Make the decisions that depend on time and perform their actions."""
         state, perform = self._state, self._performer.perform
         now = uptime()
+        if state.busy.is_due(now):
+            state.busy.measure(now, processor_time_s())
+        if state.leader.workers or state.hosts.next_tick_at(now) <= now:
+            await self._update_hosts(now)
+        await perform(state.leader.tick(uptime()))
+        now = uptime()
+        await perform(state.submissions.update_leaders(now, state.known_leaders(now)))
+        await perform(state.submissions.tick(uptime()))
+
+    async def _update_hosts(self, now: float) -> None:
+        """Decide which hosts are live and which shards and workers this host leads."""
+        state = self._state
         unread_s = now - state.registry_read_at
         state.hosts.set_outdated(
             bool(state.hosts.claims) and unread_s > _REGISTRY_OUTDATED_S
         )
-        if state.busy.is_due(now):
-            state.busy.measure(now, processor_time_s())
         actions = state.hosts.tick(
             now,
             time.time(),
@@ -64,12 +76,8 @@
             state.catalogue.version,
             {**state.reachable_since, **state.last_reply_of_led_shards(now)},
         )
-        await perform(actions)
+        await self._performer.perform(actions)
         await self._update_led_workers()
-        await perform(state.leader.tick(uptime()))
-        now = uptime()
-        await perform(state.submissions.update_leaders(now, state.known_leaders(now)))
-        await perform(state.submissions.tick(uptime()))
 
     async def _update_led_workers(self) -> None:
         """Lead exactly the workers of the shards that this host claims."""
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -50,6 +50,7 @@
 )
 from poplarhilld.shards.partition import ancestors, data_centre
 from poplarhilld.shards.peer import Peer, Target
+from poplarhilld.shards.schedule import next_due_at
 
 # After a saturated leader has yielded a shard, until that shows in what it measures.
 _RELIEF_INTERVAL_S = 4.0
@@ -346,6 +347,25 @@
         self._leaving = True
         self._note_change()
 
+    @property
+    def changed(self) -> bool:
+        """Whether a host or a claim has changed since leaders were worked out."""
+        return self._leader_of_shard is None
+
+    def next_tick_at(self, now: float) -> float:
+        """Return when `tick` next has something to do, s, if no message arrives before.
+
+        That is at once while this host leads, starts or leaves, while a data centre has
+        no leader, and after a change of a host or a claim. The time is at most one
+        interval of the heartbeats ahead, because intervals depend on time as well.
+        """
+        ready_at = max(self._may_claim_at, self._started_at + _NEWCOMER_DELAY_S)
+        unsettled = self._claims or self._leaving or self._leaderless_since
+        if unsettled or self.changed or now < ready_at:
+            return now
+        due_at = next_due_at(self._peers.values(), self._targets.values())
+        return max(now, min(due_at, self._last_tick_at + HEARTBEAT_INTERVAL_S))
+
     def tick(
         self,
         now: float,
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -19,6 +19,8 @@
 class Fleet:
     """A fleet of two data centres with two hosts each, and simulated time."""
 
+    ticks_when_due = False
+
     def __init__(self) -> None:
         self.now = 50.0
         self.cut: Callable[[str, str], bool] = lambda sender, receiver: False
@@ -66,6 +68,8 @@
             for name, hosts in self.hosts.items():
                 if name in self.paused or name in self.down:
                     continue
+                if self.ticks_when_due and hosts.next_tick_at(self.now) > self.now:
+                    continue
                 actions = hosts.tick(
                     self.now,
                     self.now,
@@ -100,6 +104,12 @@
         return [name for name, hosts in self.hosts.items() if shard in hosts.claims]
 
 
+# Guards against a host that sleeps through what it has to do.
+@pytest.fixture(autouse=True, params=[False, True], ids=["each step", "when due"])
+def ticks_when_due(request, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Fleet, "ticks_when_due", request.param)
+
+
 @pytest.fixture
 def fleet() -> Fleet:
     fleet = Fleet()
@@ -503,3 +513,21 @@
 ) -> None:
     actions = fleet.hosts["h0"].connection_refused(fleet.now, Address("10.0.0.1", 1))
     assert HostLost("h1") in actions
+
+
+def test_a_settled_host_ticks_once_an_interval_unless_something_changes(
+    fleet: Fleet,
+) -> None:
+    fleet.run(5.0)
+    (leader,) = fleet.leaders("dc1/0")
+    follower = fleet.hosts["h3" if leader != "h3" else "h2"]
+    assert fleet.hosts[leader].next_tick_at(fleet.now) == fleet.now
+    seen = [follower.next_tick_at(fleet.now) - fleet.now]
+    for _ in range(40):
+        fleet.run(STEP_S)
+        seen.append(follower.next_tick_at(fleet.now) - fleet.now)
+    assert max(seen) <= HEARTBEAT_INTERVAL_S
+    assert sum(wait_s > 0 for wait_s in seen) >= len(seen) / 2
+    follower.connection_refused(fleet.now, fleet.address(leader))
+    assert follower.changed
+    assert follower.next_tick_at(fleet.now) == fleet.now
--- a/packages/poplarhilld/tests/shards/test_large_fleet.py
+++ b/packages/poplarhilld/tests/shards/test_large_fleet.py
@@ -40,6 +40,8 @@
         cores_per_worker: CPU capacity that a leader uses for each worker.
     """
 
+    ticks_when_due = False
+
     def __init__(
         self,
         centres: Mapping[str, int] = MappingProxyType(CENTRES),
@@ -130,6 +132,8 @@
     def _tick(self, name: str) -> None:
         shards = self.shards.get(name, self._shards)
         reachable = dict.fromkeys(shards, 0.0)
+        if self.ticks_when_due and self.hosts[name].next_tick_at(self.now) > self.now:
+            return
         actions = self.hosts[name].tick(
             self.now,
             self.now,
@@ -153,6 +157,12 @@
         return actions
 
 
+# Guards against a host that sleeps through what it has to do.
+@pytest.fixture(autouse=True, params=[False, True], ids=["each step", "when due"])
+def ticks_when_due(request, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(LargeFleet, "ticks_when_due", request.param)
+
+
 @pytest.fixture
 def fleet() -> LargeFleet:
     fleet = LargeFleet()
