--- a/packages/poplarhilld/src/poplarhilld/shards/claiming.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/claiming.py
@@ -26,7 +26,7 @@
 _UNREACHABLE_S = 1.0  # without a worker that responds; then a remote shard is yielded
 # For this long after its start a host may not have found all its peers: a lost first
 # heartbeat is sent again after 1 s, and a busy host takes 0.6 s.
-_NEWCOMER_DELAY_S = 1.6
+NEWCOMER_DELAY_S = 1.6
 _TAKEOVER_DELAY_S = 2.0  # to claim a remote shard; a host restarts in about a second
 # To claim a shard whose workers another host leads as part of another shard. Hosts that
 # lead nothing read the list of workers every 2 s, or later if the store is slow.
@@ -190,7 +190,7 @@
             self._takeover_wait_since.pop(shard, None)
             return []
         if (
-            now < self._fleet.started_at + _NEWCOMER_DELAY_S
+            now < self._fleet.started_at + NEWCOMER_DELAY_S
             and self._older_hosts_report_peer_not_live_here()
         ):
             return []  # that peer may lead it
@@ -335,7 +335,7 @@
         Hosts that start together with this one, as after a power loss, do not count,
         because they have no leader either.
         """
-        before = self._fleet.me.incarnation - 1000 * _NEWCOMER_DELAY_S
+        before = self._fleet.me.incarnation - 1000 * NEWCOMER_DELAY_S
         return self._report_peer_not_live_here(
             peer
             for peer in self._fleet.peers.values()
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -23,11 +23,12 @@
 from poplarhilld.shards.capacity import (
     worker_capacity,
 )
-from poplarhilld.shards.claiming import Claiming
+from poplarhilld.shards.claiming import NEWCOMER_DELAY_S, Claiming
 from poplarhilld.shards.fleet import CLAIM_DELAY_S, Fleet, LocalHost
 from poplarhilld.shards.heartbeats import Heartbeats
 from poplarhilld.shards.intervals import (
     GIVE_UP_DELAY_S,
+    HEARTBEAT_INTERVAL_S,
     HOST_TIMEOUT_S,
 )
 from poplarhilld.shards.liveness import Liveness
@@ -40,6 +41,7 @@
 )
 from poplarhilld.shards.partition import data_centre
 from poplarhilld.shards.peer import Peer
+from poplarhilld.shards.schedule import next_due_at
 
 # The same once the addresses of all hosts are known: each answers the first heartbeat.
 _ANSWER_DELAY_S = 0.15
@@ -227,6 +229,29 @@
         self._fleet.leaving = True
         self._fleet.note_change()
 
+    @property
+    def changed(self) -> bool:
+        """Whether a host or a claim has changed since leaders were worked out."""
+        return self._fleet.leader_of_shard is None
+
+    def next_tick_at(self, now: float) -> float:
+        """Return when `tick` next has something to do, s, if no message arrives before.
+
+        That is at once while this host leads, starts or leaves, while a data centre has
+        no leader, and after a change of a host or a claim. The time is at most one
+        interval of the heartbeats ahead, because intervals depend on time as well.
+        """
+        ready_at = max(
+            self._fleet.may_claim_at, self._fleet.started_at + NEWCOMER_DELAY_S
+        )
+        unsettled = (
+            self._fleet.claims or self._fleet.leaving or self._fleet.leaderless_since
+        )
+        if unsettled or self.changed or now < ready_at:
+            return now
+        due_at = next_due_at(self._fleet.peers.values(), self._fleet.targets.values())
+        return max(now, min(due_at, self._fleet.last_tick_at + HEARTBEAT_INTERVAL_S))
+
     def tick(
         self,
         now: float,
