Refuse new jobs on arrival while the event loop is late

Hosts took on what their processors could not carry, so that every job was late and callers gave up. OverloadControl measures the delay of the loop's turns and the processor used between them, and accepts the share of new jobs that the host can carry, best priority first. Entry hosts refuse callers before the request is decoded, leaders refuse offers of other hosts, and late leaders are not chosen while others have processor time. Until two turns in a row are late, every job is accepted as before.

--- a/packages/poplarhilld/src/poplarhilld/entry/callers.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/callers.py
@@ -3,6 +3,7 @@
 import curio
 
 from poplarhill.exceptions import Failure
+from poplarhilld.catalogue import Route
 from poplarhilld.entry.clock import uptime
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.performer import Performer
@@ -28,6 +29,20 @@
         self._metrics = metrics
         self._count = 0
 
+    def find_refusal(self, route: Route, job_id: str) -> Failure | None:
+        """Return why a new job is refused on arrival, or `None` if it is accepted.
+
+        A job that is in flight here already is accepted: it may have run.
+        """
+        state = self._state
+        if state.submissions.is_in_flight(job_id) or job_id in state.leader.jobs:
+            return None
+        shed = state.overload.find_refusal(uptime(), route.priority, "caller")
+        if shed is None:
+            return None
+        self._metrics.jobs.labels(route.name, shed.failure.kind.value).inc()
+        return shed.failure
+
     async def submit(self, submission: Submission) -> Failure | None:
         """Run a job and return its failure, or `None` once it is complete."""
         state, perform = self._state, self._performer.perform
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -183,6 +183,10 @@
         state = self._state
         return state.submissions.is_in_flight(job_id) or job_id in state.leader.jobs
 
+    def find_refusal(self, route: Route, job_id: str) -> Failure | None:
+        """Return why a new job is refused before its request is read, if so."""
+        return self._callers.find_refusal(route, job_id)
+
     async def submit(self, submission: Submission) -> Failure | None:
         """Run a job and return its failure, or `None` once it is complete."""
         if self._loops.failed:
--- a/packages/poplarhilld/src/poplarhilld/entry/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -49,6 +49,18 @@
             ["data_centre"],
             registry=self._registry,
         )
+        self.loop_delay_s = self._gauge(
+            "loop_delay_seconds", "How late the event loop is"
+        )
+        self.accepted_share = self._gauge(
+            "accepted_share", "Share of new jobs accepted, by the delay of the loop"
+        )
+        self.shed = Gauge(
+            "poplarhill_jobs_shed",
+            "New jobs refused since the start because this host was late",
+            ["source"],
+            registry=self._registry,
+        )
         self.processor_s = self._gauge(
             "processor_seconds", "Processor time used since the start"
         )
--- a/packages/poplarhilld/src/poplarhilld/entry/pages.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/pages.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from poplarhill.http import Request, Response, json_response
-from poplarhilld.entry.clock import processor_time_s
+from poplarhilld.entry.clock import processor_time_s, uptime
 from poplarhilld.entry.logs import LogBuffer
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.state import HostState
@@ -55,6 +55,11 @@
         evacuated = state.evacuations.data_centres
         for name in evacuated | {*map(data_centre, state.shards)}:
             metrics.evacuated.labels(name).set(name in evacuated)
+        now = uptime()
+        metrics.loop_delay_s.set(state.overload.delay_s(now))
+        metrics.accepted_share.set(state.overload.accepted_share(now))
+        for source, count in state.overload.refused.items():
+            metrics.shed.labels(source).set(count)
         metrics.processor_s.set(processor_time_s())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -10,6 +10,7 @@
 from poplarhilld.evacuation import EvacuationCopy
 from poplarhilld.leading import Leader
 from poplarhilld.leases import TokenSource
+from poplarhilld.overload import OverloadControl
 from poplarhilld.peers.messages import Load
 from poplarhilld.shards import Hosts, LocalHost, data_centre
 from poplarhilld.submissions import LeaderView, Submissions
@@ -38,6 +39,7 @@
         reachable_since: Since when each leaderless shard has been reachable, s.
         usage: Counts what the processor time is spent on.
         busy: Measures the share of the processor in use.
+        overload: Refuses new jobs while the event loop is late.
         tick_wanted: Set to make the decisions that depend on time at once.
         shutting_down: Whether this host has begun to stop.
     """
@@ -54,7 +56,8 @@
             settings.cores,
         )
         self.hosts = Hosts(own_host, settings.seeds, tokens, now)
-        self.leader = Leader(tokens, settings.lease_s)
+        self.overload = OverloadControl(now, settings.cores)
+        self.leader = Leader(tokens, settings.lease_s, self.overload, settings.name)
         self.submissions = Submissions()
         self.outcomes: dict[int, curio.Queue] = {}
         self.catalogue = Catalogue()
@@ -72,7 +75,8 @@
     def load(self, now: float) -> Load:
         """Return the load of this host."""
         busy = round(self.busy.share, 1)  # a heartbeat that changes is decoded anew
-        return self.leader.load(now)._replace(busy=busy)
+        late = self.overload.late
+        return self.leader.load(now)._replace(busy=busy, late=late)
 
     def known_leaders(self, now: float) -> dict[str, LeaderView]:
         """Return the leaders that this host knows, by name; it may be one of them."""
--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -39,9 +39,14 @@
             interval_s = TICK_S if busy else _IDLE_TICK_S
             # A caller that waits little longer than the limit must still get an answer.
             until_deadline_s = state.submissions.next_deadline - uptime()
-            async with curio.ignore_after(max(0.0, min(interval_s, until_deadline_s))):
+            wait_s = max(0.0, min(interval_s, until_deadline_s))
+            state.overload.expect_turn(uptime() + wait_s)
+            async with curio.ignore_after(wait_s):
                 await state.tick_wanted.wait()
             state.tick_wanted.clear()
+            lines = state.overload.note_turn(uptime(), processor_time_s())
+            if lines:
+                await self._performer.perform(lines)
             await self.tick()
             self._logs.flush()
 
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -15,6 +15,7 @@
 from poplarhilld.leading.evacuated import EvacuatedJobs
 from poplarhilld.leading.handover import waits_too_long
 from poplarhilld.leading.job import LedJob
+from poplarhilld.leading.late import LateOffers
 from poplarhilld.leading.messages import (
     JobTaken,
     LeaderAction,
@@ -41,6 +42,7 @@
         outcomes: Applies what workers report of runs.
         assignment: Places tasks on workers.
         evacuated: Refuses jobs that only evacuated workers could run.
+        late: Refuses new jobs while the host's processor is overloaded.
     """
 
     def __init__(
@@ -50,12 +52,14 @@
         outcomes: RunOutcomes,
         assignment: Assignment,
         evacuated: EvacuatedJobs,
+        late: LateOffers,
     ) -> None:
         self._state = state
         self._closer = closer
         self._outcomes = outcomes
         self._assignment = assignment
         self._evacuated = evacuated
+        self._late = late
         self._starved_check_at = 0.0
 
     def handle_offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
@@ -73,8 +77,11 @@
         answered = self._state.history.answer((subscriber, offer.job_id))
         if answered is not None:
             return [ReportJob(host, answered)]
-        self._note_timeout(now, offer)
         job = self._make_job(now, host, offer)
+        late = self._late.find_refusal(now, host, job)
+        if late is not None:
+            return self._refuse(subscriber, offer, now, late)
+        self._note_timeout(now, offer)
         self._state.suspects.add_job(job)
         deadly = find_deadly_task(job, self._outcomes.has_crashed)
         if deadly is not None:
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -14,6 +14,7 @@
 from poplarhilld.leading.evacuated import EvacuatedJobs
 from poplarhilld.leading.group import WorkerGroup
 from poplarhilld.leading.job import LedJob
+from poplarhilld.leading.late import LateOffers
 from poplarhilld.leading.messages import (
     LeaderAction,
     QueryWorker,
@@ -33,6 +34,7 @@
     Run,
     TokenSource,
 )
+from poplarhilld.overload import OverloadControl
 from poplarhilld.peers.messages import (
     JobOffer,
     JobProgress,
@@ -48,9 +50,17 @@
     Args:
         tokens: Source of fencing tokens.
         lease_s: Longest lease that a worker grants, s.
+        overload: Overload control of the host; `None` accepts all offers.
+        own_name: Name of this host.
     """
 
-    def __init__(self, tokens: TokenSource, lease_s: float) -> None:
+    def __init__(
+        self,
+        tokens: TokenSource,
+        lease_s: float,
+        overload: OverloadControl | None = None,
+        own_name: str = "",
+    ) -> None:
         self._state = LeaderState(tokens, lease_s)
         self._closer = JobCloser(self._state)
         self._outcomes = RunOutcomes(self._state, self._closer)
@@ -63,6 +73,7 @@
             self._outcomes,
             self._assignment,
             self._evacuated,
+            LateOffers(self._state, overload, own_name),
         )
 
     @property
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -167,6 +167,7 @@
   freeCores @1 :Float32;
   queuedCoreS @2 :Float32;
   busy @3 :Float32;
+  late @4 :Bool;
 }
 
 struct Beat {
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -394,12 +394,15 @@
         queued_core_s: Work of the jobs that wait, in core-seconds.
         busy: Share of the host's processor that was in use during the last seconds,
             in tenths.
+        late: Whether the host refuses new jobs because its event loop is late, or
+            did so in the last second.
     """
 
     cores: float = 0.0
     free_cores: float = 0.0
     queued_core_s: float = 0.0
     busy: float = 0.0
+    late: bool = False
 
 
 class LeaderDigest(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/submissions/choice.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/choice.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from poplarhilld.peers.messages import Load
+from poplarhilld.submissions.lateness import without_late
 from poplarhilld.submissions.messages import LeaderView
 
 # An expected wait below a third of the shortest task counts as none.
@@ -62,6 +63,7 @@
         needs_cores: Cores that all tasks of the job need together.
         job_id: Id of the job.
     """
+    leaders = without_late(leaders)
     compared = [name for name, leader in leaders.items() if leader.same_data_centre]
     remote = [name for name, leader in leaders.items() if not leader.same_data_centre]
     remote.sort(key=lambda name: xxhash.xxh32_intdigest(f"{job_id}/{name}".encode()))
