Merge overload control of a host's own processor

The delay of the loop is measured in the tick loop that sleeps until something is due. 338 tests of the touched slices, adapter, heavy and leader_costs pass.

--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -41,9 +41,13 @@
                 longest_s = max(shortest_s, state.hosts.next_tick_at(now) - now)
             # A caller that waits little longer than the limit must still get an answer.
             until_deadline_s = state.submissions.next_deadline - now
-            await state.pause.wait(
-                min(shortest_s, until_deadline_s), min(longest_s, until_deadline_s)
-            )
+            shortest_s = min(shortest_s, until_deadline_s)
+            longest_s = min(longest_s, until_deadline_s)
+            state.overload.expect_turn(now + max(0.0, longest_s))
+            await state.pause.wait(shortest_s, longest_s)
+            lines = state.overload.note_turn(uptime(), processor_time_s())
+            if lines:
+                await self._performer.perform(lines)
             await self.tick()
             self._logs.flush()
 
