--- a/packages/poplarhilld/tests/shards/test_large_fleet.py
+++ b/packages/poplarhilld/tests/shards/test_large_fleet.py
@@ -8,6 +8,7 @@
 
 from poplarhill.types import Address
 from poplarhilld.decisions import LogDecision
+from poplarhilld.evacuation import Evacuation, EvacuationCopy, Evacuations
 from poplarhilld.leases import TokenSource
 from poplarhilld.peers import Beat, Load, encode
 from poplarhilld.peers.codec import Envelope
@@ -451,3 +452,31 @@
     for name in fleet.hosts.keys() - fleet.silent:
         watched = {"dc3/0", "dc3/1"} if name in leading else set()
         assert fleet.hosts[name].shards_to_watch(SHARDS) == watched
+
+
+def spread_s(fleet: LargeFleet, copies: dict[str, EvacuationCopy], end: int) -> float:
+    """Return the time until all hosts have a copy with an end, by heartbeats alone."""
+    begin = fleet.now
+    while any(copy.for_peers.end < end for copy in copies.values()):
+        assert fleet.now - begin < 5.0, "later than the users' bound"
+        for name, copy in copies.items():
+            fleet.hosts[name].set_evacuations(copy.for_peers)
+        for sender, receiver, beat in fleet._in_flight:
+            received = Evacuations(beat.evacuations_end, beat.evacuations)
+            copies[receiver].update(sender, received)
+        fleet.run(STEP_S)
+    return fleet.now - begin
+
+
+# Guards against hosts that the store refuses and that learn of it only by rare
+# heartbeats: the far ones come every 50 s. From a host to its leader, to the other
+# leaders and to their hosts it takes three, and a step for each.
+def test_an_evacuation_that_one_host_has_read_reaches_all_hosts(fleet) -> None:
+    copies = {name: EvacuationCopy() for name in fleet.hosts}
+    reader = next(name for name in fleet.hosts if name not in fleet.leaders("dc2"))
+    evacuated = Evacuations(8, (Evacuation("dc1", 7),))
+    for copy in (evacuated, Evacuations(9)):
+        copies[reader].update("store", copy)
+        bound_s = 3 * (HEARTBEAT_INTERVAL_S + 2 * STEP_S)
+        assert spread_s(fleet, copies, copy.end) <= bound_s
+    assert {copy.data_centres for copy in copies.values()} == {frozenset()}
