Offer jobs that an overloaded leader refuses to one with capacity

A job that its leader refused for its expected wait was answered as overloaded while another leader had free cores. The leader now gives it back if nothing of it was ordered, with its wait and run time; the entry host withdraws it and offers it to a leader that reports enough free cores or a clearly shorter wait, twice at most, if the time left is enough. A failure that names a submission counts for that one only, since a repeated refusal may arrive after the caller has submitted the job again.

Leaders that look alike are chosen by the hash of the job, no longer by name. The test of older schemas removes the fields that came after the evacuation, too.

--- a/packages/poplarhilld/src/poplarhilld/entry/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -61,6 +61,12 @@
             ["source"],
             registry=self._registry,
         )
+        self.transfers = Gauge(
+            "poplarhill_transfers",
+            "Jobs that leaders gave back untouched since the start, by what followed",
+            ["outcome"],
+            registry=self._registry,
+        )
         self.processor_s = self._gauge(
             "processor_seconds", "Processor time used since the start"
         )
--- a/packages/poplarhilld/src/poplarhilld/entry/pages.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/pages.py
@@ -60,6 +60,8 @@
         metrics.accepted_share.set(state.overload.accepted_share(now))
         for source, count in state.overload.refused.items():
             metrics.shed.labels(source).set(count)
+        for outcome, count in state.submissions.transfers.items():
+            metrics.transfers.labels(outcome).set(count)
         metrics.processor_s.set(processor_time_s())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
--- a/packages/poplarhilld/src/poplarhilld/leading/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/admission.py
@@ -21,12 +21,14 @@
         detail: Explanation for people.
         retry_after_s: Time after which to retry, s; 0 if a retry does not help.
         elsewhere: Whether another leader may run the job.
+        wait_s: How long it would wait for free capacity, if that is the reason, s.
     """
 
     kind: ErrorKind
     detail: str
     retry_after_s: float = 0.0
     elsewhere: bool = False
+    wait_s: float = 0.0
 
 
 def expected_wait_s(
@@ -97,7 +99,8 @@
         return Refusal(ErrorKind.EXPIRED, detail)
     if wait_s > 0 and not fits_in_time(now + wait_s, job):
         detail = f"expected to wait {wait_s:.2f} s and to run {job.run_s:.2f} s"
-        return Refusal(ErrorKind.OVERLOADED, detail, max(wait_s, RETRY_AFTER_S))
+        retry_after_s = max(wait_s, RETRY_AFTER_S)
+        return Refusal(ErrorKind.OVERLOADED, detail, retry_after_s, wait_s=wait_s)
     return None
 
 
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -25,6 +25,7 @@
 from poplarhilld.leading.outcomes import RunOutcomes, crash_detail
 from poplarhilld.leading.shared import LeaderState, Subscriber
 from poplarhilld.leading.suspects import find_deadly_task
+from poplarhilld.leading.transfer import give_back
 from poplarhilld.peers.messages import (
     JobEnded,
     JobOffer,
@@ -181,8 +182,9 @@
     ) -> list[LeaderAction]:
         host = subscriber.host
         job = self._make_job(now, host, offer)
-        kind, detail, retry_after_s, elsewhere = refusal
+        kind, detail, retry_after_s, elsewhere, wait_s = refusal
         report = job_ended(job, kind, detail, retry_after_s)
+        report = give_back(now, self._state, job, (subscriber,), report, wait_s)
         if elsewhere:
             report = report._replace(elsewhere=True, done=offer.done)
         self._state.history.note_answer(now, (subscriber, offer.job_id), report)
@@ -248,5 +250,9 @@
                     f"late, and {arriving_cores:.0f} of {cores:.0f} cores are asked"
                 )
                 report = job_ended(job, ErrorKind.OVERLOADED, detail, RETRY_AFTER_S)
+                # It would not start before its deadline.
+                left_s = job.deadline - now
+                waiting = self._state.subscribers[job.job_id]
+                report = give_back(now, self._state, job, waiting, report, left_s)
                 actions += self._closer.close_job(now, job, report)
         return actions
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -154,6 +154,9 @@
   notRun @4 :Bool;
   elsewhere @5 :Bool;
   done @6 :List(UInt16);
+  waitS @7 :Float64;
+  runS @8 :Float64;
+  number @9 :UInt64;
 }
 
 struct Claim {
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -341,9 +341,16 @@
         detail: One sentence that describes the failure.
         retry_after_s: Time after which to retry, s; 0 if a retry does not help.
         not_run: Whether no task of the job was ever started.
-        elsewhere: Whether another leader may run the job: it failed because the only
-            workers for it here are evacuated, and no run of it is left here.
+        elsewhere: Whether another leader may run the job, and no run of it is left
+            here: the only workers for it here are evacuated, or nothing of it was
+            ordered and it is refused as overloaded.
         done: Numbers of all tasks that are done, if another leader may run the job.
+        wait_s: How long an overloaded leader expects the job to wait, s; 0 if that is
+            not why it gives the job back.
+        run_s: Run time of a job that an overloaded leader gives back, as it has
+            learned, s.
+        number: Number of the submission that an overloaded leader gives back; 0 if
+            the report is about all submissions of the job.
     """
 
     job_id: str
@@ -353,6 +360,9 @@
     not_run: bool = False
     elsewhere: bool = False
     done: tuple[int, ...] = ()
+    wait_s: float = 0.0
+    run_s: float = 0.0
+    number: int = 0
 
 
 JobReport = JobProgress | JobEnded
--- a/packages/poplarhilld/src/poplarhilld/submissions/choice.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/choice.py
@@ -47,16 +47,36 @@
     return (missing_cores * _TASK_RUN_TIME_S + load.queued_core_s) / load.cores
 
 
+def has_free_cores(load: Load, needs_cores: float) -> bool:
+    """Return whether a leader probably has free cores for all tasks of a job."""
+    return load.free_cores * _STILL_FREE_SHARE >= needs_cores
+
+
+def expected_end_s(leader: LeaderView, needs_cores: float, run_s: float) -> float:
+    """Return how long it takes until a job that is offered now ends, s.
+
+    Args:
+        leader: The leader.
+        needs_cores: Cores that all tasks of the job need together.
+        run_s: Its run time, s.
+    """
+    wait_s = expected_wait_s(leader.load, needs_cores)
+    if wait_s <= _NEGLIGIBLE_WAIT_S:
+        wait_s = 0.0
+    return wait_s + (0.0 if leader.same_data_centre else _REMOTE_PENALTY_S) + run_s
+
+
 def choose_leader(
     leaders: Mapping[str, LeaderView], needs_cores: float, job_id: str
 ) -> Choice:
-    """Choose the leader with the shortest expected wait, preferring local ones.
+    """Choose the leader at which the job is expected to end first.
 
     All hosts see the same loads, which are a heartbeat old. If they compared all
     leaders, they would send every job to the remote leader that had the most
     capacity. So this compares only the leaders of this host's data centre and a
     remote one that a hash of the job id selects. Without a leader in this data
-    centre, it compares two remote ones.
+    centre, it compares two remote ones. Leaders that are as good are chosen by the
+    hash, too: by name, all hosts would choose the same one.
 
     Args:
         leaders: The leaders by name.
@@ -64,20 +84,20 @@
         job_id: Id of the job.
     """
     leaders = without_late(leaders)
-    compared = [name for name, leader in leaders.items() if leader.same_data_centre]
-    remote = [name for name, leader in leaders.items() if not leader.same_data_centre]
-    remote.sort(key=lambda name: xxhash.xxh32_intdigest(f"{job_id}/{name}".encode()))
+    names = sorted(
+        leaders, key=lambda name: xxhash.xxh32_intdigest(f"{job_id}/{name}".encode())
+    )
+    compared = [name for name in names if leaders[name].same_data_centre]
+    remote = [name for name in names if not leaders[name].same_data_centre]
     compared += remote[: max(1, _MIN_COMPARED_LEADERS - len(compared))]
-    best: tuple | None = None
+    best_s: float | None = None
     choice = Choice("", "no leader is known")
     for name in compared:
         leader = leaders[name]
-        wait_s = expected_wait_s(leader.load, needs_cores)
-        key = (wait_s if wait_s > _NEGLIGIBLE_WAIT_S else 0.0) + (
-            0.0 if leader.same_data_centre else _REMOTE_PENALTY_S
-        )
-        if best is None or (key, name) < best:
-            best = (key, name)
+        # The run takes as long at each of them.
+        end_s = expected_end_s(leader, needs_cores, 0.0)
+        if best_s is None or end_s < best_s:
+            best_s = end_s
             choice = Choice(
                 name,
                 "same data centre"
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -26,6 +26,12 @@
     SubmissionAction,
     WithdrawFromLeader,
 )
+from poplarhilld.submissions.transfer import (
+    MAX_TRANSFERS,
+    JobTransferred,
+    TransferCounts,
+    find_targets,
+)
 
 REPEAT_INTERVAL_S = 0.3  # delay that a lost offer or report causes
 # 0.6 s to detect that a leader is lost, plus the time until a successor takes over.
@@ -52,6 +58,7 @@
         done: Numbers of the tasks that are done.
         refused_by: Leaders that could run it on evacuated workers only.
         may_have_run: Whether a leader that gave it back had ordered runs of it.
+        transfers: Count of offers to another leader after it was given back untouched.
     """
 
     number: int
@@ -65,11 +72,16 @@
     done: set[int] = field(default_factory=set)
     refused_by: set[str] = field(default_factory=set)
     may_have_run: bool = False
+    transfers: int = 0
 
     @property
     def deadline(self) -> float:
         return self.received_at + self.submission.limit_s
 
+    @property
+    def needs_cores(self) -> float:
+        return sum(s.count * s.needs.cores for s in self.submission.steps)
+
 
 class Submissions:
     """Jobs that callers submitted to this host and that are not yet answered.
@@ -85,6 +97,7 @@
         self._open_leaders: Mapping[str, LeaderView] = {}
         self._leaderless_since: float | None = None
         self._stop_at = math.inf
+        self._transfers = TransferCounts()
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -94,6 +107,11 @@
         """When the next job is given up, by the host's clock, s; infinite if none."""
         return min((job.deadline for job in self._jobs.values()), default=math.inf)
 
+    @property
+    def transfers(self) -> Mapping[str, int]:
+        """Counts of jobs that leaders gave back untouched, by what became of them."""
+        return self._transfers.counts
+
     def is_in_flight(self, job_id: str) -> bool:
         """Return whether a job waits for its answer here."""
         return job_id in self._by_id
@@ -164,6 +182,7 @@
         """Apply a leader's report on a job.
 
         A failure counts only from the current leader of the job, a success from any.
+        One that names a submission counts for that one only.
         """
         actions: list[SubmissionAction] = []
         for number in list(self._by_id.get(report.job_id, ())):
@@ -171,6 +190,8 @@
             match report:
                 case JobProgress(_, done):
                     job.done.update(done)
+                case JobEnded() if report.number not in (0, number):
+                    continue
                 case JobEnded() if job.leader == host or not report.error:
                     actions += self._apply_end(now, job, report)
         return actions
@@ -207,15 +228,27 @@
                 actions += self._offer_job(now, job)
         return actions
 
-    def _offer_job(self, now: float, job: _PendingJob) -> list[SubmissionAction]:
-        """Offer a job to its leader, or to another one if it no longer leads."""
+    def _offer_job(
+        self,
+        now: float,
+        job: _PendingJob,
+        targets: Mapping[str, LeaderView] | None = None,
+    ) -> list[SubmissionAction]:
+        """Offer a job to its leader, or to another one if it no longer leads.
+
+        Args:
+            now: The host's clock, s.
+            job: The job.
+            targets: Leaders to choose from, if not from all that are open.
+        """
         name, reason = job.leader, "same leader"
         if name not in self._leaders:
-            needs = sum(s.count * s.needs.cores for s in job.submission.steps)
-            leaders = self._open_leaders
-            if job.refused_by:
+            leaders = targets or self._open_leaders
+            if job.refused_by and not targets:
                 leaders = self._leaders_beside(job.refused_by) or leaders
-            name, reason = choose_leader(leaders, needs, job.submission.job_id)
+            name, reason = choose_leader(
+                leaders, job.needs_cores, job.submission.job_id
+            )
         job.next_offer = now + REPEAT_INTERVAL_S
         leader = self._leaders.get(name)
         if leader is None:
@@ -235,14 +268,13 @@
     def _log_choice(
         self, job: _PendingJob, leader: LeaderView, reason: str
     ) -> LogDecision:
-        steps = job.submission.steps
         chosen = LeaderChosen(
             job.submission.job_id,
             job.leader,
             job.tenure,
             job.handovers,
             reason,
-            round(sum(step.count * step.needs.cores for step in steps), 1),
+            round(job.needs_cores, 1),
             round(leader.load.free_cores, 1),
             round(leader.load.queued_core_s, 1),
         )
@@ -281,9 +313,12 @@
         self, now: float, job: _PendingJob, report: JobEnded
     ) -> list[SubmissionAction]:
         if not report.error:
+            self._transfers.counts["completed"] += bool(job.transfers)
             return self._answer(now, job, None, withdraw=False)
         if report.elsewhere:
-            actions = self._offer_elsewhere(now, job, report)
+            overloaded = report.error == ErrorKind.OVERLOADED.value
+            offer = self._transfer if overloaded else self._offer_elsewhere
+            actions = offer(now, job, report)
             if actions:
                 return actions
         kind = ErrorKind(report.error)
@@ -315,6 +350,48 @@
         job.handovers -= 1  # the next offer counts one
         return self._offer_job(now, job)
 
+    def _transfer(
+        self, now: float, job: _PendingJob, report: JobEnded
+    ) -> list[SubmissionAction]:
+        """Offer a job that was given back untouched to a leader with capacity.
+
+        While another submission of the same job waits here, its leader may run the
+        job, so the refusal stands.
+        """
+        job.refused_by.add(job.leader)
+        targets: Mapping[str, LeaderView] = {}
+        if (
+            job.transfers < MAX_TRANSFERS
+            and report.not_run
+            and not (job.handovers or job.may_have_run or job.done)
+            and len(self._by_id[job.submission.job_id]) == 1
+        ):
+            others = self._leaders_beside(job.refused_by)
+            left_s = job.deadline - now
+            targets = find_targets(others, job.needs_cores, left_s, report)
+        if not targets:
+            self._transfers.counts["stands"] += 1
+            return []
+        self._transfers.counts["offered"] += 1
+        former, job.leader, job.tenure = job.leader, "", 0
+        job.transfers += 1
+        job.handovers -= 1  # the next offer counts one
+        offered = self._offer_job(now, job, targets)
+        transferred = JobTransferred(
+            job.submission.job_id,
+            former,
+            job.leader,
+            job.transfers,
+            round(report.wait_s, 4),
+            round(report.run_s, 4),
+            round(job.deadline - now, 4),
+            len(targets),
+        )
+        # An offer that was repeated may still be on its way to the former leader.
+        withdrawn = JobWithdrawn(job.submission.job_id)
+        withdraw = WithdrawFromLeader(former, withdrawn)
+        return [withdraw, LogDecision(transferred), *offered]
+
     def _leaders_beside(self, refused_by: set[str]) -> dict[str, LeaderView]:
         """Return the leaders that new jobs may go to, without some of them."""
         return {n: v for n, v in self._open_leaders.items() if n not in refused_by}
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -51,6 +51,8 @@
         peers.JobEnded("j1", "timeout", "too late", 1.5, True),
         peers.JobEnded("j1", "no_workers", "", 1.5, True, True, (0, 3)),
         HEARTBEAT._replace(evacuations=(Evacuation("dc1", 5),), evacuations_end=7),
+        peers.JobEnded("j1", "overloaded", "", 1.5, True, True, (), 0.5, 0.2),
+        HEARTBEAT._replace(load=peers.Load(16.0, 0.5, 0.25, 1.0, late=True)),
     ],
     ids=lambda message: type(message).__name__,
 )
@@ -124,7 +126,11 @@
 frame = schema.Frame.from_bytes_packed(bytes.fromhex(sys.argv[2]))
 print(frame.sender, getattr(frame, str(frame.which())).to_dict())
 """
-NEW_FIELDS = ("evacuations @", "evacuationsEnd @", "elsewhere @", "done @6")
+NEW_FIELDS = (
+    *("evacuations @", "evacuationsEnd @", "elsewhere @", "done @6"),
+    # Of the overload of hosts and of the transfer of jobs, which came after it.
+    *("late @4", "waitS @7", "runS @8", "number @9"),
+)
 
 
 # Builds from before the evacuation must read a frame with fields that they don't know.
@@ -133,6 +139,8 @@
     [
         HEARTBEAT._replace(evacuations=(Evacuation("dc1", 5),), evacuations_end=7),
         peers.JobEnded("j1", "no_workers", "", 1.5, True, True, (0, 3)),
+        peers.JobEnded("j1", "overloaded", "", 1.5, True, True, (), 0.5, 0.2),
+        HEARTBEAT._replace(load=peers.Load(16.0, 0.5, 0.25, 1.0, late=True)),
     ],
     ids=lambda message: type(message).__name__,
 )
@@ -149,3 +157,4 @@
     assert done.returncode == 0, done.stderr
     assert done.stdout.startswith("h1 {")
     assert "evacuat" not in done.stdout and "elsewhere" not in done.stdout
+    assert "'late'" not in done.stdout and "waitS" not in done.stdout
