--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -30,7 +30,16 @@
         self._state = state
 
     def report(self, job: LedJob, report: JobEnded | JobProgress) -> list:
-        """Return a report to each subscriber of a job."""
+        """Return a report to each subscriber of a job.
+
+        A failure names the submission: a copy of it that arrives after the caller has
+        submitted the job again must not end the new submission.
+        """
+        if isinstance(report, JobEnded) and report.error:
+            return [
+                ReportJob(host, report._replace(number=number))
+                for host, number in sorted(self._state.subscribers[job.job_id])
+            ]
         hosts = {subscriber.host for subscriber in self._state.subscribers[job.job_id]}
         return [ReportJob(host, report) for host in sorted(hosts)]
 
@@ -41,7 +50,10 @@
         if not job.not_run:
             self._state.history.note_ordered(now, job.job_id)
         for subscriber in self._state.subscribers[job.job_id]:
-            self._state.history.note_answer(now, (subscriber, job.job_id), report)
+            answer = report
+            if report.error:
+                answer = report._replace(number=subscriber.offer_number)
+            self._state.history.note_answer(now, (subscriber, job.job_id), answer)
         closed = JobClosed(
             job.job_id,
             report.error or "complete",
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -67,7 +67,8 @@
         """Accept a job from an entry host, or refuse it."""
         subscriber = Subscriber(host, number)
         job = self._state.jobs.get(offer.job_id)
-        if job is not None:
+        answered = self._state.history.answer((subscriber, offer.job_id))
+        if job is not None and not (job.stopping and answered is not None):
             return self._subscribe(now, job, subscriber, offer)
         if self._state.history.is_cancelled(now, offer.job_id):
             cancelled = Refusal(ErrorKind.CANCELLED, "the job was cancelled")
@@ -75,7 +76,6 @@
         completion = self._state.history.completion(offer.job_id)
         if completion is not None:
             return [ReportJob(host, completion)]
-        answered = self._state.history.answer((subscriber, offer.job_id))
         if answered is not None:
             return [ReportJob(host, answered)]
         job = self._make_job(now, host, offer)
@@ -184,6 +184,7 @@
         job = self._make_job(now, host, offer)
         kind, detail, retry_after_s, elsewhere, wait_s = refusal
         report = job_ended(job, kind, detail, retry_after_s)
+        report = report._replace(number=subscriber.offer_number)
         report = give_back(now, self._state, job, (subscriber,), report, wait_s)
         if elsewhere:
             report = report._replace(elsewhere=True, done=offer.done)
--- a/packages/poplarhilld/src/poplarhilld/leading/transfer.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/transfer.py
@@ -39,10 +39,4 @@
         or any(state.history.is_done(task.name) for task in job.tasks)
     ):
         return report
-    [subscriber] = subscribers
-    return report._replace(
-        elsewhere=True,
-        wait_s=wait_s,
-        run_s=job.run_s,
-        number=subscriber.offer_number,
-    )
+    return report._replace(elsewhere=True, wait_s=wait_s, run_s=job.run_s)
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -349,8 +349,8 @@
             not why it gives the job back.
         run_s: Run time of a job that an overloaded leader gives back, as it has
             learned, s.
-        number: Number of the submission that an overloaded leader gives back; 0 if
-            the report is about all submissions of the job.
+        number: Number of the submission that has failed; 0 if the report is about all
+            submissions of the job.
     """
 
     job_id: str
