--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -32,8 +32,17 @@
         self._state = state
 
     def report(self, job: LedJob, report: JobEnded | JobProgress) -> list:
-        """Return a report to each subscriber of a job."""
+        """Return a report to each subscriber of a job.
+
+        A failure names the submission: a copy of it that arrives after the caller has
+        submitted the job again must not end the new submission.
+        """
         subscribers = self._state.subscribers[job.job_id]
+        if isinstance(report, JobEnded) and report.error:
+            return [
+                ReportJob(host, report._replace(number=number))
+                for host, number in sorted(subscribers)
+            ]
         if len(subscribers) == 1:
             (only,) = subscribers
             return [ReportJob(only.host, report)]
@@ -47,7 +56,10 @@
         if not job.not_run:
             self._state.history.note_ordered(now, job.job_id)
         for subscriber in self._state.subscribers[job.job_id]:
-            self._state.history.note_answer(now, (subscriber, job.job_id), report)
+            answer = report
+            if report.error:
+                answer = report._replace(number=subscriber.offer_number)
+            self._state.history.note_answer(now, (subscriber, job.job_id), answer)
         closed = JobClosed(
             job.job_id,
             report.error or "complete",
