Test more failure paths of calls to workers

Cause: switching guards off one by one showed that five were not tested: the turns for readers before a call expires, a failed connection that is used again, a sender that outlives its connection, and an error in a handler.

Change: one test each, except for the second of the two turns, which needs a pause between two steps of one pass of the event loop.

--- a/packages/poplarhilld/src/poplarhilld/connections/deadlines.py
+++ b/packages/poplarhilld/src/poplarhilld/connections/deadlines.py
@@ -54,8 +54,8 @@
             expired = self._take_expired()
             if expired:
                 # Readers run first, as a response that has arrived counts even if this
-                # process was paused: the first turn polls the sockets, the second
-                # comes after the readers that the poll has made ready.
+                # process was paused. One turn lets those run that are ready; if the
+                # pause came after the last poll of the sockets, the first turn polls.
                 await curio.sleep(0)
                 await curio.sleep(0)
             for deadline_s, item in expired:
--- a/packages/poplarhilld/tests/connections/conftest.py
+++ b/packages/poplarhilld/tests/connections/conftest.py
@@ -65,7 +65,8 @@
     """Makes calls to a server and keeps their outcomes by request."""
 
     def __init__(self, address: Address, size: int) -> None:
-        self.pool = CallPool(address, None, size, DeadlineQueue())
+        self.deadlines = DeadlineQueue()
+        self.pool = CallPool(address, None, size, self.deadlines)
         self.outcomes: dict[bytes, list[Outcome]] = {}
 
     async def send(self, request: bytes, timeout_s: float = 5.0) -> None:
--- a/packages/poplarhilld/tests/connections/test_calls.py
+++ b/packages/poplarhilld/tests/connections/test_calls.py
@@ -23,6 +23,19 @@
         pass
 
 
+class Item:
+    """Records when it expires."""
+
+    def __init__(self, expired: list["Item"]) -> None:
+        self._expired = expired
+        self.deadline_s = math.inf
+
+    async def expire(self) -> None:
+        """Record that the deadline has passed."""
+        assert time.monotonic() >= self.deadline_s
+        self._expired.append(self)
+
+
 # Guards against an open connection that is not used again.
 def test_calls_in_turn_use_one_connection(run_with):
     async def body(server, caller):
@@ -83,18 +96,46 @@
 
 
 # Guards against a response that has arrived but is dropped because the process was
-# paused until its deadline had passed.
-def test_a_response_that_arrives_during_a_pause_counts(run_with):
+# paused until its deadline had passed, also if the queue of deadlines runs first.
+@pytest.mark.parametrize("queue_runs_first", [False, True])
+def test_a_response_that_arrives_during_a_pause_counts(run_with, queue_runs_first):
+    queues = []
+
+    async def answer_and_pause(server, client):
+        while request := await server.read(client):
+            await client.sendall(HEAD % len(request) + request)
+            if request == b"second":
+                if queue_runs_first:
+                    await queues[0].add(Item([]), 0.2)
+                time.sleep(0.7)
+
     async def body(server, caller):
+        queues.append(caller.deadlines)
         await caller.call(b"first")
-        await caller.send(b"second", 0.5)
+        return await caller.call(b"second", 0.5)
+
+    assert run_with(answer_and_pause, body) == Response(200, body=b"second")
+
+
+# Guards against a connection that was shut down when its call failed, and is used again
+# because the response was already there.
+def test_a_connection_of_a_failed_call_is_not_used_again(run_with):
+    async def body(server, caller):
+        outcomes = []
+
+        async def handle(outcome):
+            outcomes.append(outcome)
+
+        await caller.call(b"first")
+        call = Call(b"second\n", 5.0, handle)
+        await caller.pool.call(call)
         while b"second" not in server.requests:
             await curio.sleep(0)
-        await curio.sleep(0)  # the server writes its response
-        time.sleep(0.7)
-        return await caller.outcome(b"second")
+        await call.expire()
+        assert (await caller.call(b"third")).body == b"third"
+        return outcomes
 
-    assert run_with(echo, body) == Response(200, body=b"second")
+    assert run_with(echo, body) == [CallFailure("no response within 5 s", sent=True)]
 
 
 # Guards against a second response in one read that the next call gets.
@@ -258,19 +299,42 @@
         assert outcome == CallFailure("no response within 0.5 s", sent=True)
 
 
+# Guards against a task that waits to send on a connection that has been closed: the
+# event loop would confuse its socket with the next one of the same number.
+def test_a_connection_half_closed_during_a_request_fails_it(run_with):
+    request = b"x" * (32 << 20)
+
+    async def half_close_first(server, client):
+        if len(server.clients) > 1:
+            await echo(server, client)
+        await client.shutdown(socket.SHUT_WR)
+        await curio.sleep(0.3)
+
+    async def body(server, caller):
+        outcome = await caller.call(request)
+        for number in range(3):
+            assert (await caller.call(b"%d" % number)).body == b"%d" % number
+        return outcome
+
+    outcome = run_with(half_close_first, body)
+    assert outcome == CallFailure("connection closed", sent=True)
+
+
 # Guards against an error in a handler that ends the reader of its connection.
 def test_an_error_in_a_handler_does_not_end_the_connection(run_with):
+    handled = curio.Event()
+
     async def fail(outcome):
+        await handled.set()
         raise ValueError("a bug")
 
     async def body(server, caller):
-        await caller.call(b"0")
-        await caller.pool.call(Call(b"1\n", 1.0, fail))
-        assert (await caller.call(b"2")).body == b"2"
-        await curio.sleep(0.02)
-        return caller.pool.open
+        await caller.pool.call(Call(b"0\n", 5.0, fail))
+        await handled.wait()
+        assert (await caller.call(b"1")).body == b"1"
+        return len(server.clients)
 
-    assert run_with(echo, body) <= 2
+    assert run_with(echo, body) == 1
 
 
 # Guards against idle connections that stay open, or close under a call.
@@ -291,19 +355,6 @@
     run_with(echo, body)
 
 
-class Item:
-    """Records when it expires."""
-
-    def __init__(self, expired: list["Item"]) -> None:
-        self._expired = expired
-        self.deadline_s = math.inf
-
-    async def expire(self) -> None:
-        """Record that the deadline has passed."""
-        assert time.monotonic() >= self.deadline_s
-        self._expired.append(self)
-
-
 # Guards against deadlines that are missed or kept after they have been replaced, and
 # against a queue that wakes only for the first one it was given.
 def test_deadlines_expire_in_order_and_once():
