Count only data centres with workers as lacking a leader

A host never slept past its shortest pause if some host was in a data centre without workers, since that has no leader. The list of workers still leads to a tick of hosts and claims at once.

--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -44,16 +44,22 @@
             await state.pause.wait(
                 min(shortest_s, until_deadline_s), min(longest_s, until_deadline_s)
             )
-            await self.tick()
+            await self.tick(hosts_too=False)
             self._logs.flush()
 
-    async def tick(self) -> None:
-        """Make the decisions that depend on time and perform their actions."""
+    async def tick(self, hosts_too: bool = True) -> None:
+        """Make the decisions that depend on time and perform their actions.
+
+        Args:
+            hosts_too: Whether to decide on hosts and claims although nothing is due,
+                such as after the list of workers has changed.
+        """
         state, perform = self._state, self._performer.perform
         now = uptime()
         if state.busy.is_due(now):
             state.busy.measure(now, processor_time_s())
-        if state.leader.workers or state.hosts.next_tick_at(now) <= now:
+        due = state.leader.workers or state.hosts.next_tick_at(now) <= now
+        if hosts_too or due:
             await self._update_hosts(now)
         await perform(state.leader.tick(uptime()))
         now = uptime()
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -134,6 +134,8 @@
         self._reported_by_leaders: dict[str, set[str]] = {}
         # Since when a data centre has had no leader that this host knows, s.
         self._leaderless_since: dict[str, float] = {}
+        # Whether a data centre with workers has no leader.
+        self._lacks_leader = True
         # Whether the fleet has more workers than any of its hosts can lead.
         self._large_fleet = False
         self._busy = 0.0
@@ -355,12 +357,13 @@
     def next_tick_at(self, now: float) -> float:
         """Return when `tick` next has something to do, s, if no message arrives before.
 
-        That is at once while this host leads, starts or leaves, while a data centre has
-        no leader, and after a change of a host or a claim. The time is at most one
-        interval of the heartbeats ahead, because intervals depend on time as well.
+        That is at once while this host leads, starts or leaves, while a data centre
+        with workers has no leader, and after a change of a host or a claim. The time is
+        at most one interval of the heartbeats ahead, because intervals depend on time
+        as well.
         """
         ready_at = max(self._may_claim_at, self._started_at + _NEWCOMER_DELAY_S)
-        unsettled = self._claims or self._leaving or self._leaderless_since
+        unsettled = self._claims or self._leaving or self._lacks_leader
         if unsettled or self.changed or now < ready_at:
             return now
         due_at = next_due_at(self._peers.values(), self._targets.values())
@@ -423,6 +426,9 @@
             self._update_intervals(now)
             at_once |= nearby
             at_once.update(peer.name for peer in self._peers.values() if peer.nearby)
+        self._lacks_leader = any(
+            data_centre(shard) in self._leaderless_since for shard in shards
+        )
         actions += self._due_heartbeats(now, can_lead, load, version, at_once)
         return actions
 
