--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -67,6 +67,8 @@
         self._liveness = Liveness(self._fleet)
         self._claiming = Claiming(self._fleet, now)
         self._heartbeats = Heartbeats(self._fleet)
+        # Whether a data centre with workers has no leader.
+        self._lacks_leader = True
         self.add_addresses(now, seeds)
 
     @property
@@ -237,16 +239,15 @@
     def next_tick_at(self, now: float) -> float:
         """Return when `tick` next has something to do, s, if no message arrives before.
 
-        That is at once while this host leads, starts or leaves, while a data centre has
-        no leader, and after a change of a host or a claim. The time is at most one
-        interval of the heartbeats ahead, because intervals depend on time as well.
+        That is at once while this host leads, starts or leaves, while a data centre
+        with workers has no leader, and after a change of a host or a claim. The time is
+        at most one interval of the heartbeats ahead, because intervals depend on time
+        as well.
         """
         ready_at = max(
             self._fleet.may_claim_at, self._fleet.started_at + NEWCOMER_DELAY_S
         )
-        unsettled = (
-            self._fleet.claims or self._fleet.leaving or self._fleet.leaderless_since
-        )
+        unsettled = self._fleet.claims or self._fleet.leaving or self._lacks_leader
         if unsettled or self.changed or now < ready_at:
             return now
         due_at = next_due_at(self._fleet.peers.values(), self._fleet.targets.values())
@@ -316,6 +317,9 @@
             at_once.update(
                 peer.name for peer in self._fleet.peers.values() if peer.nearby
             )
+        self._lacks_leader = any(
+            data_centre(shard) in self._fleet.leaderless_since for shard in shards
+        )
         actions += self._heartbeats.due_heartbeats(
             now, can_lead, load, version, at_once
         )
