--- a/packages/poplarhilld/tests/leading/test_resent_jobs.py
+++ b/packages/poplarhilld/tests/leading/test_resent_jobs.py
@@ -80,3 +80,22 @@
     outcome = world.job_outcome("a")
     assert outcome.error
     assert not outcome.not_run
+
+
+# Guards against a past fault: a repeated offer that arrived after its job was closed,
+# while a run was still to be stopped, counted as a new submission. The job ran again
+# after its caller had been answered.
+def test_a_repeated_offer_of_a_closed_job_does_not_start_it_again(world: World) -> None:
+    job = simulated_job("a", tasks=2, run_s=2.0, left_s=0.5)
+    world.submit("h1", job)
+    world.run(0.4)
+    for worker in world.workers.values():
+        worker.unreachable = bool(worker.running)
+    world.run(0.2)
+    assert world.leaders["h1"].jobs["a"].stopping
+    world.submit("h1", job)
+    assert world.leaders["h1"].jobs["a"].stopping
+    for worker in world.workers.values():
+        worker.unreachable = False
+    world.run(2.0)
+    assert world.starts == 2
