--- a/packages/poplarhilld/tests/leading/test_resent_jobs.py
+++ b/packages/poplarhilld/tests/leading/test_resent_jobs.py
@@ -86,7 +86,8 @@
 # while a run was still to be stopped, counted as a new submission. The job ran again
 # after its caller had been answered.
 def test_a_repeated_offer_of_a_closed_job_does_not_start_it_again(world: World) -> None:
-    job = simulated_job("a", tasks=2, run_s=2.0, left_s=0.5)
+    job = simulated_job("a", tasks=2, run_s=0.2, left_s=0.5)
+    job.runs.update({"a.0.0.0": 2.0, "a.0.0.1": 2.0})
     world.submit("h1", job)
     world.run(0.4)
     for worker in world.workers.values():
