--- a/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
@@ -18,8 +18,9 @@
 from poplarhilld.peers.messages import JobOffer, StepSpec
 
 DEADLINE_S = 1.5
-_LATE_CREDIT = 0.2
-_LATE_LIMIT_FACTOR = 3.0
+LATE_CREDIT = 0.2
+LATE_LIMIT_FACTOR = 3.0
+LONG_TAIL_FACTOR = 7.0  # run times of the tasks of the long tail, as users state it
 _STEP_S = 0.02
 # Factors on the run times of the workers, as users state them for the usual workload.
 _SLOWDOWNS = (0.8, 1.0, 1.25)
@@ -107,8 +108,8 @@
         in_time: Share that was answered within the objective.
         served: Share that was complete before the leader abandoned it, which may
             be a tick after the caller's deadline.
-        credit: Mean credit of a job: 1 in time, `_LATE_CREDIT` up to
-            `_LATE_LIMIT_FACTOR` times the objective, 0 after that.
+        credit: Mean credit of a job: 1 in time, `LATE_CREDIT` up to
+            `LATE_LIMIT_FACTOR` times the objective, 0 after that.
         large: Shares that were served.
         before_deadline: Shares that were complete before the caller's deadline;
             printed as `kept`.
@@ -144,7 +145,7 @@
         slowdowns: Factors on run times, one of which is drawn for each worker.
     """
     random = Random(seed)
-    world = World(_workers(random, slowdowns), seed)
+    world = World(draw_workers(random, slowdowns), seed)
     world.add_leader("h1", 1)
     world.run(0.3)
     submitted: dict[str, Submitted] = {}
@@ -169,7 +170,10 @@
     return score(KINDS, submitted, ended, deadline_s)
 
 
-def _workers(random: Random, slowdowns: Sequence[float]) -> list[SimulatedWorker]:
+def draw_workers(
+    random: Random, slowdowns: Sequence[float]
+) -> list[SimulatedWorker]:
+    """Return 24 workers of 16 and 24 cores with slowdowns drawn at random."""
     workers = []
     for number in range(24):
         cores = 24.0 if number % 3 == 2 else 16.0
@@ -202,9 +206,21 @@
 
 
 def draw_job(
-    random: Random, kind: Kind, name: str, left_s: float = DEADLINE_S
+    random: Random,
+    kind: Kind,
+    name: str,
+    left_s: float = DEADLINE_S,
+    long_tail: float = 0.0,
 ) -> tuple[SimulatedJob, float]:
-    """Draw a job; also return the run time of its longest task, s."""
+    """Draw a job; also return the run time of its longest task, s.
+
+    Args:
+        random: Source of random choices.
+        kind: Kind of the job.
+        name: Its name.
+        left_s: How long its caller waits, s.
+        long_tail: Share of its tasks that run seven times as long.
+    """
     count = max(1, round(_draw_lognormal(random, kind.tasks, 0.4, kind.max_tasks)))
     run_s = _draw_lognormal(random, kind.run_s, 0.4, 4 * kind.run_s)
     drawn = _draw_lognormal(random, kind.cores, 0.2, kind.max_cores)
@@ -228,6 +244,10 @@
         f"{name}.0.0.{index}": run_s * random.uniform(0.85, 1.15)
         for index in range(count)
     }
+    if long_tail:
+        for task in runs:
+            if random.random() < long_tail:
+                runs[task] *= LONG_TAIL_FACTOR
     job = SimulatedJob(offer, run_s, needs, runs=runs)
     return job, max(runs.values())
 
@@ -253,7 +273,7 @@
         before_deadline = {n for n, took_s in took.items() if took_s <= deadline_s}
         in_time_count = sum(took[n] <= jobs[n].objective_s for n in took)
         late_count = sum(
-            jobs[n].objective_s < took[n] <= _LATE_LIMIT_FACTOR * jobs[n].objective_s
+            jobs[n].objective_s < took[n] <= LATE_LIMIT_FACTOR * jobs[n].objective_s
             for n in took
         )
         by_size = sorted(jobs, key=lambda n: -jobs[n].size)
@@ -263,7 +283,7 @@
             len(jobs),
             in_time_count / len(jobs),
             len(took) / len(jobs),
-            (in_time_count + _LATE_CREDIT * late_count) / len(jobs),
+            (in_time_count + LATE_CREDIT * late_count) / len(jobs),
             tuple(sum(n in took for n in part) / len(part) for part in parts),
             tuple(
                 sum(n in before_deadline for n in part) / len(part) for part in parts
--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -34,6 +34,7 @@
     RunEndKind,
     TokenSource,
 )
+from poplarhilld.lookahead import LookaheadOptions
 from poplarhilld.peers.messages import JobEnded, JobOffer, JobProgress, StepSpec
 
 LEASE_S = 1.0
@@ -245,10 +246,15 @@
         return {name: worker.entry for name, worker in self.workers.items()}
 
     def add_leader(
-        self, name: str, number: int, entries: dict[str, WorkerEntry] | None = None
+        self,
+        name: str,
+        number: int,
+        entries: dict[str, WorkerEntry] | None = None,
+        lookahead: LookaheadOptions = LookaheadOptions(),
     ) -> Leader:
         """Add a leader of some workers, or of all, with its own source of tokens."""
-        leader = Leader(TokenSource(Address(f"10.0.0.{number}", 1)), LEASE_S)
+        tokens = TokenSource(Address(f"10.0.0.{number}", 1))
+        leader = Leader(tokens, LEASE_S, lookahead)
         self.leaders[name] = leader
         led = self.entries if entries is None else entries
         self.perform(name, leader.set_workers(self.now, self.now, led))
@@ -267,8 +273,16 @@
             leader, self.leaders[leader].handle_offer(self.now, host, 1, job.offer)
         )
 
+    def submit_at(self, at: float, leader: str, job: SimulatedJob) -> None:
+        """Offer a job to a leader at a simulated time, s."""
+        self._schedule(at - self.now, self.submit, leader, job)
+
     def run(self, seconds: float) -> None:
-        """Advance the simulated time, delivering messages and ticking the leaders."""
+        """Advance the simulated time, delivering messages and ticking the leaders.
+
+        The first tick comes a tick's interval after the call: calls for shorter times
+        never tick. Jobs that arrive often are submitted with `submit_at` instead.
+        """
         end = self.now + seconds
         next_tick = self.now + TICK_S
         while self.now < end:
