--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -67,8 +67,7 @@
         waiting = [
             job
             for job_id, job in self._state.queue.items()
-            if (min_cores[job_id] <= initial_max_free or self._state.lookahead.active)
-            and self._may_start_tasks(now, job)
+            if min_cores[job_id] <= initial_max_free and self._may_start_tasks(now, job)
         ]
         if not waiting:
             return []
@@ -83,13 +82,8 @@
             usable = [
                 w for w in usable if not self._state.suspects.is_set_aside(w.entry.name)
             ]
-        plan = self._state.lookahead.plan(now, waiting, usable, free, capacity_short)
-        for job in waiting if plan is None else plan.jobs():
+        for job in waiting:
             if min_cores[job.job_id] > max_free:
-                if plan is not None:
-                    plan.reserve(job)
-                continue
-            if plan is not None and not plan.is_worth_placing(job):
                 continue
             avoid_fast = capacity_short and tolerates_slow_worker(now, job)
             max_slowdown = max_slowdown_for(now, job, fast)
@@ -97,10 +91,8 @@
                 if task.lost or task.spec.needs.cores > initial_max_free:
                     continue
                 if task.spec.needs.cores > max_free:
-                    if plan is not None:
-                        plan.reserve(job)
                     break
-                worker = (choose_worker if plan is None else plan.choose_worker)(
+                worker = choose_worker(
                     job, task, usable, free, self._state.times, avoid_fast, max_slowdown
                 )
                 if worker is None:
@@ -185,7 +177,6 @@
             self._state.history.note_ordered(now, job.job_id)
         job.run_count += 1
         self._state.runs.note_started(now, run, task, name)
-        self._state.lookahead.note_start(now, name, run, job, task)
         self._state.health.note_start(name, run)
         before = free[name]
         free[name] = subtract(before, needs)
--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -82,7 +82,6 @@
         """Remove a run that is no longer under way; its task may wait again."""
         task = self._state.runs.task_of(worker, run)
         self._state.runs.forget(worker, run)
-        self._state.lookahead.timeline.note_end(worker, run)
         self._state.suspects.note_closed(worker, run)
         job = None if task is None else self._state.runs.job_of(task.name)
         if job is not None:
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -82,7 +82,6 @@
                 job.finish(task)
         self._state.demand.note_arrival(now, offer.route, job.open_core_seconds)
         self._state.demand.note_work(now, offer.service, job.open_core_seconds)
-        self._state.lookahead.note_offer(offer, self._state.usable_workers())
         job.core_second_cost = core_second_cost(now, job, self._state.demand)
         wait_s = self._expected_wait_s(now, job)
         refusal = self._refusal_for(now, job, wait_s)
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -63,7 +63,6 @@
         worker.set_needs(run, task.spec.needs)
         if task.waiting and not job.stopping:
             self._state.runs.adopt(now, run, task, name)
-            self._state.lookahead.note_start(now, name, run, job, task)
             return []
         return self._closer.stop_run(now, worker, run)
 
@@ -77,7 +76,6 @@
             if task.waiting:
                 self._state.runs.note_closed(name, run)
                 self._state.runs.adopt(now, run, task, name)
-                self._state.lookahead.note_start(now, name, run, job, task)
                 job.run_count += 1
 
     def _handle_closed_run(
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -20,7 +20,6 @@
     LeasedWorker,
     TokenSource,
 )
-from poplarhilld.lookahead import Lookahead, LookaheadOptions
 
 
 class Subscriber(NamedTuple):
@@ -36,7 +35,6 @@
     Args:
         tokens: Source of fencing tokens.
         lease_s: Longest lease that a worker grants, s.
-        lookahead: When placement looks ahead, and how.
 
     Attributes:
         workers: Workers that this host leads or has led, by name.
@@ -59,12 +57,9 @@
         demand: Work that arrives, by route and service.
         health: Workers that are ejected or on probation.
         suspects: Tasks that may crash their workers.
-        lookahead: Placement that considers what waits and what ends soon.
     """
 
-    def __init__(
-        self, tokens: TokenSource, lease_s: float, lookahead: LookaheadOptions
-    ) -> None:
+    def __init__(self, tokens: TokenSource, lease_s: float) -> None:
         self.tokens = tokens
         self.lease_s = lease_s
         self.workers: dict[str, LeasedWorker] = {}
@@ -87,7 +82,6 @@
         self.demand = Demand()
         self.health = WorkerHealth()
         self.suspects = Suspects()
-        self.lookahead = Lookahead(lookahead, self.times, self.spread)
 
     def note_worker_change(self) -> None:
         """Work out the usable workers anew when they are next asked for."""
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -32,7 +32,6 @@
     Run,
     TokenSource,
 )
-from poplarhilld.lookahead import LookaheadOptions
 from poplarhilld.peers.messages import (
     JobOffer,
     JobProgress,
@@ -48,16 +47,10 @@
     Args:
         tokens: Source of fencing tokens.
         lease_s: Longest lease that a worker grants, s.
-        lookahead: When placement looks ahead, and how.
     """
 
-    def __init__(
-        self,
-        tokens: TokenSource,
-        lease_s: float,
-        lookahead: LookaheadOptions = LookaheadOptions(),
-    ) -> None:
-        self._state = LeaderState(tokens, lease_s, lookahead)
+    def __init__(self, tokens: TokenSource, lease_s: float) -> None:
+        self._state = LeaderState(tokens, lease_s)
         self._closer = JobCloser(self._state)
         self._outcomes = RunOutcomes(self._state, self._closer)
         self._group = WorkerGroup(self._state, self._closer, self._outcomes)
