--- a/packages/poplarhilld/src/poplarhilld/entry/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms of an entry host."""
 
+from collections.abc import Iterable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -43,12 +45,24 @@
         self.led_jobs = self._gauge("led_jobs", "Jobs at this host as their leader")
         self.live_hosts = self._gauge("live_hosts", "Live entry hosts, this one too")
         self.version = self._gauge("catalogue_version", "Version in force")
+        self.evacuated = Gauge(
+            "poplarhill_evacuated",
+            "Whether a data centre is evacuated, as this host knows",
+            ["data_centre"],
+            registry=self._registry,
+        )
         self.processor_s = self._gauge(
             "processor_seconds", "Processor time used since the start"
         )
         self.lines_dropped = self._gauge("log_lines_dropped", "Log lines dropped")
         self.frames_dropped = self._gauge("peer_frames_dropped", "Frames dropped")
 
+    def set_evacuated(self, evacuated: frozenset[str], known: Iterable[str]) -> None:
+        """Set which of the known data centres are evacuated."""
+        self.evacuated.clear()
+        for name in evacuated.union(known):
+            self.evacuated.labels(name).set(name in evacuated)
+
     def page(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/poplarhilld/src/poplarhilld/entry/ports.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ports.py
@@ -1,10 +1,11 @@
 """Interfaces from an entry host to the platform, which adapters implement."""
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol
 
 from poplarhill.types import Address
 from poplarhilld.catalogue import Catalogue, WorkerEntry
+from poplarhilld.evacuation import Evacuations
 from poplarhilld.leading import Order
 from poplarhilld.leases import LeaseReply, OrderReply, Renewal, RenewalFailure, Run
 
@@ -18,18 +19,37 @@
 
 
 class WorkerClient(Protocol):
-    """Sends lease renewals and orders to workers."""
+    """Sends lease renewals and orders to workers.
 
-    async def renew(
-        self, worker: WorkerEntry, renewal: Renewal
-    ) -> LeaseReply | RenewalFailure:
-        """Renew the lease on a worker; return its state, or why it gave none."""
-
-    async def start(self, worker: WorkerEntry, order: Order) -> OrderReply:
-        """Order a worker to start a run and return its answer."""
+    Each of these calls returns once the request is on its way. The reply is passed to
+    `on_reply`, later and exactly once unless the event loop ends before. `on_reply`
+    must not block: the task that runs it reads the connection to the worker.
+    """
 
-    async def stop(self, worker: WorkerEntry, run: Run, token: int) -> bool:
-        """Order a worker to stop a run; return whether it answered."""
+    async def renew(
+        self,
+        worker: WorkerEntry,
+        renewal: Renewal,
+        on_reply: Callable[[LeaseReply | RenewalFailure], Awaitable[None]],
+    ) -> None:
+        """Renew the lease on a worker; pass on its state, or why it gave none."""
+
+    async def start(
+        self,
+        worker: WorkerEntry,
+        order: Order,
+        on_reply: Callable[[OrderReply], Awaitable[None]],
+    ) -> None:
+        """Order a worker to start a run and pass on its answer."""
+
+    async def stop(
+        self,
+        worker: WorkerEntry,
+        run: Run,
+        token: int,
+        on_reply: Callable[[bool], Awaitable[None]],
+    ) -> None:
+        """Order a worker to stop a run; pass on whether it answered."""
 
     async def close_idle_connections(self) -> None:
         """Close connections that have been idle for some time."""
@@ -41,6 +61,10 @@
 class Directory(Protocol):
     """Reads the platform's store and registers this host there."""
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuations in force, as `next_catalogue` last read them."""
+
     async def next_catalogue(self) -> Catalogue | None:
         """Wait for a newer catalogue; return `None` if none arrives for a while.
 
--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -35,6 +35,7 @@
 # Apart from degraded workers, run times vary by a factor of 4 at most.
 _STALL_FACTOR = 4.0
 _MIN_STALL_S = 0.25  # a shorter stall costs less than running the task again
+_ROUNDING_S = 1e-6  # far more than the rounding error of a sum of times
 
 
 class WorkerGroup:
@@ -56,7 +57,9 @@
     def claim(self, now: float, time_s: float, entry: WorkerEntry) -> list:
         """Claim a worker under a new fencing token."""
         token = self._state.tokens.next(time_s)
-        worker = LeasedWorker(entry, token, self._state.lease_s, now)
+        worker = LeasedWorker(
+            entry, token, self._state.lease_s, now, self._state.changed_workers.add
+        )
         self._state.workers[entry.name] = worker
         self._state.note_worker_change()
         return self._request_lease(now, worker, "first claimed by this host")
@@ -64,6 +67,7 @@
     def reclaim(self, now: float, time_s: float, worker: LeasedWorker) -> list:
         """Claim a fenced worker again, because this host leads its shard."""
         worker.reclaim(now, self._state.tokens.next(time_s))
+        del self._state.reclaim_at[worker.entry.name]
         self._state.note_worker_change()
         return self._request_lease(now, worker, "claimed again after it was fenced")
 
@@ -159,8 +163,44 @@
                     task.avoid.add(name)
         return actions
 
-    def check_worker(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
-        """Notice that a worker or one of its runs no longer responds."""
+    def check_workers(self, now: float) -> list[LeaderAction]:
+        """Notice the workers that no longer respond, and the runs that stall."""
+        actions: list[LeaderAction] = []
+        entries, runs = self._state.entries, self._state.runs
+        any_stopping = runs.any_stopping
+        # Runs for each worker on each tick, so the usual case makes no calls.
+        for worker in list(self._state.workers.values()):
+            name = worker.entry.name
+            if (
+                worker.fenced
+                or name not in entries
+                or now - worker.last_reply_at > SILENCE_TIMEOUT_S
+            ):
+                found = self._check_lease(now, worker)
+                if found is not None:
+                    actions += found
+                    continue
+            for reservation in worker.reservations:
+                if any_stopping and runs.is_stopping(name, reservation.run):
+                    actions += self._closer.stop_run(now, worker, reservation.run)
+                elif (
+                    reservation.state is ReservationState.RUNNING
+                    and now - reservation.running_since >= _MIN_STALL_S
+                    and now >= reservation.stall_check_at
+                ):
+                    task = runs.task_of(name, reservation.run)
+                    if task is not None:
+                        actions += self._check_stall(now, worker, task, reservation)
+        return actions
+
+    def _check_lease(
+        self, now: float, worker: LeasedWorker
+    ) -> list[LeaderAction] | None:
+        """Release a worker, mark it as lost, or return that its runs are to be checked.
+
+        Returns:
+            `None` if its runs are to be checked.
+        """
         name = worker.entry.name
         if worker.fenced:
             if (
@@ -170,21 +210,14 @@
                 # By now the other leader has stopped or adopted the runs there.
                 return self.release(name, "led by another host or no longer registered")
             return []
-        idle = not any(True for _ in worker.reservations)
+        idle = not worker.reservations
         if name not in self._state.entries and (idle or worker.lease_has_expired(now)):
             return self.release(
                 name, "this host no longer leads it, or it is no longer registered"
             )
         if worker.confirmed and now - worker.last_reply_at > SILENCE_TIMEOUT_S:
             return self.mark_lost(now, worker, "silent")
-        actions: list[LeaderAction] = []
-        for reservation in list(worker.reservations):
-            task = self._state.runs.task_of(name, reservation.run)
-            if self._state.runs.is_stopping(name, reservation.run):
-                actions += self._closer.stop_run(now, worker, reservation.run)
-            elif reservation.state is ReservationState.RUNNING and task is not None:
-                actions += self._check_stall(now, worker, task, reservation)
-        return actions
+        return None
 
     def _check_stall(
         self, now: float, worker: LeasedWorker, task: LedTask, reservation: Reservation
@@ -193,7 +226,11 @@
         job = self._state.runs.job_of(task.name)
         expected_s = job.expected_s(task)
         limit_s = max(_STALL_FACTOR * expected_s, expected_s + _MIN_STALL_S)
-        if now - reservation.running_since < limit_s or now + expected_s > job.deadline:
+        if now - reservation.running_since < limit_s:
+            check_at = reservation.running_since + limit_s - _ROUNDING_S
+            reservation.stall_check_at = check_at
+            return []
+        if now + expected_s > job.deadline:
             return []
         name = worker.entry.name
         self._state.health.note_stall(name, reservation.run)
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -12,6 +12,7 @@
 )
 from poplarhilld.leading.assignment import Assignment
 from poplarhilld.leading.closing import JobCloser, job_ended
+from poplarhilld.leading.evacuated import EvacuatedJobs
 from poplarhilld.leading.handover import waits_too_long
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.messages import (
@@ -39,6 +40,7 @@
         closer: Ends jobs.
         outcomes: Applies what workers report of runs.
         assignment: Places tasks on workers.
+        evacuated: Refuses jobs that only evacuated workers could run.
     """
 
     def __init__(
@@ -47,11 +49,13 @@
         closer: JobCloser,
         outcomes: RunOutcomes,
         assignment: Assignment,
+        evacuated: EvacuatedJobs,
     ) -> None:
         self._state = state
         self._closer = closer
         self._outcomes = outcomes
         self._assignment = assignment
+        self._evacuated = evacuated
         self._starved_check_at = 0.0
 
     def handle_offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
@@ -77,18 +81,20 @@
             self._state.suspects.drop_job(offer.job_id)
             refusal = Refusal(ErrorKind.TASK_FAILED, crash_detail(deadly))
             return self._refuse(subscriber, offer, now, refusal)
-        for task in job.tasks:
-            if self._state.history.is_done(task.name):
-                job.finish(task)
+        if self._state.history.any_done:
+            for task in job.tasks:
+                if self._state.history.is_done(task.name):
+                    job.finish(task)
         self._state.demand.note_arrival(now, offer.route, job.open_core_seconds)
         self._state.demand.note_work(now, offer.service, job.open_core_seconds)
-        job.core_second_cost = core_second_cost(now, job, self._state.demand)
+        job.set_core_second_cost(core_second_cost(now, job, self._state.demand))
         wait_s = self._expected_wait_s(now, job)
         refusal = self._refusal_for(now, job, wait_s)
         if refusal is not None and not self._state.runs.orphans_of(job):
             self._state.suspects.drop_job(offer.job_id)
             return self._refuse(subscriber, offer, now, refusal)
-        self._state.jobs[offer.job_id] = self._state.queue[offer.job_id] = job
+        self._state.jobs[offer.job_id] = job
+        self._state.queue.add(job)
         self._state.placement_up_to_date = False
         self._state.subscribers[offer.job_id] = {subscriber}
         self._state.runs.add_job(job)
@@ -111,6 +117,7 @@
             job.stopping = False
             self._state.placement_up_to_date = False
             job.arrived_at = now - offer.elapsed_s
+            self._state.queue.update(job)
             subscribers.clear()
         subscribers.add(subscriber)
         job.deadline = max(job.deadline, now + offer.left_s)
@@ -118,10 +125,11 @@
         return [joined, *self._assignment.assign(now)]
 
     def _refusal_for(self, now: float, job: LedJob, wait_s: float) -> Refusal | None:
+        refusal = self._evacuated.find_refusal(now, job)
+        if refusal is not None:
+            return refusal
         service = job.offer.service
-        service_workers = [
-            w for w in self._state.workers.values() if w.entry.service == service
-        ]
+        service_workers = self._state.workers_of(service)
         reachable = any(
             self._state.is_usable(w) or w.awaits_first_reply(now)
             for w in service_workers
@@ -154,21 +162,25 @@
         self._state.demand.note_timeout(now, offer.route, timeout_s)
         if not 0 < longest_timeout_s < timeout_s:
             return
-        for job in self._state.queue.values():
+        for job in self._state.queue.jobs:
             if job.offer.route == offer.route:
                 job.due -= timeout_s - longest_timeout_s
 
     def _expected_wait_s(self, now: float, job: LedJob) -> float:
-        usable = self._state.usable_workers()
-        return expected_wait_s(now, job, self._state.unsuspected_jobs(), usable)
+        cores = self._state.capacity().of_service(job.offer.service)
+        return expected_wait_s(
+            now, job, self._state.queue, self._state.suspects.job_ids, cores
+        )
 
     def _refuse(
         self, subscriber: Subscriber, offer: JobOffer, now: float, refusal: Refusal
     ) -> list[LeaderAction]:
         host = subscriber.host
         job = self._make_job(now, host, offer)
-        kind, detail, retry_after_s = refusal
+        kind, detail, retry_after_s, elsewhere = refusal
         report = job_ended(job, kind, detail, retry_after_s)
+        if elsewhere:
+            report = report._replace(elsewhere=True, done=offer.done)
         self._state.history.note_answer(now, (subscriber, offer.job_id), report)
         line = self._offer_line(job, 0.0, f"refused: {kind.value}: {detail}")
         return [LogDecision(line), ReportJob(host, report)]
@@ -188,8 +200,20 @@
             outcome,
         )
 
-    def check_deadline(self, now: float, job: LedJob) -> list[LeaderAction]:
-        """Close a job as soon as it can no longer meet its deadline."""
+    def check_deadlines(self, now: float) -> list[LeaderAction]:
+        """Close the jobs that can no longer meet their deadline."""
+        actions: list[LeaderAction] = []
+        for job in list(self._state.jobs.values()):
+            # On most ticks nothing is due for most jobs, so this calls no function.
+            if (
+                job.stopping
+                or job.offer.handovers
+                or now + job.least_run_s >= job.deadline
+            ):
+                actions += self._check_deadline(now, job)
+        return actions
+
+    def _check_deadline(self, now: float, job: LedJob) -> list[LeaderAction]:
         if job.stopping:
             if not job.under_way:
                 self._closer.forget_job(job)
@@ -199,13 +223,13 @@
             return self._closer.close_job(
                 now, job, job_ended(job, kind, "the deadline of the job has passed")
             )
-        if waits_too_long(
+        if job.offer.handovers and waits_too_long(
             now, job, bool(self._state.not_led_here), self._state.workers.values()
         ):
             detail = "its leader was lost, and its tasks may still run there"
             report = job_ended(job, ErrorKind.WORKER_LOST, detail)
             return self._closer.close_job(now, job, report)
-        if job.not_run and not fits_in_time(now, job):
+        if not fits_in_time(now, job) and job.not_run:
             detail = f"no free capacity in time for a run time of {job.run_s:.2f} s"
             report = job_ended(job, ErrorKind.OVERLOADED, detail, RETRY_AFTER_S)
             return self._closer.close_job(now, job, report)
@@ -221,11 +245,7 @@
             by_service.setdefault(job.offer.service, []).append(job)
         actions: list[LeaderAction] = []
         for service, jobs in by_service.items():
-            cores = sum(
-                worker.entry.room.cores
-                for worker in self._state.usable_workers()
-                if worker.entry.service == service
-            )
+            cores = self._state.capacity().of_service(service).total
             arriving_cores = self._state.demand.work_rate(now, service)
             for job in find_starved(now, jobs, cores, arriving_cores):
                 detail = (
--- a/packages/poplarhilld/src/poplarhilld/leading/runs.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -55,33 +55,47 @@
         """Return the task of a run that is under way, if this leader has it."""
         return self._tasks.get((worker, run))
 
-    def note_started(self, now: float, run: Run, task: LedTask, worker: str) -> None:
-        """Note that a run was ordered for a task."""
-        self._note_run(now, run, task, worker, adopted=False)
-
-    def adopt(self, now: float, run: Run, task: LedTask, worker: str) -> None:
-        """Note that a run which an earlier leader ordered belongs to a task."""
-        self._note_run(now, run, task, worker, adopted=True)
-
-    def _note_run(
-        self, now: float, run: Run, task: LedTask, worker: str, adopted: bool
+    def note_started(
+        self, now: float, run: Run, task: LedTask, worker: str, adopted: bool = False
     ) -> None:
+        """Note that a run of a task was ordered.
+
+        Args:
+            now: The leader's clock, s.
+            run: The run.
+            task: The task.
+            worker: Name of the worker.
+            adopted: Whether an earlier leader ordered it.
+        """
         task.run, task.worker = run, worker
         task.ordered_at, task.adopted = now, adopted
-        task.next_number = max(task.next_number, run.number + 1)
+        if task.next_number <= run.number:
+            task.next_number = run.number + 1
         self._tasks[worker, run] = task
+        self._note_task_change(task)
 
-    def forget(self, worker: str, run: Run) -> None:
-        """Remove a run that is no longer under way."""
-        self._orphans.pop((worker, run), None)
+    def forget(self, worker: str, run: Run) -> LedTask | None:
+        """Remove a run that is no longer under way, and return its task, if known."""
+        if self._orphans:
+            self._orphans.pop((worker, run), None)
         task = self._tasks.pop((worker, run), None)
         if task is not None and (task.worker, task.run) == (worker, run):
             task.run, task.worker = None, ""
+            if not task.done:
+                self._note_task_change(task)
+        return task
+
+    def _note_task_change(self, task: LedTask) -> None:
+        job = self._jobs.get(task.name)
+        if job is not None:
+            job.update_least_cores()
 
     def note_closed(self, worker: str, run: Run) -> None:
         """Note that a run has ended: it needs no stop order and is no orphan."""
-        self._stop_due.pop((worker, run), None)
-        self._orphans.pop((worker, run), None)
+        if self._stop_due:
+            self._stop_due.pop((worker, run), None)
+        if self._orphans:
+            self._orphans.pop((worker, run), None)
 
     def add_orphan(self, now: float, run: Run, worker: str) -> None:
         """Add a run that belongs to no job of this leader."""
@@ -102,6 +116,11 @@
             if now >= orphan.since + ORPHAN_TIMEOUT_S:
                 yield orphan
 
+    @property
+    def any_stopping(self) -> bool:
+        """Whether a stop was ordered for any run that has not ended."""
+        return bool(self._stop_due)
+
     def is_stopping(self, worker: str, run: Run) -> bool:
         """Return whether a stop was ordered for a run that has not ended."""
         return (worker, run) in self._stop_due
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -1,10 +1,11 @@
 """State that the parts of a leader share."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.capacity import FreeCapacity
 from poplarhilld.leading.demand import Demand
 from poplarhilld.leading.estimates import RunTimes
 from poplarhilld.leading.fitness import WorkerHealth
@@ -13,6 +14,7 @@
 from poplarhilld.leading.messages import (
     WorkerState,
 )
+from poplarhilld.leading.queue import JobQueue
 from poplarhilld.leading.runs import RunTable
 from poplarhilld.leading.spread import RunTimeSpread
 from poplarhilld.leading.suspects import Suspects
@@ -40,13 +42,16 @@
         workers: Workers that this host leads or has led, by name.
         entries: Workers that this host is to lead, by name.
         not_led_here: Names of the registered workers that other hosts lead.
+        evacuated: Names of the evacuated data centres.
         renewal_backoff_s: Pause before the next renewal to a silent worker, s.
-        reclaim_at: When a fenced worker may be claimed again, s.
+        reclaim_at: When each fenced worker may be claimed again, s.
         lost: Names of the workers that do not respond.
         refused: Lost workers whose address refused a connection: their process has
             ended, or a partition refuses connections.
+        changed_workers: Names of the workers whose free capacity or slowdown has
+            changed since the last call of `capacity`.
         jobs: Accepted jobs by id, until none of their runs is left.
-        queue: Jobs with waiting tasks by id.
+        queue: Jobs with waiting tasks.
         subscribers: Entry hosts that get the reports on each job.
         placement_up_to_date: Whether no task can start until an event or the time
             changes that.
@@ -65,30 +70,43 @@
         self.workers: dict[str, LeasedWorker] = {}
         self.entries: Mapping[str, WorkerEntry] = {}
         self.not_led_here: frozenset[str] = frozenset()
+        self.evacuated: frozenset[str] = frozenset()
         self.renewal_backoff_s: dict[str, float] = {}
         self.reclaim_at: dict[str, float] = {}
         self.lost: set[str] = set()
         self.refused: set[str] = set()
         # Workers that may run tasks; None after a change of a worker.
         self._usable: list[LeasedWorker] | None = None
+        self._capacity: FreeCapacity | None = None
+        self._by_service: dict[str, list[LeasedWorker]] = {}
+        self.changed_workers: set[str] = set()
         self.jobs: dict[str, LedJob] = {}
-        self.queue: dict[str, LedJob] = {}
+        self.queue = JobQueue()
         self.subscribers: dict[str, set[Subscriber]] = {}
         self.placement_up_to_date = False
         self.runs = RunTable()
         self.history = JobHistory()
-        self.times = RunTimes()
+        self.times = RunTimes(self.changed_workers.add)
         self.spread = RunTimeSpread()
         self.demand = Demand()
         self.health = WorkerHealth()
         self.suspects = Suspects()
 
     def note_worker_change(self) -> None:
-        """Work out the usable workers anew when they are next asked for."""
+        """Work out the usable workers anew when they are next asked for.
+
+        Must be called whenever the result of `is_usable` or an entry of a worker, or
+        the set of workers, may have changed.
+        """
         self._usable = None
+        self._capacity = None
+        self._by_service.clear()
 
     def is_usable(self, worker: LeasedWorker) -> bool:
-        """Return whether a worker is led here, responds and is not draining."""
+        """Return whether a worker is led here, responds and may be given tasks.
+
+        A draining worker or one in an evacuated data centre may not.
+        """
         entry = worker.entry
         return (
             worker.confirmed
@@ -96,6 +114,7 @@
             and entry.name in self.entries
             and not entry.draining
             and entry.name not in self.lost
+            and entry.data_centre not in self.evacuated
         )
 
     def usable_workers(self) -> list[LeasedWorker]:
@@ -104,9 +123,31 @@
             self._usable = [w for w in self.workers.values() if self.is_usable(w)]
         return self._usable
 
+    def workers_of(self, service: str) -> list[LeasedWorker]:
+        """Return all workers of a service; the list must not be changed."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = [w for w in self.workers.values() if w.entry.service == service]
+            self._by_service[service] = found
+        return found
+
+    def capacity(self) -> FreeCapacity:
+        """Return the free capacity of the usable workers; it must not be changed."""
+        if self._capacity is None:
+            self._capacity = self.capacity_of(self.usable_workers())
+        else:
+            for name in self.changed_workers:
+                self._capacity.update(name)
+        self.changed_workers.clear()
+        return self._capacity
+
+    def capacity_of(self, workers: Iterable[LeasedWorker]) -> FreeCapacity:
+        """Return the free capacity of some workers, which the caller may change."""
+        return FreeCapacity(workers, self.times.rounded_slowdowns)
+
     def unsuspected_jobs(self) -> list[LedJob]:
         """Return the queued jobs without suspects, which wait for their own workers."""
-        return [job for job in self.queue.values() if job.job_id not in self.suspects]
+        return [job for job in self.queue.jobs if job.job_id not in self.suspects]
 
 
 def worker_state(
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -11,6 +11,7 @@
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.leading.assignment import Assignment
 from poplarhilld.leading.closing import JobCloser, job_ended
+from poplarhilld.leading.evacuated import EvacuatedJobs
 from poplarhilld.leading.group import WorkerGroup
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.messages import (
@@ -55,8 +56,13 @@
         self._outcomes = RunOutcomes(self._state, self._closer)
         self._group = WorkerGroup(self._state, self._closer, self._outcomes)
         self._assignment = Assignment(self._state)
+        self._evacuated = EvacuatedJobs(self._state, self._closer)
         self._offers = Offers(
-            self._state, self._closer, self._outcomes, self._assignment
+            self._state,
+            self._closer,
+            self._outcomes,
+            self._assignment,
+            self._evacuated,
         )
 
     @property
@@ -85,16 +91,15 @@
 
     def load(self, now: float) -> Load:
         """Return the capacity, free capacity and queued work of this leader."""
-        cores = free = 0.0
-        for worker in self._state.usable_workers():
-            cores += worker.entry.room.cores
-            free += max(0.0, worker.free_capacity().cores)
+        capacity = self._state.capacity()
         queued = sum(
-            job.open_core_seconds
-            for job in self._state.jobs.values()
-            if not job.run_count
+            [
+                job.open_core_seconds
+                for job in self._state.jobs.values()
+                if not job.run_count
+            ]
         )
-        return Load(cores, free, queued)
+        return Load(capacity.total_cores, capacity.usable_free_cores, queued)
 
     def set_workers(
         self,
@@ -119,6 +124,8 @@
         if entries != self._state.entries or not_led_here != self._state.not_led_here:
             self._state.placement_up_to_date = False
             self._state.note_worker_change()
+        elif not self._state.reclaim_at and not_led_here.isdisjoint(entries):
+            return self._assignment.assign(now)  # all are claimed and none is fenced
         self._state.entries = entries
         self._state.not_led_here = not_led_here
         for name in self._state.workers.keys() & not_led_here:
@@ -134,6 +141,21 @@
                 actions += self._group.reclaim(now, time_s, worker)
         return actions + self._assignment.assign(now)
 
+    def set_evacuated(
+        self, now: float, data_centres: frozenset[str]
+    ) -> list[LeaderAction]:
+        """Set the evacuated data centres; no task starts on workers there.
+
+        Leases and runs there are kept. Jobs that could only run there are given back
+        to their entry hosts.
+        """
+        if data_centres == self._state.evacuated:
+            return []
+        self._state.evacuated = data_centres
+        self._state.note_worker_change()
+        self._state.placement_up_to_date = False
+        return self._assignment.assign(now) + self._evacuated.give_up(now)
+
     def resign(self) -> list[LeaderAction]:
         """Release all workers and drop all jobs; the next leader adopts the runs."""
         actions: list[LeaderAction] = []
@@ -196,9 +218,12 @@
             return []
         if not isinstance(reply, LeaseReply):
             return self._group.handle_renewal_failure(now, worker, reply)
-        self._state.renewal_backoff_s.pop(name, None)
+        if self._state.renewal_backoff_s:
+            self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
+        if self._state.placement_up_to_date:
+            return actions
         return actions + self._assignment.assign(now)
 
     def handle_state_reply(
@@ -228,6 +253,8 @@
         actions: list[LeaderAction] = []
         changes = worker.apply_order_reply(now, run, reply)
         match reply.outcome:
+            case OrderOutcome.ACCEPTED:
+                pass
             case OrderOutcome.OUTDATED:
                 task = self._state.runs.task_of(name, run)
                 if task is not None:
@@ -248,6 +275,8 @@
                 self._state.health.note_no_reply(now, name)
         for change in changes:
             actions += self._outcomes.apply_change(now, worker, change)
+        if self._state.placement_up_to_date:
+            return actions
         return actions + self._assignment.assign(now)
 
     def handle_stop_reply(
@@ -267,17 +296,16 @@
     def tick(self, now: float) -> list[LeaderAction]:
         """Do what is due because time has passed: timeouts, retries, deadlines."""
         actions: list[LeaderAction] = []
-        for worker in list(self._state.workers.values()):
-            actions += self._group.check_worker(now, worker)
+        actions += self._group.check_workers(now)
         for run, name, _ in self._state.runs.unclaimed(now):
             if name in self._state.workers:
                 actions += self._closer.stop_run(now, self._state.workers[name], run)
-        for job in list(self._state.jobs.values()):
-            actions += self._offers.check_deadline(now, job)
+        actions += self._offers.check_deadlines(now)
         for job in self._state.suspects.jobs:
             actions += self._outcomes.check_suspects(now, job)
         losses = self._state.suspects.take_unshared()
         if losses:
             actions.append(ShareLosses(JobProgress("", losses=losses)))
         self._state.placement_up_to_date = False
+        actions += self._evacuated.give_up(now)
         return actions + self._assignment.assign(now) + self._offers.refuse_starved(now)
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -1,7 +1,6 @@
 """State of one leased worker: its lease, its free capacity and its runs."""
 
-from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from enum import Enum
 
@@ -72,6 +71,7 @@
             that is sent at or after this time can prove that the run never started.
         running_since: When this leader learnt that it runs, by the leader's clock,
             s; 0 before that.
+        stall_check_at: Until then it can't count as stalled, by the leader's clock, s.
     """
 
     run: Run
@@ -80,6 +80,7 @@
     deadline_s: float
     last_event_at: float
     running_since: float = 0.0
+    stall_check_at: float = 0.0
 
 
 class LeasedWorker:
@@ -94,57 +95,51 @@
         token: Fencing token of this host for the worker.
         fenced: Whether this host must start no runs on the worker, because the
             worker has accepted a newer token or this host no longer leads it.
+        confirmed: Whether the worker has accepted this host's token.
+        incarnation: When its process started, ms since the Unix epoch; `None` before a
+            reply.
+        last_reply_at: When the worker last replied, by the leader's clock, s. Before
+            the first reply, this is when this host first claimed the worker.
+        reservations: Reservations of all runs that hold or may hold capacity; a
+            read-only view.
 
     Args:
         entry: Registry entry of the worker.
         token: Fencing token of this host for the worker.
         lease_s: Longest lease that a worker grants, s.
         now: The leader's clock, s.
+        note_change: Called with its name when its free capacity may have changed,
+            but not when its entry is replaced.
     """
 
     def __init__(
-        self, entry: WorkerEntry, token: int, lease_s: float, now: float
+        self,
+        entry: WorkerEntry,
+        token: int,
+        lease_s: float,
+        now: float,
+        note_change: Callable[[str], object] = lambda name: None,
     ) -> None:
         self.entry = entry
+        self._note_change = note_change
         self.token = token
         self.fenced = False
+        self.confirmed = False
         self._lease_s = lease_s
         self._claimed_at = now
-        self._incarnation: int | None = None
+        self.incarnation: int | None = None
         self._clock_at_reply_s = 0.0
-        self._last_reply_at = now
+        self.last_reply_at = now
         self._last_seen_end = 0
         # By the worker's clock: end of the lease, or deadline of an order if later.
         self._may_run_until_s = 0.0
         self._reservations: dict[Run, Reservation] = {}
-        self._confirmed_at: float | None = None
+        self.reservations: Collection[Reservation] = self._reservations.values()
         self._unknown_needs = 0
         self._free_capacity: Resources | None = None
         self._free_capacity_entry = entry
-        self._recent_ends: deque[Run] = deque(maxlen=_MAX_RECENT_ENDS)
-
-    @property
-    def confirmed(self) -> bool:
-        """Whether the worker has accepted this host's token."""
-        return self._confirmed_at is not None
-
-    @property
-    def incarnation(self) -> int | None:
-        """When its process started, ms since the Unix epoch; `None` before a reply."""
-        return self._incarnation
-
-    @property
-    def reservations(self) -> Iterable[Reservation]:
-        """Reservations of all runs that hold or may hold capacity."""
-        return self._reservations.values()
-
-    @property
-    def last_reply_at(self) -> float:
-        """When the worker last replied, by the leader's clock, s.
-
-        Before the first reply, this is when this host first claimed the worker.
-        """
-        return self._last_reply_at
+        # The newest last; a dictionary, since each reply looks up all listed runs.
+        self._recent_ends: dict[Run, None] = {}
 
     def awaits_first_reply(self, now: float) -> bool:
         """Return whether the worker was claimed just now and may still reply."""
@@ -152,7 +147,7 @@
 
     def is_responsive(self, now: float) -> bool:
         """Return whether the worker accepted this token and replied recently."""
-        return self.confirmed and now - self._last_reply_at < 2 * MAX_REPLY_AGE_S
+        return self.confirmed and now - self.last_reply_at < 2 * MAX_REPLY_AGE_S
 
     @property
     def has_unknown_needs(self) -> bool:
@@ -185,19 +180,23 @@
             accelerators -= reservation.needs.accelerators
         return Resources(cores, memory_mb, accelerators)
 
+    def _invalidate_free_capacity(self) -> None:
+        self._free_capacity = None
+        self._note_change(self.entry.name)
+
     def clock_s(self, now: float) -> float:
         """Return the estimated clock of the worker, s.
 
         The estimate lags slightly, by the time that the last reply took to arrive.
         """
-        return self._clock_at_reply_s + now - self._last_reply_at
+        return self._clock_at_reply_s + now - self.last_reply_at
 
     def reclaim(self, now: float, token: int) -> None:
         """Claim the worker again under a new token."""
         self.token = token
         self.fenced = False
         self._claimed_at = now
-        self._confirmed_at = None
+        self.confirmed = False
 
     def lease_has_expired(self, now: float) -> bool:
         """Return whether a worker without replies can no longer run anything.
@@ -205,22 +204,20 @@
         Allows for a slow clock of the worker and for a last renewal by another
         leader.
         """
-        if self._incarnation is None:
+        if self.incarnation is None:
             return False
         left_s = max(0.0, self._may_run_until_s - self._clock_at_reply_s)
-        return now > self._last_reply_at + left_s / _MIN_CLOCK_RATE + TAKEOVER_GRACE_S
+        return now > self.last_reply_at + left_s / _MIN_CLOCK_RATE + TAKEOVER_GRACE_S
 
     def next_renewal(self, now: float) -> Renewal:
         """Return the renewal to send now and note the lease that it asks for."""
         deadline_s = None
-        if (
-            self._incarnation is not None
-            and now - self._last_reply_at <= MAX_REPLY_AGE_S
-        ):
+        if self.incarnation is not None and now - self.last_reply_at <= MAX_REPLY_AGE_S:
             # If renewals without replies extended the lease, this leader could
             # never conclude that it has expired.
             deadline_s = self.clock_s(now) + self._lease_s
-            self._may_run_until_s = max(self._may_run_until_s, deadline_s)
+            if deadline_s > self._may_run_until_s:
+                self._may_run_until_s = deadline_s
         wait_s = RENEWAL_WAIT_S if self.confirmed else 0.0
         return Renewal(self.token, self._last_seen_end, deadline_s, wait_s, now)
 
@@ -233,16 +230,17 @@
             Runs that were discovered or gave up their capacity.
         """
         changes: list[RunChange] = []
-        if self._incarnation != reply.incarnation:
+        if self.incarnation != reply.incarnation:
             changes += self._start_incarnation(reply)
-        self._record_clock(now, reply.clock_s)
+        self._clock_at_reply_s, self.last_reply_at = reply.clock_s, now
         if renewal.token == self.token:
-            self._confirmed_at = self._confirmed_at or now
+            self.confirmed = True
         for end in reply.ends:
             if end.sequence > self._last_seen_end:
                 self._last_seen_end = end.sequence
                 changes += self._apply_end(end.run, end.kind)
-        changes += self._apply_running(now, renewal, reply)
+        if reply.running or self._reservations:
+            changes += self._apply_running(now, renewal, reply)
         return changes
 
     def reserve(self, now: float, run: Run, needs: Resources) -> float:
@@ -251,7 +249,8 @@
         The deadline is by the worker's clock, s.
         """
         deadline_s = self.clock_s(now) + ORDER_VALIDITY_S
-        self._may_run_until_s = max(self._may_run_until_s, deadline_s)
+        if deadline_s > self._may_run_until_s:
+            self._may_run_until_s = deadline_s
         self._add(Reservation(run, needs, ReservationState.ORDERED, deadline_s, now))
         return deadline_s
 
@@ -260,16 +259,14 @@
     ) -> list[RunChange]:
         """Apply the reply to an order to start a run."""
         if reply.clock_s is not None:
-            self._record_clock(now, reply.clock_s)
+            self._clock_at_reply_s, self.last_reply_at = reply.clock_s, now
         reservation = self._reservations.get(run)
         if reservation is None or reservation.state is ReservationState.RUNNING:
             return []
         match reply.outcome:
             case OrderOutcome.ACCEPTED:
-                reservation.state, reservation.running_since = (
-                    ReservationState.RUNNING,
-                    now,
-                )
+                reservation.state = ReservationState.RUNNING
+                reservation.running_since = now
                 return []
             case OrderOutcome.UNKNOWN:
                 reservation.state = ReservationState.UNCERTAIN
@@ -294,7 +291,7 @@
         if reservation is not None and reservation.needs is None:
             reservation.needs = needs
             self._unknown_needs -= 1
-            self._free_capacity = None
+            self._invalidate_free_capacity()
 
     def presumed_ended_runs(self) -> list[Run]:
         """Return the runs that have ended once the lease or the process has.
@@ -308,17 +305,14 @@
             if reservation.state is not ReservationState.ORDERED
         ]
 
-    def _record_clock(self, now: float, clock_s: float) -> None:
-        self._clock_at_reply_s, self._last_reply_at = clock_s, now
-
     def _start_incarnation(self, reply: LeaseReply) -> list[RunChange]:
         """Reset the state for a new incarnation and close the running runs.
 
         They ended with the previous incarnation. Orders without a known outcome may
         still reach the new one, so they keep their capacity until they expire.
         """
-        first_reply = self._incarnation is None
-        self._incarnation = reply.incarnation
+        first_reply = self.incarnation is None
+        self.incarnation = reply.incarnation
         self._last_seen_end = 0
         self._may_run_until_s = reply.clock_s + self._lease_s
         self._recent_ends.clear()
@@ -334,7 +328,9 @@
         return [self._close_run(run, RunOutcome.LOST) for run in ended]
 
     def _apply_end(self, run: Run, kind: RunEndKind) -> list[RunChange]:
-        self._recent_ends.append(run)
+        self._recent_ends[run] = None
+        if len(self._recent_ends) > _MAX_RECENT_ENDS:
+            del self._recent_ends[next(iter(self._recent_ends))]
         if run not in self._reservations:
             # An unknown run, such as one of an earlier leader, is closed like others.
             self._add(Reservation(run, Resources(), ReservationState.RUNNING, 0.0, 0.0))
@@ -350,7 +346,8 @@
         self, now: float, renewal: Renewal, reply: LeaseReply
     ) -> list[RunChange]:
         changes: list[RunChange] = []
-        listed = set(reply.running).difference(self._recent_ends)
+        ended = self._recent_ends
+        listed = {run: None for run in reply.running if run not in ended}
         for run in listed:
             reservation = self._reservations.get(run)
             if reservation is None:
@@ -385,11 +382,11 @@
 
     def _add(self, reservation: Reservation) -> None:
         self._reservations[reservation.run] = reservation
-        self._free_capacity = None
+        self._invalidate_free_capacity()
 
     def _close_run(self, run: Run, outcome: RunOutcome) -> RunClosed:
         reservation = self._reservations.pop(run)
-        self._free_capacity = None
         if reservation.needs is None:
             self._unknown_needs -= 1
+        self._invalidate_free_capacity()
         return RunClosed(run, outcome)
--- a/packages/poplarhilld/src/poplarhilld/outliers/failures.py
+++ b/packages/poplarhilld/src/poplarhilld/outliers/failures.py
@@ -22,6 +22,8 @@
 _PRIOR_FAILURES = 0.5
 _PRIOR_OUTCOMES = 25.0
 _DECAY_OUTCOMES = 200.0
+# Part of the earlier counts that each outcome adds; negative, as they decay.
+_DECAY = (1 - 1 / _DECAY_OUTCOMES) - 1
 _MAX_REMEMBERED_JOBS = 4096
 
 
@@ -62,11 +64,17 @@
 
     def evidence(self, worker: str) -> Evidence:
         """Return the evidence on a worker."""
-        return self._workers.setdefault(worker, Evidence())
+        found = self._workers.get(worker)
+        if found is None:
+            found = self._workers[worker] = Evidence()
+        return found
 
     def baseline(self, worker: str) -> float:
         """Return the failure ratio of the other workers of the service, bounded."""
-        own = self.evidence(worker).tally
+        return self._baseline(self.evidence(worker))
+
+    def _baseline(self, evidence: Evidence) -> float:
+        own = evidence.tally
         failures = self._total.failures - own.failures + _PRIOR_FAILURES
         outcomes = self._total.outcomes - own.outcomes + _PRIOR_OUTCOMES
         return min(max(failures / outcomes, _MIN_BASELINE), _MAX_BASELINE)
@@ -74,7 +82,13 @@
     def succeeded(self, worker: str) -> None:
         """Record a success of a worker."""
         evidence = self.evidence(worker)
-        baseline = self.baseline(worker)
+        if not evidence.score:
+            # A success only lowers the score, which is at its lowest.
+            self._count(evidence, failures=0.0)
+            if evidence.jobs:
+                evidence.jobs.clear()
+            return
+        baseline = self._baseline(evidence)
         bad = _bad_ratio(baseline)
         self._count(evidence, failures=0.0)
         evidence.score += math.log((1 - bad) / (1 - baseline))
@@ -98,7 +112,7 @@
             self._retract(job, workers)
             return
         evidence = self.evidence(worker)
-        baseline = self.baseline(worker)
+        baseline = self._baseline(evidence)
         added = min(
             math.log(_bad_ratio(baseline) / baseline),
             EVIDENCE_THRESHOLD / MIN_FAILED_JOBS,
@@ -123,14 +137,23 @@
                 self._add(evidence.tally, -1.0, -1.0)
 
     def _count(self, evidence: Evidence, failures: float) -> None:
-        keep = 1 - 1 / _DECAY_OUTCOMES
-        own = evidence.tally
-        self._add(own, own.failures * (keep - 1), own.outcomes * (keep - 1))
-        self._add(own, failures, 1.0)
+        own, total = evidence.tally, self._total
+        decayed_failures = own.failures * _DECAY
+        decayed_outcomes = own.outcomes * _DECAY
+        own.failures += decayed_failures
+        own.outcomes += decayed_outcomes
+        own.failures += failures
+        own.outcomes += 1.0
+        total.failures += decayed_failures
+        total.outcomes += decayed_outcomes
+        total.failures += failures
+        total.outcomes += 1.0
 
     def _add(self, own: _Tally, failures: float, outcomes: float) -> None:
-        failures = max(failures, -own.failures)
-        outcomes = max(outcomes, -own.outcomes)
+        if failures < -own.failures:
+            failures = -own.failures
+        if outcomes < -own.outcomes:
+            outcomes = -own.outcomes
         own.failures += failures
         own.outcomes += outcomes
         self._total.failures += failures
--- a/packages/poplarhilld/tests/leading/test_work_of_events.py
+++ b/packages/poplarhilld/tests/leading/test_work_of_events.py
@@ -1,10 +1,13 @@
 """Work that the leader skips for events, and that its decisions stay the same."""
 
+import math
 import sys
+from dataclasses import replace
 from random import Random
 
 import pytest
 
+from poplarhill.types import Resources
 from poplarhill_dev.leased import (
     SimulatedWorker,
     World,
@@ -13,17 +16,45 @@
 )
 from poplarhilld.leading import StartRun, assignment
 from poplarhilld.leading.assignment import Assignment
+from poplarhilld.leading.order import rank
 from poplarhilld.leading.placement import choose_worker
+from poplarhilld.leading.queue import JobQueue
 from poplarhilld.leading.shared import LeaderState
 from poplarhilld.leases import LeasedWorker, OrderOutcome, OrderReply
+from poplarhilld.peers.messages import StepSpec
 
 _STEPS = 150
 
 
-def actions_under_faults(seed: int) -> list[str]:
-    """Return all actions of the leaders of a simulation with many faults."""
+def varied_steps(random: Random) -> tuple[StepSpec, ...]:
+    """Return the steps of a job that has preferences and may have a second step."""
+    needs = Resources(random.choice((3.5, 6.8, 12.0)), 64, 0)
+    first = StepSpec(
+        random.randint(1, 4),
+        needs,
+        random.uniform(0.05, 0.5),
+        label=random.choice(("", "r1")),
+        max_per_worker=random.choice((0, 1)),
+        data_rack=random.choice(("", "r0")),
+    )
+    second = StepSpec(
+        random.randint(1, 3), Resources(needs.cores / 2, 64, 0), 0.1, (0,)
+    )
+    return (first, second)[: random.randint(1, 2)]
+
+
+def actions_under_faults(seed: int, varied: bool = False) -> list[str]:
+    """Return all actions of the leaders of a simulation with many faults.
+
+    Args:
+        seed: Seed of every random choice.
+        varied: Whether jobs have preferences and several steps.
+    """
     random = Random(seed)
-    workers = [SimulatedWorker(worker_entry(f"w{n}")) for n in range(6)]
+    workers = [
+        SimulatedWorker(worker_entry(f"w{n}", rack=f"r{n % 2}" if varied else "r1"))
+        for n in range(6)
+    ]
     world = World(workers, seed)
     recorded: list[str] = []
     perform = world.perform
@@ -58,6 +89,10 @@
             tasks=random.randint(1, 8),
             handovers=random.choice((0, 0, 0, 1)),
         )
+        if varied:
+            steps = varied_steps(random)
+            offer = job.offer._replace(steps=steps)
+            job = replace(job, offer=offer, needs=steps[0].needs)
         world.submit("h1", job)
         world.run(random.uniform(0.01, 0.08))
         if step == _STEPS // 2:
@@ -170,13 +205,54 @@
     assert steps <= 4 * visits * len(workers)
 
 
-# Guards against a list of usable workers that outlives a change of one of them.
+# Guards against lists of workers or an order of free capacity that outlive a change
+# of one of them.
 @pytest.mark.parametrize("seed", range(4))
-def test_the_kept_list_of_usable_workers_changes_no_decision(seed, monkeypatch):
-    kept = actions_under_faults(seed)
+@pytest.mark.parametrize("varied", [False, True])
+def test_the_kept_lists_of_workers_change_no_decision(seed, varied, monkeypatch):
+    kept = actions_under_faults(seed, varied)
 
-    def compute(self):
+    def usable(self):
         return [w for w in self.workers.values() if self.is_usable(w)]
 
-    monkeypatch.setattr(LeaderState, "usable_workers", compute)
-    assert actions_under_faults(seed) == kept
+    def of_service(self, service):
+        return [w for w in self.workers.values() if w.entry.service == service]
+
+    def capacity(self):
+        return self.capacity_of(usable(self))
+
+    monkeypatch.setattr(LeaderState, "usable_workers", usable)
+    monkeypatch.setattr(LeaderState, "workers_of", of_service)
+    monkeypatch.setattr(LeaderState, "capacity", capacity)
+    assert actions_under_faults(seed, varied) == kept
+
+
+# Guards against a queue whose order or whose kept figures outlive a change of a job.
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("varied", [False, True])
+def test_the_kept_order_of_the_queue_changes_no_decision(seed, varied, monkeypatch):
+    kept = actions_under_faults(seed, varied)
+    checked = 0
+
+    def by_rank(self, now):
+        nonlocal checked
+        for job in self.jobs:
+            waiting = [task.spec.needs.cores for task in job.tasks if task.waiting]
+            assert job.least_cores == min(waiting, default=math.inf)
+            checked += 1
+        return iter(sorted(self.jobs, key=lambda job: rank(now, job)))
+
+    def work_ahead_of(self, now, job, excluded):
+        own = rank(now, job)
+        return sum(
+            other.open_core_seconds
+            for other in self.jobs
+            if other.least_cores < math.inf
+            and other.job_id not in excluded
+            and rank(now, other) <= own
+        )
+
+    monkeypatch.setattr(JobQueue, "by_rank", by_rank)
+    monkeypatch.setattr(JobQueue, "work_ahead_of", work_ahead_of)
+    assert actions_under_faults(seed, varied) == kept
+    assert checked > 100
