Placement that looks ahead: order by expected credit, and reservations

Cause: a job that fits nowhere waits while later ones take each gap, and jobs of which the last tasks will be late start before jobs that would be in time.

--- a/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/heavy.py
@@ -170,9 +170,7 @@
     return score(KINDS, submitted, ended, deadline_s)
 
 
-def draw_workers(
-    random: Random, slowdowns: Sequence[float]
-) -> list[SimulatedWorker]:
+def draw_workers(random: Random, slowdowns: Sequence[float]) -> list[SimulatedWorker]:
     """Return 24 workers of 16 and 24 cores with slowdowns drawn at random."""
     workers = []
     for number in range(24):
--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -34,7 +34,7 @@
     RunEndKind,
     TokenSource,
 )
-from poplarhilld.lookahead import LookaheadOptions
+from poplarhilld.lookahead import LOOKAHEAD_OFF, LookaheadOptions
 from poplarhilld.peers.messages import JobEnded, JobOffer, JobProgress, StepSpec
 
 LEASE_S = 1.0
@@ -250,7 +250,7 @@
         name: str,
         number: int,
         entries: dict[str, WorkerEntry] | None = None,
-        lookahead: LookaheadOptions = LookaheadOptions(),
+        lookahead: LookaheadOptions = LOOKAHEAD_OFF,
     ) -> Leader:
         """Add a leader of some workers, or of all, with its own source of tokens."""
         tokens = TokenSource(Address(f"10.0.0.{number}", 1))
--- a/packages/poplarhill-dev/src/poplarhill_dev/patterns.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/patterns.py
@@ -1,7 +1,7 @@
 """Replays patterns of load through one leader, to weigh rules of placement.
 
-The load is stated in the work that arrives per second over the cores of the workers. The
-command prints a row per pattern and variant, as means over seeds.
+The load is the work that arrives per second over the cores of the workers. The command
+prints a row per pattern and variant, as means over seeds.
 """
 
 import math
@@ -26,9 +26,11 @@
 )
 from poplarhill_dev.leased import World
 from poplarhilld.leases import Run, RunEndKind
-from poplarhilld.lookahead import LookaheadMode, LookaheadOptions
+from poplarhilld.lookahead import LOOKAHEAD_OFF, LookaheadMode, LookaheadOptions
 
-_BASE_WEIGHT = 0.3  # users weigh a job by 0.3 + 0.7 x its work over the mean of its route
+_BASE_WEIGHT = (
+    0.3  # users weigh a job by 0.3 + 0.7 x its work over the mean of its route
+)
 _WARM_UP_S = 1.0  # excluded from the cores in use
 _PROCESSES = 3
 
@@ -140,7 +142,7 @@
     pattern: Pattern,
     seconds: float,
     seed: int,
-    lookahead: LookaheadOptions = LookaheadOptions(),
+    lookahead: LookaheadOptions = LOOKAHEAD_OFF,
 ) -> PatternResult:
     """Run a pattern of load through one leader.
 
@@ -175,7 +177,9 @@
         )
         world.submit_at(begin + at, "h1", job)
     world.run(seconds + 2.0)
-    return _result(world, submitted, spans, cores, (begin + _WARM_UP_S, begin + seconds))
+    return _result(
+        world, submitted, spans, cores, (begin + _WARM_UP_S, begin + seconds)
+    )
 
 
 def _draw_arrivals(
@@ -299,23 +303,30 @@
 )
 
 
+VARIANTS = {
+    "off": LOOKAHEAD_OFF,
+    "on": LookaheadOptions(LookaheadMode.ON),
+    "without whole_jobs": LookaheadOptions(LookaheadMode.ON, whole_jobs=False),
+    "without reservations": LookaheadOptions(LookaheadMode.ON, reservations=False),
+}
+
+
 @click.command()
 @click.option("--pattern", "names", multiple=True, help="Patterns; all by default.")
-@click.option("--seconds", default=12.0, help="How long jobs arrive, s.")
+@click.option("--seconds", default=8.0, help="How long jobs arrive, s.")
 @click.option("--seeds", default=6, help="Count of seeds.")
 @click.option("--first-seed", default=0, help="The first seed.")
-@click.option("--off", is_flag=True)
-def patterns(names: Sequence[str], seconds: float, seeds: int, first_seed: int, off) -> None:
-    """Show cores in use, credit and shares served by pattern of load."""
+def patterns(names: Sequence[str], seconds: float, seeds: int, first_seed: int) -> None:
+    """Show cores in use, credit and shares served by pattern of load and variant."""
     click.echo(HEADER)
     with ProcessPoolExecutor(_PROCESSES) as pool:
         for pattern in PATTERNS:
             if names and pattern.name not in names:
                 continue
-            opts = LookaheadOptions(LookaheadMode.OFF if off else LookaheadMode.ON)
-            call = partial(replay_pattern, pattern, seconds, lookahead=opts)
-            results = list(pool.map(call, range(first_seed, first_seed + seeds)))
-            click.echo(mean_row(pattern.name, results))
+            for label, options in VARIANTS.items():
+                call = partial(replay_pattern, pattern, seconds, lookahead=options)
+                results = list(pool.map(call, range(first_seed, first_seed + seeds)))
+                click.echo(mean_row(f"{pattern.name}, {label}", results))
 
 
 if __name__ == "__main__":
--- a/packages/poplarhilld/src/poplarhilld/entry/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -43,6 +43,12 @@
         self.in_flight = self._gauge("jobs_in_flight", "Jobs without an answer")
         self.led_workers = self._gauge("led_workers", "Workers that this host leads")
         self.led_jobs = self._gauge("led_jobs", "Jobs at this host as their leader")
+        self.looks_ahead = self._gauge(
+            "looks_ahead", "Whether placement at this host as a leader looks ahead"
+        )
+        self.reservations = self._gauge(
+            "reserving_jobs", "Jobs that have reserved places since the start"
+        )
         self.live_hosts = self._gauge("live_hosts", "Live entry hosts, this one too")
         self.version = self._gauge("catalogue_version", "Version in force")
         self.evacuated = Gauge(
--- a/packages/poplarhilld/src/poplarhilld/entry/pages.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/pages.py
@@ -50,6 +50,8 @@
         metrics.in_flight.set(len(state.submissions))
         metrics.led_workers.set(len(state.leader.workers))
         metrics.led_jobs.set(len(state.leader.jobs))
+        metrics.looks_ahead.set(state.leader.looks_ahead)
+        metrics.reservations.set(state.leader.reservations)
         metrics.live_hosts.set(len(state.hosts.live) + 1)
         metrics.version.set(state.catalogue.version)
         evacuated = state.evacuations.data_centres
--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -7,6 +7,7 @@
 
 from poplarhill.exceptions import SettingsError
 from poplarhill.types import Address
+from poplarhilld.lookahead import LookaheadMode
 
 _MS = 1000
 _SHORTEST_LEASE_S = 0.6  # a renewal takes up to 0.4 s
@@ -27,6 +28,7 @@
     core_speed: float = 1.0
     lease_ms: float = 1000.0
     grace_s: float = 6.0
+    lookahead: LookaheadMode = LookaheadMode.AUTO
 
 
 class EntrySettings(NamedTuple):
@@ -46,6 +48,7 @@
             the usual speed.
         lease_s: Longest lease that a worker grants, s.
         grace_s: Time from SIGTERM until the process is killed, s.
+        lookahead: When placement considers what is waiting and what ends soon.
     """
 
     name: str
@@ -60,6 +63,7 @@
     cores: float = 1.0
     lease_s: float = 1.0
     grace_s: float = 6.0
+    lookahead: LookaheadMode = LookaheadMode.AUTO
 
     @classmethod
     def from_config(cls, value: Any) -> "EntrySettings":
@@ -103,6 +107,7 @@
             cores=fields.cores * fields.core_speed,
             lease_s=lease_s,
             grace_s=fields.grace_s,
+            lookahead=fields.lookahead,
             **addresses,
         )
 
--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -10,6 +10,7 @@
 from poplarhilld.evacuation import EvacuationCopy
 from poplarhilld.leading import Leader
 from poplarhilld.leases import TokenSource
+from poplarhilld.lookahead import LookaheadOptions
 from poplarhilld.peers.messages import Load
 from poplarhilld.shards import Hosts, LocalHost, data_centre
 from poplarhilld.submissions import LeaderView, Submissions
@@ -54,7 +55,8 @@
             settings.cores,
         )
         self.hosts = Hosts(own_host, settings.seeds, tokens, now)
-        self.leader = Leader(tokens, settings.lease_s)
+        lookahead = LookaheadOptions(settings.lookahead)
+        self.leader = Leader(tokens, settings.lease_s, lookahead)
         self.submissions = Submissions()
         self.outcomes: dict[int, curio.Queue] = {}
         self.catalogue = Catalogue()
--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -57,7 +57,10 @@
         initial_max_free = capacity.max_free_cores
         if least_cores > initial_max_free:
             return []
-        waiting: Iterable[LedJob] = self._waiting_jobs(now, initial_max_free)
+        plan = self._state.lookahead.plan(now, capacity)
+        waiting: Iterable[LedJob] = self._waiting_jobs(
+            now, initial_max_free if plan is None else math.inf
+        )
         capacity_short = is_capacity_short(capacity)
         max_free = initial_max_free
         fast = fast_slowdown(capacity)
@@ -72,10 +75,14 @@
                 for worker in capacity.workers
                 if not self._state.suspects.is_set_aside(worker.entry.name)
             )
+        if plan is not None:
+            waiting = plan.order(waiting)
         for job in waiting:
             if least_cores > max_free:
                 break
             if job.least_cores > max_free:
+                if plan is not None:
+                    actions += plan.reserve(job)
                 continue
             avoid_fast = capacity_short and tolerates_slow_worker(now, job)
             max_slowdown = max_slowdown_for(now, job, fast)
@@ -83,9 +90,16 @@
                 if task.lost or task.spec.needs.cores > initial_max_free:
                     continue
                 if task.spec.needs.cores > max_free:
+                    if plan is not None:
+                        actions += plan.reserve(job)
                     break
-                worker = choose_worker(job, task, capacity, avoid_fast, max_slowdown)
+                closed = () if plan is None else plan.closed_to(job, task)
+                worker = choose_worker(
+                    job, task, capacity, avoid_fast, max_slowdown, closed
+                )
                 if worker is None:
+                    if plan is not None:
+                        actions += plan.reserve(job)
                     if max_slowdown < math.inf:
                         # After a while the job accepts any worker.
                         self._state.placement_up_to_date = False
@@ -176,6 +190,7 @@
             self._state.history.note_ordered(now, job.job_id)
         job.run_count += 1
         self._state.runs.note_started(now, run, task, name)
+        self._state.lookahead.note_start(now, name, run, job, task)
         self._state.health.note_start(name, run)
         placed = RunOrdered(
             task.name,
--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -87,6 +87,7 @@
     def forget_run(self, worker: str, run: Run) -> None:
         """Remove a run that is no longer under way; its task may wait again."""
         task = self._state.runs.forget(worker, run)
+        self._state.lookahead.timeline.note_end(worker, run)
         self._state.suspects.note_closed(worker, run)
         job = None if task is None else self._state.runs.job_of(task.name)
         if job is not None:
--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -104,6 +104,7 @@
         self._state.health.forget(name)
         self._state.suspects.forget_worker(name)
         self._state.times.forget(name)
+        self._state.lookahead.timeline.forget(name)
         reservations = list(worker.reservations)
         for reservation in reservations:
             self._state.runs.note_closed(name, reservation.run)
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -157,6 +157,11 @@
         """Tasks with a run that is or may be under way."""
         return [task for task in self.tasks if task.run is not None]
 
+    @property
+    def core_second_cost(self) -> float:
+        """Queue cost of one core-second of it."""
+        return self._core_second_cost
+
     def set_core_second_cost(self, cost: float) -> None:
         """Set the queue cost of one core-second of it."""
         self._core_second_cost = cost
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -87,12 +87,13 @@
                     job.finish(task)
         self._state.demand.note_arrival(now, offer.route, job.open_core_seconds)
         self._state.demand.note_work(now, offer.service, job.open_core_seconds)
+        switched = self._state.lookahead.note_offer(offer, self._state.usable_workers())
         job.set_core_second_cost(core_second_cost(now, job, self._state.demand))
         wait_s = self._expected_wait_s(now, job)
         refusal = self._refusal_for(now, job, wait_s)
         if refusal is not None and not self._state.runs.orphans_of(job):
             self._state.suspects.drop_job(offer.job_id)
-            return self._refuse(subscriber, offer, now, refusal)
+            return switched + self._refuse(subscriber, offer, now, refusal)
         self._state.jobs[offer.job_id] = job
         self._state.queue.add(job)
         self._state.placement_up_to_date = False
@@ -100,7 +101,8 @@
         self._state.runs.add_job(job)
         self._outcomes.adopt_orphans(now, job)
         actions: list[LeaderAction] = [
-            LogDecision(self._offer_line(job, wait_s, "taken"))
+            *switched,
+            LogDecision(self._offer_line(job, wait_s, "taken")),
         ]
         if job.complete:
             return actions + self._closer.close_job(now, job, JobEnded(job.job_id))
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -63,6 +63,7 @@
         worker.set_needs(run, task.spec.needs)
         if task.waiting and not job.stopping:
             self._state.runs.note_started(now, run, task, name, adopted=True)
+            self._state.lookahead.note_start(now, name, run, job, task)
             return []
         return self._closer.stop_run(now, worker, run)
 
@@ -76,6 +77,7 @@
             if task.waiting:
                 self._state.runs.note_closed(name, run)
                 self._state.runs.note_started(now, run, task, name, adopted=True)
+                self._state.lookahead.note_start(now, name, run, job, task)
                 job.run_count += 1
 
     def _handle_closed_run(
--- a/packages/poplarhilld/src/poplarhilld/leading/placement.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/placement.py
@@ -1,6 +1,7 @@
 """Choice of the worker for a task."""
 
 import math
+from collections.abc import Container
 
 from poplarhill.types import Resources
 from poplarhilld.catalogue import WorkerEntry
@@ -89,6 +90,7 @@
     capacity: FreeCapacity,
     avoid_fast: bool,
     max_slowdown: float = math.inf,
+    closed: Container[str] = (),
 ) -> LeasedWorker | None:
     """Return the worker for a task: the fastest, then the one with the tightest fit.
 
@@ -103,6 +105,7 @@
         capacity: Free capacity of the workers that may take tasks now.
         avoid_fast: Whether to prefer the slowest healthy worker to the fastest.
         max_slowdown: Largest slowdown of a worker that may be chosen.
+        closed: Names of workers that may not be chosen.
     """
     lowest: tuple[bool, bool] | None = None
     chosen: LeasedWorker | None = None
@@ -114,6 +117,8 @@
         name = entry.name
         if entry.service != service or (label and label not in entry.labels):
             continue
+        if closed and name in closed:
+            continue
         if max_tasks and job.on_worker(task.step, name) >= max_tasks:
             continue
         penalty = (name in task.avoid, bool(data_rack) and entry.rack != data_rack)
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -22,6 +22,7 @@
     LeasedWorker,
     TokenSource,
 )
+from poplarhilld.lookahead import Lookahead, LookaheadOptions
 
 
 class Subscriber(NamedTuple):
@@ -37,6 +38,7 @@
     Args:
         tokens: Source of fencing tokens.
         lease_s: Longest lease that a worker grants, s.
+        lookahead: When placement looks ahead, and which of its parts are used.
 
     Attributes:
         workers: Workers that this host leads or has led, by name.
@@ -62,9 +64,12 @@
         demand: Work that arrives, by route and service.
         health: Workers that are ejected or on probation.
         suspects: Tasks that may crash their workers.
+        lookahead: Placement that considers what is waiting and what ends soon.
     """
 
-    def __init__(self, tokens: TokenSource, lease_s: float) -> None:
+    def __init__(
+        self, tokens: TokenSource, lease_s: float, lookahead: LookaheadOptions
+    ) -> None:
         self.tokens = tokens
         self.lease_s = lease_s
         self.workers: dict[str, LeasedWorker] = {}
@@ -91,6 +96,7 @@
         self.demand = Demand()
         self.health = WorkerHealth()
         self.suspects = Suspects()
+        self.lookahead = Lookahead(lookahead, self.times, self.spread)
 
     def note_worker_change(self) -> None:
         """Work out the usable workers anew when they are next asked for.
--- a/packages/poplarhilld/src/poplarhilld/leading/spread.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/spread.py
@@ -86,6 +86,14 @@
         mean, variance, _ = self._routes.get(route, _PRIOR)
         return expected_s * math.exp(mean + _LEAST_DEVIATIONS * math.sqrt(variance))
 
+    def usual_factor(self, route: str) -> float:
+        """Return the median run time of the jobs of a route over the expected one."""
+        return math.exp(self._routes.get(route, _PRIOR).mean)
+
+    def deviation(self, route: str) -> float:
+        """Return the standard deviation of the logarithm of run times of a route."""
+        return math.sqrt(self._routes.get(route, _PRIOR).variance)
+
 
 def _truncated(spread: _Spread, least: float) -> tuple[float, float]:
     """Return mean and variance of the values above a bound."""
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -33,6 +33,7 @@
     Run,
     TokenSource,
 )
+from poplarhilld.lookahead import LOOKAHEAD_OFF, LookaheadOptions
 from poplarhilld.peers.messages import (
     JobOffer,
     JobProgress,
@@ -48,10 +49,16 @@
     Args:
         tokens: Source of fencing tokens.
         lease_s: Longest lease that a worker grants, s.
+        lookahead: When placement looks ahead, and which of its parts are used.
     """
 
-    def __init__(self, tokens: TokenSource, lease_s: float) -> None:
-        self._state = LeaderState(tokens, lease_s)
+    def __init__(
+        self,
+        tokens: TokenSource,
+        lease_s: float,
+        lookahead: LookaheadOptions = LOOKAHEAD_OFF,
+    ) -> None:
+        self._state = LeaderState(tokens, lease_s, lookahead)
         self._closer = JobCloser(self._state)
         self._outcomes = RunOutcomes(self._state, self._closer)
         self._group = WorkerGroup(self._state, self._closer, self._outcomes)
@@ -75,6 +82,16 @@
         """Accepted jobs by id, until they are closed and none of their runs is left."""
         return self._state.jobs
 
+    @property
+    def looks_ahead(self) -> bool:
+        """Whether placement looks ahead now."""
+        return self._state.lookahead.active
+
+    @property
+    def reservations(self) -> int:
+        """Count of the jobs that have reserved places so far."""
+        return self._state.lookahead.reservations
+
     @property
     def ejected(self) -> tuple[str, ...]:
         """Names of the ejected workers; they get probes only."""
--- a/packages/poplarhilld/src/poplarhilld/lookahead/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/lookahead/__init__.py
@@ -1,6 +1,10 @@
 """Placement that considers what is waiting and what ends soon."""
 
-from poplarhilld.lookahead.options import LookaheadMode, LookaheadOptions
+from poplarhilld.lookahead.options import (
+    LOOKAHEAD_OFF,
+    LookaheadMode,
+    LookaheadOptions,
+)
 from poplarhilld.lookahead.state import Lookahead
 
-__all__ = ["Lookahead", "LookaheadMode", "LookaheadOptions"]
+__all__ = ["LOOKAHEAD_OFF", "Lookahead", "LookaheadMode", "LookaheadOptions"]
--- a/packages/poplarhilld/src/poplarhilld/lookahead/options.py
+++ b/packages/poplarhilld/src/poplarhilld/lookahead/options.py
@@ -23,16 +23,14 @@
 
     Attributes:
         mode: When placement looks ahead.
-        whole_jobs: Whether a job counts as late once its last task would end late.
-        reservations: Whether jobs that wait for long reserve places.
-        gap_filling: Whether tasks are chosen by the capacity that they leave unusable.
-        upcoming_ends: Whether a task may wait for a place that is about to be free.
-        admission: Whether offers are judged by the expected start of the job.
+        whole_jobs: Whether jobs start in the order of the credit that their waiting
+            tasks are expected to gain.
+        reservations: Whether the first jobs that fit nowhere reserve places.
     """
 
     mode: LookaheadMode = LookaheadMode.AUTO
     whole_jobs: bool = True
     reservations: bool = True
-    gap_filling: bool = True
-    upcoming_ends: bool = True
-    admission: bool = True
+
+
+LOOKAHEAD_OFF = LookaheadOptions(LookaheadMode.OFF)
--- a/packages/poplarhilld/src/poplarhilld/lookahead/timeline.py
+++ b/packages/poplarhilld/src/poplarhilld/lookahead/timeline.py
@@ -6,7 +6,7 @@
 that the end of a run of the long tail moves ever further away.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from poplarhilld.leases import Run
@@ -105,40 +105,3 @@
                     found.append(FreedCores(at, name, timed.cores))
         found.sort()
         return found
-
-
-def last_start(
-    now: float,
-    cores: float,
-    count: int,
-    free_cores: Mapping[str, float],
-    upcoming: Iterable[FreedCores],
-) -> float | None:
-    """Return when the last of some equal tasks can start, by the leader's clock, s.
-
-    Assumes that no other task takes what becomes free.
-
-    Args:
-        now: The leader's clock, s.
-        cores: Cores of each task.
-        count: Count of the tasks.
-        free_cores: Free cores now, by worker.
-        upcoming: Cores that become free, by time.
-
-    Returns:
-        `None` if there are too few places within the given ends.
-    """
-    missing = count
-    for left in free_cores.values():
-        if left >= cores:
-            missing -= int(left / cores)
-            if missing <= 0:
-                return now
-    left_now: dict[str, float] = {}
-    for at, worker, freed in upcoming:
-        before = left_now.get(worker, free_cores[worker])
-        left_now[worker] = after = before + freed
-        missing -= int(after / cores) - int(before / cores)
-        if missing <= 0:
-            return at
-    return None
