--- a/packages/poplarhill-dev/src/poplarhill_dev/patterns.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/patterns.py
@@ -102,8 +102,9 @@
         jobs: Count of jobs.
         credit: Mean credit, weighted by work.
         served: Share that was answered while its caller waited.
-        tenth: Share served of the largest tenth, over that of the route.
-        fifth: Share served of the fifth below it, over that of the route.
+        tenth: Share served of the largest tenth, over that of the route. Only jobs
+            that the fastest worker could complete in time count.
+        fifth: The same of the fifth below it.
     """
 
     jobs: int
@@ -258,21 +259,27 @@
         name: _BASE_WEIGHT + (1 - _BASE_WEIGHT) * job.size / mean_size
         for name, job in jobs.items()
     }
-    by_size = sorted(jobs, key=lambda name: -jobs[name].size)
+    possible = [name for name in jobs if jobs[name].possible] or list(jobs)
+    by_size = sorted(possible, key=lambda name: -jobs[name].size)
     tenth = max(1, len(by_size) // 10)
     served = [
         fmean(
             name in ended and ended[name] - jobs[name].at <= DEADLINE_S for name in part
         )
-        for part in (by_size, by_size[:tenth], by_size[tenth : 3 * tenth] or by_size)
+        for part in (
+            list(jobs),
+            by_size,
+            by_size[:tenth],
+            by_size[tenth : 3 * tenth] or by_size,
+        )
     ]
-    whole = served[0] or 1.0
+    whole = served[1] or 1.0
     return RouteResult(
         len(jobs),
         sum(weights[n] * credit[n] for n in jobs) / sum(weights.values()),
         served[0],
-        served[1] / whole,
         served[2] / whole,
+        served[3] / whole,
     )
 
 
