--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -11,6 +11,7 @@
 from poplarhilld.evacuation import EvacuationCopy
 from poplarhilld.leading import Leader
 from poplarhilld.leases import TokenSource
+from poplarhilld.lookahead import LookaheadOptions
 from poplarhilld.overload import OverloadControl
 from poplarhilld.peers.messages import Load
 from poplarhilld.shards import Hosts, LocalHost, data_centre
@@ -58,7 +59,13 @@
         )
         self.hosts = Hosts(own_host, settings.seeds, tokens, now)
         self.overload = OverloadControl(now, settings.cores)
-        self.leader = Leader(tokens, settings.lease_s, self.overload, settings.name)
+        self.leader = Leader(
+            tokens,
+            settings.lease_s,
+            LookaheadOptions(settings.lookahead),
+            self.overload,
+            settings.name,
+        )
         self.submissions = Submissions()
         self.outcomes: dict[int, curio.Queue] = {}
         self.catalogue = Catalogue()
--- /dev/null
+++ b/packages/poplarhilld/src/poplarhilld/lookahead/plan.py
@@ -0,0 +1,149 @@
+"""Decisions of one round of placement that looks ahead."""
+
+import math
+from collections.abc import Iterable, Iterator
+from itertools import islice
+from typing import TYPE_CHECKING
+
+from poplarhilld.decisions import LogDecision
+from poplarhilld.lookahead.messages import PlacesReserved
+from poplarhilld.lookahead.options import LookaheadOptions
+from poplarhilld.lookahead.reservations import (
+    HORIZON_S,
+    MAX_JOBS,
+    MAX_PLACES,
+    ReservationTimes,
+    ReservedPlace,
+    find_places,
+)
+from poplarhilld.lookahead.timeline import Timeline
+from poplarhilld.lookahead.worth import expected_credit, waiting_core_seconds
+
+if TYPE_CHECKING:
+    from poplarhilld.leading.capacity import FreeCapacity
+    from poplarhilld.leading.job import LedJob, LedTask
+    from poplarhilld.leading.spread import RunTimeSpread
+
+_WINDOW = 32  # jobs that are ordered anew; bounds the cost of a round
+# Four tasks in five end by this many standard deviations above the mean.
+_HIGH_DEVIATIONS = 0.84
+
+
+class Plan:
+    """Decisions of one round of placement.
+
+    Args:
+        now: The leader's clock, s.
+        options: Which parts are used.
+        timeline: Expected ends of the runs under way.
+        times: When each job first had a reservation.
+        spread: How far run times lie from their estimates.
+        capacity: Free capacity of the workers that may take tasks.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        options: LookaheadOptions,
+        timeline: Timeline,
+        times: ReservationTimes,
+        spread: "RunTimeSpread",
+        capacity: "FreeCapacity",
+    ) -> None:
+        self._now = now
+        self._options = options
+        self._timeline = timeline
+        self._times = times
+        self._spread = spread
+        self._capacity = capacity
+        self._reserved: dict[str, ReservedPlace] = {}
+        self._jobs: set[str] = set()
+
+    @property
+    def reserved(self) -> dict[str, ReservedPlace]:
+        """Places that are reserved in this round, by worker."""
+        return self._reserved
+
+    def order(self, waiting: Iterable["LedJob"]) -> Iterator["LedJob"]:
+        """Yield the waiting jobs in the order in which they are to start.
+
+        Args:
+            waiting: The jobs by rank.
+        """
+        waiting = iter(waiting)
+        if self._options.whole_jobs:
+            head = list(islice(waiting, _WINDOW))
+            if len(head) > 1:
+                head.sort(key=self._cost)
+            yield from head
+        yield from waiting
+
+    def _cost(self, job: "LedJob") -> float:
+        """Return the queue cost of the tasks that wait, per expected credit."""
+        route = job.offer.route
+        median_s = job.run_s * self._spread.usual_factor(route)
+        credit = expected_credit(
+            self._now, job, median_s, self._spread.deviation(route)
+        )
+        return waiting_core_seconds(job) * job.core_second_cost / credit
+
+    def reserve(self, job: "LedJob") -> list[LogDecision]:
+        """Reserve places for a job that fits nowhere, and return the log lines."""
+        if (
+            not self._options.reservations
+            or len(self._jobs) >= MAX_JOBS
+            or job.job_id in self._jobs
+            or not self._times.may_reserve(self._now, job.job_id)
+        ):
+            return []
+        ready = job.ready_tasks()
+        if not ready:
+            return []
+        self._jobs.add(job.job_id)
+        step = ready[0].spec
+        names = [
+            worker.entry.name
+            for worker in self._capacity.workers
+            if worker.entry.service == job.offer.service
+            and worker.entry.room.cores >= step.needs.cores
+            and (not step.label or step.label in worker.entry.labels)
+        ]
+        latest = job.deadline - job.run_s * self._spread.usual_factor(job.offer.route)
+        until = min(self._now + HORIZON_S, latest)
+        places = find_places(
+            step.needs.cores,
+            min(len(ready), MAX_PLACES),
+            until,
+            lambda name: self._capacity.of(name).cores,
+            self._timeline.upcoming(self._now, names, until),
+            self._reserved,
+        )
+        if not places:
+            return []
+        self._reserved.update(places)
+        if self._times.is_known(job.job_id):
+            return []
+        self._times.note(self._now, job.job_id)
+        first = min(places, key=lambda name: places[name].at)
+        line = PlacesReserved(
+            job.job_id,
+            step.needs.cores,
+            len(places),
+            first,
+            round(places[first].at - self._now, 4),
+            round(self._now - job.arrived_at, 4),
+        )
+        return [LogDecision(line)]
+
+    def closed_to(self, job: "LedJob", task: "LedTask") -> frozenset[str]:
+        """Return the workers whose reserved places a task would delay."""
+        if not self._reserved:
+            return frozenset()
+        cores = task.spec.needs.cores
+        deviation = self._spread.deviation(job.offer.route)
+        end = self._now + job.expected_s(task) * math.exp(_HIGH_DEVIATIONS * deviation)
+        return frozenset(
+            name
+            for name, place in self._reserved.items()
+            if not place.admits(cores, end)
+        )
--- a/packages/poplarhilld/tests/overload/test_hooks.py
+++ b/packages/poplarhilld/tests/overload/test_hooks.py
@@ -20,7 +20,8 @@
 def late_world(control: OverloadControl) -> World:
     """Return a world whose leader `h1` is late."""
     world = World(SimulatedWorker(worker_entry(f"w{n}")) for n in range(4))
-    leader = Leader(TokenSource(Address("10.0.0.1", 1)), 1.0, control, "h1")
+    tokens = TokenSource(Address("10.0.0.1", 1))
+    leader = Leader(tokens, 1.0, overload=control, own_name="h1")
     world.leaders["h1"] = leader
     world.perform("h1", leader.set_workers(world.now, world.now, world.entries))
     world.run(0.2)
