--- a/packages/poplarhilld/tests/entry/test_settings.py
+++ b/packages/poplarhilld/tests/entry/test_settings.py
@@ -44,6 +44,7 @@
         ("lease_ms", "long"),
         ("cores", 0),
         ("grace_s", -1),
+        ("lookahead", "sometimes"),
         ("name", 7),
         ("colour", "red"),
     ],
