Send the messages of one decision to a host in one write

A leader sent the progress and the end of a job to the caller's host in two writes, each with a check of the connection, and woke that host twice. The performer now sends what one list of actions holds for a host in one write.

--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -71,41 +71,59 @@
         return self._peers
 
     async def perform(self, actions: Iterable) -> None:
-        """Perform actions in order, and those that result from them."""
+        """Perform actions in order, and those that result from them.
+
+        The messages to each host are sent together once all actions are performed.
+        """
         state = self._state
         pending = deque(actions)
+        messages: dict[Address, list[Message]] = {}
         while pending:
             action = pending.popleft()
             match action:
                 case LogDecision(decision):
                     _log.info(type(decision).__name__, **decision._asdict())
+                case SendHeartbeat(address, beat):
+                    self._heartbeats_sent.inc()
+                    messages.setdefault(address, []).append(beat)
                 case StartRun() | StopRun() | RenewLease() | QueryWorker():
                     await self._worker_calls.begin(action)
-                case ReportJob(host, report):
-                    pending.extend(await self.send(host, report))
+                case ReportJob(host, message):
+                    pending.extend(self._add_message(messages, host, message))
                 case ShareLosses(report):
                     for name in state.hosts.live:
-                        await self.send(name, report)
-                case OfferToLeader(host, offered):
-                    pending.extend(await self.send(host, offered))
-                case WithdrawFromLeader(host, withdrawn):
-                    pending.extend(await self.send(host, withdrawn))
+                        self._add_message(messages, name, report)
+                case OfferToLeader(host, message) | WithdrawFromLeader(host, message):
+                    pending.extend(self._add_message(messages, host, message))
                 case AnswerCaller(number, failure):
                     outcome_queue = state.outcomes.get(number)
                     if outcome_queue is not None:
                         await outcome_queue.put(failure)
-                case SendHeartbeat(address, beat):
-                    self._heartbeats_sent.inc()
-                    await self._peers.send(address, beat)
                 case AnswerNewPeer(address):
                     await self._peers.reconnect(address)
                     await state.pause.end()
                 case HostLost(host):
                     pending.extend(state.leader.handle_lost_host(uptime(), host))
+        for address, together in messages.items():
+            await self._peers.send(address, *together)
 
     async def send(self, host: str, message: Message) -> list:
         """Send a message to a host; handle it at once if that is this host.
 
+        Returns:
+            Actions that result from handling it here.
+        """
+        messages: dict[Address, list[Message]] = {}
+        actions = self._add_message(messages, host, message)
+        for address in messages:
+            await self._peers.send(address, message)
+        return actions
+
+    def _add_message(
+        self, messages: dict[Address, list[Message]], host: str, message: Message
+    ) -> list:
+        """Add a message to those to be sent; handle one to this host at once.
+
         Returns:
             Actions that result from handling it here.
         """
@@ -114,7 +132,7 @@
         address = self._state.hosts.address(host)
         if address is not None:
             self._metrics.frames.labels(type(message).__name__).inc()
-            await self._peers.send(address, message)
+            messages.setdefault(address, []).append(message)
         return []
 
     def handle_message(self, sender: str, message: Message) -> list:
--- a/packages/poplarhilld/src/poplarhilld/peers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/link.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import curio
 
@@ -64,15 +64,16 @@
         """Whether a connection is open; the peer may have stopped responding."""
         return self._sock is not None
 
-    async def put(self, frame: bytes) -> None:
-        """Send or queue a frame; a full queue drops its oldest frame."""
-        if self._send_now(frame):
+    async def put(self, *frames: bytes) -> None:
+        """Send or queue frames; a full queue drops its oldest frame."""
+        if self._send_now(frames):
             if self._unsent:
                 await self._queued.set()
             return
-        if len(self._frames) == QUEUE_FRAMES:
-            self._dropped += 1
-        self._frames.append(frame)
+        for frame in frames:
+            if len(self._frames) == QUEUE_FRAMES:
+                self._dropped += 1
+            self._frames.append(frame)
         await self._queued.set()
 
     async def run(self) -> None:
@@ -88,8 +89,8 @@
         while self._frames or self._unsent:
             await curio.sleep(_FLUSH_POLL_INTERVAL_S)
 
-    def _send_now(self, frame: bytes) -> bool:
-        """Send a frame, or the start of it, without waiting; return whether it did.
+    def _send_now(self, frames: Iterable[bytes]) -> bool:
+        """Send frames, or the start of them, without waiting; return whether it did.
 
         Sends nothing while other frames are queued or under way, to keep their
         order. Most frames are sent this way, which saves the event loop a task
@@ -100,7 +101,7 @@
             return False
         if _is_closed(sock):
             return False
-        data = _with_length(frame)
+        data = b"".join(map(_with_length, frames))
         try:
             sent = sock._socket.send(data)  # curio opens it non-blocking
         except OSError:
--- a/packages/poplarhilld/src/poplarhilld/peers/links.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/links.py
@@ -80,8 +80,8 @@
             for task in list(self._receiving):
                 await task.cancel()
 
-    async def send(self, address: Address, message: Message) -> None:
-        """Send a message to the peer at an address.
+    async def send(self, address: Address, *messages: Message) -> None:
+        """Send messages to the peer at an address, in one write if possible.
 
         An object that is sent to several peers in turn is encoded only once.
         """
@@ -91,7 +91,7 @@
             self._links[address] = link
             task = await curio.spawn(self._run_link, link, daemon=True)
             self._link_tasks[link] = task
-        await link.put(self._encode(message))
+        await link.put(*map(self._encode, messages))
 
     async def reconnect(self, address: Address) -> None:
         """Give up a connection to an address that is still being opened.
--- a/packages/poplarhilld/tests/peers/test_links.py
+++ b/packages/poplarhilld/tests/peers/test_links.py
@@ -122,6 +122,19 @@
     assert run(body).received == [Envelope("h1", Goodbye(2))]
 
 
+# Guards against messages that are reordered or lost where they are sent together, on a
+# connection that is still being opened and on an open one.
+def test_messages_sent_together_arrive_in_order() -> None:
+    async def body(host: Host) -> None:
+        for first in (0, 3):
+            messages = [Goodbye(first + number) for number in range(3)]
+            await host.links.send(host.address, *messages)
+            await until(lambda count=first + 3: len(host.received) == count)
+
+    received = run(body).received
+    assert received == [Envelope("h1", Goodbye(number)) for number in range(6)]
+
+
 def test_an_open_connection_is_kept() -> None:
     async def body(host: Host) -> None:
         await host.links.send(host.address, Goodbye(1))
