--- a/packages/poplarhilld/tests/entry/test_performer.py
+++ b/packages/poplarhilld/tests/entry/test_performer.py
@@ -1,4 +1,4 @@
-"""The performer of actions: what it sends to other hosts, and what it handles itself."""
+"""What the performer sends for one list of actions, and in how many writes."""
 
 import curio
 
