--- a/packages/poplarhilld/tests/entry/test_performer.py
+++ b/packages/poplarhilld/tests/entry/test_performer.py
@@ -1,4 +1,4 @@
-"""What the performer sends for one list of actions, and in how many writes."""
+"""What the performer of actions sends to other hosts, and what it handles here."""
 
 import curio
 
