--- a/packages/poplarhilld/src/poplarhilld/leading/capacity.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/capacity.py
@@ -75,6 +75,11 @@
         """The workers."""
         return self._workers.values()
 
+    @property
+    def names(self) -> Iterable[str]:
+        """Names of the workers."""
+        return self._workers.keys()
+
     @property
     def total_cores(self) -> float:
         """Cores of all workers."""
@@ -96,6 +101,10 @@
         most = [rows[-1][0] for rows in self._by_slowdown.values()]
         return max(most, default=-math.inf) + TOLERANCE
 
+    def worker(self, name: str) -> LeasedWorker:
+        """Return a worker by its name."""
+        return self._workers[name]
+
     def of(self, name: str) -> Resources:
         """Return the free capacity of a worker."""
         return self._free[name]
--- a/packages/poplarhilld/src/poplarhilld/lookahead/plan.py
+++ b/packages/poplarhilld/src/poplarhilld/lookahead/plan.py
@@ -16,15 +16,16 @@
     ReservedPlace,
     find_places,
 )
-from poplarhilld.lookahead.timeline import Timeline
+from poplarhilld.lookahead.timeline import FreedCores, Timeline
 from poplarhilld.lookahead.worth import expected_credit, waiting_core_seconds
+from poplarhilld.peers.messages import StepSpec
 
 if TYPE_CHECKING:
     from poplarhilld.leading.capacity import FreeCapacity
     from poplarhilld.leading.job import LedJob, LedTask
     from poplarhilld.leading.spread import RunTimeSpread
 
-_WINDOW = 32  # jobs that are ordered anew; bounds the cost of a round
+_WINDOW = 16  # jobs that are ordered anew; bounds the cost of a round
 # Four tasks in five end by this many standard deviations above the mean.
 _HIGH_DEVIATIONS = 0.84
 
@@ -58,6 +59,9 @@
         self._capacity = capacity
         self._reserved: dict[str, ReservedPlace] = {}
         self._jobs: set[str] = set()
+        self._upcoming: list[FreedCores] | None = None
+        # Median factor and deviation of the run times of each route.
+        self._routes: dict[str, tuple[float, float]] = {}
 
     @property
     def reserved(self) -> dict[str, ReservedPlace]:
@@ -80,13 +84,18 @@
 
     def _cost(self, job: "LedJob") -> float:
         """Return the queue cost of the tasks that wait, per expected credit."""
-        route = job.offer.route
-        median_s = job.run_s * self._spread.usual_factor(route)
-        credit = expected_credit(
-            self._now, job, median_s, self._spread.deviation(route)
-        )
+        factor, deviation = self._route(job.offer.route)
+        credit = expected_credit(self._now, job, job.run_s * factor, deviation)
         return waiting_core_seconds(job) * job.core_second_cost / credit
 
+    def _route(self, route: str) -> tuple[float, float]:
+        """Return the median factor and the deviation of the run times of a route."""
+        found = self._routes.get(route)
+        if found is None:
+            found = self._spread.usual_factor(route), self._spread.deviation(route)
+            self._routes[route] = found
+        return found
+
     def reserve(self, job: "LedJob") -> list[LogDecision]:
         """Reserve places for a job that fits nowhere, and return the log lines."""
         if (
@@ -101,21 +110,17 @@
             return []
         self._jobs.add(job.job_id)
         step = ready[0].spec
-        names = [
-            worker.entry.name
-            for worker in self._capacity.workers
-            if worker.entry.service == job.offer.service
-            and worker.entry.room.cores >= step.needs.cores
-            and (not step.label or step.label in worker.entry.labels)
-        ]
-        latest = job.deadline - job.run_s * self._spread.usual_factor(job.offer.route)
-        until = min(self._now + HORIZON_S, latest)
+        if self._upcoming is None:
+            self._upcoming = self._timeline.upcoming(
+                self._now, self._capacity.names, self._now + HORIZON_S
+            )
+        latest = job.deadline - job.run_s * self._route(job.offer.route)[0]
         places = find_places(
             step.needs.cores,
             min(len(ready), MAX_PLACES),
-            until,
-            lambda name: self._capacity.of(name).cores,
-            self._timeline.upcoming(self._now, names, until),
+            min(self._now + HORIZON_S, latest),
+            lambda name: self._free_cores(name, job, step),
+            self._upcoming,
             self._reserved,
         )
         if not places:
@@ -135,12 +140,23 @@
         )
         return [LogDecision(line)]
 
+    def _free_cores(self, name: str, job: "LedJob", step: StepSpec) -> float | None:
+        """Return the free cores of a worker; `None` if it can't run a step."""
+        entry = self._capacity.worker(name).entry
+        if (
+            entry.service != job.offer.service
+            or entry.room.cores < step.needs.cores
+            or (step.label and step.label not in entry.labels)
+        ):
+            return None
+        return self._capacity.of(name).cores
+
     def closed_to(self, job: "LedJob", task: "LedTask") -> frozenset[str]:
         """Return the workers whose reserved places a task would delay."""
         if not self._reserved:
             return frozenset()
         cores = task.spec.needs.cores
-        deviation = self._spread.deviation(job.offer.route)
+        _, deviation = self._route(job.offer.route)
         end = self._now + job.expected_s(task) * math.exp(_HIGH_DEVIATIONS * deviation)
         return frozenset(
             name
--- a/packages/poplarhilld/src/poplarhilld/lookahead/reservations.py
+++ b/packages/poplarhilld/src/poplarhilld/lookahead/reservations.py
@@ -47,7 +47,7 @@
     cores: float,
     count: int,
     until: float,
-    free_cores: Callable[[str], float],
+    free_cores: Callable[[str], float | None],
     upcoming: Iterable[FreedCores],
     reserved: Mapping[str, ReservedPlace],
 ) -> dict[str, ReservedPlace]:
@@ -57,8 +57,9 @@
         cores: Cores of each task.
         count: Most places.
         until: Places that are free later are left out, s.
-        free_cores: Returns the free cores of a worker now.
-        upcoming: Cores that become free on the workers that can run the tasks, by time.
+        free_cores: Returns the free cores of a worker now; `None` if it can't run the
+            tasks.
+        upcoming: Cores that become free, by time.
         reserved: Places that other jobs have reserved; those workers are left out.
     """
     found: dict[str, ReservedPlace] = {}
@@ -71,8 +72,8 @@
         before = left.get(worker)
         if before is None:
             before = free_cores(worker)
-            if before + _TOLERANCE >= cores:
-                continue  # the task fits there, but may not use it
+            if before is None or before + _TOLERANCE >= cores:
+                continue  # it can't run the tasks, or one fits but may not use it
         left[worker] = after = before + freed
         if after + _TOLERANCE >= cores:
             found[worker] = ReservedPlace(at, after - cores)
