Do not count a pause of the process as lateness

A host that was stopped and resumed on a loaded machine could refuse jobs: its first turn was very late, and a little lateness of the next one was enough.

--- a/packages/poplarhilld/src/poplarhilld/overload/delay.py
+++ b/packages/poplarhilld/src/poplarhilld/overload/delay.py
@@ -11,6 +11,8 @@
 # Below this share of its processor, a process is delayed by others on its machine,
 # not by its own work.
 _BUSY = 0.5
+# Below this share while a turn was overdue, the process was paused.
+_PAUSED = 0.1
 # Two turns are late together if their delays average the target and each has this much
 # of it.
 _LEAST_SHARE_OF_TARGET = 0.5
@@ -53,7 +55,8 @@
     def is_late(self, now: float) -> bool:
         """Return whether the last turn and the next one, so far, are late together.
 
-        A single late turn follows a pause of the process or a collection of garbage.
+        A single late turn follows a collection of garbage, however long it took.
+        One in which the process was paused does not count.
         The next one counts before it has come, since under three times the capacity
         each turn takes three times as long as the last one.
         """
@@ -61,7 +64,7 @@
         overdue_s = now - self._due
         return (
             min(overdue_s, self._overdue_s) >= least_s
-            and overdue_s + self._overdue_s >= 2 * self.target_s
+            and overdue_s + min(self._overdue_s, self.target_s) >= 2 * self.target_s
         )
 
     def note_turn(self, now: float, processor_total_s: float) -> None:
@@ -77,7 +80,7 @@
             self._busy = min(1.0, used_s / (elapsed_s * self._cores))
         self._turned_at = now
         self._processor_s = processor_total_s
-        self._overdue_s = max(0.0, now - self._due)
+        self._overdue_s = max(0.0, now - self._due) if self._busy >= _PAUSED else 0.0
         self._due = now
         self._delay_s += _NEWEST_WEIGHT * (self._overdue_s - self._delay_s)
 
--- a/packages/poplarhilld/tests/overload/test_loop.py
+++ b/packages/poplarhilld/tests/overload/test_loop.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarhill_dev.loop_model import Costs, LoopModel
-from poplarhilld.overload import OverloadBegan, OverloadEnded
+from poplarhilld.overload import OverloadBegan, OverloadControl, OverloadEnded
 
 # Processor time of a job on a host of one core and on one of 0.1 core. A refusal takes
 # 0.12 of it, as measured, and a fifth of the processor goes to heartbeats and leases.
@@ -108,6 +108,19 @@
     assert not result.refused
 
 
+# A host that was stopped for 2 s and resumed on a loaded machine refused jobs, since
+# one turn was very late and the next one a little.
+def test_a_resumed_host_on_a_loaded_machine_refuses_nothing() -> None:
+    control = OverloadControl(0.0, 1.0)
+    now = processor_s = 0.0
+    for overdue_s in (0.0, 0.02, 2.0, 0.2, 0.08, 0.06, 0.0):
+        control.expect_turn(now + 0.1)
+        now += 0.1 + overdue_s
+        processor_s += 0.03
+        assert control.find_refusal(now) is None
+        assert not control.note_turn(now, processor_s)
+
+
 def test_jobs_of_the_best_priority_are_refused_last() -> None:
     result = run(costs_of(0.002), 1.5, priority=lambda number: number % 2)
     accepted = result.accepted_by_priority
