Check a configuration before it is published

config check listed schema errors only, one line for all, without positions. The platform's record config is read through an entry point of the adapter.

packages/poplarhill/tests/configuration passes.

--- a/packages/poplarhill/src/poplarhill/cli/config.py
+++ b/packages/poplarhill/src/poplarhill/cli/config.py
@@ -7,6 +7,12 @@
 import click
 import curio
 
+from poplarhill.cli._checking import (
+    in_force_from,
+    read_checked,
+    report,
+    require_publishable,
+)
 from poplarhill.cli._publishing import (
     author_option,
     format_document,
@@ -16,7 +22,7 @@
     read_fold,
     timeout_option,
 )
-from poplarhill.cli._support import bad_request, load_json
+from poplarhill.cli._support import AddressType, bad_request, load_json
 from poplarhill.configuration import (
     Accepted,
     Configuration,
@@ -24,7 +30,16 @@
     Document,
     Fold,
 )
+from poplarhill.configuration.check import (
+    PRODUCT,
+    Format,
+    InForce,
+    check_source,
+    find_format,
+    has_errors,
+)
 from poplarhill.exceptions import ErrorKind, Failure, PoplarhillError
+from poplarhill.types import Address
 
 _path_argument = click.argument("path", type=click.Path(path_type=Path))
 
@@ -36,10 +51,44 @@
 
 @config.command()
 @_path_argument
-def check(path: Path) -> None:
-    """Check a configuration document and list every problem."""
-    configuration = Configuration.from_document(0, load_json(path))
-    click.echo(f"{path}: good, {len(configuration.workers)} workers")
+@click.option(
+    "--against",
+    type=click.Path(path_type=Path),
+    help="File to compare with, such as the output of `config show`.",
+)
+@click.option(
+    "--platform",
+    type=AddressType(),
+    help="Address of the platform whose version in force to compare with.",
+)
+@click.option(
+    "--format",
+    "output",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    help="Form of the output.",
+)
+def check(
+    path: Path, against: Path | None, platform: tuple[str, int] | None, output: str
+) -> None:
+    """Check a configuration document: errors, warnings and differences.
+
+    Exits with 0 if it is good, 1 if it has warnings only, and 2 if it has errors.
+    """
+    if against is not None and platform is not None:
+        raise bad_request("use either --against or --platform, not both")
+    source, findings = read_checked(path)
+    summary = ""
+    if source is not None:
+        in_force = None
+        if against is not None:
+            in_force = in_force_from(against)
+        elif platform is not None:
+            in_force = _read_in_force(find_format(source.document), platform)
+        findings = check_source(source, in_force)
+        if not has_errors(findings):
+            summary = find_format(source.document).summary(source.document)
+    report(path, findings, output == "json", summary)
 
 
 @config.command()
@@ -78,6 +127,9 @@
     type=click.IntRange(min=0),
     help="Version that the document is based on; required after the first version.",
 )
+@click.option(
+    "--force", is_flag=True, help="Publish despite warnings; say why in the note."
+)
 @author_option
 @timeout_option
 @platform_option
@@ -85,13 +137,18 @@
     path: Path,
     note: str,
     base: int | None,
+    force: bool,
     author: str,
     timeout: float,
     platform: tuple[str, int],
 ) -> None:
-    """Publish a document as the next version."""
-    document = load_json(path)
-    Configuration.from_document(0, document)
+    """Publish a document as the next version; it is checked first."""
+    if not note.strip():
+        raise bad_request("the note is empty: state the reason for the change")
+    source = require_publishable(path, force)
+    if find_format(source.document) is not PRODUCT:
+        raise bad_request("only documents in poplarhill's own format are published")
+    document = source.document
 
     def edit(fold: Fold) -> Document:
         _check_base(fold, base)
@@ -110,6 +167,12 @@
         click.echo(_format_decided(decided))
 
 
+def _read_in_force(form: Format, platform: tuple[str, int]) -> InForce:
+    if form.read is not None:
+        return form.read(Address(*platform))
+    return InForce(read_fold(platform).document)
+
+
 def _check_base(fold: Fold, base: int | None) -> None:
     """Reject a document that would silently undo another operator's change."""
     version = fold.configuration.version
--- /dev/null
+++ b/packages/poplarhill/src/poplarhill/configuration/check/limits.py
@@ -0,0 +1,44 @@
+"""Limits of a document that contradict each other or those of the product."""
+
+from collections.abc import Iterator
+
+from poplarhill.configuration.check.findings import Finding, warning
+from poplarhill.configuration.document import Configuration
+from poplarhill.types import MAX_TASKS_PER_JOB
+
+LONGEST_TIMEOUT_S = 3600.0  # hosts refuse a request with a longer one
+_LARGEST = f"set it to at least {MAX_TASKS_PER_JOB}, the size of the largest job"
+
+
+def limit_warnings(configuration: Configuration) -> Iterator[Finding]:
+    """Yield a warning for each limit that contradicts another one."""
+    defaults = configuration.defaults
+    for name, customer in configuration.customers.items():
+        quota = customer.quota_tasks
+        if quota < MAX_TASKS_PER_JOB:
+            message = (
+                f"jobs of {name!r} with more than {quota} tasks are always refused,"
+            )
+            message += f" as they exceed quota_tasks; {_LARGEST}"
+            yield warning(("customers", name, "quota_tasks"), message)
+    bound = defaults.queue_tasks
+    if bound < MAX_TASKS_PER_JOB:
+        message = (
+            f"jobs with more than {bound} tasks are always refused, as they exceed"
+        )
+        message += f" queue_tasks; {_LARGEST}"
+        yield warning(("defaults", "queue_tasks"), message)
+    wait_s, path = defaults.queue_wait_s, ("defaults", "queue_wait_s")
+    if wait_s is None:
+        return
+    if wait_s > LONGEST_TIMEOUT_S:
+        message = f"jobs may wait {wait_s:g} s, but no caller waits longer than"
+        message += f" {LONGEST_TIMEOUT_S:g} s; set queue_wait_s to less"
+        yield warning(path, message)
+    elif wait_s > defaults.key_window_s:
+        message = (
+            f"jobs may wait {wait_s:g} s, but idempotency keys are forgotten after"
+        )
+        message += f" {defaults.key_window_s:g} s, before such a job ends;"
+        message += " set queue_wait_s to at most key_window_s"
+        yield warning(path, message)
--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -240,7 +240,12 @@
     Raises:
         SettingsError: The document is invalid; lists every problem by path.
     """
-    problems = [*_duplicate_workers(document), *_unknown_exceptions(document)]
+    problems = [
+        f"/{'/'.join(path)}: worker named twice" for path in duplicate_workers(document)
+    ]
+    for path in unknown_exceptions(document):
+        worker = document["exceptions"][path[1]]["worker"]
+        problems.append(f"/{'/'.join(path)}: no worker {worker!r}")
     if problems:
         raise SettingsError(tuple(problems))
 
@@ -285,26 +290,27 @@
     }
 
 
-def _duplicate_workers(document: Document) -> list[str]:
-    problems = []
+def duplicate_workers(document: Document) -> list[tuple[str, ...]]:
+    """Return the paths of workers whose names an earlier service has too."""
+    paths = []
     seen: set[str] = set()
     for service, fields in document.get("services", {}).items():
         for name in fields["workers"]:
             if name in seen:
-                path = f"/services/{service}/workers/{name}"
-                problems.append(f"{path}: worker named twice")
+                paths.append(("services", service, "workers", name))
             seen.add(name)
-    return problems
+    return paths
 
 
-def _unknown_exceptions(document: Document) -> list[str]:
+def unknown_exceptions(document: Document) -> list[tuple[str, ...]]:
+    """Return the paths of exceptions' workers that no service has."""
     known = {
         name
         for fields in document.get("services", {}).values()
         for name in fields["workers"]
     }
     return [
-        f"/exceptions/{name}/worker: no worker {exception['worker']!r}"
+        ("exceptions", name, "worker")
         for name, exception in document.get("exceptions", {}).items()
         if exception["worker"] not in known
     ]
