--- a/packages/poplarhill/src/poplarhill/configuration/check/differences.py
+++ b/packages/poplarhill/src/poplarhill/configuration/check/differences.py
@@ -9,6 +9,7 @@
     Path,
     Severity,
 )
+from poplarhill.configuration.check.source import excerpt
 from poplarhill.configuration.document import Configuration, CustomerSpec, Document
 from poplarhill.types import WorkerSpec
 
@@ -29,13 +30,13 @@
     if old is None:
         change, values = "added", ""
         if not isinstance(new, dict):
-            values = f" as {new!r}"
+            values = f" as {excerpt(new)}"
     elif new is None:
         change, values = "removed", ""
         if not isinstance(old, dict):
-            values = f", it was {old!r}"
+            values = f", it was {excerpt(old)}"
     else:
-        change, values = "changed", f" from {old!r} to {new!r}"
+        change, values = "changed", f" from {excerpt(old)} to {excerpt(new)}"
     message = f"{what} is {change}{values}; affects {affects}"
     found = Difference(change, old, new, affects)
     return Finding(Severity.DIFFERENCE, path, message, difference=found)
--- a/packages/poplarhill/src/poplarhill/configuration/check/findings.py
+++ b/packages/poplarhill/src/poplarhill/configuration/check/findings.py
@@ -50,8 +50,12 @@
 
     @property
     def pointer(self) -> str:
-        """The path as text; `/` is the whole document."""
-        return "/" + "/".join(str(part) for part in self.path)
+        """The path as one line of text; `/` is the whole document."""
+        return "/" + "/".join(_printable(str(part)) for part in self.path)
+
+
+def _printable(text: str) -> str:
+    return text if text.isprintable() else repr(text)[1:-1]
 
 
 def error(path: Path, message: str) -> Finding:
--- a/packages/poplarhill/src/poplarhill/configuration/check/schema.py
+++ b/packages/poplarhill/src/poplarhill/configuration/check/schema.py
@@ -62,7 +62,7 @@
             )
         case "pattern":
             advice = _PATTERNS.get(limit, f"write a text that matches {limit}")
-            if problem.parent is None and not _is_name(problem):
+            if not _is_name(problem):
                 yield error(path, f"{describe(value)} is not valid; {advice}")
             else:
                 yield error((*path, value), f"this name is not valid; {advice}")
--- a/packages/poplarhill/src/poplarhill/configuration/check/source.py
+++ b/packages/poplarhill/src/poplarhill/configuration/check/source.py
@@ -176,7 +176,7 @@
         number = str(problem)
         found = re.search(rf"(?<![\w.\"]){re.escape(number)}", text)
         line = text.count("\n", 0, found.start()) + 1 if found else None
-        message = f"{_excerpt(number)} is not a number that JSON or the log can hold"
+        message = f"{_shorten(number)} is not a number that JSON or the log can hold"
         message += "; write a finite number of at most 64 bits"
         raise UnreadableError(_error_at(message, line)) from problem
     except RecursionError as problem:
@@ -203,7 +203,7 @@
         case int() | float():
             return f"the number {value}"
         case str():
-            return f"the text {_excerpt(json.dumps(value))}"
+            return f"the text {excerpt(value)}"
         case list():
             return "a list"
     return "an object"
@@ -238,7 +238,7 @@
         )
         for key, value in entries:
             if any(isinstance(t, str) and not _is_unicode(t) for t in (key, value)):
-                path = (*paths[id(container)], _printable(key))
+                path = (*paths[id(container)], key)
                 message = (
                     "a \\u escape is half of a character; write the character itself"
                 )
@@ -257,10 +257,6 @@
     return True
 
 
-def _printable(key: str | int) -> str | int:
-    return key.encode(errors="replace").decode() if isinstance(key, str) else key
-
-
 def _paths(document: Any) -> dict[int, Path]:
     """Return the path of each object and array, by its identity."""
     paths: dict[int, Path] = {id(document): ()}
@@ -270,7 +266,7 @@
         entries = holder.items() if isinstance(holder, dict) else enumerate(holder)
         for key, value in entries:
             if isinstance(value, dict | list):
-                paths[id(value)] = (*paths[id(holder)], _printable(key))
+                paths[id(value)] = (*paths[id(holder)], key)
                 pending.append(value)
     return paths
 
@@ -326,7 +322,13 @@
     return f"{problem.msg[0].lower()}{problem.msg[1:]} at {where}; correct the syntax"
 
 
-def _excerpt(text: str) -> str:
+def excerpt(value: Any) -> str:
+    """Return the beginning of a value's JSON text, as one printable line."""
+    text = json.dumps(value, ensure_ascii=False)
+    return _shorten(text if text.isprintable() else json.dumps(value))
+
+
+def _shorten(text: str) -> str:
     if len(text) <= _EXCERPT_CHARACTERS:
         return text
     return text[:_EXCERPT_CHARACTERS] + "..."
--- a/packages/poplarhill/tests/configuration/check/test_faults.py
+++ b/packages/poplarhill/tests/configuration/check/test_faults.py
@@ -3,6 +3,7 @@
 import pytest
 
 WORKERS = b'"w1": {"host": "10.0.0.1", "port": 80}'
+EXCEPTION = b',\n"exceptions": {"x": {"worker": "w1", "reason": "r",'
 BOOKING = b'{\n"services": {"booking": {"workers": {' + WORKERS + b"}}}"
 
 # Text, line, severity, path, and a part of the message.
@@ -93,10 +94,10 @@
         "the key 'port' is missing",
     ),
     "port too large": (
-        b'{"services": {"a": {"workers": {"w": {"host": "10.0.0.1",\n"port": 70000}}}}}',
+        BOOKING.replace(b"80", b"70000") + b"}",
         2,
         "error",
-        "/services/a/workers/w/port",
+        "/services/booking/workers/w1/port",
         "at most 65535",
     ),
     "host name": (
@@ -121,16 +122,14 @@
         "'reason' is missing",
     ),
     "exception with a blank reason": (
-        BOOKING
-        + b',\n"exceptions": {"x": {"worker": "w1", "reason": " ", "set": {"slots":4}}}}',
+        BOOKING + EXCEPTION.replace(b'"r"', b'" "') + b'"set": {"slots": 4}}}}',
         3,
         "error",
         "/exceptions/x/reason",
         "state the reason",
     ),
     "exception of no worker": (
-        BOOKING
-        + b',\n"exceptions": {"x": {"worker": "w9", "reason": "r", "set": {"slots":4}}}}',
+        BOOKING + EXCEPTION.replace(b"w1", b"w9") + b'"set": {"slots": 4}}}}',
         3,
         "error",
         "/exceptions/x/worker",
@@ -185,16 +184,14 @@
         "no worker is in a data centre 'dc9'",
     ),
     "exception that sets nothing": (
-        BOOKING
-        + b',\n"exceptions": {"x": {"worker": "w1", "reason": "r", "set": {}}}}',
+        BOOKING + EXCEPTION + b'"set": {}}}}',
         3,
         "warning",
         "/exceptions/x/set",
         "sets nothing",
     ),
     "exception that changes nothing": (
-        BOOKING
-        + b',"exceptions": {"x": {"worker": "w1", "reason": "r",\n"set": {"port":80}}}}',
+        BOOKING + EXCEPTION + b'"set": {"port": 80}}}}',
         3,
         "warning",
         "/exceptions/x/set/port",
@@ -202,7 +199,8 @@
     ),
     "exception that another one shadows": (
         BOOKING
-        + b',\n"exceptions": {"x": {"worker": "w1", "reason": "r", "set": {"slots":4}},'
+        + EXCEPTION
+        + b'"set": {"slots": 4}},'
         + b'\n"y": {"worker": "w1", "reason": "r", "set": {"slots":5}}}}',
         3,
         "warning",
