--- a/packages/poplarhill-dev/tests/test_operators_command.py
+++ b/packages/poplarhill-dev/tests/test_operators_command.py
@@ -163,3 +163,95 @@
     assert json.loads(published("config", "show").stdout)["services"]
     assert "lift evacuation of dc1: put out" in published("config", "history").output
     assert published("evacuation", "lift", "dc1", "--note", "again").exit_code
+
+
+WARNED = {**DOCUMENT, "customers": {"ada": {"quota_tasks": 8}}}
+PUBLISH = ("--note", "a small quota", "--base", "1")
+
+
+@pytest.mark.parametrize(
+    ("text", "exit_code", "last"),
+    [
+        (json.dumps(DOCUMENT), 0, "good, 1 workers"),
+        (json.dumps(WARNED), 1, "0 errors, 1 warning"),
+        ('{"services": []}', 2, "1 error, 0 warnings"),
+        ("[", 2, "1 error, 0 warnings"),
+    ],
+)
+def test_check_works_without_a_platform_and_exits_by_the_worst_finding(
+    path: Path, text: str, exit_code: int, last: str
+) -> None:
+    path.write_text(text)
+    result = CliRunner().invoke(main, ["config", "check", str(path)])
+    assert result.exit_code == exit_code
+    assert result.stdout.splitlines()[-1] == f"{path}: {last}"
+    assert "\x1b" not in result.stdout and not result.stderr
+    result = CliRunner().invoke(main, ["config", "check", str(path), "--format=json"])
+    assert result.exit_code == exit_code
+    report = json.loads(result.stdout)
+    found = report["errors"] + report["warnings"]
+    assert len(report["findings"]) == found == (exit_code > 0)
+
+
+def test_check_compares_with_a_file_or_with_the_version_in_force(
+    published: Run, stand_in: PlatformStandIn, path: Path, tmp_path: Path
+) -> None:
+    old = tmp_path / "old.json"
+    old.write_text(json.dumps(DOCUMENT))
+    path.write_text(json.dumps(WARNED, indent=1))
+    check = ("config", "check", str(path))
+    address = f"127.0.0.1:{stand_in.port}"
+    by_file = published(*check, "--against", str(old), "--format", "json")
+    by_platform = published(*check, "--platform", address, "--format", "json")
+    assert by_file.stdout == by_platform.stdout
+    assert (by_file.exit_code, by_platform.exit_code) == (1, 1)
+    difference = json.loads(by_file.stdout)["findings"][-1]
+    assert difference == {
+        "severity": "difference",
+        "path": "/customers/ada",
+        "line": 14,
+        "message": "the customer 'ada' is added; affects jobs of the customer 'ada'",
+        "change": "added",
+        "old": None,
+        "new": {"quota_tasks": 8},
+        "affects": "jobs of the customer 'ada'",
+    }
+    both = published(*check, "--against", str(old), "--platform", address)
+    assert both.exit_code == 2 and "not both" in both.stderr
+
+
+def test_a_platform_that_is_down_fails_the_comparison(
+    run: Run, stand_in: PlatformStandIn, path: Path
+) -> None:
+    stand_in.faults = Faults(down=True)
+    address = f"127.0.0.1:{stand_in.port}"
+    result = run("config", "check", str(path), "--platform", address)
+    assert result.exit_code == code(ErrorKind.PLATFORM_UNAVAILABLE)
+    assert result.stderr.count("\n") == 1
+
+
+def test_publish_refuses_errors_even_with_force(published: Run, path: Path) -> None:
+    path.write_text('{"customers": {"ada": {}, "ada": {"quota_tasks": 0}}}')
+    for force in ((), ("--force",)):
+        result = published("config", "publish", str(path), *PUBLISH, *force)
+        assert result.exit_code == code(ErrorKind.BAD_REQUEST)
+        assert result.stderr.count(": error: ") == 2
+        assert "it is not published" in result.stderr.splitlines()[-1]
+    assert published("config", "show").stderr == "version 1\n"
+
+
+def test_publish_takes_warnings_only_with_force_and_a_note(
+    published: Run, path: Path
+) -> None:
+    path.write_text(json.dumps(WARNED))
+    publish = ("config", "publish", str(path), "--base", "1")
+    refused = published(*publish, "--note", "a small quota")
+    assert refused.exit_code == code(ErrorKind.BAD_REQUEST)
+    assert "use --force and say why in --note" in refused.stderr
+    assert published(*publish, "--force").exit_code == 2
+    blank = published(*publish, "--force", "--note", " ")
+    assert blank.exit_code == 2 and "the note is empty" in blank.stderr
+    assert published("config", "show").stderr == "version 1\n"
+    forced = published(*publish, "--force", "--note", "a small quota")
+    assert forced.stdout.startswith("accepted as version 2")
+    assert ": warning: /customers/ada/quota_tasks: " in forced.stderr
