--- a/packages/poplarhill-dev/tests/adapter/test_config_check.py
+++ b/packages/poplarhill-dev/tests/adapter/test_config_check.py
@@ -37,77 +37,77 @@
 FAULTS = {
     "number in quotes": (
         VALID | {"version": "3"},
-        ("error", "/version", "a whole number without quotes"),
+        "error /version | a whole number without quotes",
     ),
-    "version with a point": (VALID | {"version": 3.0}, ("error", "/", "`$.version`")),
+    "version with a point": (VALID | {"version": 3.0}, "error /version | got `float`"),
     "service missing": (
         VALID | {"routes": [{**VALID["routes"][0], "service": None}]},
-        ("error", "/routes/0/service", "this is null"),
+        "error /routes/0/service | this is null",
     ),
     "routes missing": (
         {"version": 1, "services": []},
-        ("error", "/", "the key 'routes' is missing"),
+        "error / | the key 'routes' is missing",
     ),
     "misspelt key": (
         VALID | {"routes": [MISSPELT]},
-        ("warning", "/routes/0/strech", "write 'stretch'"),
+        "warning /routes/0/strech | write 'stretch'",
     ),
     "same prefix": (
         changed_route(path_prefix="/a/", host="PoplarHill"),
-        ("warning", "/routes/1/path_prefix", "'b' never matches"),
+        "warning /routes/1/path_prefix | 'b' never matches",
     ),
-    "same name": (changed_route(name="a"), ("warning", "/routes/1/name", "rename")),
+    "same name": (changed_route(name="a"), "warning /routes/1/name | rename"),
     "prefix without a slash": (
         changed_route(path_prefix="b/"),
-        ("warning", "/routes/1/path_prefix", "begin it with a /"),
+        "warning /routes/1/path_prefix | begin it with a /",
     ),
     "prefix with a query": (
         changed_route(path_prefix="/b?x"),
-        ("warning", "/routes/1/path_prefix", "remove that part"),
+        "warning /routes/1/path_prefix | remove that part",
     ),
     "host with a port": (
         changed_route(host="poplarhill:80"),
-        ("warning", "/routes/1/host", "without scheme, port and path"),
+        "warning /routes/1/host | without scheme, port and path",
     ),
     "unknown service": (
         changed_route(service="cook"),
-        ("warning", "/routes/1/service", "there is no service 'cook'"),
+        "warning /routes/1/service | there is no service 'cook'",
     ),
     "service without routes": (
         VALID | {"services": [{"name": "booking"}, {"name": "cook"}]},
-        ("warning", "/services/1/name", "no route leads"),
+        "warning /services/1/name | no route leads",
     ),
     "service twice": (
         VALID | {"services": [{"name": "booking"}, {"name": "booking"}]},
-        ("warning", "/services/1/name", "is here twice"),
+        "warning /services/1/name | is here twice",
     ),
     "timeout below the objective": (
         changed_route(timeout_ms=60),
-        ("warning", "/routes/1/timeout_ms", "raise timeout_ms or lower slo_ms"),
+        "warning /routes/1/timeout_ms | raise timeout_ms or lower slo_ms",
     ),
     "timeout below a run": (
         changed_route(timeout_ms=40, slo_ms=0),
-        ("warning", "/routes/1/timeout_ms", "the shortest tasks"),
+        "warning /routes/1/timeout_ms | the shortest tasks",
     ),
     "timeout beyond the drain": (
         changed_route(timeout_ms=6001),
-        ("warning", "/routes/1/timeout_ms", "grace_s, which is 6 s by default"),
+        "warning /routes/1/timeout_ms | grace_s, which is 6 s by default",
     ),
     "objective below the run time": (
         changed_route(stretch=0.5, slo_ms=0),
-        ("warning", "/routes/1/stretch", "at least 1"),
+        "warning /routes/1/stretch | at least 1",
     ),
     "no attempt": (
         changed_route(max_attempts=0),
-        ("warning", "/routes/1/max_attempts", "at least 1"),
+        "warning /routes/1/max_attempts | at least 1",
     ),
     "negative priority": (
         changed_route(priority=-1),
-        ("warning", "/routes/1/priority", "0 or more"),
+        "warning /routes/1/priority | 0 or more",
     ),
     "negative objective": (
         changed_route(slo_ms=-1),
-        ("warning", "/routes/1/slo_ms", "0 or more"),
+        "warning /routes/1/slo_ms | 0 or more",
     ),
 }
 
@@ -155,10 +155,11 @@
 
 @pytest.mark.parametrize("name", FAULTS)
 def test_each_fault_gives_one_message(check: Check, name: str) -> None:
-    document, (severity, path, message) = FAULTS[name]
+    document, expected = FAULTS[name]
+    where, message = expected.split(" | ")
     exit_code, [finding] = check(document)
-    assert exit_code == (2 if severity == "error" else 1)
-    assert (finding["severity"], finding["path"]) == (severity, path)
+    assert exit_code == (2 if where.startswith("error") else 1)
+    assert f"{finding['severity']} {finding['path']}" == where
     assert message in finding["message"] and finding["line"]
 
 
--- a/packages/poplarhill-dev/tests/test_operators_command.py
+++ b/packages/poplarhill-dev/tests/test_operators_command.py
@@ -193,6 +193,14 @@
     assert len(report["findings"]) == found == (exit_code > 0)
 
 
+def test_check_reports_a_missing_file_to_machines_as_a_finding(run: Run) -> None:
+    result = run("config", "check", "no-such-file", "--format", "json")
+    assert result.exit_code == code(ErrorKind.BAD_REQUEST)
+    [finding] = json.loads(result.stdout)["findings"]
+    assert (finding["severity"], finding["line"]) == ("error", None)
+    assert "cannot be read" in finding["message"]
+
+
 def test_check_compares_with_a_file_or_with_the_version_in_force(
     published: Run, stand_in: PlatformStandIn, path: Path, tmp_path: Path
 ) -> None:
--- a/packages/poplarhill/src/poplarhill/cli/_checking.py
+++ b/packages/poplarhill/src/poplarhill/cli/_checking.py
@@ -43,16 +43,22 @@
     return source
 
 
-def read_checked(path: Path) -> tuple[Source | None, list[Finding]]:
+def read_checked(
+    path: Path, report_unopened: bool = False
+) -> tuple[Source | None, list[Finding]]:
     """Read the file to check; without a source, the findings say why not.
 
+    Args:
+        path: The file.
+        report_unopened: Whether a file that cannot be opened is a finding as well.
+
     Raises:
         PoplarhillError: The file cannot be opened.
     """
     try:
         return read_file(path), []
     except UnreadableError as unreadable:
-        if not unreadable.opened:
+        if not unreadable.opened and not report_unopened:
             raise _unreadable(path, unreadable) from unreadable
         return None, [unreadable.finding]
 
--- a/packages/poplarhill/src/poplarhill/cli/config.py
+++ b/packages/poplarhill/src/poplarhill/cli/config.py
@@ -77,7 +77,8 @@
     """
     if against is not None and platform is not None:
         raise bad_request("use either --against or --platform, not both")
-    source, findings = read_checked(path)
+    as_json = output == "json"
+    source, findings = read_checked(path, report_unopened=as_json)
     summary = ""
     if source is not None:
         in_force = None
@@ -88,7 +89,7 @@
         findings = check_source(source, in_force)
         if not has_errors(findings):
             summary = find_format(source.document).summary(source.document)
-    report(path, findings, output == "json", summary)
+    report(path, findings, as_json, summary)
 
 
 @config.command()
--- a/packages/poplarhill/src/poplarhill/configuration/check/differences.py
+++ b/packages/poplarhill/src/poplarhill/configuration/check/differences.py
@@ -22,7 +22,7 @@
 
     Args:
         path: Path of the value.
-        what: The value in words, such as `the quota_tasks of 'ada'`.
+        what: The value in words, such as `'slots' of the worker 'w1'`.
         old: Value in the version in force; None if it has none.
         new: Value in the checked file; None if it has none.
         affects: Whose jobs the change affects, in words.
@@ -49,7 +49,7 @@
     for field in sorted(old.keys() | new.keys()):
         before, after = old.get(field), new.get(field)
         if before != after:
-            name = f"the {field} of {what}"
+            name = f"{field!r} of {what}"
             yield difference((*path, field), name, before, after, affects)
 
 
--- a/packages/poplarhill/src/poplarhill/configuration/check/limits.py
+++ b/packages/poplarhill/src/poplarhill/configuration/check/limits.py
@@ -19,25 +19,32 @@
         if quota < MAX_TASKS_PER_JOB:
             message = (
                 f"jobs of {name!r} with more than {quota} tasks are always refused,"
+                f" as they exceed quota_tasks; {_LARGEST}"
             )
-            message += f" as they exceed quota_tasks; {_LARGEST}"
             yield warning(("customers", name, "quota_tasks"), message)
     bound = defaults.queue_tasks
     if bound < MAX_TASKS_PER_JOB:
         message = (
             f"jobs with more than {bound} tasks are always refused, as they exceed"
+            f" queue_tasks; {_LARGEST}"
         )
-        message += f" queue_tasks; {_LARGEST}"
         yield warning(("defaults", "queue_tasks"), message)
-    wait_s, path = defaults.queue_wait_s, ("defaults", "queue_wait_s")
-    if wait_s is None:
-        return
+    if defaults.queue_wait_s is not None:
+        yield from _wait_warnings(defaults.queue_wait_s, defaults.key_window_s)
+
+
+def _wait_warnings(wait_s: float, key_window_s: float) -> Iterator[Finding]:
+    path = ("defaults", "queue_wait_s")
+    waiting = f"jobs may wait {excerpt(wait_s)} s, but"
     if wait_s > LONGEST_TIMEOUT_S:
-        message = f"jobs may wait {excerpt(wait_s)} s, but no caller waits longer than"
-        message += f" {LONGEST_TIMEOUT_S:g} s; set queue_wait_s to less"
+        message = (
+            f"{waiting} no caller waits longer than {LONGEST_TIMEOUT_S:g} s;"
+            " set queue_wait_s to less"
+        )
         yield warning(path, message)
-    elif wait_s > defaults.key_window_s:
-        message = f"jobs may wait {excerpt(wait_s)} s, but idempotency keys are forgotten after"
-        message += f" {excerpt(defaults.key_window_s)} s, before such a job ends;"
-        message += " set queue_wait_s to at most key_window_s"
+    elif wait_s > key_window_s:
+        message = (
+            f"{waiting} idempotency keys are forgotten after {excerpt(key_window_s)} s,"
+            " before such a job ends; set queue_wait_s to at most key_window_s"
+        )
         yield warning(path, message)
