Report errors of a file before the version in force is read

An unreachable platform hid the errors of the file. The line of a number that no document can hold comes from the decoder, not from a search of the text, which could find it in an earlier string.

--- a/packages/poplarhill-dev/tests/adapter/test_config_check.py
+++ b/packages/poplarhill-dev/tests/adapter/test_config_check.py
@@ -151,6 +151,7 @@
 
 def test_a_valid_record_has_no_findings(check: Check) -> None:
     assert check(VALID) == (0, [])
+    assert check(changed_route(path_prefix="")) == (0, [])
 
 
 @pytest.mark.parametrize("name", FAULTS)
--- a/packages/poplarhill-dev/tests/test_operators_command.py
+++ b/packages/poplarhill-dev/tests/test_operators_command.py
@@ -236,6 +236,9 @@
     result = run("config", "check", str(path), "--platform", address)
     assert result.exit_code == code(ErrorKind.PLATFORM_UNAVAILABLE)
     assert result.stderr.count("\n") == 1
+    path.write_text('{"services": []}')
+    result = run("config", "check", str(path), "--platform", address)
+    assert result.exit_code == 2 and "/services" in result.stdout
 
 
 def test_publish_refuses_errors_even_with_force(published: Run, path: Path) -> None:
--- a/packages/poplarhill/src/poplarhill/cli/config.py
+++ b/packages/poplarhill/src/poplarhill/cli/config.py
@@ -81,14 +81,14 @@
     source, findings = read_checked(path, report_unopened=as_json)
     summary = ""
     if source is not None:
-        in_force = None
-        if against is not None:
-            in_force = in_force_from(against)
-        elif platform is not None:
-            in_force = _read_in_force(find_format(source.document), platform)
-        findings = check_source(source, in_force)
+        form = find_format(source.document)
+        findings = check_source(source)
         if not has_errors(findings):
-            summary = find_format(source.document).summary(source.document)
+            summary = form.summary(source.document)
+            if against is not None:
+                findings = check_source(source, in_force_from(against))
+            elif platform is not None:
+                findings = check_source(source, _read_in_force(form, platform))
     report(path, findings, as_json, summary)
 
 
--- a/packages/poplarhill/src/poplarhill/configuration/check/source.py
+++ b/packages/poplarhill/src/poplarhill/configuration/check/source.py
@@ -16,6 +16,7 @@
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 _DIGITS_LIMIT = 4300  # Python converts no longer integer
 _EXCERPT_CHARACTERS = 40
+_Scan = Callable[[str, int], tuple[Any, int]]
 
 
 class UnreadableError(Exception):
@@ -84,6 +85,7 @@
         self.offsets: dict[int, dict[str | int, int]] = {}
         self.containers: list[Any] = []
         self.duplicates: list[tuple[dict[str, Any], str, int]] = []
+        self.last_start = 0
         self.parse_object = self._object
         self.parse_array = self._array
         self.scan_once = json.scanner.py_make_scanner(self)
@@ -92,14 +94,14 @@
         self,
         position: tuple[str, int],
         strict: bool,
-        scan: Callable[[str, int], tuple[Any, int]],
+        scan: _Scan,
         _object_hook: None,
         _pairs_hook: None,
         memo: dict[str, str],
     ) -> tuple[dict[str, Any], int]:
         starts: list[int] = []
         pairs, end = json.decoder.JSONObject(
-            position, strict, _noting(scan, starts), None, list, memo
+            position, strict, self._noting(scan, starts), None, list, memo
         )
         value = dict(pairs)
         known = dict(zip((key for key, _ in pairs), starts, strict=True))
@@ -112,14 +114,22 @@
         self._keep(value, known)
         return value, end
 
-    def _array(
-        self, position: tuple[str, int], scan: Callable[[str, int], tuple[Any, int]]
-    ) -> tuple[list[Any], int]:
+    def _array(self, position: tuple[str, int], scan: _Scan) -> tuple[list[Any], int]:
         starts: list[int] = []
-        value, end = json.decoder.JSONArray(position, _noting(scan, starts))
+        value, end = json.decoder.JSONArray(position, self._noting(scan, starts))
         self._keep(value, dict(enumerate(starts)))
         return value, end
 
+    def _noting(self, scan: _Scan, starts: list[int]) -> _Scan:
+        """Return `scan` such that it notes where the values begin."""
+
+        def scan_and_note(text: str, start: int) -> tuple[Any, int]:
+            starts.append(start)
+            self.last_start = start
+            return scan(text, start)
+
+        return scan_and_note
+
     def _keep(self, value: Any, known: dict[Any, int]) -> None:
         self.offsets[id(value)] = known
         self.containers.append(value)
@@ -173,11 +183,10 @@
         message = f"the file is not JSON: {_explain(problem)}"
         raise UnreadableError(_error_at(message, problem.lineno)) from problem
     except _InvalidNumberError as problem:
-        number = str(problem)
-        found = re.search(rf"(?<![\w.\"]){re.escape(number)}", text)
-        line = text.count("\n", 0, found.start()) + 1 if found else None
-        message = f"{_shorten(number)} is not a number that a document can hold;"
-        message += " write a finite number"
+        number = _shorten(str(problem))
+        message = f"{number} is not a number that a document can hold; write a finite"
+        message += " number"
+        line = text.count("\n", 0, decoder.last_start) + 1
         raise UnreadableError(_error_at(message, line)) from problem
     except RecursionError as problem:
         message = "the file is nested too deeply; a document has at most six levels"
@@ -201,7 +210,7 @@
         case bool():
             return f"the boolean {str(value).lower()}"
         case int() | float():
-            return f"the number {value}"
+            return f"the number {excerpt(value)}"
         case str():
             return f"the text {excerpt(value)}"
         case list():
@@ -271,18 +280,6 @@
     return paths
 
 
-def _noting(
-    scan: Callable[[str, int], tuple[Any, int]], starts: list[int]
-) -> Callable[[str, int], tuple[Any, int]]:
-    """Return `scan` such that it notes where the values begin."""
-
-    def scan_and_note(text: str, start: int) -> tuple[Any, int]:
-        starts.append(start)
-        return scan(text, start)
-
-    return scan_and_note
-
-
 def _refuse(text: str) -> Any:
     raise _InvalidNumberError(text)
 
--- a/packages/poplarhill/tests/configuration/check/test_faults.py
+++ b/packages/poplarhill/tests/configuration/check/test_faults.py
@@ -20,6 +20,7 @@
     "list": (b"[]", "1 error / | a list; put the document in an object"),
     "number": (b"7", "1 error / | the number 7"),
     "not a number": (b'{\n"a": NaN}', "2 error / | a finite number"),
+    "text before a number": (b'{"a": " NaN",\n"b": [NaN]}', "2 error / | NaN is not"),
     "infinite": (b'{"a": 1,\n"b": 1e999}', "2 error / | 1e999 is not"),
     "long number": (b'{"a": ' + b"9" * 5000 + b"}", "1 error / | a finite number"),
     "half a character": (
