--- a/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/fleet.py
@@ -274,7 +274,10 @@
         path = self._directory / "configuration.json"
         path.write_text(json.dumps(document, indent=2))
         shown = self.run_cli("config", "show").stderr.split()[-1]
-        self.run_cli("config", "publish", str(path), "--note", note, "--base", shown)
+        # Some fleets have no workers, and some experiments set limits below a job's
+        # size. Both are warnings, which `publish` refuses without --force.
+        options = ("--note", note, "--base", shown, "--force")
+        self.run_cli("config", "publish", str(path), *options)
 
     def run_cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run the operators' command against the fleet's platform."""
