Place tasks near their data

Cause: leaders were chosen by cores alone, the rack of the data was preferred at any cost and never waited for, and remote runs made their workers look slow.

Change: new package locality: choice of the leader by wait, network and slowdown; wait or go remote for each task; racks in demand are left to their own work; admission and learned speeds use the run time at the place. Settings take remote_slowdown; heartbeats carry the racks in which a task has to wait.

--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -70,6 +70,7 @@
         broken: Whether every task that starts fails.
         stuck: Whether tasks that start never end.
         slowdown: Factor on run times.
+        remote_slowdown: Factor on the run times of tasks whose data is in another rack.
         overloads: Times of the starts that took more than the free capacity.
         on_end: Callback for the end of a run; takes the time, the run and the kind.
     """
@@ -85,6 +86,7 @@
     broken: bool = False
     stuck: bool = False
     slowdown: float = 1.0
+    remote_slowdown: float = 1.0
     overloads: list[float] = field(default_factory=list)
     on_end: Callable[[float, Run, RunEndKind], None] = lambda at, run, kind: None
     _sequence: int = 0
@@ -123,7 +125,10 @@
             return OrderReply(OrderOutcome.OUTDATED, now)
         self._extend(now, order.deadline_s)
         if order.run not in self.running:
-            until = now + job.run_time_of(order.run.task) * self.slowdown
+            slowdown = self.slowdown
+            if job.data_rack_of(order.run.task) not in ("", self.entry.rack):
+                slowdown *= self.remote_slowdown
+            until = now + job.run_time_of(order.run.task) * slowdown
             self.running[order.run] = _Running(
                 order.run,
                 job.needs,
@@ -195,6 +200,10 @@
         """Return the actual run time of a task on a worker of the usual speed, s."""
         return self.runs.get(task, self.run_s)
 
+    def data_rack_of(self, task: str) -> str:
+        """Return the rack that holds the data of a task; empty if there is none."""
+        return self.offer.steps[int(task.split(".")[2])].data_rack
+
 
 class World:
     """Workers, leaders and the links between them, in simulated time.
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -234,5 +234,10 @@
             if value != getattr(before, name)
         ]
         state.hosts.add_addresses(uptime(), settings.seeds)
-        state.settings = before._replace(seeds=settings.seeds, grace_s=settings.grace_s)
+        state.settings = before._replace(
+            seeds=settings.seeds,
+            grace_s=settings.grace_s,
+            remote_slowdown=settings.remote_slowdown,
+        )
+        state.apply_remote_slowdown()
         _log.info("Reloaded", changed=changed)
--- a/packages/poplarhilld/src/poplarhilld/entry/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -49,6 +49,18 @@
             ["data_centre"],
             registry=self._registry,
         )
+        self.runs_by_data = Gauge(
+            "poplarhill_runs_by_data",
+            "Runs ordered since the start, by where they run in relation to their data",
+            ["data"],
+            registry=self._registry,
+        )
+        self.rack_waits = Gauge(
+            "poplarhill_rack_wait_seconds",
+            "Expected wait for a place in a led rack, where a task has to wait",
+            ["rack"],
+            registry=self._registry,
+        )
         self.processor_s = self._gauge(
             "processor_seconds", "Processor time used since the start"
         )
--- a/packages/poplarhilld/src/poplarhilld/entry/pages.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/pages.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from poplarhill.http import Request, Response, json_response
-from poplarhilld.entry.clock import processor_time_s
+from poplarhilld.entry.clock import processor_time_s, uptime
 from poplarhilld.entry.logs import LogBuffer
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.state import HostState
@@ -55,6 +55,11 @@
         evacuated = state.evacuations.data_centres
         for name in evacuated | {*map(data_centre, state.shards)}:
             metrics.evacuated.labels(name).set(name in evacuated)
+        for place, count in state.leader.locality.placed.items():
+            metrics.runs_by_data.labels(place).set(count)
+        metrics.rack_waits.clear()
+        for rack, wait_s in state.load(uptime()).racks:
+            metrics.rack_waits.labels(rack).set(wait_s)
         metrics.processor_s.set(processor_time_s())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -1,5 +1,6 @@
 """Settings of an entry host behind the platform adapter, with leased workers."""
 
+import math
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -7,6 +8,7 @@
 
 from poplarhill.exceptions import SettingsError
 from poplarhill.types import Address
+from poplarhilld.locality import OFF
 
 _MS = 1000
 _SHORTEST_LEASE_S = 0.6  # a renewal takes up to 0.4 s
@@ -27,6 +29,7 @@
     core_speed: float = 1.0
     lease_ms: float = 1000.0
     grace_s: float = 6.0
+    remote_slowdown: float | str = ""
 
 
 class EntrySettings(NamedTuple):
@@ -46,6 +49,8 @@
             the usual speed.
         lease_s: Longest lease that a worker grants, s.
         grace_s: Time from SIGTERM until the process is killed, s.
+        remote_slowdown: Factor on the run time of a task outside the rack of its data;
+            1 if the deployment gives none.
     """
 
     name: str
@@ -60,6 +65,7 @@
     cores: float = 1.0
     lease_s: float = 1.0
     grace_s: float = 6.0
+    remote_slowdown: float = OFF
 
     @classmethod
     def from_config(cls, value: Any) -> "EntrySettings":
@@ -94,6 +100,9 @@
         for name in ("cores", "core_speed", "grace_s"):
             if not getattr(fields, name) > 0:
                 problems.append(f"$.{name}: not above 0")
+        remote_slowdown = _remote_slowdown(fields.remote_slowdown)
+        if not OFF <= remote_slowdown < math.inf:
+            problems.append("$.remote_slowdown: neither empty nor a number from 1")
         if problems:
             raise SettingsError(tuple(problems))
         return cls(
@@ -103,6 +112,7 @@
             cores=fields.cores * fields.core_speed,
             lease_s=lease_s,
             grace_s=fields.grace_s,
+            remote_slowdown=remote_slowdown,
             **addresses,
         )
 
@@ -118,3 +128,16 @@
         except (OSError, msgspec.DecodeError) as error:
             raise SettingsError((f"{path}: {error}",)) from error
         return cls.from_config(value)
+
+
+def _remote_slowdown(value: float | str) -> float:
+    """Return the slowdown in a settings file; not a number if it is invalid.
+
+    The template puts it in quotes, since it is an empty text on deployments without it.
+    """
+    if value == "":
+        return OFF
+    try:
+        return float(value)
+    except ValueError:
+        return math.nan
--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -1,6 +1,7 @@
 """What the loops of an entry host share."""
 
 import time
+from collections.abc import Iterable, Mapping
 
 import curio
 
@@ -10,6 +11,7 @@
 from poplarhilld.evacuation import EvacuationCopy
 from poplarhilld.leading import Leader
 from poplarhilld.leases import TokenSource
+from poplarhilld.locality import OFF, cores_by_rack
 from poplarhilld.peers.messages import Load
 from poplarhilld.shards import Hosts, LocalHost, data_centre
 from poplarhilld.submissions import LeaderView, Submissions
@@ -68,6 +70,13 @@
         self.busy = BusyMeter(now, settings.cores)
         self.tick_wanted = curio.Event()
         self.shutting_down = False
+        self._racks_of_shards: tuple[Mapping, dict[str, dict[str, float]]] = ({}, {})
+        self.apply_remote_slowdown()
+
+    def apply_remote_slowdown(self) -> None:
+        """Put the slowdown of the settings in force."""
+        self.submissions.remote_slowdown = self.settings.remote_slowdown
+        self.leader.set_remote_slowdown(self.settings.remote_slowdown)
 
     def load(self, now: float) -> Load:
         """Return the load of this host."""
@@ -87,14 +96,31 @@
                 near,
                 load,
                 self.evacuations.leaves_nothing(load.cores, map(data_centre, claims)),
+                self._racks_of(claims),
             )
         for name, beat in self.hosts.leaders.items():
             near = any(data_centre(c.shard) == own_data_centre for c in beat.claims)
             led = (data_centre(claim.shard) for claim in beat.claims)
             evacuated = self.evacuations.leaves_nothing(beat.load.cores, led)
-            view[name] = LeaderView(beat.tenure, near, beat.load, evacuated)
+            racks = self._racks_of(claim.shard for claim in beat.claims)
+            view[name] = LeaderView(beat.tenure, near, beat.load, evacuated, racks)
         return view
 
+    def _racks_of(self, shards: Iterable[str]) -> Mapping[str, float]:
+        """Return the cores of shards by rack; none if no slowdown is in force."""
+        if self.settings.remote_slowdown <= OFF:
+            return {}
+        if self._racks_of_shards[0] is not self.shards:
+            by_shard = {n: cores_by_rack(e.values()) for n, e in self.shards.items()}
+            self._racks_of_shards = (self.shards, by_shard)
+        cores: dict[str, float] = {}
+        for shard in shards:
+            if data_centre(shard) in self.evacuations.data_centres:
+                continue
+            for rack, count in self._racks_of_shards[1].get(shard, {}).items():
+                cores[rack] = cores.get(rack, 0.0) + count
+        return cores
+
     def last_reply_of_led_shards(self, now: float) -> dict[str, float]:
         """Return when a worker of each led shard last responded, s.
 
--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -1,6 +1,7 @@
 """Places the waiting tasks of a leader on its workers."""
 
 import math
+from collections.abc import Sequence
 
 from poplarhill.types import Resources
 from poplarhilld.decisions import LogDecision
@@ -26,6 +27,7 @@
     LeasedWorker,
     Run,
 )
+from poplarhilld.locality import PlacementPass
 
 _TOLERANCE = 1e-6  # rounding error of sums of cores, which are given in thousandths
 
@@ -82,6 +84,7 @@
             usable = [
                 w for w in usable if not self._state.suspects.is_set_aside(w.entry.name)
             ]
+        near_data = self._begin_pass(now, usable, free, capacity_short, fast)
         for job in waiting:
             if min_cores[job.job_id] > max_free:
                 continue
@@ -92,24 +95,65 @@
                     continue
                 if task.spec.needs.cores > max_free:
                     break
-                worker = choose_worker(
-                    job, task, usable, free, self._state.times, avoid_fast, max_slowdown
-                )
+                placed_job, placed_task = job, task
+                if near_data is not None:
+                    placement = near_data.place(job, task)
+                    if placement is None and task.spec.data_rack:
+                        continue  # it may wait for its rack; a later one may not
+                    placed_job, placed_task, worker = placement or (job, task, None)
+                else:
+                    worker = choose_worker(
+                        job,
+                        task,
+                        usable,
+                        free,
+                        self._state.times,
+                        avoid_fast,
+                        max_slowdown,
+                    )
                 if worker is None:
                     if max_slowdown < math.inf:
                         # After a while the job accepts any worker.
                         self._state.placement_up_to_date = False
                     break
                 was_largest = free[worker.entry.name].cores + _TOLERANCE >= max_free
-                actions += self._start_run(now, job, task, worker, free, len(usable))
+                actions += self._start_run(
+                    now, placed_job, placed_task, worker, free, len(usable)
+                )
                 if was_largest:
                     max_free = (
                         max(capacity.cores for capacity in free.values()) + _TOLERANCE
                     )
                 if not self._may_take_task(now, worker):
                     usable.remove(worker)  # ejected workers get one probe at a time
+                    if near_data is not None:
+                        near_data.drop(worker)
                     self._state.placement_up_to_date = False
-        return actions
+        return actions if near_data is None else actions + near_data.lines
+
+    def _begin_pass(
+        self,
+        now: float,
+        usable: list[LeasedWorker],
+        free: dict[str, Resources],
+        capacity_short: bool,
+        fast: float,
+    ) -> PlacementPass | None:
+        """Return what places tasks near their data, if recent jobs name racks."""
+        if not self._state.locality.active:
+            return None
+
+        def choose(
+            job: LedJob, task: LedTask, workers: Sequence[LeasedWorker]
+        ) -> LeasedWorker | None:
+            avoid_fast = capacity_short and tolerates_slow_worker(now, job)
+            max_slowdown = max_slowdown_for(now, job, fast)
+            times = self._state.times
+            return choose_worker(
+                job, task, workers, free, times, avoid_fast, max_slowdown
+            )
+
+        return PlacementPass(now, self._state, usable, choose)
 
     def _assign_suspects(
         self,
@@ -176,6 +220,9 @@
         if not job.run_count:
             self._state.history.note_ordered(now, job.job_id)
         job.run_count += 1
+        task.run_factor = self._state.locality.factor(task.spec, worker.entry)
+        data = self._state.locality.place(task.spec, worker.entry)
+        self._state.locality.placed[data] += 1
         self._state.runs.note_started(now, run, task, name)
         self._state.health.note_start(name, run)
         before = free[name]
@@ -187,6 +234,7 @@
             round(before.cores, 3),
             round(now - job.arrived_at, 4),
             candidates,
+            data.value,
         )
         order = Order(run, job.offer.body, deadline_s, worker.token)
         return [LogDecision(placed), StartRun(worker.entry, order)]
--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -53,7 +53,9 @@
         self._state.times.learn(job.offer.route, job.completed_runs)
         ran_s = job.ran_s(now)
         if ran_s is not None:
-            self._state.spread.note(job.offer.route, job.run_s, ran_s, job.complete)
+            self._state.spread.note(
+                job.offer.route, job.home_run_s, ran_s, job.complete
+            )
         job.stopping = True
         self._state.subscribers[job.job_id].clear()
         for task in job.under_way:
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -32,7 +32,9 @@
         adopted: Whether an earlier leader ordered that run, so that its start time
             is unknown.
         next_number: Number of its next run.
-        took_s: Run time of the run that did it, s; 0 if that is unknown.
+        took_s: Run time that the run that did it would have had in the rack of its
+            data, s; 0 if that is unknown.
+        run_factor: Factor on the run time of its last run, because of its rack.
         failures: Count of runs that failed.
         avoid: Workers on which a run of it failed, stalled or was lost.
         lost: Workers that were lost during a run of it and may have crashed under it.
@@ -49,6 +51,7 @@
     adopted: bool = False
     next_number: int = 1
     took_s: float = 0.0
+    run_factor: float = 1.0
     failures: int = 0
     avoid: set[str] = field(default_factory=set)
     lost: set[LostWorker] = field(default_factory=set)
@@ -75,6 +78,8 @@
         due: When it is to be done, by the stretch and allowance of its route and the
             leader's clock, s. The deadline may be later.
         core_second_cost: Queue cost of one core-second of it.
+        home_run_s: Like `run_s`, with each step in the rack of its data, s.
+        held: Whether a task of it has waited for the rack of its data.
 
     Args:
         offer: The offer.
@@ -119,10 +124,12 @@
             step.needs.cores * run_s
             for step, run_s in zip(offer.steps, step_s, strict=True)
         ]
-        self._step_s = tuple(step_s)
-        self.run_s = _longest_chain_s(offer, step_s)
+        self.home_step_s = tuple(step_s)
+        self.run_s = self.home_run_s = _longest_chain_s(offer, step_s)
         spread = spread or RunTimeSpread()
         self.least_run_s = spread.least_run_s(offer.route, self.run_s)
+        self._home_least_run_s = self.least_run_s
+        self.held = False
         asked_at = self.arrived_at - earlier_wait_s
         self.due = asked_at + offer.stretch * self.run_s + offer.allowance_s
         self.core_second_cost = 1.0
@@ -154,8 +161,22 @@
         return sum(map(mul, self._pending, self._task_core_seconds))
 
     def expected_s(self, task: LedTask) -> float:
-        """Return the expected run time of a task on a usual worker, s."""
-        return self._step_s[task.step]
+        """Return the expected run time of a task where it ran last, s."""
+        return self.home_step_s[task.step] * task.run_factor
+
+    def set_run_factors(self, factors: tuple[float, ...]) -> None:
+        """Set the factors on the run time of each step at the place where it would run.
+
+        The due time stays: callers count the run time near the data.
+        """
+        step_s = tuple(map(mul, self.home_step_s, factors))
+        self.run_s = _longest_chain_s(self.offer, step_s)
+        if self.home_run_s > 0:
+            self.least_run_s = self._home_least_run_s * self.run_s / self.home_run_s
+        self._task_core_seconds = [
+            step.needs.cores * run_s
+            for step, run_s in zip(self.offer.steps, step_s, strict=True)
+        ]
 
     @property
     def least_cores(self) -> float:
@@ -174,7 +195,7 @@
         return next(task for task in self.tasks if task.name == name)
 
     def ran_s(self, now: float) -> float | None:
-        """Return how long its longest chain of steps has run, s.
+        """Return how long its longest chain of steps has run, in home run time, s.
 
         Returns:
             `None` if that is unknown, because an earlier leader ordered a run.
@@ -185,7 +206,7 @@
                 return None
             ran_s = task.took_s
             if task.run is not None:
-                ran_s = now - task.ordered_at
+                ran_s = (now - task.ordered_at) / task.run_factor
             step_s[task.step] = max(step_s[task.step], ran_s)
         return _longest_chain_s(self.offer, step_s)
 
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -192,6 +192,8 @@
         free_cores: Free cores of the worker before the order.
         waited_s: Time since the job arrived at its entry host, s.
         candidates: Count of workers that could be given tasks.
+        data: Where it runs in relation to its data: `none` if it names no rack, `near`
+            or `remote`.
     """
 
     task: str
@@ -200,6 +202,7 @@
     free_cores: float
     waited_s: float
     candidates: int
+    data: str = "none"
 
 
 class RunResolved(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -88,6 +88,8 @@
         self._state.demand.note_work(now, offer.service, job.open_core_seconds)
         job.core_second_cost = core_second_cost(now, job, self._state.demand)
         wait_s = self._expected_wait_s(now, job)
+        if self._state.locality.on:
+            wait_s = self._state.locality.admit(now, job, self._state, wait_s)
         refusal = self._refusal_for(now, job, wait_s)
         if refusal is not None and not self._state.runs.orphans_of(job):
             self._state.suspects.drop_job(offer.job_id)
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -62,6 +62,7 @@
         task = job.task(run.task)
         worker.set_needs(run, task.spec.needs)
         if task.waiting and not job.stopping:
+            task.run_factor = self._state.locality.factor(task.spec, worker.entry)
             self._state.runs.adopt(now, run, task, name)
             return []
         return self._closer.stop_run(now, worker, run)
@@ -75,6 +76,7 @@
             worker.set_needs(run, task.spec.needs)
             if task.waiting:
                 self._state.runs.note_closed(name, run)
+                task.run_factor = self._state.locality.factor(task.spec, worker.entry)
                 self._state.runs.adopt(now, run, task, name)
                 job.run_count += 1
 
@@ -99,8 +101,9 @@
             case RunOutcome.DONE:
                 job.finish(task)
                 if not task.adopted:
-                    task.took_s = took_s
-                    completed = CompletedRun(name, task.spec.run_time_s, took_s)
+                    # A remote run takes longer, and its worker is not slow.
+                    task.took_s = took_s / task.run_factor
+                    completed = CompletedRun(name, task.spec.run_time_s, task.took_s)
                     job.completed_runs.append(completed)
                 if self._state.health.note_success(now, name, run):
                     actions.append(
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -20,6 +20,7 @@
     LeasedWorker,
     TokenSource,
 )
+from poplarhilld.locality import Locality
 
 
 class Subscriber(NamedTuple):
@@ -58,6 +59,7 @@
         demand: Work that arrives, by route and service.
         health: Workers that are ejected or on probation.
         suspects: Tasks that may crash their workers.
+        locality: What is known of the racks that hold the data of jobs.
     """
 
     def __init__(self, tokens: TokenSource, lease_s: float) -> None:
@@ -84,6 +86,7 @@
         self.demand = Demand()
         self.health = WorkerHealth()
         self.suspects = Suspects()
+        self.locality = Locality()
 
     def note_worker_change(self) -> None:
         """Work out the usable workers anew when they are next asked for."""
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -33,6 +33,7 @@
     Run,
     TokenSource,
 )
+from poplarhilld.locality import Locality
 from poplarhilld.peers.messages import (
     JobOffer,
     JobProgress,
@@ -80,6 +81,11 @@
         """Names of the ejected workers; they get probes only."""
         return self._state.health.ejected
 
+    @property
+    def locality(self) -> Locality:
+        """What this leader knows of the racks that hold the data of jobs."""
+        return self._state.locality
+
     @property
     def waiting(self) -> dict[str, int]:
         """Count of jobs without any run so far, by route."""
@@ -100,7 +106,8 @@
             for job in self._state.jobs.values()
             if not job.run_count
         )
-        return Load(cores, free, queued)
+        racks = self._state.locality.rack_loads(now, self._state)
+        return Load(cores, free, queued, racks=racks)
 
     def set_workers(
         self,
@@ -155,6 +162,11 @@
         self._state.placement_up_to_date = False
         return self._assignment.assign(now) + self._evacuated.give_up(now)
 
+    def set_remote_slowdown(self, slowdown: float) -> None:
+        """Set the factor on run times outside the rack of the data; 1 is off."""
+        self._state.locality.set_slowdown(slowdown, self._state.jobs.values())
+        self._state.placement_up_to_date = False
+
     def resign(self) -> list[LeaderAction]:
         """Release all workers and drop all jobs; the next leader adopts the runs."""
         actions: list[LeaderAction] = []
@@ -295,6 +307,7 @@
                 actions += self._closer.stop_run(now, self._state.workers[name], run)
         for job in list(self._state.jobs.values()):
             actions += self._offers.check_deadline(now, job)
+        self._state.locality.review(now, self._state)
         for job in self._state.suspects.jobs:
             actions += self._outcomes.check_suspects(now, job)
         losses = self._state.suspects.take_unshared()
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -8,6 +8,7 @@
 
 from poplarhill.types import Resources
 from poplarhilld.evacuation.messages import Evacuation
+from poplarhilld.locality.messages import RackLoad
 from poplarhilld.peers.messages import (
     Beat,
     Claim,
@@ -80,6 +81,7 @@
     "lost": LostWorker,
     "reduced": ReducedWorker,
     "evacuations": Evacuation,
+    "racks": RackLoad,
 }
 _STRUCT_FIELD_TYPES: dict[str, type] = {
     "needs": Resources,
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -167,6 +167,12 @@
   freeCores @1 :Float32;
   queuedCoreS @2 :Float32;
   busy @3 :Float32;
+  racks @4 :List(RackLoad);
+}
+
+struct RackLoad {
+  rack @0 :Text;
+  waitS @1 :Float64;
 }
 
 struct Beat {
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -4,6 +4,7 @@
 
 from poplarhill.types import Resources
 from poplarhilld.evacuation.messages import Evacuation
+from poplarhilld.locality.messages import RackLoad
 
 
 class MemberState(NamedTuple):
@@ -394,12 +395,15 @@
         queued_core_s: Work of the jobs that wait, in core-seconds.
         busy: Share of the host's processor that was in use during the last seconds,
             in tenths.
+        racks: Racks with workers of the leader in which a task has to wait; at most 16,
+            and none where the settings give no slowdown.
     """
 
     cores: float = 0.0
     free_cores: float = 0.0
     queued_core_s: float = 0.0
     busy: float = 0.0
+    racks: tuple[RackLoad, ...] = ()
 
 
 class LeaderDigest(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/submissions/choice.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/choice.py
@@ -5,7 +5,8 @@
 
 import xxhash
 
-from poplarhilld.peers.messages import Load
+from poplarhilld.locality import OFF, choose_by_data
+from poplarhilld.peers.messages import Load, StepSpec
 from poplarhilld.submissions.messages import LeaderView
 
 # An expected wait below a third of the shortest task counts as none.
@@ -47,7 +48,11 @@
 
 
 def choose_leader(
-    leaders: Mapping[str, LeaderView], needs_cores: float, job_id: str
+    leaders: Mapping[str, LeaderView],
+    needs_cores: float,
+    job_id: str,
+    steps: tuple[StepSpec, ...] = (),
+    remote_slowdown: float = OFF,
 ) -> Choice:
     """Choose the leader with the shortest expected wait, preferring local ones.
 
@@ -61,7 +66,13 @@
         leaders: The leaders by name.
         needs_cores: Cores that all tasks of the job need together.
         job_id: Id of the job.
+        steps: Steps of the job.
+        remote_slowdown: Factor on run times outside the rack of the data.
     """
+    if remote_slowdown > OFF and any(step.data_rack for step in steps):
+        found = choose_by_data(leaders, steps, remote_slowdown, job_id, expected_wait_s)
+        if found is not None:
+            return Choice(*found)
     compared = [name for name, leader in leaders.items() if leader.same_data_centre]
     remote = [name for name, leader in leaders.items() if not leader.same_data_centre]
     remote.sort(key=lambda name: xxhash.xxh32_intdigest(f"{job_id}/{name}".encode()))
--- a/packages/poplarhilld/src/poplarhilld/submissions/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/messages.py
@@ -1,7 +1,9 @@
 """Submitted jobs, and the actions and log lines of the host that accepted them."""
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import NamedTuple
 
 from poplarhill.exceptions import Failure
@@ -50,12 +52,14 @@
         same_data_centre: Whether it leads workers in this host's data centre.
         load: Load that it reported last.
         evacuated: Whether all its workers are in evacuated data centres.
+        racks: Cores of its workers by rack; empty where the settings give no slowdown.
     """
 
     tenure: int
     same_data_centre: bool
     load: Load
     evacuated: bool = False
+    racks: Mapping[str, float] = MappingProxyType({})
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -6,6 +6,7 @@
 
 from poplarhill.exceptions import ANSWERS, ErrorKind, Failure, RunState
 from poplarhilld.decisions import LogDecision
+from poplarhilld.locality import OFF
 from poplarhilld.peers.messages import (
     JobEnded,
     JobOffer,
@@ -75,9 +76,13 @@
     """Jobs that callers submitted to this host and that are not yet answered.
 
     Each submission has a number of its own; several may share a job id.
+
+    Attributes:
+        remote_slowdown: Factor on run times outside the rack of the data; 1 is off.
     """
 
     def __init__(self) -> None:
+        self.remote_slowdown = OFF
         self._jobs: dict[int, _PendingJob] = {}
         self._by_id: dict[str, set[int]] = {}
         self._leaders: Mapping[str, LeaderView] = {}
@@ -215,7 +220,13 @@
             leaders = self._open_leaders
             if job.refused_by:
                 leaders = self._leaders_beside(job.refused_by) or leaders
-            name, reason = choose_leader(leaders, needs, job.submission.job_id)
+            name, reason = choose_leader(
+                leaders,
+                needs,
+                job.submission.job_id,
+                job.submission.steps,
+                self.remote_slowdown,
+            )
         job.next_offer = now + REPEAT_INTERVAL_S
         leader = self._leaders.get(name)
         if leader is None:
