--- a/packages/poplarhilld/tests/entry/test_settings.py
+++ b/packages/poplarhilld/tests/entry/test_settings.py
@@ -64,3 +64,20 @@
     value["advertise"] = "somewhere"
     with pytest.raises(SettingsError, match="advertise"):
         EntrySettings.from_config(value)
+
+
+# The template gives an empty text on deployments whose settings have no slowdown.
+@pytest.mark.parametrize(("given", "expected"), [("", 1.0), ("1.5", 1.5), (2, 2.0)])
+def test_the_remote_slowdown_may_be_absent(
+    value: dict, given: object, expected: float
+) -> None:
+    assert EntrySettings.from_config(value).remote_slowdown == 1.0
+    value["remote_slowdown"] = given
+    assert EntrySettings.from_config(value).remote_slowdown == expected
+
+
+@pytest.mark.parametrize("wrong", ["0.5", 0, "fast", "nan", "inf"])
+def test_an_invalid_remote_slowdown_is_refused(value: dict, wrong: object) -> None:
+    value["remote_slowdown"] = wrong
+    with pytest.raises(SettingsError, match="remote_slowdown"):
+        EntrySettings.from_config(value)
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -12,6 +12,7 @@
 from poplarhill.types import Resources
 from poplarhilld import peers
 from poplarhilld.evacuation import Evacuation
+from poplarhilld.locality import RackLoad
 from poplarhilld.peers.codec import Envelope, FrameError, decode, encode
 
 MEMBER = peers.MemberState("h1", "127.0.0.1", 7001, "dc1", 5, 9, False)
@@ -22,7 +23,7 @@
     known=("10.0.0.2:7001",),
     version=3,
     tenure=9,
-    load=peers.Load(16.0, 0.5, 0.25),
+    load=peers.Load(16.0, 0.5, 0.25, racks=(RackLoad("r1", 0.25),)),
 )
 STEP = peers.StepSpec(8, Resources(6.5, 64, 1), 0.06, (0,), "gpu", 2, "r1")
 LOST = peers.LostWorker("w1", 1_700_000_000_123)
