--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -126,8 +126,9 @@
         self._extend(now, order.deadline_s)
         if order.run not in self.running:
             slowdown = self.slowdown
-            if job.data_rack_of(order.run.task) not in ("", self.entry.rack):
-                slowdown *= self.remote_slowdown
+            if self.remote_slowdown != 1.0:
+                near = job.data_rack_of(order.run.task) in ("", self.entry.rack)
+                slowdown *= 1.0 if near else self.remote_slowdown
             until = now + job.run_time_of(order.run.task) * slowdown
             self.running[order.run] = _Running(
                 order.run,
--- a/packages/poplarhill-dev/src/poplarhill_dev/near_data.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/near_data.py
@@ -21,7 +21,7 @@
     draw_job,
     score,
 )
-from poplarhill_dev.leased import SimulatedWorker, World, worker_entry
+from poplarhill_dev.leased import TICK_S, SimulatedWorker, World, worker_entry
 from poplarhilld.leading import Leader
 from poplarhilld.locality import OFF, cores_by_rack
 from poplarhilld.submissions import LeaderView, choose_leader
@@ -135,7 +135,7 @@
     submitted: dict[str, Submitted] = {}
     offered_at: dict[str, float] = {}
     views: dict[str, LeaderView] = {}
-    viewed_at = -1.0
+    viewed_at = ticked_at = -1.0
     lost = False
     for number, (at, kind) in enumerate(arrivals(random, KINDS, rate, seconds)):
         world.run(max(0.0, begin + at - world.now))
@@ -144,6 +144,11 @@
             hot = [w for w in workers if w.entry.rack == _HOT_RACK]
             for worker in hot[: round(scene.lost_share * len(hot))]:
                 worker.unreachable = True
+        # `World.run` ticks only in runs longer than `TICK_S`.
+        if world.now >= ticked_at + TICK_S:
+            ticked_at = world.now
+            for name, leader in world.leaders.items():
+                world.perform(name, leader.tick(world.now))
         on_time(at, world)
         if world.now >= viewed_at + _HEARTBEAT_S:
             viewed_at = world.now
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -132,6 +132,7 @@
         self.held = False
         asked_at = self.arrived_at - earlier_wait_s
         self.due = asked_at + offer.stretch * self.run_s + offer.allowance_s
+        self._home_due = self.due
         self.core_second_cost = 1.0
 
     @property
@@ -165,12 +166,10 @@
         return self.home_step_s[task.step] * task.run_factor
 
     def set_run_factors(self, factors: tuple[float, ...]) -> None:
-        """Set the factors on the run time of each step at the place where it would run.
-
-        The due time stays: callers count the run time near the data.
-        """
+        """Set the factors on the run times of the steps where they would run."""
         step_s = tuple(map(mul, self.home_step_s, factors))
         self.run_s = _longest_chain_s(self.offer, step_s)
+        self.due = self._home_due + self.offer.stretch * (self.run_s - self.home_run_s)
         if self.home_run_s > 0:
             self.least_run_s = self._home_least_run_s * self.run_s / self.home_run_s
         self._task_core_seconds = [
