Spill to the fastest workers elsewhere

Cause: while capacity is short, jobs with time to spare take the slowest healthy worker, also for remote runs.

Change: remote runs take the fastest one; a rack counts as in demand from 0.9 of its cores.

--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -144,9 +144,12 @@
             return None
 
         def choose(
-            job: LedJob, task: LedTask, workers: Sequence[LeasedWorker]
+            job: LedJob, task: LedTask, workers: Sequence[LeasedWorker], remote: bool
         ) -> LeasedWorker | None:
-            avoid_fast = capacity_short and tolerates_slow_worker(now, job)
+            # A remote run takes long enough to need a fast worker.
+            avoid_fast = (
+                capacity_short and not remote and tolerates_slow_worker(now, job)
+            )
             max_slowdown = max_slowdown_for(now, job, fast)
             times = self._state.times
             return choose_worker(
--- a/packages/poplarhilld/src/poplarhilld/locality/placing.py
+++ b/packages/poplarhilld/src/poplarhilld/locality/placing.py
@@ -15,8 +15,11 @@
     from poplarhilld.leading.shared import LeaderState
     from poplarhilld.leases import LeasedWorker
 
-    # Returns the worker for a task among some, or `None`.
-    Choose = Callable[[LedJob, LedTask, Sequence[LeasedWorker]], LeasedWorker | None]
+    # Returns the worker for a task among some, or `None`, given whether these are
+    # outside the rack of its data.
+    Choose = Callable[
+        [LedJob, LedTask, Sequence[LeasedWorker], bool], LeasedWorker | None
+    ]
 
 # A job of which one in 40 runs for longer than 1.6 times its expected time is in time
 # on a place that leaves this margin.
@@ -90,7 +93,7 @@
             and worker.entry.rack == rack
             and worker.entry.name not in task.avoid
         ]
-        worker = self._choose(job, task, near) if near else None
+        worker = self._choose(job, task, near, False) if near else None
         if worker is not None:
             self._note_start(job, task, worker)
             return Placement(job, task, worker)
@@ -155,16 +158,16 @@
             if not rack or worker.entry.rack != rack or worker.entry.name in task.avoid
         ]
         if not self._hot:
-            return self._choose(job, task, others)
+            return self._choose(job, task, others, bool(rack))
         cool = [w for w in others if w.entry.rack not in self._hot]
-        worker = self._choose(job, task, cool)
+        worker = self._choose(job, task, cool, bool(rack))
         if worker is not None:
             run_s = self._remote_end(job, task, worker) - self._now
             limit = min(job.due, job.deadline)
             if self._now + _IN_TIME_MARGIN * run_s <= limit:
                 return worker
         hot = [w for w in others if w.entry.rack in self._hot]
-        other = self._choose(job, task, hot)
+        other = self._choose(job, task, hot, bool(rack))
         if worker is None or other is None:
             return worker or other
         slowdown = self._state.times.slowdown
--- a/packages/poplarhilld/src/poplarhilld/locality/state.py
+++ b/packages/poplarhilld/src/poplarhilld/locality/state.py
@@ -17,9 +17,9 @@
     from poplarhilld.peers.messages import StepSpec
 
 _MEMORY_S = 1.0  # time constant of the demand; a burst on a rack lasts some seconds
-# A rack is in demand if its work would fill this share of its cores. Up to two thirds,
-# a place there is nearly always free.
-_IN_DEMAND_SHARE = 0.65
+# A rack is in demand if its work would fill this share of its cores. With 0.4 and 0.65,
+# other work is kept from places that stay free, and credit is lower.
+_IN_DEMAND_SHARE = 0.9
 _FORGET_SHARE = 0.02  # a rack with less demand than this is not tracked any more
 _MAX_REPORTED = 16  # racks in a heartbeat, those with the longest waits
 _WAIT_DIGITS = 2  # a heartbeat that changes is decoded anew by each receiver
