--- a/packages/poplarhilld/src/poplarhilld/locality/state.py
+++ b/packages/poplarhilld/src/poplarhilld/locality/state.py
@@ -24,6 +24,7 @@
 _MAX_REPORTED = 16  # racks in a heartbeat, those with the longest waits
 _WAIT_DIGITS = 2  # a heartbeat that changes is decoded anew by each receiver
 _NO_PLACE_S = 60.0  # wait for a rack of which no worker may take tasks
+_COUNT_INTERVAL_S = 0.02  # an offer would otherwise scan the queue, job by job
 _REVIEW_INTERVAL_S = 0.1  # a wait changes by about a task's run time
 
 
@@ -59,6 +60,8 @@
         self.placed: dict[str, int] = dict.fromkeys(DataPlace, 0)
         self._demand: dict[str, _Demand] = {}
         self._review_at = 0.0
+        self._queued: dict[tuple[str, str], float] = {}
+        self._queued_until = 0.0
 
     @property
     def on(self) -> bool:
@@ -117,7 +120,9 @@
         if not any(step.data_rack for step in job.offer.steps):
             return wait_s
         self._note_arrival(now, job)
-        return self._settle(now, job, state, wait_s)
+        wait_s = self._settle(now, job, state, wait_s)
+        self._count(job)
+        return wait_s
 
     def review(self, now: float, state: LeaderState) -> None:
         """Set anew where the waiting jobs would run, as waits and workers change."""
@@ -208,16 +213,30 @@
         slot = timeline.earliest(cores, 0.0)
         if slot is None:
             return _NO_PLACE_S
-        queued = 0.0
-        for job in state.queue.values():
-            if job.stopping or job.offer.service != service:
-                continue
-            for task in job.tasks:
-                step = task.spec
-                if step.data_rack == rack and task.waiting:
-                    queued += step.needs.cores * job.home_step_s[task.step]
+        queued = self._queued_core_s(now, state).get((rack, service), 0.0)
         return slot.start - now + queued / total
 
+    def _queued_core_s(
+        self, now: float, state: LeaderState
+    ) -> dict[tuple[str, str], float]:
+        """Return the work that waits for each rack and service, core-seconds."""
+        if now < self._queued_until:
+            return self._queued
+        self._queued_until = now + _COUNT_INTERVAL_S
+        self._queued = {}
+        for job in state.queue.values():
+            if not job.stopping:
+                self._count(job)
+        return self._queued
+
+    def _count(self, job: LedJob) -> None:
+        for task in job.tasks:
+            step = task.spec
+            if step.data_rack and task.waiting:
+                key = (step.data_rack, job.offer.service)
+                core_s = step.needs.cores * job.home_step_s[task.step]
+                self._queued[key] = self._queued.get(key, 0.0) + core_s
+
 
 def releases(now: float, worker: LeasedWorker, state: LeaderState) -> list[Release]:
     """Return when the runs of a worker are expected to release their cores."""
