Report to nearby hosts which shards other leaders lead

Cause: in fleets of 12 hosts and more, hosts know the leaders of other data centres by reports of their own leader, without shards, so that no such leader was known to lead a rack.

Change: LeaderDigest names the shards where the slowdown is set, up to 64 in all; beyond that, receivers go by the data centres. A leader without usable workers counts as remote.

--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -12,7 +12,7 @@
 from poplarhilld.leading import Leader
 from poplarhilld.leases import TokenSource
 from poplarhilld.locality import OFF, cores_by_rack
-from poplarhilld.peers.messages import Load
+from poplarhilld.peers.messages import LeaderDigest, Load
 from poplarhilld.shards import Hosts, LocalHost, data_centre
 from poplarhilld.submissions import LeaderView, Submissions
 
@@ -75,6 +75,7 @@
 
     def apply_remote_slowdown(self) -> None:
         """Put the slowdown of the settings in force."""
+        self.hosts.set_reports_shards(self._places_near_data)
         self.submissions.remote_slowdown = self.settings.remote_slowdown
         self.leader.set_remote_slowdown(self.settings.remote_slowdown)
 
@@ -98,17 +99,36 @@
                 self.evacuations.leaves_nothing(load.cores, map(data_centre, claims)),
                 self._racks_of(claims),
             )
+        relayed = self.hosts.relayed_digests if self._places_near_data else {}
         for name, beat in self.hosts.leaders.items():
             near = any(data_centre(c.shard) == own_data_centre for c in beat.claims)
             led = (data_centre(claim.shard) for claim in beat.claims)
             evacuated = self.evacuations.leaves_nothing(beat.load.cores, led)
-            racks = self._racks_of(claim.shard for claim in beat.claims)
+            shards = [claim.shard for claim in beat.claims]
+            if not shards and name in relayed:
+                shards = self._shards_of(relayed[name])
+            racks = self._racks_of(shards)
             view[name] = LeaderView(beat.tenure, near, beat.load, evacuated, racks)
         return view
 
+    @property
+    def _places_near_data(self) -> bool:
+        return self.settings.remote_slowdown > OFF
+
+    def _shards_of(self, digest: LeaderDigest) -> Iterable[str]:
+        """Return the shards of a leader that another one reports.
+
+        In large fleets only its data centres are known, and other leaders there may
+        lead some of these shards.
+        """
+        if digest.led_shards:
+            return digest.led_shards
+        led = digest.led_data_centres
+        return [shard for shard in self.shards if data_centre(shard) in led]
+
     def _racks_of(self, shards: Iterable[str]) -> Mapping[str, float]:
         """Return the cores of shards by rack; none if no slowdown is in force."""
-        if self.settings.remote_slowdown <= OFF:
+        if not self._places_near_data:
             return {}
         if self._racks_of_shards[0] is not self.shards:
             by_shard = {n: cores_by_rack(e.values()) for n, e in self.shards.items()}
--- a/packages/poplarhilld/src/poplarhilld/locality/leaders.py
+++ b/packages/poplarhilld/src/poplarhilld/locality/leaders.py
@@ -45,7 +45,7 @@
         run_s = step.run_time_s
         far_s = wait_s + run_s * (slowdown if step.data_rack else 1.0)
         cores = leader.racks.get(step.data_rack, 0.0)
-        if step.data_rack and cores > 0:
+        if step.data_rack and cores > 0 and leader.load.cores > 0:
             # More tasks than the rack has room for run one after the other.
             rounds = max(1.0, step.count * step.needs.cores / cores)
             far_s = min(far_s, waits.get(step.data_rack, 0.0) + rounds * run_s)
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -98,6 +98,7 @@
         "after",
         "done",
         "led_data_centres",
+        "led_shards",
     }
 )
 
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -219,6 +219,7 @@
   ledDataCentres @4 :List(Text);
   tenure @5 :UInt64;
   load @6 :Load;
+  ledShards @7 :List(Text);
 }
 
 struct Frame {
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -417,6 +417,7 @@
         led_data_centres: Data centres in which it leads shards.
         tenure: Epoch since which it has led without a break.
         load: Load that it reported last.
+        led_shards: The shards that it leads, if tasks are placed near their data.
     """
 
     name: str
@@ -426,6 +427,7 @@
     led_data_centres: tuple[str, ...]
     tenure: int
     load: Load
+    led_shards: tuple[str, ...] = ()
 
 
 class Beat(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/shards/fleet.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/fleet.py
@@ -69,6 +69,7 @@
         busy: Share of its processor that this host uses.
         leaving: Whether this host is shutting down.
         outdated: Whether this host leads and has not read the workers for some time.
+        reports_shards: Whether to report which shards other leaders lead.
         evacuations: The copy of the evacuations that heartbeats carry.
         leading_since_epoch: Epoch since which this host has led continuously; 0 if it
             leads nothing.
@@ -92,6 +93,7 @@
         self.busy = 0.0
         self.leaving = False
         self.outdated = False
+        self.reports_shards = False
         self.evacuations = Evacuations()
         self.leading_since_epoch = 0
 
--- a/packages/poplarhilld/src/poplarhilld/shards/heartbeats.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/heartbeats.py
@@ -17,6 +17,9 @@
 _FORGET_ADDRESS_S = 60.0  # without a response; a replaced host gets another address
 # Every tenth heartbeat to an address lists the addresses of the hosts in `heard`.
 _HEARTBEATS_PER_FULL = 10
+# Shards that leaders report of each other, about 8 bytes each. Control traffic may take
+# 7 KB/s of a host; in larger fleets receivers go by the data centres.
+_MAX_REPORTED_SHARDS = 64
 
 
 class Heartbeats:
@@ -92,6 +95,9 @@
         """Return what a leader of a large fleet reports of the other leaders."""
         if not self._fleet.claims or len(self._fleet.peers) < SMALL_FLEET_HOSTS:
             return ()
+        leaders = self._fleet.direct_leaders()
+        shards = sum(len(heartbeat.claims) for heartbeat in leaders.values())
+        with_shards = self._fleet.reports_shards and shards <= _MAX_REPORTED_SHARDS
         return tuple(
             LeaderDigest(
                 name,
@@ -101,6 +107,7 @@
                 tuple(sorted({data_centre(claim.shard) for claim in heartbeat.claims})),
                 heartbeat.tenure,
                 heartbeat.load,
+                tuple(claim.shard for claim in heartbeat.claims) if with_shards else (),
             )
-            for name, heartbeat in self._fleet.direct_leaders().items()
+            for name, heartbeat in leaders.items()
         )
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -19,7 +19,7 @@
 from poplarhilld.decisions import LogDecision
 from poplarhilld.evacuation.messages import Evacuations
 from poplarhilld.leases import TokenSource
-from poplarhilld.peers.messages import Beat, Claim, Load
+from poplarhilld.peers.messages import Beat, Claim, LeaderDigest, Load
 from poplarhilld.shards.capacity import (
     worker_capacity,
 )
@@ -81,6 +81,11 @@
         """
         return self._fleet.leaders
 
+    @property
+    def relayed_digests(self) -> dict[str, LeaderDigest]:
+        """What other leaders report of leaders, by name."""
+        return {digest.name: digest for digest in self._fleet.reported_leaders()}
+
     @property
     def outdated(self) -> bool:
         """Whether this host leads and has not read the workers for some time."""
@@ -218,6 +223,10 @@
         """Set whether this host leads and has not read the workers for some time."""
         self._fleet.outdated = outdated
 
+    def set_reports_shards(self, reports_shards: bool) -> None:
+        """Set whether to report to nearby hosts which shards other leaders lead."""
+        self._fleet.reports_shards = reports_shards
+
     def set_evacuations(self, copy: Evacuations) -> None:
         """Set the copy of the evacuations that heartbeats carry."""
         self._fleet.evacuations = copy
--- a/packages/poplarhilld/tests/locality/test_leaders.py
+++ b/packages/poplarhilld/tests/locality/test_leaders.py
@@ -7,7 +7,8 @@
 from poplarhilld.entry import EntrySettings
 from poplarhilld.entry.state import HostState
 from poplarhilld.locality import RackLoad
-from poplarhilld.peers import Load, StepSpec
+from poplarhilld.peers import Beat, Claim, Load, StepSpec
+from poplarhilld.peers.messages import LeaderDigest
 from poplarhilld.shards import partition
 from poplarhilld.submissions import (
     LeaderView,
@@ -58,6 +59,11 @@
     assert chosen(near, STEP._replace(run_time_s=0.9)) == "near"
 
 
+# Guards against a leader that lost all its workers and still leads the rack.
+def test_a_leader_without_usable_workers_is_not_chosen_for_its_rack() -> None:
+    assert chosen(NEAR._replace(load=Load())) == "local"
+
+
 # Guards against the choice of the same one of two leaders of a rack by all hosts.
 def test_two_leaders_of_a_rack_share_its_jobs() -> None:
     leaders = {"one": NEAR, "two": NEAR, "local": LOCAL}
@@ -103,3 +109,20 @@
     entries[1] = entries[1]._replace(draining=True)
     state.shards = partition(entries)
     assert state._racks_of(state.shards) == {"r2": 48.0}
+
+
+# Guards against racks of other data centres that only the local leader knows of: hosts
+# of a large fleet get no heartbeats from the leaders there.
+@pytest.mark.parametrize("led_shards", [("dc1/0",), ()])
+def test_racks_of_a_reported_leader_are_known(
+    state: HostState, entries: list, led_shards: tuple
+) -> None:
+    state.shards = partition(entries)
+    near = Beat("10.0.0.2", 80, "dc2", 1, 1.0, True, heard=("h1",), tenure=1)
+    digest = LeaderDigest(
+        "far", "10.0.0.3", 80, "dc1", ("dc1",), 1, FREE, led_shards=led_shards
+    )
+    beat = near._replace(claims=(Claim("dc2/0", 1, 4),), leaders=(digest,))
+    state.hosts.heartbeat_received(0.1, "near", beat)
+    state.hosts.tick(0.1, 0.0, {}, True, Load(), 0, {})
+    assert state.known_leaders(0.1)["far"].racks == {"r1": 32.0, "r2": 32.0}
--- a/packages/poplarhilld/tests/shards/test_large_fleet.py
+++ b/packages/poplarhilld/tests/shards/test_large_fleet.py
@@ -295,11 +295,18 @@
 
 # Once, on a simulated day of 97 hosts, every host received 87 heartbeats a second, and
 # those between data centres cost more than all else.
-@pytest.mark.parametrize(("hosts", "workers"), [(18, 90), (97, 270)])
-def test_heartbeats_do_not_grow_with_the_fleet(hosts: int, workers: int) -> None:
+@pytest.mark.parametrize(
+    ("hosts", "workers", "near_data"),
+    [(18, 90, False), (97, 270, False), (97, 270, True)],
+)
+def test_heartbeats_do_not_grow_with_the_fleet(
+    hosts: int, workers: int, near_data: bool
+) -> None:
     centres = {f"dc{n}": hosts // 5 + (n <= hosts % 5) for n in range(1, 6)}
     shards = {f"{centre}/{n}": workers // 10 for centre in centres for n in (0, 1)}
     fleet = LargeFleet(centres, shards)
+    for host in fleet.hosts.values():
+        host.set_reports_shards(near_data)
     fleet.run(8.0)
     leading = set().union(*(fleet.leaders(centre) for centre in centres))
     assert len(leading) == len(centres)
@@ -333,6 +340,18 @@
             assert hosts.address(leader) == fleet.address(leader)
 
 
+# Jobs are sent to the leader of the rack of their data, in any data centre.
+def test_hosts_know_the_shards_of_other_data_centres(fleet: LargeFleet) -> None:
+    for host in fleet.hosts.values():
+        host.set_reports_shards(True)
+    fleet.run(4.0)
+    for hosts in fleet.hosts.values():
+        known = {claim.shard for b in hosts.leaders.values() for claim in b.claims}
+        for digest in hosts.relayed_digests.values():
+            known.update(digest.led_shards)
+        assert known | hosts.claims.keys() == SHARDS.keys()
+
+
 # A data centre whose hosts were all killed at once and started again has a leader soon,
 # and the others still know it.
 @pytest.mark.parametrize("killed", [("dc1",), ("dc1", "dc2", "dc3")])
