Serve jobs that declare neither time nor cores near their data

Cause: the exchange of places divided by a run time, the wait for a rack by its cores; both may be 0. Measured: the new test fails with ZeroDivisionError before.

--- a/packages/poplarhilld/src/poplarhilld/locality/placing.py
+++ b/packages/poplarhilld/src/poplarhilld/locality/placing.py
@@ -216,8 +216,8 @@
                 break
             if other.release.cores < task.spec.needs.cores:
                 continue
-            speed = (other.slot.end - other.slot.start) / other_run_s
-            end = other.slot.start + run_s * speed
+            slowdown = self._state.times.slowdown(other.slot.worker)
+            end = other.slot.start + run_s * slowdown
             if end >= self._remote_end(job, task, worker):
                 continue
             elsewhere = self._choose_elsewhere(other.job, other.task)
--- a/packages/poplarhilld/src/poplarhilld/locality/state.py
+++ b/packages/poplarhilld/src/poplarhilld/locality/state.py
@@ -211,7 +211,7 @@
             now, workers, lambda w: releases(now, w, state), state.times.slowdown
         )
         slot = timeline.earliest(cores, 0.0)
-        if slot is None:
+        if slot is None or not total:
             return _NO_PLACE_S
         queued = self._queued_core_s(now, state).get((rack, service), 0.0)
         return slot.start - now + queued / total
--- a/packages/poplarhilld/tests/locality/test_placing.py
+++ b/packages/poplarhilld/tests/locality/test_placing.py
@@ -78,6 +78,25 @@
     assert places(world, "longer") == ["r1"]
 
 
+# Guards against an end of the leader on a job that declares neither time nor cores, for
+# which the platform's format has a default of 0.
+def test_jobs_without_declared_time_or_cores_are_served(world: World) -> None:
+    world.submit("h1", data_job("a", tasks=3, run_s=0.9, left_s=4.0, route="slow"))
+    world.submit("h1", data_job("b", run_s=0.25))
+    world.run(0.2)
+    world.submit("h1", data_job("none", run_s=0.0, route="none"))
+    world.submit("h1", data_job("c", run_s=0.02, tasks=3))
+    world.submit("h1", data_job("no cores", cores=0.0))
+    for worker in ("w0", "w1"):
+        entry = world.workers[worker].entry._replace(room=Resources(0.0, 32768, 0))
+        world.workers[worker].entry = entry
+    leader = world.leaders["h1"]
+    world.perform("h1", leader.set_workers(world.now, world.now, world.entries))
+    assert leader.load(world.now).racks
+    world.run(1.5)
+    assert served(world, "none", "c", "no cores")
+
+
 # Load: jobs for the rack fill it. One without data would take a place there by its
 # tighter fit.
 def test_other_work_leaves_a_rack_in_demand(world: World) -> None:
