--- a/packages/poplarhilld/tests/locality/test_placing.py
+++ b/packages/poplarhilld/tests/locality/test_placing.py
@@ -1,6 +1,7 @@
 """Leaders of two workers in each of two racks; remote runs take twice as long."""
 
 from collections.abc import Callable
+from random import Random
 
 import pytest
 
@@ -255,3 +256,49 @@
     assert expected_end(0.1, 0.0, 0.2) == 0.2
     remaining = [expected_end(now, 0.0, 0.2) - now for now in (0.2, 0.4, 0.8)]
     assert remaining == pytest.approx([0.04, 0.24, 0.64])
+
+
+# Guards against exceptions, lost capacity and double runs while racks, workers and the
+# slowdown change under a load that at times exceeds the workers.
+@pytest.mark.parametrize("seed", range(6))
+def test_no_invariant_is_violated_under_random_changes(
+    entries: list, seed: int
+) -> None:
+    random = Random(seed)
+    world = World([SimulatedWorker(e, remote_slowdown=SLOWDOWN) for e in entries], seed)
+    leader = world.add_leader("h1", 1)
+    for number in range(150):
+        worker = random.choice(list(world.workers.values()))
+        match random.randrange(20):
+            case 0:
+                worker.unreachable = not worker.unreachable
+            case 1:
+                worker.broken = not worker.broken
+            case 2:
+                draining = not worker.entry.draining
+                worker.entry = worker.entry._replace(draining=draining)
+            case 3:
+                worker.entry = worker.entry._replace(rack=random.choice(("r1", "r2")))
+            case 4:
+                leader.set_remote_slowdown(random.choice((1.0, 1.5, 3.0)))
+            case 5:
+                evacuated = random.choice((frozenset(), frozenset({"dc1"})))
+                world.perform("h1", leader.set_evacuated(world.now, evacuated))
+            case 6:
+                world.crash(worker.entry.name, down_s=0.5)
+        world.perform("h1", leader.set_workers(world.now, world.now, world.entries))
+        rack = random.choice(("", "r1", "r1", "r2", "nowhere"))
+        run_s = random.choice((0.0, 0.05, 0.2, 0.9))
+        cores = random.choice((0.0, 4.0, 8.0, 12.0))
+        tasks = random.randint(1, 8)
+        handovers = random.choice((0, 0, 0, 1))
+        fields = {"run_s": run_s, "cores": cores, "tasks": tasks}
+        job = data_job(f"j{number}", rack, handovers=handovers, **fields)
+        world.submit("h1", job)
+        world.run(random.choice((0.01, 0.06, 0.2)))
+        assert len(leader.load(world.now).racks) <= 2
+    for worker in world.workers.values():
+        worker.unreachable = worker.broken = False
+    world.run(4.0)
+    assert not world.violations
+    assert not leader.jobs
