--- a/packages/poplarhilld/src/poplarhilld/entry/pages.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/pages.py
@@ -63,6 +63,11 @@
             metrics.shed.labels(source).set(count)
         for outcome, count in state.submissions.transfers.items():
             metrics.transfers.labels(outcome).set(count)
+        for place, count in state.leader.locality.placed.items():
+            metrics.runs_by_data.labels(place).set(count)
+        metrics.rack_waits.clear()
+        for rack, wait_s in state.load(now).racks:
+            metrics.rack_waits.labels(rack).set(wait_s)
         metrics.processor_s.set(processor_time_s())
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -1,5 +1,6 @@
 """Settings of an entry host behind the platform adapter, with leased workers."""
 
+import math
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -7,6 +8,7 @@
 
 from poplarhill.exceptions import SettingsError
 from poplarhill.types import Address
+from poplarhilld.locality import OFF
 from poplarhilld.lookahead import LookaheadMode
 
 _MS = 1000
@@ -29,6 +31,7 @@
     lease_ms: float = 1000.0
     grace_s: float = 6.0
     lookahead: LookaheadMode = LookaheadMode.AUTO
+    remote_slowdown: float | str = ""
 
 
 class EntrySettings(NamedTuple):
@@ -49,6 +52,8 @@
         lease_s: Longest lease that a worker grants, s.
         grace_s: Time from SIGTERM until the process is killed, s.
         lookahead: When placement considers what is waiting and what ends soon.
+        remote_slowdown: Factor on the run time of a task outside the rack of its data;
+            1 if the deployment gives none.
     """
 
     name: str
@@ -64,6 +69,7 @@
     lease_s: float = 1.0
     grace_s: float = 6.0
     lookahead: LookaheadMode = LookaheadMode.AUTO
+    remote_slowdown: float = OFF
 
     @classmethod
     def from_config(cls, value: Any) -> "EntrySettings":
@@ -98,6 +104,9 @@
         for name in ("cores", "core_speed", "grace_s"):
             if not getattr(fields, name) > 0:
                 problems.append(f"$.{name}: not above 0")
+        remote_slowdown = _remote_slowdown(fields.remote_slowdown)
+        if not OFF <= remote_slowdown < math.inf:
+            problems.append("$.remote_slowdown: neither empty nor a number from 1")
         if problems:
             raise SettingsError(tuple(problems))
         return cls(
@@ -108,6 +117,7 @@
             lease_s=lease_s,
             grace_s=fields.grace_s,
             lookahead=fields.lookahead,
+            remote_slowdown=remote_slowdown,
             **addresses,
         )
 
@@ -123,3 +133,16 @@
         except (OSError, msgspec.DecodeError) as error:
             raise SettingsError((f"{path}: {error}",)) from error
         return cls.from_config(value)
+
+
+def _remote_slowdown(value: float | str) -> float:
+    """Return the slowdown in a settings file; not a number if it is invalid.
+
+    The template puts it in quotes, since it is an empty text on deployments without it.
+    """
+    if value == "":
+        return OFF
+    try:
+        return float(value)
+    except ValueError:
+        return math.nan
--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -25,6 +25,8 @@
     LeasedWorker,
     Run,
 )
+from poplarhilld.locality import Placement, PlacementPass, Waiting
+from poplarhilld.lookahead import Plan
 
 
 class Assignment:
@@ -77,12 +79,15 @@
             )
         if plan is not None:
             waiting = plan.order(waiting)
+        near_data: PlacementPass | None = None
+        if self._state.locality.active:
+            near_data = self._begin_pass(now, capacity, capacity_short, fast, plan)
         for job in waiting:
             if least_cores > max_free:
                 break
             if job.least_cores > max_free:
                 if plan is not None:
-                    actions += plan.reserve(job)
+                    actions += _reserve(plan, job, near_data)
                 continue
             avoid_fast = capacity_short and tolerates_slow_worker(now, job)
             max_slowdown = max_slowdown_for(now, job, fast)
@@ -91,28 +96,83 @@
                     continue
                 if task.spec.needs.cores > max_free:
                     if plan is not None:
-                        actions += plan.reserve(job)
+                        actions += _reserve(plan, job, near_data)
                     break
-                closed = () if plan is None else plan.closed_to(job, task)
-                worker = choose_worker(
-                    job, task, capacity, avoid_fast, max_slowdown, closed
-                )
+                placed_job, placed_task = job, task
+                worker: LeasedWorker | None = None
+                fits_elsewhere = False
+                if near_data is None:
+                    closed = () if plan is None else plan.closed_to(job, task)
+                    worker = choose_worker(
+                        job, task, capacity, avoid_fast, max_slowdown, closed
+                    )
+                else:
+                    match near_data.place(job, task):
+                        case Placement(placed_job, placed_task, worker):
+                            pass
+                        case Waiting(fits_elsewhere):
+                            pass
                 if worker is None:
-                    if plan is not None:
-                        actions += plan.reserve(job)
+                    if plan is not None and not fits_elsewhere:
+                        actions += _reserve(plan, job, near_data)
                     if max_slowdown < math.inf:
                         # After a while the job accepts any worker.
                         self._state.placement_up_to_date = False
+                    if near_data is not None and task.spec.data_rack:
+                        continue  # it may wait for its rack; a later one may not
                     break
                 free_cores = capacity.of(worker.entry.name).cores
-                actions += self._start_run(now, job, task, worker, capacity)
+                actions += self._start_run(
+                    now, placed_job, placed_task, worker, capacity
+                )
                 if limited and not self._state.health.may_start(now, worker.entry.name):
                     # Ejected workers get one probe at a time.
                     capacity.remove(worker.entry.name)
+                    if near_data is not None:
+                        near_data.drop(worker)
                     self._state.placement_up_to_date = False
                 if free_cores + TOLERANCE >= max_free:
                     max_free = capacity.max_free_cores
-        return actions
+        return actions if near_data is None else actions + near_data.lines
+
+    def _begin_pass(
+        self,
+        now: float,
+        capacity: FreeCapacity,
+        capacity_short: bool,
+        fast: float,
+        plan: Plan | None,
+    ) -> PlacementPass:
+        """Return what places tasks near their data.
+
+        Args:
+            now: The leader's clock, s.
+            capacity: Free capacity of the workers that may take tasks now.
+            capacity_short: Whether so little of it is free that fast workers fill up.
+            fast: Slowdown of the fast workers in use.
+            plan: Decisions of a round that looks ahead, if it does.
+        """
+
+        def closed_to(job: LedJob, task: LedTask, remote: bool) -> Iterable[str]:
+            if plan is None:
+                return ()
+            factor = self._state.locality.slowdown if remote else 1.0
+            return plan.closed_to(job, task, factor)
+
+        def choose(
+            job: LedJob, task: LedTask, workers: Iterable[LeasedWorker], remote: bool
+        ) -> LeasedWorker | None:
+            closed = set(capacity.names)
+            closed.difference_update(worker.entry.name for worker in workers)
+            closed.update(closed_to(job, task, remote))
+            # A remote run takes long enough to need a fast worker.
+            avoid_fast = (
+                capacity_short and not remote and tolerates_slow_worker(now, job)
+            )
+            max_slowdown = max_slowdown_for(now, job, fast)
+            return choose_worker(job, task, capacity, avoid_fast, max_slowdown, closed)
+
+        return PlacementPass(now, self._state, capacity.workers, choose, closed_to)
 
     def _assign_suspects(
         self,
@@ -189,6 +249,9 @@
         if not job.run_count:
             self._state.history.note_ordered(now, job.job_id)
         job.run_count += 1
+        task.run_factor = self._state.locality.factor(task.spec, worker.entry)
+        data = self._state.locality.place(task.spec, worker.entry)
+        self._state.locality.placed[data] += 1
         self._state.runs.note_started(now, run, task, name)
         self._state.lookahead.note_start(now, name, run, job, task)
         self._state.health.note_start(name, run)
@@ -199,6 +262,14 @@
             round(free_cores, 3),
             round(now - job.arrived_at, 4),
             len(capacity),
+            data.value,
         )
         order = Order(run, job.offer.body, deadline_s, worker.token)
         return [LogDecision(placed), StartRun(worker.entry, order)]
+
+
+def _reserve(
+    plan: Plan, job: LedJob, near_data: PlacementPass | None
+) -> list[LogDecision]:
+    """Reserve places for a job that fits nowhere, in the rack of its data if known."""
+    return plan.reserve(job, None if near_data is None else near_data.near)
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -98,6 +98,8 @@
         switched = self._state.lookahead.note_offer(offer, self._state.usable_workers())
         job.set_core_second_cost(core_second_cost(now, job, self._state.demand))
         wait_s = self._expected_wait_s(now, job)
+        if self._state.locality.on:
+            wait_s = self._state.locality.admit(now, job, self._state, wait_s)
         refusal = self._refusal_for(now, job, wait_s)
         if refusal is not None and not self._state.runs.orphans_of(job):
             self._state.suspects.drop_job(offer.job_id)
@@ -174,7 +176,7 @@
             return
         for job in self._state.queue.jobs:
             if job.offer.route == offer.route:
-                job.due -= timeout_s - longest_timeout_s
+                job.move_due(longest_timeout_s - timeout_s)
 
     def _expected_wait_s(self, now: float, job: LedJob) -> float:
         cores = self._state.capacity().of_service(job.offer.service)
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -62,8 +62,7 @@
         task = job.task(run.task)
         worker.set_needs(run, task.spec.needs)
         if task.waiting and not job.stopping:
-            self._state.runs.note_started(now, run, task, name, adopted=True)
-            self._state.lookahead.note_start(now, name, run, job, task)
+            self._adopt(now, worker, run, job, task)
             return []
         return self._closer.stop_run(now, worker, run)
 
@@ -76,10 +75,17 @@
             worker.set_needs(run, task.spec.needs)
             if task.waiting:
                 self._state.runs.note_closed(name, run)
-                self._state.runs.note_started(now, run, task, name, adopted=True)
-                self._state.lookahead.note_start(now, name, run, job, task)
+                self._adopt(now, worker, run, job, task)
                 job.run_count += 1
 
+    def _adopt(
+        self, now: float, worker: LeasedWorker, run: Run, job: LedJob, task: LedTask
+    ) -> None:
+        name = worker.entry.name
+        task.run_factor = self._state.locality.factor(task.spec, worker.entry)
+        self._state.runs.note_started(now, run, task, name, adopted=True)
+        self._state.lookahead.note_start(now, name, run, job, task)
+
     def _handle_closed_run(
         self, now: float, worker: LeasedWorker, run: Run, outcome: RunOutcome
     ) -> list[LeaderAction]:
@@ -102,8 +108,9 @@
         match outcome:
             case RunOutcome.DONE:
                 if not task.adopted:
-                    task.took_s = took_s
-                    completed = CompletedRun(name, task.spec.run_time_s, took_s)
+                    # A remote run takes longer, and its worker is not slow.
+                    task.took_s = took_s / task.run_factor
+                    completed = CompletedRun(name, task.spec.run_time_s, task.took_s)
                     job.completed_runs.append(completed)
                 if self._state.health.note_success(now, name, run):
                     actions.append(
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -34,6 +34,7 @@
     Run,
     TokenSource,
 )
+from poplarhilld.locality import Locality
 from poplarhilld.lookahead import LOOKAHEAD_OFF, LookaheadOptions
 from poplarhilld.overload import OverloadControl
 from poplarhilld.peers.messages import (
@@ -104,6 +105,11 @@
         """Names of the ejected workers; they get probes only."""
         return self._state.health.ejected
 
+    @property
+    def locality(self) -> Locality:
+        """What this leader knows of the racks that hold the data of jobs."""
+        return self._state.locality
+
     @property
     def waiting(self) -> dict[str, int]:
         """Count of jobs without any run so far, by route."""
@@ -123,7 +129,10 @@
                 if not job.run_count
             ]
         )
-        return Load(capacity.total_cores, capacity.usable_free_cores, queued)
+        racks = self._state.locality.rack_loads(now, self._state)
+        return Load(
+            capacity.total_cores, capacity.usable_free_cores, queued, racks=racks
+        )
 
     def set_workers(
         self,
@@ -180,6 +189,11 @@
         self._state.placement_up_to_date = False
         return self._assignment.assign(now) + self._evacuated.give_up(now)
 
+    def set_remote_slowdown(self, slowdown: float) -> None:
+        """Set the factor on run times outside the rack of the data; 1 is off."""
+        self._state.locality.set_slowdown(slowdown, self._state)
+        self._state.placement_up_to_date = False
+
     def resign(self) -> list[LeaderAction]:
         """Release all workers and drop all jobs; the next leader adopts the runs."""
         actions: list[LeaderAction] = []
@@ -325,6 +339,7 @@
             if name in self._state.workers:
                 actions += self._closer.stop_run(now, self._state.workers[name], run)
         actions += self._offers.check_deadlines(now)
+        self._state.locality.review(now, self._state)
         for job in self._state.suspects.jobs:
             actions += self._outcomes.check_suspects(now, job)
         losses = self._state.suspects.take_unshared()
--- a/packages/poplarhilld/src/poplarhilld/leading/transfer.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/transfer.py
@@ -33,10 +33,10 @@
     if (
         report.error != ErrorKind.OVERLOADED.value
         or not report.not_run
-        or now + job.run_s > job.deadline
+        or now + job.home_run_s > job.deadline
         or len(subscribers) != 1
         or state.runs.orphans_of(job)
         or any(state.history.is_done(task.name) for task in job.tasks)
     ):
         return report
-    return report._replace(elsewhere=True, wait_s=wait_s, run_s=job.run_s)
+    return report._replace(elsewhere=True, wait_s=wait_s, run_s=job.home_run_s)
--- a/packages/poplarhilld/src/poplarhilld/lookahead/plan.py
+++ b/packages/poplarhilld/src/poplarhilld/lookahead/plan.py
@@ -1,11 +1,13 @@
 """Decisions of one round of placement that looks ahead."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
 from typing import TYPE_CHECKING
 
+from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.decisions import LogDecision
+from poplarhilld.leases import LeasedWorker
 from poplarhilld.lookahead.messages import PlacesReserved
 from poplarhilld.lookahead.options import LookaheadOptions
 from poplarhilld.lookahead.reservations import (
@@ -96,8 +98,18 @@
             self._routes[route] = found
         return found
 
-    def reserve(self, job: "LedJob") -> list[LogDecision]:
-        """Reserve places for a job that fits nowhere, and return the log lines."""
+    def reserve(
+        self,
+        job: "LedJob",
+        near: Callable[["LedTask"], Iterable[LeasedWorker]] | None = None,
+    ) -> list[LogDecision]:
+        """Reserve places for a job that fits nowhere, and return the log lines.
+
+        Args:
+            job: The job.
+            near: Returns the workers in the rack of a task's data; places are reserved
+                on these if there are any.
+        """
         if (
             not self._options.reservations
             or len(self._jobs) >= MAX_JOBS
@@ -110,6 +122,13 @@
             return []
         self._jobs.add(job.job_id)
         step = ready[0].spec
+        preferred: frozenset[str] = frozenset()
+        if near is not None:
+            preferred = frozenset(
+                worker.entry.name
+                for worker in near(ready[0])
+                if _could_run(worker.entry, job, step)
+            )
         if self._upcoming is None:
             self._upcoming = self._timeline.upcoming(
                 self._now, self._capacity.names, self._now + HORIZON_S
@@ -119,7 +138,7 @@
             step.needs.cores,
             min(len(ready), MAX_PLACES),
             min(self._now + HORIZON_S, latest),
-            lambda name: self._free_cores(name, job, step),
+            lambda name: self._free_cores(name, job, step, preferred),
             self._upcoming,
             self._reserved,
         )
@@ -140,26 +159,51 @@
         )
         return [LogDecision(line)]
 
-    def _free_cores(self, name: str, job: "LedJob", step: StepSpec) -> float | None:
-        """Return the free cores of a worker; `None` if it can't run a step."""
+    def _free_cores(
+        self, name: str, job: "LedJob", step: StepSpec, preferred: frozenset[str]
+    ) -> float | None:
+        """Return the free cores of a worker; `None` if no place there is wanted.
+
+        Args:
+            name: Name of the worker.
+            job: The job.
+            step: Step of the job that it has to be able to run.
+            preferred: Names of the only workers that count, unless there are none.
+        """
+        if preferred and name not in preferred:
+            return None
         entry = self._capacity.worker(name).entry
-        if (
-            entry.service != job.offer.service
-            or entry.room.cores < step.needs.cores
-            or (step.label and step.label not in entry.labels)
-        ):
+        if not _could_run(entry, job, step):
             return None
         return self._capacity.of(name).cores
 
-    def closed_to(self, job: "LedJob", task: "LedTask") -> frozenset[str]:
-        """Return the workers whose reserved places a task would delay."""
+    def closed_to(
+        self, job: "LedJob", task: "LedTask", run_factor: float = 1.0
+    ) -> frozenset[str]:
+        """Return the workers whose reserved places a task would delay.
+
+        Args:
+            job: Job of the task.
+            task: The task.
+            run_factor: Factor on its run time because of where its data are.
+        """
         if not self._reserved:
             return frozenset()
         cores = task.spec.needs.cores
         _, deviation = self._route(job.offer.route)
-        end = self._now + job.expected_s(task) * math.exp(_HIGH_DEVIATIONS * deviation)
+        run_s = job.home_step_s[task.step] * run_factor
+        end = self._now + run_s * math.exp(_HIGH_DEVIATIONS * deviation)
         return frozenset(
             name
             for name, place in self._reserved.items()
             if not place.admits(cores, end)
         )
+
+
+def _could_run(entry: WorkerEntry, job: "LedJob", step: StepSpec) -> bool:
+    """Return whether a worker without other tasks has the cores for a step."""
+    return (
+        entry.service == job.offer.service
+        and entry.room.cores >= step.needs.cores
+        and (not step.label or step.label in entry.labels)
+    )
--- a/packages/poplarhilld/src/poplarhilld/submissions/choice.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/choice.py
@@ -5,7 +5,8 @@
 
 import xxhash
 
-from poplarhilld.peers.messages import Load
+from poplarhilld.locality import OFF, choose_by_data
+from poplarhilld.peers.messages import Load, StepSpec
 from poplarhilld.submissions.lateness import without_late
 from poplarhilld.submissions.messages import LeaderView
 
@@ -67,7 +68,11 @@
 
 
 def choose_leader(
-    leaders: Mapping[str, LeaderView], needs_cores: float, job_id: str
+    leaders: Mapping[str, LeaderView],
+    needs_cores: float,
+    job_id: str,
+    steps: tuple[StepSpec, ...] = (),
+    remote_slowdown: float = OFF,
 ) -> Choice:
     """Choose the leader at which the job is expected to end first.
 
@@ -82,8 +87,14 @@
         leaders: The leaders by name.
         needs_cores: Cores that all tasks of the job need together.
         job_id: Id of the job.
+        steps: Steps of the job.
+        remote_slowdown: Factor on run times outside the rack of the data.
     """
     leaders = without_late(leaders)
+    if remote_slowdown > OFF and any(step.data_rack for step in steps):
+        found = choose_by_data(leaders, steps, remote_slowdown, job_id, expected_wait_s)
+        if found is not None:
+            return Choice(*found)
     names = sorted(
         leaders, key=lambda name: xxhash.xxh32_intdigest(f"{job_id}/{name}".encode())
     )
--- a/packages/poplarhilld/src/poplarhilld/submissions/transfer.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/transfer.py
@@ -4,7 +4,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from poplarhilld.peers.messages import JobEnded
+from poplarhilld.locality import OFF, time_lost_by_data_s
+from poplarhilld.peers.messages import JobEnded, StepSpec
 from poplarhilld.submissions.choice import expected_end_s, has_free_cores
 from poplarhilld.submissions.lateness import without_late
 from poplarhilld.submissions.messages import LeaderView
@@ -59,6 +60,8 @@
     needs_cores: float,
     left_s: float,
     report: JobEnded,
+    steps: tuple[StepSpec, ...] = (),
+    remote_slowdown: float = OFF,
 ) -> dict[str, LeaderView]:
     """Return the leaders that a job may be offered to, without those that had it.
 
@@ -70,6 +73,8 @@
         needs_cores: Cores that all tasks of the job need together.
         left_s: Time until its deadline, s.
         report: Refusal of the leader that gave it back.
+        steps: Steps of the job.
+        remote_slowdown: Factor on run times outside the rack of the data.
     """
     if left_s < report.run_s:
         return {}
@@ -78,6 +83,8 @@
         if leader.load.late or leader.load.cores <= 0:
             continue
         end_s = expected_end_s(leader, needs_cores, report.run_s)
+        if remote_slowdown > OFF:
+            end_s += time_lost_by_data_s(leader, steps, remote_slowdown)
         shorter = end_s - report.run_s <= _CLEARLY_SHORTER * report.wait_s
         if end_s <= left_s and (shorter or has_free_cores(leader.load, needs_cores)):
             targets[name] = leader
