--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -22,6 +22,7 @@
     LeasedWorker,
     TokenSource,
 )
+from poplarhilld.locality import Locality
 from poplarhilld.lookahead import Lookahead, LookaheadOptions
 
 
@@ -65,6 +66,7 @@
         health: Workers that are ejected or on probation.
         suspects: Tasks that may crash their workers.
         lookahead: Placement that considers what is waiting and what ends soon.
+        locality: What is known of the racks that hold the data of jobs.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         self.health = WorkerHealth()
         self.suspects = Suspects()
         self.lookahead = Lookahead(lookahead, self.times, self.spread)
+        self.locality = Locality()
 
     def note_worker_change(self) -> None:
         """Work out the usable workers anew when they are next asked for.
--- a/packages/poplarhilld/src/poplarhilld/lookahead/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/lookahead/__init__.py
@@ -5,6 +5,7 @@
     LookaheadMode,
     LookaheadOptions,
 )
+from poplarhilld.lookahead.plan import Plan
 from poplarhilld.lookahead.state import Lookahead
 
-__all__ = ["LOOKAHEAD_OFF", "Lookahead", "LookaheadMode", "LookaheadOptions"]
+__all__ = ["LOOKAHEAD_OFF", "Lookahead", "LookaheadMode", "LookaheadOptions", "Plan"]
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -171,6 +171,12 @@
   queuedCoreS @2 :Float32;
   busy @3 :Float32;
   late @4 :Bool;
+  racks @5 :List(RackLoad);
+}
+
+struct RackLoad {
+  rack @0 :Text;
+  waitS @1 :Float64;
 }
 
 struct Beat {
@@ -217,6 +223,7 @@
   ledDataCentres @4 :List(Text);
   tenure @5 :UInt64;
   load @6 :Load;
+  ledShards @7 :List(Text);
 }
 
 struct Frame {
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -4,6 +4,7 @@
 
 from poplarhill.types import Resources
 from poplarhilld.evacuation.messages import Evacuation
+from poplarhilld.locality.messages import RackLoad
 
 
 class MemberState(NamedTuple):
@@ -406,6 +407,8 @@
             in tenths.
         late: Whether the host refuses new jobs because its event loop is late, or
             did so in the last second.
+        racks: Racks with workers of the leader in which a task has to wait; at most 16,
+            and none where the settings give no slowdown.
     """
 
     cores: float = 0.0
@@ -413,6 +416,7 @@
     queued_core_s: float = 0.0
     busy: float = 0.0
     late: bool = False
+    racks: tuple[RackLoad, ...] = ()
 
 
 class LeaderDigest(NamedTuple):
@@ -426,6 +430,7 @@
         led_data_centres: Data centres in which it leads shards.
         tenure: Epoch since which it has led without a break.
         load: Load that it reported last.
+        led_shards: The shards that it leads, if tasks are placed near their data.
     """
 
     name: str
@@ -435,6 +440,7 @@
     led_data_centres: tuple[str, ...]
     tenure: int
     load: Load
+    led_shards: tuple[str, ...] = ()
 
 
 class Beat(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -6,6 +6,7 @@
 
 from poplarhill.exceptions import ANSWERS, ErrorKind, Failure, RunState
 from poplarhilld.decisions import LogDecision
+from poplarhilld.locality import OFF
 from poplarhilld.peers.messages import (
     JobEnded,
     JobOffer,
@@ -87,9 +88,13 @@
     """Jobs that callers submitted to this host and that are not yet answered.
 
     Each submission has a number of its own; several may share a job id.
+
+    Attributes:
+        remote_slowdown: Factor on run times outside the rack of the data; 1 is off.
     """
 
     def __init__(self) -> None:
+        self.remote_slowdown = OFF
         self._jobs: dict[int, _PendingJob] = {}
         self._by_id: dict[str, set[int]] = {}
         self._leaders: Mapping[str, LeaderView] = {}
@@ -245,7 +250,11 @@
         if name not in self._leaders:
             leaders = targets or self._candidates(job)
             name, reason = choose_leader(
-                leaders, job.needs_cores, job.submission.job_id
+                leaders,
+                job.needs_cores,
+                job.submission.job_id,
+                job.submission.steps,
+                self.remote_slowdown,
             )
         job.next_offer = now + REPEAT_INTERVAL_S
         leader = self._leaders.get(name)
@@ -382,7 +391,14 @@
         ):
             others = self._leaders_beside(job.refused_by)
             left_s = job.deadline - now
-            targets = find_targets(others, job.needs_cores, left_s, report)
+            targets = find_targets(
+                others,
+                job.needs_cores,
+                left_s,
+                report,
+                job.submission.steps,
+                self.remote_slowdown,
+            )
         if not targets:
             self._transfers.counts["stands"] += 1
             return []
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -12,6 +12,7 @@
 from poplarhill.types import Resources
 from poplarhilld import peers
 from poplarhilld.evacuation import Evacuation
+from poplarhilld.locality import RackLoad
 from poplarhilld.peers.codec import Envelope, FrameError, decode, encode
 
 MEMBER = peers.MemberState("h1", "127.0.0.1", 7001, "dc1", 5, 9, False)
@@ -22,7 +23,7 @@
     known=("10.0.0.2:7001",),
     version=3,
     tenure=9,
-    load=peers.Load(16.0, 0.5, 0.25),
+    load=peers.Load(16.0, 0.5, 0.25, racks=(RackLoad("r1", 0.25),)),
 )
 STEP = peers.StepSpec(8, Resources(6.5, 64, 1), 0.06, (0,), "gpu", 2, "r1")
 LOST = peers.LostWorker("w1", 1_700_000_000_123)
@@ -53,6 +54,14 @@
         HEARTBEAT._replace(evacuations=(Evacuation("dc1", 5),), evacuations_end=7),
         peers.JobEnded("j1", "overloaded", "", 1.5, True, True, (), 0.5, 0.2),
         HEARTBEAT._replace(load=peers.Load(16.0, 0.5, 0.25, 1.0, late=True)),
+        HEARTBEAT._replace(
+            leaders=(
+                peers.LeaderDigest(
+                    *("h2", "10.0.0.2", 7001, "dc2", ("dc2",), 9, HEARTBEAT.load),
+                    led_shards=("dc2/0", "dc2/1"),
+                ),
+            )
+        ),
     ],
     ids=lambda message: type(message).__name__,
 )
@@ -130,6 +139,8 @@
     *("evacuations @", "evacuationsEnd @", "elsewhere @", "done @6"),
     # Of the overload of hosts and of the transfer of jobs, which came after it.
     *("late @4", "waitS @7", "runS @8", "number @9"),
+    # Of placement near the data, which came last.
+    *("racks @5", "ledShards @7"),
 )
 
 
@@ -158,3 +169,25 @@
     assert done.stdout.startswith("h1 {")
     assert "evacuat" not in done.stdout and "elsewhere" not in done.stdout
     assert "'late'" not in done.stdout and "waitS" not in done.stdout
+    assert "racks" not in done.stdout
+
+
+# Builds from before placement near the data must read the other fields beside its own:
+# the two took the same number in `Load` before they were brought together.
+def test_an_older_peer_ignores_the_fields_of_placement_near_the_data(tmp_path) -> None:
+    schema = Path(peers.__file__).with_name("frames.capnp").read_text()
+    new = ("racks @5", "ledShards @7")
+    lines = [line for line in schema.splitlines() if line.strip()[:1] != "#"]
+    old = tmp_path / "frames.capnp"
+    old.write_text("\n".join(x for x in lines if not x.strip().startswith(new)))
+    load = peers.Load(16.0, 0.5, 0.25, 1.0, late=True, racks=(RackLoad("r1", 0.25),))
+    digest = peers.LeaderDigest(
+        *("h2", "10.0.0.2", 7001, "dc2", ("dc2",), 9, load, ("dc2/0", "dc2/1"))
+    )
+    message = HEARTBEAT._replace(load=load, leaders=(digest,))
+    frame = encode(Envelope("h1", message)).hex()
+    command = [sys.executable, "-c", DECODE_OLD, str(old), frame]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.count("'late': True") == 2
+    assert "racks" not in done.stdout and "dc2/0" not in done.stdout
--- a/packages/poplarhilld/tests/submissions/test_transfer.py
+++ b/packages/poplarhilld/tests/submissions/test_transfer.py
@@ -8,6 +8,7 @@
 from poplarhill.types import Resources
 from poplarhill_dev.leased import SimulatedWorker, World, simulated_job, worker_entry
 from poplarhilld.catalogue import Route
+from poplarhilld.locality import RackLoad
 from poplarhilld.peers import JobEnded, Load, StepSpec
 from poplarhilld.submissions import (
     AnswerCaller,
@@ -201,3 +202,29 @@
     world.add_leader("h1", 1)
     world.run(0.2)
     return world
+
+
+# The job needs 0.2 s near its data and 0.6 s elsewhere; 0.5 s are left. Guards against
+# a transfer to a leader where it would run remote for longer than its caller waits.
+@pytest.mark.parametrize(
+    ("racks", "waits", "host"),
+    [
+        ({}, (), None),
+        ({"r2": 64.0}, (), None),
+        ({"r1": 64.0}, (), "h2"),
+        ({"r1": 64.0}, (RackLoad("r1", 0.35),), None),
+    ],
+)
+def test_a_transfer_counts_the_run_time_by_where_the_data_are(
+    racks, waits, host
+) -> None:
+    submissions = Submissions()
+    submissions.remote_slowdown = 3.0
+    submissions.update_leaders(0.0, {"h1": FULL})
+    steps = (StepSpec(4, Resources(6.8, 64, 0), 0.2, data_rack="r1"),)
+    submissions.submit(0.0, 1, Submission("a", ROUTE, "{}", steps, 0.6))
+    other = FREE._replace(racks=racks, load=FREE.load._replace(racks=waits))
+    submissions.update_leaders(0.0, {"h1": FULL, "h2": other})
+    actions = submissions.apply_report(0.1, "h1", GIVEN_BACK)
+    offers = of_type(actions, OfferToLeader)
+    assert [offer.host for offer in offers] == ([host] if host else [])
