--- a/packages/poplarhill-dev/src/poplarhill_dev/loop_model.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/loop_model.py
@@ -70,7 +70,7 @@
     Args:
         costs: What the work takes.
         rate: Returns how many jobs arrive per second at a time; they do so at random.
-        patience_s: How long a caller waits, s.
+        caller_timeout_s: How long a caller waits, s.
         run_s: Time that a job waits for its workers, s.
         priority: Returns the priority of the job of a number.
         controlled: Whether the decisions of the overload control are obeyed.
@@ -81,7 +81,7 @@
         self,
         costs: Costs,
         rate: Callable[[float], float],
-        patience_s: float = 1.5,
+        caller_timeout_s: float = 1.5,
         run_s: float = 0.2,
         priority: Callable[[int], int] = lambda number: 0,
         controlled: bool = True,
@@ -89,7 +89,7 @@
     ) -> None:
         self._costs = costs
         self._rate = rate
-        self._patience_s = patience_s
+        self._caller_timeout_s = caller_timeout_s
         self._run_s = run_s
         self._priority = priority
         self._controlled = controlled
@@ -177,7 +177,7 @@
         end = self._now + self._costs.later
         if left:
             self._post(end + self._run_s / 2, "later", arrived, left - 1)
-        elif end - arrived <= self._patience_s:
+        elif end - arrived <= self._caller_timeout_s:
             self._result.served.append(arrived)
         else:
             self._result.late.append(arrived)
