Derive the wait after a handover from the callers' resend delay

What callers saw: tasks of a job that was handed over ran twice at the same time if their entry host was a distant one to the former leader, and a job that was handed over waited for 1.8 s, longer than most callers do.

Cause: the next leader's wait followed from the time until the former one gives up a lost host in a small fleet (GIVE_UP_DELAY_S and two heartbeats). In a fleet of more than 12 hosts a distant host is missed after four heartbeats of 3 s.

Evidence: the takeover test no longer tells the former leader that the host is lost; the host only stops to repeat its offer to it, as real hosts do.

Change: the wait is the lifetime of an offer and the time to stop runs, 1.3 s. Offers are repeated three times within their lifetime if that is shorter than usual.

--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -10,10 +10,12 @@
 from poplarhill.types import Address
 from poplarhilld.locality import OFF
 from poplarhilld.lookahead import LookaheadMode
+from poplarhilld.peers.offer_limits import RESEND_DELAY_S
 
 _MS = 1000
 _SHORTEST_LEASE_S = 0.6  # a renewal takes up to 0.4 s
 _LONGEST_LEASE_S = 60.0  # a longer one would leave a lost worker unused for too long
+_SHORTEST_RESEND_DELAY_S = 0.5  # offers have to be repeated, and runs to be stopped
 
 
 class _File(msgspec.Struct, forbid_unknown_fields=True):
@@ -32,6 +34,7 @@
     grace_s: float = 6.0
     lookahead: LookaheadMode = LookaheadMode.AUTO
     remote_slowdown: float | str = ""
+    resend_ms: float | str = ""
 
 
 class EntrySettings(NamedTuple):
@@ -54,6 +57,8 @@
         lookahead: When placement considers what is waiting and what ends soon.
         remote_slowdown: Factor on the run time of a task outside the rack of its data;
             1 if the deployment gives none.
+        resend_delay_s: Shortest time after which callers send a job again that got no
+            answer, s.
     """
 
     name: str
@@ -70,6 +75,7 @@
     grace_s: float = 6.0
     lookahead: LookaheadMode = LookaheadMode.AUTO
     remote_slowdown: float = OFF
+    resend_delay_s: float = RESEND_DELAY_S
 
     @classmethod
     def from_config(cls, value: Any) -> "EntrySettings":
@@ -104,9 +110,13 @@
         for name in ("cores", "core_speed", "grace_s"):
             if not getattr(fields, name) > 0:
                 problems.append(f"$.{name}: not above 0")
-        remote_slowdown = _remote_slowdown(fields.remote_slowdown)
+        remote_slowdown = _number(fields.remote_slowdown, OFF)
         if not OFF <= remote_slowdown < math.inf:
             problems.append("$.remote_slowdown: neither empty nor a number from 1")
+        resend_delay_s = _number(fields.resend_ms, RESEND_DELAY_S * _MS) / _MS
+        if not _SHORTEST_RESEND_DELAY_S <= resend_delay_s < math.inf:
+            least_ms = _SHORTEST_RESEND_DELAY_S * _MS
+            problems.append(f"$.resend_ms: neither empty nor {least_ms:g} or more")
         if problems:
             raise SettingsError(tuple(problems))
         return cls(
@@ -118,6 +128,7 @@
             grace_s=fields.grace_s,
             lookahead=fields.lookahead,
             remote_slowdown=remote_slowdown,
+            resend_delay_s=resend_delay_s,
             **addresses,
         )
 
@@ -135,13 +146,13 @@
         return cls.from_config(value)
 
 
-def _remote_slowdown(value: float | str) -> float:
-    """Return the slowdown in a settings file; not a number if it is invalid.
+def _number(value: float | str, default: float) -> float:
+    """Return an optional number in a settings file; not a number if it is invalid.
 
     The template puts it in quotes, since it is an empty text on deployments without it.
     """
     if value == "":
-        return OFF
+        return default
     try:
         return float(value)
     except ValueError:
--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -16,6 +16,7 @@
 from poplarhilld.lookahead import LookaheadOptions
 from poplarhilld.overload import OverloadControl
 from poplarhilld.peers.messages import LeaderDigest, Load
+from poplarhilld.peers.offer_limits import OfferLimits
 from poplarhilld.shards import Hosts, LocalHost, data_centre
 from poplarhilld.submissions import LeaderView, Submissions
 
@@ -61,14 +62,16 @@
         )
         self.hosts = Hosts(own_host, settings.seeds, tokens, now)
         self.overload = OverloadControl(now, settings.cores)
+        limits = OfferLimits.from_resend_delay(settings.resend_delay_s)
         self.leader = Leader(
             tokens,
             settings.lease_s,
             LookaheadOptions(settings.lookahead),
             self.overload,
             settings.name,
+            limits,
         )
-        self.submissions = Submissions()
+        self.submissions = Submissions(limits)
         self.outcomes: dict[int, curio.Queue] = {}
         self.catalogue = Catalogue()
         self.registry = Registry()
--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -228,7 +228,11 @@
             if now >= job.offer_lapses_at:
                 continue  # nobody may wait for it any more
             if job.offer.handovers and must_wait(
-                now, job, bool(self._state.not_led_here), self._state.workers.values()
+                now,
+                job,
+                bool(self._state.not_led_here),
+                self._state.workers.values(),
+                self._state.limits,
             ):
                 # The wait ends without an event.
                 self._state.placement_up_to_date = False
--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -4,7 +4,6 @@
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.closing import JobCloser
 from poplarhilld.leading.fitness import SILENCE_TIMEOUT_S
-from poplarhilld.leading.handover import HANDOVER_WAIT_S
 from poplarhilld.leading.job import LedTask
 from poplarhilld.leading.messages import (
     LeaderAction,
@@ -206,7 +205,8 @@
         if worker.fenced:
             if (
                 name not in self._state.entries
-                and now - self._state.reclaim_at[name] > HANDOVER_WAIT_S
+                and now - self._state.reclaim_at[name]
+                > self._state.limits.runs_ended_after_s
             ):
                 # By now the other leader has stopped or adopted the runs there.
                 return self.release(name, "led by another host or no longer registered")
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -254,7 +254,11 @@
         if now >= max(job.offer_lapses_at, self._lapse_check_at):
             return self._close_lapsed(now, job)
         if job.offer.handovers and waits_too_long(
-            now, job, bool(self._state.not_led_here), self._state.workers.values()
+            now,
+            job,
+            bool(self._state.not_led_here),
+            self._state.workers.values(),
+            self._state.limits,
         ):
             detail = "its leader was lost, and its tasks may still run there"
             report = job_ended(job, ErrorKind.WORKER_LOST, detail)
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -15,6 +15,7 @@
     JobWithdrawn,
     OfferedJob,
 )
+from poplarhilld.peers.offer_limits import DEFAULT_LIMITS, OfferLimits
 from poplarhilld.submissions.choice import choose_leader
 from poplarhilld.submissions.messages import (
     AnswerCaller,
@@ -35,6 +36,7 @@
 )
 
 REPEAT_INTERVAL_S = 0.3  # delay that a lost offer or report causes
+_REPEATS = 3  # of an offer within its lifetime
 # 0.6 s to detect that a leader is lost, plus the time until a successor takes over.
 LEADERLESS_TIMEOUT_S = 1.2
 _NO_LEADER_RETRY_AFTER_S = 1.0  # a new leader is known after about a second
@@ -89,12 +91,16 @@
 
     Each submission has a number of its own; several may share a job id.
 
+    Args:
+        limits: How long an offer keeps a job at its leader.
+
     Attributes:
         remote_slowdown: Factor on run times outside the rack of the data; 1 is off.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: OfferLimits = DEFAULT_LIMITS) -> None:
         self.remote_slowdown = OFF
+        self._repeat_interval_s = min(REPEAT_INTERVAL_S, limits.lifetime_s / _REPEATS)
         self._jobs: dict[int, _PendingJob] = {}
         self._by_id: dict[str, set[int]] = {}
         self._leaders: Mapping[str, LeaderView] = {}
@@ -256,7 +262,7 @@
                 job.submission.steps,
                 self.remote_slowdown,
             )
-        job.next_offer = now + REPEAT_INTERVAL_S
+        job.next_offer = now + self._repeat_interval_s
         leader = self._leaders.get(name)
         if leader is None:
             return self._wait_for_leader(now, job)
--- a/packages/poplarhilld/tests/entry/test_settings.py
+++ b/packages/poplarhilld/tests/entry/test_settings.py
@@ -82,3 +82,20 @@
     value["remote_slowdown"] = wrong
     with pytest.raises(SettingsError, match="remote_slowdown"):
         EntrySettings.from_config(value)
+
+
+# The template gives an empty text on deployments that do not tell the delay.
+@pytest.mark.parametrize(("given", "expected"), [("", 1.3), ("900", 0.9), (2000, 2.0)])
+def test_the_resend_delay_may_be_absent(
+    value: dict, given: object, expected: float
+) -> None:
+    assert EntrySettings.from_config(value).resend_delay_s == 1.3
+    value["resend_ms"] = given
+    assert EntrySettings.from_config(value).resend_delay_s == expected
+
+
+@pytest.mark.parametrize("wrong", ["0", 499, "soon", "nan", "inf"])
+def test_an_invalid_resend_delay_is_refused(value: dict, wrong: object) -> None:
+    value["resend_ms"] = wrong
+    with pytest.raises(SettingsError, match="resend_ms"):
+        EntrySettings.from_config(value)
--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -1,13 +1,12 @@
 """Two leaders of the same workers: the one with the higher token wins."""
 
+from dataclasses import replace
+
 from poplarhill import ErrorKind
 from poplarhill_dev.leased import World, simulated_job
 from poplarhilld.leases import Run
-from poplarhilld.shards.intervals import (
-    GIVE_UP_DELAY_S,
-    HEARTBEAT_INTERVAL_S,
-    HOST_TIMEOUT_S,
-)
+from poplarhilld.peers.offer_limits import DEFAULT_LIMITS
+from poplarhilld.shards.intervals import HOST_TIMEOUT_S
 
 
 def test_a_takeover_adopts_runs(world: World) -> None:
@@ -186,7 +185,7 @@
 
 
 # Once, a leader beyond a cut worked on for 1.5 s after it had lost the host of a job,
-# and the next one waited for 1.2 s only: callers that wait long got tasks run twice.
+# which takes 12 s for a distant host. The next one waited for 1.8 s: tasks ran twice.
 def test_the_next_leader_starts_nothing_while_one_beyond_a_cut_works_on(
     world: World,
 ) -> None:
@@ -198,14 +197,16 @@
     world.run(0.1)
     world.cut = lambda leader, worker: (leader == "h1") == (worker in far)
     world.run(HOST_TIMEOUT_S)
-    h1, h2 = world.leaders["h1"], world.add_leader("h2", 2, far)
+    h2 = world.add_leader("h2", 2, far)
     world.perform("h2", h2.set_workers(world.now, world.now, far, frozenset(near)))
-    offer = job.offer._replace(handovers=1)
-    world.perform("h2", h2.handle_offer(world.now, "e1", 1, offer))
-    # The last heartbeat before the cut may have reached h1 one interval later.
-    world.run(GIVE_UP_DELAY_S + HEARTBEAT_INTERVAL_S)
-    world.perform("h1", h1.handle_lost_host(world.now, "e1"))
+    # The host repeats its offer to the next leader only. The first one hears nothing of
+    # it, nor that it was lost.
+    world.submit("h2", replace(job, offer=job.offer._replace(handovers=1)))
+    world.run(DEFAULT_LIMITS.runs_ended_after_s - 0.1)
+    starts = world.starts
+    assert starts == 4
     world.run(2.0)
+    assert world.starts > starts
     assert not world.violations
 
 
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -10,6 +10,7 @@
 from poplarhilld.catalogue import Route
 from poplarhilld.decisions import LogDecision
 from poplarhilld.peers import JobEnded, JobProgress, Load, StepSpec
+from poplarhilld.peers.offer_limits import OfferLimits
 from poplarhilld.submissions import (
     AnswerCaller,
     LeaderView,
@@ -113,6 +114,18 @@
     assert of_type(submissions.tick(REPEAT_INTERVAL_S), OfferToLeader)
 
 
+# Guards against offers that lapse between two repeats where callers come again sooner.
+def test_offers_are_repeated_three_times_within_their_lifetime() -> None:
+    submissions = Submissions(OfferLimits.from_resend_delay(0.6))
+    submissions.update_leaders(0.0, {"h1": LEADER})
+    steps = (StepSpec(4, Resources(6.8, 64, 0), 0.2),)
+    submissions.submit(0.0, 1, Submission("a", ROUTE, "{}", steps, 1.5))
+    repeats = [
+        of_type(submissions.tick(0.01 * step), OfferToLeader) for step in range(30)
+    ]
+    assert sum(map(bool, repeats)) >= 2
+
+
 def test_a_job_is_offered_to_the_next_leader_with_its_done_tasks(
     submissions, submit
 ) -> None:
