Take offers made to an earlier tenure of a leader for handed over

What callers saw: tasks of a job ran twice at the same time within one submission, after its leader had yielded its workers, or had restarted, and led again before the entry host had learnt of it.

Cause: an offer does not say to which tenure of the leader it was made. A host that leads again has lost the jobs of its former tenure. It took the repeated offer of one of them for a new job, whose tasks need not wait for workers that have not replied yet, where the first runs may go on.

Evidence: test_a_leader_that_leads_again_starts_nothing_of_its_former_jobs fails without the change: "a.0.0.0 runs twice: on w0 and w1", 4 starts of 2 tasks.

Change: an offer tells the tenure that it is made to, and whether it was made before. A repeated one for another tenure counts as handed over: its tasks wait until all workers have replied, and adopt the runs there. A first offer under an outdated tenure stays a new job.

Result: the test passes, as do those of leading, submissions, entry and peers.

--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -20,6 +20,7 @@
     ShareLosses,
     StartRun,
     StopRun,
+    as_handed_over,
 )
 from poplarhilld.peers import PeerLinks
 from poplarhilld.peers.codec import Envelope
@@ -152,9 +153,10 @@
                     copy = Evacuations(message.evacuations_end, message.evacuations)
                     actions = actions + self._adopt_evacuations(sender, copy)
                 return actions
-            case OfferedJob(number, offer):
+            case OfferedJob(number):
                 if not state.hosts.claims:
                     return []
+                offer = as_handed_over(message, state.hosts.leading_since_epoch)
                 return state.leader.handle_offer(now, sender, number, offer)
             case JobWithdrawn(job_id, cancelled):
                 actions = state.leader.handle_withdrawal(now, sender, message)
--- a/packages/poplarhilld/src/poplarhilld/leading/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/__init__.py
@@ -1,6 +1,7 @@
 """The leader of a group of workers: decides which task runs where, and when."""
 
 from poplarhilld.leading.estimates import RunTimes as RunTimes
+from poplarhilld.leading.handover import as_handed_over as as_handed_over
 from poplarhilld.leading.job import LedJob as LedJob
 from poplarhilld.leading.messages import LeaderAction as LeaderAction
 from poplarhilld.leading.messages import Order as Order
--- a/packages/poplarhilld/src/poplarhilld/leading/handover.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/handover.py
@@ -10,9 +10,26 @@
 from poplarhilld.leading.admission import fits_in_time
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leases import LeasedWorker
+from poplarhilld.peers.messages import JobOffer, OfferedJob
 from poplarhilld.peers.offer_limits import OfferLimits
 
 
+def as_handed_over(offered: OfferedJob, tenure: int) -> JobOffer:
+    """Return an offer, marked as handed over if it was made to an earlier tenure.
+
+    A host that has led before has lost the jobs that it had then, and may not know yet
+    which of their runs are under way.
+
+    Args:
+        offered: The offer.
+        tenure: Epoch since which this host leads.
+    """
+    offer = offered.offer
+    if not offered.repeated or offered.tenure == tenure:
+        return offer
+    return offer._replace(handovers=offer.handovers + 1)
+
+
 def must_wait(
     now: float,
     job: LedJob,
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -123,6 +123,8 @@
 struct OfferedJob {
   number @0 :UInt64;
   offer @1 :JobOffer;
+  tenure @2 :UInt64;
+  repeated @3 :Bool;
 }
 
 struct JobWithdrawn {
--- a/packages/poplarhilld/src/poplarhilld/peers/leadership.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/leadership.py
@@ -163,10 +163,14 @@
         number: Sequence number of the submission at the sender; distinguishes
             submissions of one job id.
         offer: The job.
+        tenure: Epoch since which the leader has led, as the sender knows.
+        repeated: Whether the job was offered to that leader and tenure before.
     """
 
     number: int
     offer: JobOffer
+    tenure: int = 0
+    repeated: bool = False
 
 
 class Claim(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -267,7 +267,8 @@
         if leader is None:
             return self._wait_for_leader(now, job)
         actions: list[SubmissionAction] = []
-        if (name, leader.tenure) != (job.leader, job.tenure):
+        repeated = (name, leader.tenure) == (job.leader, job.tenure)
+        if not repeated:
             if job.leader and job.leader != name:
                 withdrawn = JobWithdrawn(job.submission.job_id)
                 actions.append(WithdrawFromLeader(job.leader, withdrawn))
@@ -275,7 +276,8 @@
             job.handovers += 1
             actions.append(self._log_choice(job, leader, reason))
         job.offers += 1
-        offered = OfferedJob(job.number, self._job_offer(now, job))
+        offer = self._job_offer(now, job)
+        offered = OfferedJob(job.number, offer, job.tenure, repeated)
         return [*actions, OfferToLeader(name, offered)]
 
     def _log_choice(
--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -2,9 +2,13 @@
 
 from dataclasses import replace
 
+import pytest
+
 from poplarhill import ErrorKind
 from poplarhill_dev.leased import World, simulated_job
+from poplarhilld.leading import as_handed_over
 from poplarhilld.leases import Run
+from poplarhilld.peers.messages import OfferedJob
 from poplarhilld.peers.offer_limits import DEFAULT_LIMITS
 from poplarhilld.shards.intervals import HOST_TIMEOUT_S
 
@@ -165,6 +169,38 @@
     assert world.starts == 4
 
 
+# Once, a host that had stopped to lead and led again took the repeated offer of a job
+# that it had lost for a new job. It started the tasks before the worker of their first
+# runs had replied.
+def test_a_leader_that_leads_again_starts_nothing_of_its_former_jobs(
+    world: World,
+) -> None:
+    leader = world.leaders["h1"]
+    job = simulated_job("a", tasks=2, run_s=1.0, left_s=3.0)
+    world.submit("h1", job)
+    world.run(0.1)
+    (worker,) = [worker for worker in world.workers.values() if worker.running]
+    world.perform("h1", leader.resign())
+    worker.unreachable = True
+    world.perform("h1", leader.set_workers(world.now, world.now, world.entries))
+    world.run(0.05)
+    offered = OfferedJob(1, job.offer, tenure=7, repeated=True)
+    world.submit("h1", replace(job, offer=as_handed_over(offered, 9)))
+    world.run(0.1)
+    worker.unreachable = False
+    world.run(1.5)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 2
+    assert not world.violations
+
+
+# Guards against a wait, and an answer that it may have run, for a job that is new.
+@pytest.mark.parametrize(("tenure", "repeated"), [(7, False), (9, True), (9, False)])
+def test_a_new_job_is_not_taken_for_a_lost_one(tenure: int, repeated: bool) -> None:
+    offer = simulated_job("a").offer
+    assert as_handed_over(OfferedJob(1, offer, tenure, repeated), 9) == offer
+
+
 def test_jobs_wait_for_workers_that_were_claimed_just_now(world: World) -> None:
     # After a restart of the fleet the backlog arrives at a leader whose workers have
     # not yet replied.
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -114,6 +114,24 @@
     assert of_type(submissions.tick(REPEAT_INTERVAL_S), OfferToLeader)
 
 
+# Guards against a leader that takes an offer which it has lost for a new one, or a new
+# one for one that it has lost.
+def test_an_offer_tells_the_tenure_that_it_was_made_to(
+    submissions: Submissions, submit: Callable[..., list]
+) -> None:
+    (first,) = of_type(submit(), OfferToLeader)
+    (second,) = of_type(submissions.tick(REPEAT_INTERVAL_S), OfferToLeader)
+    again = LEADER._replace(tenure=8)
+    (third,) = of_type(submissions.update_leaders(0.4, {"h1": again}), OfferToLeader)
+    offers = [action.offered for action in (first, second, third)]
+    assert [(one.tenure, one.repeated) for one in offers] == [
+        (7, False),
+        (7, True),
+        (8, False),
+    ]
+    assert third.offered.offer.handovers == 1
+
+
 # Guards against offers that lapse between two repeats where callers come again sooner.
 def test_offers_are_repeated_three_times_within_their_lifetime() -> None:
     submissions = Submissions(OfferLimits.from_resend_delay(0.6))
