Hold the offers of a resumed host until it has read its connections

What callers saw: a task that was started beside another run of it, for some milliseconds, after their entry host had been paused.

Cause: a host that resumes repeats the offers that are due in its first tick, before it has read that callers have closed their connections in the meantime. Those may have sent their jobs again elsewhere, and the leader may have dropped the job as lapsed, so that it starts anew. The withdrawal follows at once, and has an effect only after the start.

Change: a tick that is late by a pause (0.45 s) repeats no offer and hands no job over; the next one, 50 ms later, does, however late it is.

--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -37,6 +37,7 @@
 
 REPEAT_INTERVAL_S = 0.3  # delay that a lost offer or report causes
 _REPEATS = 3  # of an offer within its lifetime
+_PAUSE_THRESHOLD_S = 0.45  # a tick this late shows that the process was paused
 # 0.6 s to detect that a leader is lost, plus the time until a successor takes over.
 LEADERLESS_TIMEOUT_S = 1.2
 _NO_LEADER_RETRY_AFTER_S = 1.0  # a new leader is known after about a second
@@ -109,6 +110,8 @@
         self._leaderless_since: float | None = None
         self._stop_at = math.inf
         self._transfers = TransferCounts()
+        self._ticked_at = math.inf
+        self._has_held_offers = False
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -219,6 +222,8 @@
             self._leaderless_since = None
         elif self._leaderless_since is None:
             self._leaderless_since = now
+        if self._holds_offers(now):
+            return []
         actions: list[SubmissionAction] = []
         for job in list(self._jobs.values()):
             leader = leaders.get(job.leader)
@@ -228,6 +233,8 @@
 
     def tick(self, now: float) -> list[SubmissionAction]:
         """Answer jobs that are out of time and repeat offers that are due."""
+        holds_offers = self._holds_offers(now)
+        self._ticked_at, self._has_held_offers = now, holds_offers
         actions: list[SubmissionAction] = []
         for job in list(self._jobs.values()):
             if now >= min(job.deadline, self._stop_at):
@@ -235,10 +242,19 @@
                 if not job.offers:
                     failure = Failure(ErrorKind.EXPIRED, "no leader was found in time")
                 actions += self._answer(now, job, failure, withdraw=True)
-            elif now >= job.next_offer:
+            elif now >= job.next_offer and not holds_offers:
                 actions += self._offer_job(now, job)
         return actions
 
+    def _holds_offers(self, now: float) -> bool:
+        """Return whether offers wait for the next tick, after a pause of the process.
+
+        By then it has read which callers have closed their connections. These may have
+        sent their jobs again elsewhere.
+        """
+        was_paused = now - self._ticked_at > _PAUSE_THRESHOLD_S
+        return was_paused and not self._has_held_offers and bool(self._leaders)
+
     def _offer_job(
         self,
         now: float,
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -132,6 +132,32 @@
     assert third.offered.offer.handovers == 1
 
 
+# Once, a host that resumed from a pause repeated the offers of callers that had closed
+# their connections and had sent their jobs elsewhere, since it had not read that yet.
+@pytest.mark.parametrize("leaders", [{"h1": LEADER}, {"h2": LEADER}])
+def test_a_resumed_host_offers_nothing_before_it_has_read_its_connections(
+    submissions: Submissions, submit: Callable[..., list], leaders: dict
+) -> None:
+    submit(1)
+    submit(2, "b")
+    submissions.tick(0.05)
+    resumed = [*submissions.update_leaders(0.8, leaders), *submissions.tick(0.8)]
+    assert not of_type(resumed, OfferToLeader)
+    submissions.drop_caller(0.81, 1)
+    after = [*submissions.update_leaders(0.85, leaders), *submissions.tick(0.85)]
+    offers = of_type(after, OfferToLeader)
+    assert [offer.offered.number for offer in offers] == [2]
+
+
+# Guards against an overloaded host that never repeats its offers.
+def test_a_host_that_is_always_late_repeats_its_offers(
+    submissions: Submissions, submit: Callable[..., list]
+) -> None:
+    submit()
+    ticks = [submissions.tick(0.05), submissions.tick(0.6), submissions.tick(1.15)]
+    assert [len(of_type(actions, OfferToLeader)) for actions in ticks] == [0, 0, 1]
+
+
 # Guards against offers that lapse between two repeats where callers come again sooner.
 def test_offers_are_repeated_three_times_within_their_lifetime() -> None:
     submissions = Submissions(OfferLimits.from_resend_delay(0.6))
