Count the lifetime of an offer from when it was sent

What callers saw: tasks of a job ran twice at the same time after a leader was paused, or a connection to it had stalled, for a second or more.

Cause: an offer tells the time left for a job from its arrival. A leader that resumed took the offers that waited in its connections for new ones, though their hosts had handed the jobs over, or their callers had left, since.

Evidence: test_a_resumed_leader_ignores_offers_that_were_made_long_before fails without the ages: "a.0.0.0 runs twice: on w0 and w2", and so for the other task.

Change: an offer carries the sender's clock. It ignores one that has lapsed on its way, and logs that (OfferIgnored). The host repeats the offer if it still wants the job.

--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -295,10 +295,20 @@
         offer = job.offer
         self.jobs[offer.job_id] = job
         self._pending[host, offer.job_id] = leader, self.now
+        self._deliver_offer(leader, host, offer, self.now)
+        self._schedule(REPEAT_INTERVAL_S, self._repeat, leader, host, offer, self.now)
+
+    def _deliver_offer(
+        self, leader: str, host: str, offer: JobOffer, sent_at: float
+    ) -> None:
+        """Deliver an offer to a leader, or once it has resumed if it is paused."""
+        if leader in self.paused:
+            self._schedule(TICK_S, self._deliver_offer, leader, host, offer, sent_at)
+            return
+        age_s = self.now - sent_at
         self.perform(
-            leader, self.leaders[leader].handle_offer(self.now, host, 1, offer)
+            leader, self.leaders[leader].handle_offer(self.now, host, 1, offer, age_s)
         )
-        self._schedule(REPEAT_INTERVAL_S, self._repeat, leader, host, offer, self.now)
 
     def _repeat(self, leader: str, host: str, offer: JobOffer, begin: float) -> None:
         if self._pending.get((host, offer.job_id)) != (leader, begin):
@@ -308,7 +318,7 @@
             repeated = offer._replace(
                 elapsed_s=offer.elapsed_s + waited_s, left_s=offer.left_s - waited_s
             )
-            self._deliver_reply(leader, "handle_offer", host, 1, repeated)
+            self._deliver_offer(leader, host, repeated, self.now)
         self._schedule(REPEAT_INTERVAL_S, self._repeat, leader, host, offer, begin)
 
     def hand_over(self, leader: str, job_id: str, host: str = "e1") -> None:
--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -23,6 +23,7 @@
     as_handed_over,
 )
 from poplarhilld.peers import PeerLinks
+from poplarhilld.peers.ages import MessageAges
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.peers.messages import (
     Beat,
@@ -64,6 +65,7 @@
         )
         settings = state.settings
         self._name = settings.name
+        self._ages = MessageAges()
         self._peers = PeerLinks(
             settings.name,
             settings.peers,
@@ -157,7 +159,10 @@
                 if not state.hosts.claims:
                     return []
                 offer = as_handed_over(message, state.hosts.leading_since_epoch)
-                return state.leader.handle_offer(now, sender, number, offer)
+                age_s = 0.0
+                if sender != self._name:
+                    age_s = self._ages.age_s(now, sender, message.sent_at_s)
+                return state.leader.handle_offer(now, sender, number, offer, age_s)
             case JobWithdrawn(job_id, cancelled):
                 actions = state.leader.handle_withdrawal(now, sender, message)
                 if cancelled:
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -269,3 +269,17 @@
     detail: str
     took_s: float
     runs: int
+
+
+class OfferIgnored(NamedTuple):
+    """Log line: a leader has ignored an offer that was too long under way.
+
+    Attributes:
+        job: Id of the job.
+        host: Entry host that sent it.
+        age_s: How long it was under way, s.
+    """
+
+    job: str
+    host: str
+    age_s: float
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -21,6 +21,7 @@
 from poplarhilld.leading.messages import (
     JobTaken,
     LeaderAction,
+    OfferIgnored,
     ReportJob,
 )
 from poplarhilld.leading.order import core_second_cost
@@ -38,6 +39,7 @@
 # offers may wait unread for as long as `_READ_TIME_S`.
 _LATE_TICK_S = 0.2
 _READ_TIME_S = 0.1
+_LATE_OFFER_S = 0.05  # less is within what a tick adds
 
 
 class Offers:
@@ -71,13 +73,27 @@
         self._ticked_at = -math.inf
         self._lapse_check_at = -math.inf
 
-    def handle_offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
-        """Accept a job from an entry host, or refuse it."""
+    def handle_offer(
+        self, now: float, host: str, number: int, offer: JobOffer, age_s: float
+    ) -> list:
+        """Accept a job from an entry host, or refuse it.
+
+        Ignores an offer that lapsed on its way: the host may have answered its caller
+        or have offered the job elsewhere. It repeats the offer otherwise.
+        """
+        lapses_at = now - age_s + self._state.limits.lifetime_s
+        if now >= lapses_at:
+            ignored = OfferIgnored(offer.job_id, host, round(age_s, 4))
+            return [LogDecision(ignored)]
+        if age_s >= _LATE_OFFER_S:
+            offer = offer._replace(
+                elapsed_s=offer.elapsed_s + age_s, left_s=offer.left_s - age_s
+            )
         subscriber = Subscriber(host, number)
         job = self._state.jobs.get(offer.job_id)
         answered = self._state.history.answer((subscriber, offer.job_id))
         if job is not None and not (job.stopping and answered is not None):
-            return self._subscribe(now, job, subscriber, offer)
+            return self._subscribe(now, job, subscriber, offer, lapses_at)
         if self._state.history.is_cancelled(now, offer.job_id):
             cancelled = Refusal(ErrorKind.CANCELLED, "the job was cancelled")
             return self._refuse(subscriber, offer, now, cancelled)
@@ -87,7 +103,7 @@
         if answered is not None:
             return [ReportJob(host, answered)]
         job = self._make_job(now, host, offer)
-        job.offer_lapses_at = now + self._state.limits.lifetime_s
+        job.offer_lapses_at = lapses_at
         late = self._late.find_refusal(now, host, job)
         if late is not None:
             return self._refuse(subscriber, offer, now, late)
@@ -128,11 +144,17 @@
         return actions + self._assignment.assign(now)
 
     def _subscribe(
-        self, now: float, job: LedJob, subscriber: Subscriber, offer: JobOffer
+        self,
+        now: float,
+        job: LedJob,
+        subscriber: Subscriber,
+        offer: JobOffer,
+        lapses_at: float,
     ) -> list[LeaderAction]:
         """Add a subscriber to a job that was accepted already."""
         subscribers = self._state.subscribers[job.job_id]
-        job.offer_lapses_at = now + self._state.limits.lifetime_s
+        if lapses_at > job.offer_lapses_at:
+            job.offer_lapses_at = lapses_at
         if subscriber in subscribers and not job.stopping:
             return []
         if job.stopping:
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -215,9 +215,19 @@
             self._closer.forget_job(job)
         return actions
 
-    def handle_offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
-        """Accept a job from an entry host, or refuse it."""
-        return self._offers.handle_offer(now, host, number, offer)
+    def handle_offer(
+        self, now: float, host: str, number: int, offer: JobOffer, age_s: float = 0.0
+    ) -> list:
+        """Accept a job from an entry host, or refuse it.
+
+        Args:
+            now: The leader's clock, s.
+            host: Name of the entry host.
+            number: Number of the submission there.
+            offer: The job.
+            age_s: How long the offer was under way, s.
+        """
+        return self._offers.handle_offer(now, host, number, offer, age_s)
 
     def handle_withdrawal(self, now: float, host: str, withdrawn: JobWithdrawn) -> list:
         """Stop a job that was cancelled or whose last caller has left."""
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -125,6 +125,7 @@
   offer @1 :JobOffer;
   tenure @2 :UInt64;
   repeated @3 :Bool;
+  sentAtS @4 :Float64;
 }
 
 struct JobWithdrawn {
--- a/packages/poplarhilld/src/poplarhilld/peers/leadership.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/leadership.py
@@ -165,12 +165,14 @@
         offer: The job.
         tenure: Epoch since which the leader has led, as the sender knows.
         repeated: Whether the job was offered to that leader and tenure before.
+        sent_at_s: When it was sent, by the sender's clock, s.
     """
 
     number: int
     offer: JobOffer
     tenure: int = 0
     repeated: bool = False
+    sent_at_s: float = 0.0
 
 
 class Claim(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -293,7 +293,7 @@
             actions.append(self._log_choice(job, leader, reason))
         job.offers += 1
         offer = self._job_offer(now, job)
-        offered = OfferedJob(job.number, offer, job.tenure, repeated)
+        offered = OfferedJob(job.number, offer, job.tenure, repeated, now)
         return [*actions, OfferToLeader(name, offered)]
 
     def _log_choice(
--- a/packages/poplarhilld/tests/leading/test_lapsed_offers.py
+++ b/packages/poplarhilld/tests/leading/test_lapsed_offers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarhill import ErrorKind
-from poplarhill_dev.leased import World, simulated_job
+from poplarhill_dev.leased import SimulatedWorker, World, simulated_job, worker_entry
 
 RESEND_DELAY_S = 1.3
 HOST_PAUSE_S = 0.9  # shorter than what three lost repeats take
@@ -106,3 +106,39 @@
     world.run(3.0)
     assert world.job_outcome("b").error == ""
     assert world.starts == 12
+
+
+# Once, a leader that had been paused took the offers that waited in its connections for
+# new ones. Their hosts had handed the jobs over to another leader, which ran them.
+def test_a_resumed_leader_ignores_offers_that_were_made_long_before() -> None:
+    world = World(SimulatedWorker(worker_entry(f"w{n}")) for n in range(4))
+    names = list(world.entries)
+    for number, name in enumerate(("h1", "h2")):
+        led = {one: world.entries[one] for one in names[2 * number : 2 * number + 2]}
+        others = frozenset(names) - led.keys()
+        leader = world.add_leader(name, number + 1, led)
+        world.perform(name, leader.set_workers(world.now, world.now, led, others))
+    world.run(0.2)
+    world.paused.add("h1")
+    world.submit("h1", simulated_job("a", tasks=2, run_s=2.0, left_s=8.0))
+    world.run(0.7)
+    world.hand_over("h2", "a")
+    world.run(1.5)
+    assert world.starts == 2
+    world.paused.clear()
+    world.run(3.0)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 2
+    assert not world.violations
+
+
+# Guards against a deadline that counts from the arrival of a delayed offer.
+def test_the_time_that_an_offer_was_under_way_is_not_given_twice(world: World) -> None:
+    offer = simulated_job("a", tasks=2, run_s=2.0, left_s=1.0).offer
+    world.leaders["h1"].handle_offer(world.now, "e1", 1, offer, age_s=0.5)
+    assert world.leaders["h1"].jobs == {}
+    offer = simulated_job("b", tasks=2, run_s=0.2, left_s=1.0).offer
+    world.leaders["h1"].handle_offer(world.now, "e1", 2, offer, age_s=0.5)
+    job = world.leaders["h1"].jobs["b"]
+    assert job.deadline == pytest.approx(world.now + 0.5)
+    assert job.arrived_at == pytest.approx(world.now - 0.5)
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -29,7 +29,7 @@
 LOST = peers.LostWorker("w1", 1_700_000_000_123)
 OFFER = peers.OfferedJob(
     *(4, peers.JobOffer("j1", "r", "s", "{}", (STEP, STEP), 1, 2, 1.5, 0.5, 0.25, 1.0)),
-    *(2**53, True),
+    *(2**53, True, 1.25),
 )
 
 
