Do not handle a request whose caller has left

A process that was paused reads from its sockets the requests that came meanwhile, together with the closes that followed them. It handled such a request and cancelled it 0.1 ms later, after its job had been offered to a leader: the tasks were started and stopped again, beside those of the caller's next attempt at another host (two runs of one task for up to 50 ms, longer if the withdrawal was lost).

The server now looks for the close before it calls the handler, one system call per request. The answer is the same as before: stopped, may have run.

The new test fails without the change (the handler had run, 1 == 0). test_a_half_closed_caller_gets_a_stopped_error relied on the handler being called after the close; it now closes once the handler waits, and asserts as before that this one is cancelled and answered.

--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -195,12 +195,16 @@
             self._in_flight -= 1
 
     async def _handle(self, session: Session, request: Request) -> Response:
-        try:
-            async with session.cancel_if_closed():
-                return await self._call_handler(request)
-        except curio.TaskCancelled:
-            if not session.handling_cancelled:
-                raise
+        if session.is_closed_by_caller():
+            # The caller may have sent the request again, to another server.
+            _log.info("RequestDropped", method=request.method, path=request.path)
+        else:
+            try:
+                async with session.cancel_if_closed():
+                    return await self._call_handler(request)
+            except curio.TaskCancelled:
+                if not session.handling_cancelled:
+                    raise
         detail = "the caller closed its side of the connection"
         session.send_now(_failure_response(Failure(ErrorKind.STOPPED, detail)))
         raise SessionEndedError
--- a/packages/poplarhill/src/poplarhill/http/session.py
+++ b/packages/poplarhill/src/poplarhill/http/session.py
@@ -92,6 +92,22 @@
                     self._http.receive_data(data)
         return self.has_pipelined_data
 
+    def is_closed_by_caller(self) -> bool:
+        """Return whether the caller has closed the connection, or its sending side.
+
+        A process that was paused or busy receives a request together with the close
+        that followed it, before `closed_by_caller` is called.
+        """
+        if not self._closed_by_caller and not self._closed_idle:
+            try:
+                rest = self._client._socket.recv(1, socket.MSG_PEEK)
+                self._closed_by_caller = not rest
+            except BlockingIOError:
+                pass
+            except OSError:
+                self._closed_by_caller = True
+        return self._closed_by_caller
+
     @contextlib.asynccontextmanager
     async def cancel_if_closed(self) -> AsyncIterator[None]:
         """Cancel the task in this context once the caller closes the connection.
--- a/packages/poplarhill/tests/http/test_server.py
+++ b/packages/poplarhill/tests/http/test_server.py
@@ -172,10 +172,28 @@
     assert run_with_server(body).split()[1] == b"408"
 
 
-def test_a_half_closed_caller_gets_a_stopped_error(run_with_server) -> None:
+# Guards against requests that wait in the sockets of a paused process until their
+# callers have closed them and sent them again elsewhere: they were handled as well.
+def test_a_request_whose_caller_has_left_is_not_handled(run_with_server) -> None:
     async def body(served):
         answer = await served.send_bytes(post("/wait"), half_close=True)
-        return answer, served.cancelled
+        return answer, served.waiting
+
+    answer, waiting = run_with_server(body)
+    assert error_of(answer)["kind"] == "stopped"
+    assert error_of(answer)["run_state"] == "may_have_run"
+    assert waiting == 0
+
+
+def test_a_half_closed_caller_gets_a_stopped_error(run_with_server) -> None:
+    async def body(served):
+        sock = await curio.open_connection(HOST, served.port)
+        async with sock:
+            await sock.sendall(post("/wait"))
+            while not served.waiting:
+                await curio.sleep(0.01)
+            await sock.shutdown(socket.SHUT_WR)
+            return await sock.recv(65536), served.cancelled
 
     answer, cancelled = run_with_server(body)
     assert error_of(answer)["kind"] == "stopped"
