Log what tells apart the ways in which a task can run twice

What callers saw: a task ran twice at the same time. The logs could not tell why: a leader's lines named neither the submission that an offer belonged to nor the host that joined a job, withdrawals and stop orders left no line, and a run whose end was only presumed looked like one that had ended.

Change: no decision changes. `JobTaken`, `LeaderChosen`, `JobAnswered` and `JobAbandoned` tell the number of the submission, its age and the time left; `RunResolved` tells since when the worker had not listed its runs; `WorkerTaken` tells the lease. New lines: `OfferAnswered`, `JobWithdrawal`, `LostHostWithdrawn`, `RunFound`, `RunAdopted`, `UnknownRunEnded`, `RunPresumedEnded`, `StopOrdered`, `StopReplied`, `OrderReplied` (orders that were not accepted, or not within 0.1 s) and `ProcessPaused`. A line whose `host` is another host names its writer as `logged_by`.

Cost: a healthy run has no new line.

--- a/packages/poplarhilld/src/poplarhilld/entry/logs.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/logs.py
@@ -97,7 +97,8 @@
     Lines that report a problem have a level; decisions have none. One processor takes
     half of the time that a chain of them takes.
     """
-    event.setdefault("host", host)  # some decisions name another host
+    if event.setdefault("host", host) != host:
+        event["logged_by"] = host  # the decision names another host
     if method != "info":
         event["level"] = method
     event["timestamp"] = datetime.now(UTC).isoformat().replace("+00:00", "Z")
--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -108,8 +108,10 @@
                 case AnswerNewPeer(address):
                     await self._peers.reconnect(address)
                     await state.pause.end()
-                case HostLost(host):
-                    pending.extend(state.leader.handle_lost_host(uptime(), host))
+                case HostLost(host, reason, lost_s):
+                    pending.extend(
+                        state.leader.handle_lost_host(uptime(), host, reason, lost_s)
+                    )
         for address, together in messages.items():
             await self._peers.send(address, *together)
 
--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -2,6 +2,8 @@
 
 import time
 
+import structlog
+
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.entry.clock import processor_time_s, uptime
 from poplarhilld.entry.logs import LogBuffer
@@ -13,6 +15,8 @@
 _IDLE_TICK_S = 0.075  # without jobs and workers; half of the heartbeat interval
 # A leader that has missed two reads asks other hosts what they have read.
 _REGISTRY_OUTDATED_S = 2 * LEADER_REGISTRY_REFRESH_S
+_SHORTEST_PAUSE_S = 0.2  # a loop that is only busy is rarely this late
+_log = structlog.get_logger()
 
 
 class Ticker:
@@ -43,8 +47,18 @@
             until_deadline_s = state.submissions.next_deadline - now
             shortest_s = min(shortest_s, until_deadline_s)
             longest_s = min(longest_s, until_deadline_s)
-            state.overload.expect_turn(now + max(0.0, longest_s))
+            due, processor_s = now + max(0.0, longest_s), processor_time_s()
+            state.overload.expect_turn(due)
             await state.pause.wait(shortest_s, longest_s)
+            late_s = uptime() - due
+            if late_s > _SHORTEST_PAUSE_S:
+                _log.info(
+                    "ProcessPaused",
+                    late_s=round(late_s, 3),
+                    processor_s=round(processor_time_s() - processor_s, 3),
+                    jobs=len(state.submissions),
+                    led_jobs=len(state.leader.jobs),
+                )
             lines = state.overload.note_turn(uptime(), processor_time_s())
             if lines:
                 await self._performer.perform(lines)
--- a/packages/poplarhilld/src/poplarhilld/entry/worker_calls.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/worker_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 import curio
+import structlog
 
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.entry.clock import uptime
@@ -19,6 +20,9 @@
     RenewalFailure,
 )
 
+_PROMPT_REPLY_S = 0.1  # replies to orders that take longer are logged
+_log = structlog.get_logger()
+
 WorkerAction = StartRun | StopRun | RenewLease | QueryWorker
 
 
@@ -71,6 +75,18 @@
             self._metrics.order_latency.observe(now - begin)
             self._metrics.orders.labels(reply.outcome.value).inc()
             self._usage.orders += 1
+            if (
+                reply.outcome is not OrderOutcome.ACCEPTED
+                or now - begin > _PROMPT_REPLY_S
+            ):
+                _log.info(
+                    "OrderReplied",
+                    task=run.task,
+                    run=run.number,
+                    worker=name,
+                    outcome=reply.outcome.value,
+                    took_s=round(now - begin, 4),
+                )
             await self._perform(self._leader.handle_start_reply(now, name, run, reply))
 
         if action.worker.data_centre in self._evacuations.data_centres:
@@ -81,12 +97,22 @@
             await self._client.start(action.worker, action.order, on_reply)
 
     async def _stop_run(self, action: StopRun) -> None:
+        begin = uptime()
         name, run = action.worker.name, action.run
 
         async def on_reply(answered: bool) -> None:
+            now = uptime()
             self._metrics.stops.labels(str(answered).lower()).inc()
+            _log.info(
+                "StopReplied",
+                task=run.task,
+                run=run.number,
+                worker=name,
+                answered=answered,
+                took_s=round(now - begin, 4),
+            )
             await self._perform(
-                self._leader.handle_stop_reply(uptime(), name, run, answered)
+                self._leader.handle_stop_reply(now, name, run, answered)
             )
 
         await self._client.stop(action.worker, run, action.token, on_reply)
--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -10,6 +10,7 @@
     ReportJob,
     StopRun,
 )
+from poplarhilld.leading.run_messages import StopOrdered
 from poplarhilld.leading.shared import LeaderState
 from poplarhilld.leases import (
     LeasedWorker,
@@ -79,7 +80,7 @@
         for task in job.under_way:
             worker = self._state.workers.get(task.worker)
             if worker is not None:
-                actions += self.stop_run(now, worker, task.run)
+                actions += self.stop_run(now, worker, task.run, "its job is closed")
         if not job.under_way:
             self.forget_job(job)
         return actions
@@ -92,11 +93,14 @@
         self._state.suspects.drop_job(job.job_id)
         self._state.runs.drop_job(job)
 
-    def stop_run(self, now: float, worker: LeasedWorker, run: Run) -> list:
+    def stop_run(self, now: float, worker: LeasedWorker, run: Run, reason: str) -> list:
         """Order a worker to stop a run, unless such an order was sent just now."""
-        if not self._state.runs.note_stop_if_due(now, worker.entry.name, run):
+        name = worker.entry.name
+        repeated = self._state.runs.is_stopping(name, run)
+        if not self._state.runs.note_stop_if_due(now, name, run):
             return []
-        return [StopRun(worker.entry, run, worker.token)]
+        ordered = StopOrdered(run.task, run.number, name, reason, repeated)
+        return [LogDecision(ordered), StopRun(worker.entry, run, worker.token)]
 
     def forget_run(self, worker: str, run: Run) -> None:
         """Remove a run that is no longer under way; its task may wait again."""
--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -14,6 +14,7 @@
     WorkerTaken,
 )
 from poplarhilld.leading.outcomes import RunOutcomes
+from poplarhilld.leading.run_messages import RunPresumedEnded
 from poplarhilld.leading.shared import LeaderState, worker_state
 from poplarhilld.leases import (
     LeasedWorker,
@@ -22,6 +23,7 @@
     RenewalFailure,
     Reservation,
     ReservationState,
+    Run,
     RunClosed,
     RunOutcome,
 )
@@ -75,7 +77,8 @@
         """Send the first lease renewal to a worker under a new token."""
         entry = worker.entry
         address = f"{entry.address.host}:{entry.address.port}"
-        taken = WorkerTaken(entry.name, address, worker.token, reason)
+        lease_s = self._state.lease_s
+        taken = WorkerTaken(entry.name, address, worker.token, reason, lease_s)
         return [LogDecision(taken), RenewLease(entry, worker.next_renewal(now))]
 
     def mark_fenced(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
@@ -160,6 +163,8 @@
                         actions += self._outcomes.note_loss(
                             now, worker, worker.incarnation, run
                         )
+                    why = "process ended" if process_ended else "lease expired"
+                    actions.append(_presumed_ended(now, worker, run, why))
                     self._closer.forget_run(name, run)
                     task.avoid.add(name)
         return actions
@@ -183,7 +188,9 @@
                     continue
             for reservation in worker.reservations:
                 if any_stopping and runs.is_stopping(name, reservation.run):
-                    actions += self._closer.stop_run(now, worker, reservation.run)
+                    actions += self._closer.stop_run(
+                        now, worker, reservation.run, "it has not ended yet"
+                    )
                 elif (
                     reservation.state is ReservationState.RUNNING
                     and now - reservation.running_since >= _MIN_STALL_S
@@ -209,17 +216,27 @@
                 and now - self._state.reclaim_at[name] > HANDOVER_WAIT_S
             ):
                 # By now the other leader has stopped or adopted the runs there.
-                return self.release(name, "led by another host or no longer registered")
+                reason = "led by another host or no longer registered"
+                return self._release_with_runs(now, worker, reason)
             return []
         idle = not worker.reservations
         if name not in self._state.entries and (idle or worker.lease_has_expired(now)):
-            return self.release(
-                name, "this host no longer leads it, or it is no longer registered"
-            )
+            reason = "this host no longer leads it, or it is no longer registered"
+            return self._release_with_runs(now, worker, reason)
         if worker.confirmed and now - worker.last_reply_at > SILENCE_TIMEOUT_S:
             return self.mark_lost(now, worker, "silent")
         return None
 
+    def _release_with_runs(
+        self, now: float, worker: LeasedWorker, reason: str
+    ) -> list[LeaderAction]:
+        """Release a worker; the tasks of the runs left on it may start again."""
+        presumed: list[LeaderAction] = [
+            _presumed_ended(now, worker, reservation.run, reason)
+            for reservation in worker.reservations
+        ]
+        return presumed + self.release(worker.entry.name, reason)
+
     def _check_stall(
         self, now: float, worker: LeasedWorker, task: LedTask, reservation: Reservation
     ) -> list[LeaderAction]:
@@ -236,7 +253,7 @@
         name = worker.entry.name
         self._state.health.note_stall(name, reservation.run)
         task.avoid.add(name)
-        return self._closer.stop_run(now, worker, reservation.run)
+        return self._closer.stop_run(now, worker, reservation.run, "it stalls")
 
     def apply_reply(
         self, now: float, worker: LeasedWorker, renewal: Renewal, reply: LeaseReply
@@ -267,3 +284,18 @@
                 )
             actions += self._outcomes.apply_change(now, worker, change)
         return actions
+
+
+def _presumed_ended(
+    now: float, worker: LeasedWorker, run: Run, reason: str
+) -> LogDecision:
+    """Return the log line on a run that counts as ended without a report of it."""
+    presumed = RunPresumedEnded(
+        run.task,
+        run.number,
+        worker.entry.name,
+        reason,
+        round(worker.lease_left_s(now), 4),
+        round(now - worker.last_reply_at, 4),
+    )
+    return LogDecision(presumed)
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -99,12 +99,14 @@
         address: Its address, as `host:port`.
         token: Fencing token of this host for it.
         reason: Why it was claimed.
+        lease_s: Longest lease that it grants, s.
     """
 
     worker: str
     address: str
     token: int
     reason: str
+    lease_s: float
 
 
 class WorkerConfirmed(NamedTuple):
@@ -169,6 +171,12 @@
         queued: Count of jobs that this leader has.
         outcome: "taken", "joined" if it was accepted before, or "refused: " with
             the kind of the error and its detail.
+        offered_by: Entry host of this offer.
+        number: Number of the submission at that host.
+        age_s: Time since the submission was received there, s.
+        left_s: Time until its deadline, s.
+        ran_before: Whether this leader had ordered runs of the job before it was
+            offered again.
     """
 
     job: str
@@ -180,6 +188,61 @@
     run_s: float
     queued: int
     outcome: str
+    offered_by: str
+    number: int
+    age_s: float
+    left_s: float
+    ran_before: bool
+
+
+class OfferAnswered(NamedTuple):
+    """Log line: an offered job was answered from its recorded outcome.
+
+    Attributes:
+        job: Id of the job.
+        offered_by: Entry host of this offer.
+        number: Number of the submission at that host.
+        outcome: "complete" or the kind of the error.
+    """
+
+    job: str
+    offered_by: str
+    number: int
+    outcome: str
+
+
+class JobWithdrawal(NamedTuple):
+    """Log line: a submission of a job was withdrawn from this leader.
+
+    Attributes:
+        job: Id of the job.
+        withdrawn_by: Entry host of the submission.
+        reason: Why it was withdrawn.
+        subscribers: Count of submissions that still wait for the job.
+        under_way: Count of its runs that are or may be under way.
+    """
+
+    job: str
+    withdrawn_by: str
+    reason: str
+    subscribers: int
+    under_way: int
+
+
+class LostHostWithdrawn(NamedTuple):
+    """Log line: the jobs of a lost entry host were withdrawn.
+
+    Attributes:
+        lost: Name of the host.
+        reason: Why its jobs were withdrawn.
+        lost_s: Time since it was no longer considered live, s.
+        jobs: Count of the jobs.
+    """
+
+    lost: str
+    reason: str
+    lost_s: float
+    jobs: int
 
 
 class RunOrdered(NamedTuple):
@@ -214,6 +277,8 @@
         worker: Name of the worker.
         fate: What became of the run, a value of `RunOutcome`.
         took_s: Time since the run was ordered or adopted, s.
+        listed_s: Time since the request whose reply was the last one before this to
+            list the runs of the worker, s. An end that was reported lies within it.
     """
 
     task: str
@@ -221,6 +286,7 @@
     worker: str
     fate: str
     took_s: float
+    listed_s: float
 
 
 class TaskSuspected(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -19,6 +19,7 @@
 from poplarhilld.leading.messages import (
     JobTaken,
     LeaderAction,
+    OfferAnswered,
     ReportJob,
 )
 from poplarhilld.leading.order import core_second_cost
@@ -75,9 +76,9 @@
             return self._refuse(subscriber, offer, now, cancelled)
         completion = self._state.history.completion(offer.job_id)
         if completion is not None:
-            return [ReportJob(host, completion)]
+            return _answer_again(subscriber, completion)
         if answered is not None:
-            return [ReportJob(host, answered)]
+            return _answer_again(subscriber, answered)
         job = self._make_job(now, host, offer)
         late = self._late.find_refusal(now, host, job)
         if late is not None:
@@ -109,10 +110,11 @@
         self._state.placement_up_to_date = False
         self._state.subscribers[offer.job_id] = {subscriber}
         self._state.runs.add_job(job)
-        self._outcomes.adopt_orphans(now, job)
+        adopted = self._outcomes.adopt_orphans(now, job)
         actions: list[LeaderAction] = [
             *switched,
-            LogDecision(self._offer_line(job, wait_s, "taken")),
+            LogDecision(self._offer_line(job, subscriber, offer, wait_s, "taken")),
+            *adopted,
         ]
         if job.complete:
             return actions + self._closer.close_job(now, job, JobEnded(job.job_id))
@@ -133,7 +135,7 @@
             subscribers.clear()
         subscribers.add(subscriber)
         job.deadline = max(job.deadline, now + offer.left_s)
-        joined = LogDecision(self._offer_line(job, 0.0, "joined"))
+        joined = LogDecision(self._offer_line(job, subscriber, offer, 0.0, "joined"))
         return [joined, *self._assignment.assign(now)]
 
     def _refusal_for(self, now: float, job: LedJob, wait_s: float) -> Refusal | None:
@@ -196,12 +198,19 @@
         if elsewhere:
             report = report._replace(elsewhere=True, done=offer.done)
         self._state.history.note_answer(now, (subscriber, offer.job_id), report)
-        line = self._offer_line(job, 0.0, f"refused: {kind.value}: {detail}")
+        refused = f"refused: {kind.value}: {detail}"
+        line = self._offer_line(job, subscriber, offer, 0.0, refused)
         return [LogDecision(line), ReportJob(host, report)]
 
-    def _offer_line(self, job: LedJob, wait_s: float, outcome: str) -> JobTaken:
+    def _offer_line(
+        self,
+        job: LedJob,
+        subscriber: Subscriber,
+        offer: JobOffer,
+        wait_s: float,
+        outcome: str,
+    ) -> JobTaken:
         """Return the log line on an offer that was taken, joined or refused."""
-        offer = job.offer
         return JobTaken(
             offer.job_id,
             offer.route,
@@ -212,6 +221,11 @@
             round(job.run_s, 4),
             len(self._state.jobs),
             outcome,
+            subscriber.host,
+            subscriber.offer_number,
+            round(offer.elapsed_s, 4),
+            round(offer.left_s, 4),
+            job.ran_before,
         )
 
     def check_deadlines(self, now: float) -> list[LeaderAction]:
@@ -272,3 +286,11 @@
                 report = give_back(now, self._state, job, waiting, report, left_s)
                 actions += self._closer.close_job(now, job, report)
         return actions
+
+
+def _answer_again(subscriber: Subscriber, report: JobEnded) -> list[LeaderAction]:
+    """Return the recorded outcome of a job to one that offers it again."""
+    host, number = subscriber
+    outcome = report.error or "complete"
+    line = OfferAnswered(report.job_id, host, number, outcome)
+    return [LogDecision(line), ReportJob(host, report)]
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -9,6 +9,7 @@
     LeaderAction,
     RunResolved,
 )
+from poplarhilld.leading.run_messages import RunAdopted, RunFound, UnknownRunEnded
 from poplarhilld.leading.shared import LeaderState, worker_state
 from poplarhilld.leading.suspects import find_deadly_task
 from poplarhilld.leases import (
@@ -58,17 +59,20 @@
         job = self._state.runs.job_of(run.task)
         if job is None:
             self._state.runs.add_orphan(now, run, name)
-            return []
+            return [_found(run, name, "orphan")]
         task = job.task(run.task)
         worker.set_needs(run, task.spec.needs)
         if task.waiting and not job.stopping:
             self._adopt(now, worker, run, job, task)
-            return []
-        return self._closer.stop_run(now, worker, run)
+            return [_found(run, name, "adopted")]
+        reason = "its task is done or has another run"
+        stops = self._closer.stop_run(now, worker, run, reason)
+        return [_found(run, name, "stopped"), *stops]
 
-    def adopt_orphans(self, now: float, job: LedJob) -> None:
+    def adopt_orphans(self, now: float, job: LedJob) -> list[LeaderAction]:
         """Adopt the runs of a job that an earlier leader ordered."""
-        for (run, name, _), task in self._state.runs.orphans_of(job):
+        actions: list[LeaderAction] = []
+        for (run, name, since), task in self._state.runs.orphans_of(job):
             worker = self._state.workers.get(name)
             if worker is None:
                 continue
@@ -77,6 +81,10 @@
                 self._state.runs.note_closed(name, run)
                 self._adopt(now, worker, run, job, task)
                 job.run_count += 1
+                orphan_s = round(now - since, 4)
+                adopted = RunAdopted(run.task, run.number, name, orphan_s)
+                actions.append(LogDecision(adopted))
+        return actions
 
     def _adopt(
         self, now: float, worker: LeasedWorker, run: Run, job: LedJob, task: LedTask
@@ -92,19 +100,22 @@
         name = worker.entry.name
         self._state.runs.note_closed(name, run)
         task = self._state.runs.task_of(name, run)
+        listed_s = round(now - worker.listed_at, 4)
         if task is None:
+            ended = UnknownRunEnded(run.task, run.number, name, outcome.value, listed_s)
+            actions: list[LeaderAction] = [LogDecision(ended)]
             if outcome is RunOutcome.DONE:
-                return self._handle_unknown_done(now, run)
-            return []
+                actions += self._handle_unknown_done(now, run)
+            return actions
         job = self._state.runs.job_of(task.name)
         if outcome is RunOutcome.DONE:
             self._finish(job, task)
         self._closer.forget_run(name, run)
         took_s = now - task.ordered_at
         resolved = RunResolved(
-            task.name, run.number, name, outcome.value, round(took_s, 4)
+            task.name, run.number, name, outcome.value, round(took_s, 4), listed_s
         )
-        actions: list[LeaderAction] = [LogDecision(resolved)]
+        actions = [LogDecision(resolved)]
         match outcome:
             case RunOutcome.DONE:
                 if not task.adopted:
@@ -143,7 +154,8 @@
         actions: list[LeaderAction] = []
         worker = self._state.workers.get(task.worker)
         if task.run is not None and worker is not None:
-            actions += self._closer.stop_run(now, worker, task.run)
+            reason = "an earlier run of its task is done"
+            actions += self._closer.stop_run(now, worker, task.run, reason)
         return actions + self._update_job(now, job, task)
 
     def _finish(self, job: LedJob, task: LedTask) -> None:
@@ -210,6 +222,11 @@
         return not registered
 
 
+def _found(run: Run, worker: str, action: str) -> LogDecision:
+    """Return the log line on a run that this leader has not ordered."""
+    return LogDecision(RunFound(run.task, run.number, worker, action))
+
+
 def crash_detail(task: LedTask) -> str:
     """Return why a task is not started again."""
     return f"{len(task.lost)} workers crashed while they ran task {task.number}"
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -9,6 +9,7 @@
 
 from poplarhill.exceptions import ErrorKind
 from poplarhilld.catalogue import WorkerEntry
+from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.assignment import Assignment
 from poplarhilld.leading.closing import JobCloser, job_ended
 from poplarhilld.leading.evacuated import EvacuatedJobs
@@ -16,7 +17,9 @@
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.late import LateOffers
 from poplarhilld.leading.messages import (
+    JobWithdrawal,
     LeaderAction,
+    LostHostWithdrawn,
     QueryWorker,
     RenewLease,
     ShareLosses,
@@ -218,21 +221,49 @@
         job = self._state.jobs.get(withdrawn.job_id)
         if job is None or job.stopping:
             return []
-        subscribers = self._state.subscribers[withdrawn.job_id]
         if withdrawn.cancelled:
             report = job_ended(job, ErrorKind.CANCELLED, "the job was cancelled")
             return self._closer.close_job(now, job, report)
-        subscribers -= {one for one in subscribers if one.host == host}
+        return self._drop_subscribers(now, job, host, "the caller has left")
+
+    def _drop_subscribers(
+        self, now: float, job: LedJob, host: str, reason: str
+    ) -> list[LeaderAction]:
+        """Drop the submissions of a job at a host; close the job if none is left."""
+        subscribers = self._state.subscribers[job.job_id]
+        dropped = {one for one in subscribers if one.host == host}
+        subscribers -= dropped
+        actions: list[LeaderAction] = []
+        if dropped:
+            left, under_way = len(subscribers), len(job.under_way)
+            line = JobWithdrawal(job.job_id, host, reason, left, under_way)
+            actions.append(LogDecision(line))
         if subscribers:
-            return []
-        report = job_ended(job, ErrorKind.STOPPED, "the caller has left")
-        return self._closer.close_job(now, job, report)
+            return actions
+        report = job_ended(job, ErrorKind.STOPPED, reason)
+        return actions + self._closer.close_job(now, job, report)
 
-    def handle_lost_host(self, now: float, host: str) -> list[LeaderAction]:
-        """Stop the jobs of an entry host that has stopped responding."""
+    def handle_lost_host(
+        self, now: float, host: str, reason: str = "", lost_s: float = 0.0
+    ) -> list[LeaderAction]:
+        """Stop the jobs of an entry host that has stopped responding.
+
+        Args:
+            now: The leader's clock, s.
+            host: Name of the host.
+            reason: Why its jobs are stopped.
+            lost_s: Time since it was no longer considered live, s.
+        """
         actions: list[LeaderAction] = []
-        for job_id in list(self._state.jobs):
-            actions += self.handle_withdrawal(now, host, JobWithdrawn(job_id))
+        jobs = 0
+        for job in list(self._state.jobs.values()):
+            if not job.stopping:
+                dropped = self._drop_subscribers(now, job, host, "its host was lost")
+                jobs += bool(dropped)
+                actions += dropped
+        if jobs:
+            line = LostHostWithdrawn(host, reason, lost_s, jobs)
+            actions.insert(0, LogDecision(line))
         return actions
 
     def handle_losses(self, now: float, losses: Iterable[TaskLosses]) -> None:
@@ -301,7 +332,8 @@
                     task.next_number += 8
             case OrderOutcome.UNKNOWN:
                 self._state.health.note_no_reply(now, name)
-                actions += self._closer.stop_run(now, worker, run)
+                reason = "its order has no reply"
+                actions += self._closer.stop_run(now, worker, run, reason)
             case OrderOutcome.UNHEALTHY | OrderOutcome.INVALID:
                 if self._state.health.note_unhealthy(now, name):
                     actions.append(
@@ -337,7 +369,9 @@
         actions += self._group.check_workers(now)
         for run, name, _ in self._state.runs.unclaimed(now):
             if name in self._state.workers:
-                actions += self._closer.stop_run(now, self._state.workers[name], run)
+                actions += self._closer.stop_run(
+                    now, self._state.workers[name], run, "its job was not offered"
+                )
         actions += self._offers.check_deadlines(now)
         self._state.locality.review(now, self._state)
         for job in self._state.suspects.jobs:
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -100,6 +100,8 @@
             reply.
         last_reply_at: When the worker last replied, by the leader's clock, s. Before
             the first reply, this is when this host first claimed the worker.
+        listed_at: When the renewal was sent whose reply was the last one but one, by
+            the leader's clock, s. Runs in that reply had not ended by then.
         reservations: Reservations of all runs that hold or may hold capacity; a
             read-only view.
 
@@ -130,6 +132,7 @@
         self.incarnation: int | None = None
         self._clock_at_reply_s = 0.0
         self.last_reply_at = now
+        self.listed_at = self._newest_list_at = now
         self._last_seen_end = 0
         # By the worker's clock: end of the lease, or deadline of an order if later.
         self._may_run_until_s = 0.0
@@ -198,6 +201,10 @@
         self._claimed_at = now
         self.confirmed = False
 
+    def lease_left_s(self, now: float) -> float:
+        """Return the time for which the worker may run anything by its clock, s."""
+        return self._may_run_until_s - self.clock_s(now)
+
     def lease_has_expired(self, now: float) -> bool:
         """Return whether a worker without replies can no longer run anything.
 
@@ -233,6 +240,7 @@
         if self.incarnation != reply.incarnation:
             changes += self._start_incarnation(reply)
         self._clock_at_reply_s, self.last_reply_at = reply.clock_s, now
+        self.listed_at, self._newest_list_at = self._newest_list_at, renewal.sent_at
         if renewal.token == self.token:
             self.confirmed = True
         for end in reply.ends:
--- a/packages/poplarhilld/src/poplarhilld/shards/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/messages.py
@@ -1,6 +1,6 @@
 """Actions and log lines of host liveness and shard leadership."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from poplarhill.types import Address
@@ -27,9 +27,13 @@
 
     Attributes:
         host: Name of the host.
+        reason: Why the work for it stops.
+        lost_s: Time since it was no longer considered live, s.
     """
 
     host: str
+    reason: str = field(default="", compare=False)
+    lost_s: float = field(default=0.0, compare=False)
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -174,7 +174,8 @@
             if peer is not None and peer.live:
                 actions += self._liveness.mark_lost(now, peer, "it has restarted")
             if peer is not None:
-                actions.append(HostLost(name))
+                lost_s = 0.0 if peer.lost_at is None else round(now - peer.lost_at, 3)
+                actions.append(HostLost(name, "it has restarted", lost_s))
             peer = self._fleet.peers[name] = Peer(name, heartbeat, now)
             self._fleet.note_change()
             known = self._fleet.targets.get(Address(heartbeat.host, heartbeat.port))
@@ -220,7 +221,8 @@
                 actions += self._liveness.mark_lost(
                     now, peer, "its address refuses connections"
                 )
-            actions += self._liveness.give_up(peer)
+            reason = "its address refuses connections"
+            actions += self._liveness.give_up(now, peer, reason)
         return actions
 
     def set_outdated(self, outdated: bool) -> None:
@@ -303,7 +305,7 @@
         self._liveness.update_reports()
         for peer in self._fleet.peers.values():
             if peer.lost_at is not None and now - peer.lost_at > GIVE_UP_DELAY_S:
-                actions += self._liveness.give_up(peer)
+                actions += self._liveness.give_up(now, peer, "lost for too long")
         for peer in list(self._fleet.peers.values()):
             if self._liveness.is_reported_gone(now, peer):
                 reason = "the leader of its data centre receives no heartbeats from it"
--- a/packages/poplarhilld/src/poplarhilld/submissions/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/messages.py
@@ -106,6 +106,11 @@
         needs_cores: Cores that all tasks of the job need together.
         free_cores: Free cores that the leader reported last.
         queued_core_s: Queued work that the leader reported last, core-seconds.
+        number: Number of the submission at this host.
+        age_s: Time since the job was received, s.
+        left_s: Time until the deadline of the job, s.
+        withdrawn_from: Leader that had it before and is told that the job is withdrawn;
+            empty if there is none.
     """
 
     job: str
@@ -116,6 +121,10 @@
     needs_cores: float
     free_cores: float
     queued_core_s: float
+    number: int
+    age_s: float
+    left_s: float
+    withdrawn_from: str
 
 
 class JobAnswered(NamedTuple):
@@ -131,6 +140,8 @@
         took_s: Time since the job was received, s.
         limit_s: Time after its arrival at which the job is given up, s.
         limited_by: What sets that limit: `route` or `caller`.
+        number: Number of the submission at this host.
+        withdrawn: Whether the leader is told that the job is withdrawn.
     """
 
     job: str
@@ -142,6 +153,8 @@
     took_s: float
     limit_s: float
     limited_by: str
+    number: int
+    withdrawn: bool
 
 
 class JobAbandoned(NamedTuple):
@@ -154,6 +167,7 @@
         offers: How often the job was offered to a leader.
         age_s: Time since the job was received, s.
         left_s: Time until the deadline of the job, s.
+        number: Number of the submission at this host.
     """
 
     job: str
@@ -162,3 +176,4 @@
     offers: int
     age_s: float
     left_s: float
+    number: int
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -168,6 +168,7 @@
                 job.offers,
                 round(now - job.received_at, 4),
                 round(job.deadline - now, 4),
+                job.number,
             )
             actions.append(LogDecision(abandoned))
             actions += self._withdraw(job)
@@ -262,18 +263,24 @@
             return self._wait_for_leader(now, job)
         actions: list[SubmissionAction] = []
         if (name, leader.tenure) != (job.leader, job.tenure):
-            if job.leader and job.leader != name:
+            former = job.leader if job.leader != name else ""
+            if former:
                 withdrawn = JobWithdrawn(job.submission.job_id)
-                actions.append(WithdrawFromLeader(job.leader, withdrawn))
+                actions.append(WithdrawFromLeader(former, withdrawn))
             job.leader, job.tenure = name, leader.tenure
             job.handovers += 1
-            actions.append(self._log_choice(job, leader, reason))
+            actions.append(self._log_choice(now, job, leader, reason, former))
         job.offers += 1
         offered = OfferedJob(job.number, self._job_offer(now, job))
         return [*actions, OfferToLeader(name, offered)]
 
     def _log_choice(
-        self, job: _PendingJob, leader: LeaderView, reason: str
+        self,
+        now: float,
+        job: _PendingJob,
+        leader: LeaderView,
+        reason: str,
+        former: str,
     ) -> LogDecision:
         chosen = LeaderChosen(
             job.submission.job_id,
@@ -284,6 +291,10 @@
             round(job.needs_cores, 1),
             round(leader.load.free_cores, 1),
             round(leader.load.queued_core_s, 1),
+            job.number,
+            round(now - job.received_at, 4),
+            round(job.deadline - now, 4),
+            former,
         )
         return LogDecision(chosen)
 
@@ -441,6 +452,8 @@
             round(now - job.received_at, 4),
             round(submission.limit_s, 4),
             "caller" if submission.limited_by_caller else "route",
+            job.number,
+            withdraw,
         )
         actions: list[SubmissionAction] = [LogDecision(answered)]
         if withdraw:
