Simulate a fleet of hosts, workers and resending callers

Hosts carry the real Hosts, Leader and Submissions with their real heartbeat intervals; links, workers and callers are simulated.

--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -0,0 +1,262 @@
+"""One simulated entry host, wired as `poplarhilld.entry` wires the real one."""
+
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
+
+from poplarhill.exceptions import Failure
+from poplarhill.types import Address
+from poplarhilld.catalogue import WorkerEntry
+from poplarhilld.decisions import LogDecision
+from poplarhilld.entry.settings import EntrySettings
+from poplarhilld.entry.state import HostState
+from poplarhilld.leading import (
+    QueryWorker,
+    RenewLease,
+    ReportJob,
+    ShareLosses,
+    StartRun,
+    StopRun,
+)
+from poplarhilld.leases import TokenSource
+from poplarhilld.lookahead import LookaheadMode
+from poplarhilld.peers.messages import (
+    Beat,
+    JobEnded,
+    JobProgress,
+    JobWithdrawn,
+    OfferedJob,
+)
+from poplarhilld.shards import (
+    AnswerNewPeer,
+    HostLost,
+    Hosts,
+    LocalHost,
+    SendHeartbeat,
+)
+from poplarhilld.submissions import (
+    AnswerCaller,
+    OfferToLeader,
+    Submission,
+    WithdrawFromLeader,
+)
+
+_UNUSED = Address("127.0.0.1", 1)
+
+
+class Environment(Protocol):
+    """What a host reaches: links, workers, callers and the log."""
+
+    now: float
+
+    def send(self, host: "SimulatedHost", address: Address, messages: list) -> None:
+        """Send messages to the host at an address."""
+
+    def reconnect(self, host: "SimulatedHost", address: Address) -> None:
+        """Give up a connection to an address that is still being opened."""
+
+    def call_worker(self, host: "SimulatedHost", action: object) -> None:
+        """Send a call to a worker."""
+
+    def answer(self, host: str, number: int, failure: Failure | None) -> None:
+        """Answer the caller of a submission."""
+
+    def log(self, host: str, decision: tuple) -> None:
+        """Record a log line."""
+
+
+class SimulatedHost:
+    """The process of an entry host.
+
+    Args:
+        name: Name of the host.
+        address: Address of the host.
+        data_centre: Data centre of the host.
+        seeds: Addresses of hosts known at start.
+        environment: What it reaches.
+
+    Attributes:
+        name: Name of the host.
+        process: Name of this process of the host; a restart has another one.
+        address: Address of the host.
+        state: The decision objects of the host.
+        frozen: Whether the process is stopped; what arrives waits.
+        running: Whether the process runs or is frozen.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        data_centre: str,
+        seeds: tuple[Address, ...],
+        environment: Environment,
+    ) -> None:
+        now = environment.now
+        incarnation = round(now * 1000)
+        self.name, self.address = name, address
+        self.process = f"{name}@{incarnation}"
+        self.frozen = False
+        self.running = True
+        self._environment = environment
+        self._inbox: deque[Callable[[], None]] = deque()
+        settings = EntrySettings(
+            name,
+            data_centre,
+            _UNUSED,
+            _UNUSED,
+            address,
+            _UNUSED,
+            _UNUSED,
+            seeds=seeds,
+            lookahead=LookaheadMode.OFF,
+        )
+        self.state = HostState(settings, now)
+        # Its incarnation is the simulated time.
+        me = LocalHost(name, address, data_centre, incarnation, settings.cores)
+        self.state.hosts = Hosts(me, seeds, TokenSource(address), now)
+        self.state.registry_read = True
+
+    def handle(self, event: Callable[[], None]) -> None:
+        """Handle an event, or once the process is resumed if it is frozen."""
+        if self.frozen:
+            self._inbox.append(event)
+        elif self.running:
+            event()
+
+    def resume(self, tick_first: bool) -> None:
+        """Resume a frozen process, which handles what has arrived."""
+        self.frozen = False
+        if tick_first:
+            self.tick()
+        while self._inbox and self.running:
+            self._inbox.popleft()()
+
+    def set_workers(self, shards: Mapping[str, Mapping[str, WorkerEntry]]) -> None:
+        """Put the list of workers that was read from the store in force."""
+        self.state.shards = shards
+        self.state.registry_read_at = self._environment.now
+
+    def submit(self, number: int, submission: Submission) -> None:
+        """Accept a job of a caller."""
+        state, now = self.state, self._environment.now
+        if not len(state.submissions):
+            # Ticks of a host without jobs don't work out its leaders.
+            self.perform(
+                state.submissions.update_leaders(now, state.known_leaders(now))
+            )
+        self.perform(state.submissions.submit(now, number, submission))
+
+    def drop_caller(self, number: int) -> None:
+        """Give up a submission whose caller has closed its connection."""
+        now = self._environment.now
+        self.perform(self.state.submissions.drop_caller(now, number))
+
+    def receive(self, sender: str, messages: Iterable) -> None:
+        """Handle messages of another host."""
+        for message in messages:
+            self.perform(self._handle_message(sender, message))
+
+    def connection_refused(self, address: Address) -> None:
+        """Handle that the address of another host refuses connections."""
+        now = self._environment.now
+        self.perform(self.state.hosts.connection_refused(now, address))
+
+    def tick(self) -> None:
+        """Make the decisions that depend on time, as `Ticker.tick` does."""
+        state, now = self.state, self._environment.now
+        leader, submissions = state.leader, state.submissions
+        if leader.workers or state.hosts.next_tick_at(now) <= now:
+            self._update_hosts(now)
+        if leader.workers or leader.jobs:
+            self.perform(leader.tick(now))
+        if len(submissions):
+            self.perform(submissions.update_leaders(now, state.known_leaders(now)))
+            self.perform(submissions.tick(now))
+
+    def _update_hosts(self, now: float) -> None:
+        state = self.state
+        actions = state.hosts.tick(
+            now,
+            now,
+            {shard: len(entries) for shard, entries in state.shards.items()},
+            state.registry_read,
+            state.load(now),
+            1,
+            {**state.reachable_since, **state.last_reply_of_led_shards(now)},
+        )
+        self.perform(actions)
+        if not state.hosts.claims:
+            if state.leader.workers:
+                self.perform(state.leader.resign())
+            return
+        led: dict[str, WorkerEntry] = {}
+        not_led: set[str] = set()
+        for shard, entries in state.shards.items():
+            if shard in state.hosts.claims:
+                led.update(entries)
+            else:
+                not_led.update(entries)
+        self.perform(state.leader.set_workers(now, now, led, frozenset(not_led)))
+
+    def perform(self, actions: Iterable) -> None:
+        """Carry out actions in order, and those that result from them."""
+        environment, state = self._environment, self.state
+        pending = deque(actions)
+        messages: dict[Address, list] = {}
+        while pending:
+            action = pending.popleft()
+            match action:
+                case LogDecision(decision):
+                    environment.log(self.name, decision)
+                case SendHeartbeat(address, beat):
+                    messages.setdefault(address, []).append(beat)
+                case StartRun() | StopRun() | RenewLease() | QueryWorker():
+                    environment.call_worker(self, action)
+                case ShareLosses(report):
+                    for name in state.hosts.live:
+                        self._add_message(messages, name, report)
+                case (
+                    ReportJob(host, message)
+                    | OfferToLeader(host, message)
+                    | WithdrawFromLeader(host, message)
+                ):
+                    pending.extend(self._add_message(messages, host, message))
+                case AnswerCaller(number, failure):
+                    environment.answer(self.process, number, failure)
+                case AnswerNewPeer(address):
+                    environment.reconnect(self, address)
+                case HostLost(host):
+                    environment.log(self.name, action)
+                    now = environment.now
+                    pending.extend(state.leader.handle_lost_host(now, host))
+        for address, together in messages.items():
+            environment.send(self, address, together)
+
+    def _add_message(
+        self, messages: dict[Address, list], host: str, message: object
+    ) -> list:
+        if host == self.name:
+            return self._handle_message(host, message)
+        address = self.state.hosts.address(host)
+        if address is not None:
+            messages.setdefault(address, []).append(message)
+        return []
+
+    def _handle_message(self, sender: str, message: object) -> list:
+        """Apply a message, as `Performer.handle_message` does."""
+        state, now = self.state, self._environment.now
+        match message:
+            case Beat():
+                return state.hosts.heartbeat_received(now, sender, message)
+            case OfferedJob(number, offer):
+                if not state.hosts.claims:
+                    return []
+                return state.leader.handle_offer(now, sender, number, offer)
+            case JobWithdrawn():
+                return state.leader.handle_withdrawal(now, sender, message)
+            case JobProgress() | JobEnded():
+                if isinstance(message, JobProgress) and message.losses:
+                    state.leader.handle_losses(now, message.losses)
+                return state.submissions.apply_report(now, sender, message)
+        return []
--- /dev/null
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
@@ -0,0 +1,186 @@
+"""Random loads and faults of a simulated fleet, drawn from a seed."""
+
+from collections.abc import Callable
+from random import Random
+
+from poplarhill_dev.leased import simulated_job
+from poplarhill_dev.simulation.fleet import CENTRES, FleetWorld
+
+LOAD_S = 7.0
+DRAIN_S = 4.0
+_JOBS_PER_S = 30.0
+_FIRST_FAULT_S = 1.0
+
+
+def run_scenario(seed: int) -> FleetWorld:
+    """Run a fleet under the load and the faults of a seed."""
+    world = FleetWorld(seed)
+    random = Random(seed)
+    _schedule_jobs(world, random)
+    _schedule_faults(world, random)
+    world.run(LOAD_S + DRAIN_S)
+    return world
+
+
+def _schedule_jobs(world: FleetWorld, random: Random) -> None:
+    """Schedule arrivals, more of them in one data centre than in the others."""
+    rate = _JOBS_PER_S * random.choice([0.5, 1.0, 1.6])
+    weights = [random.choice([1, 1, 4]) for _ in CENTRES]
+    at = 0.0
+    while at < LOAD_S:
+        at += random.expovariate(rate)
+        [centre] = random.choices(list(CENTRES), weights)
+        world.schedule(at, _submit, world, random, centre)
+
+
+def _submit(world: FleetWorld, random: Random, centre: str) -> None:
+    job_id = f"j{len(world.callers)}"
+    run_s = random.choice([0.2, 0.9, 0.9])
+    job = simulated_job(job_id, tasks=random.choice([2, 4, 8]), run_s=run_s)
+    for task in range(job.offer.steps[0].count):
+        job.runs[f"{job_id}.0.0.{task}"] = run_s * random.uniform(0.6, 1.7)
+    world.submit_job(job, centre)
+
+
+def _schedule_faults(world: FleetWorld, random: Random) -> None:
+    """Schedule a few faults, most of them close together, each after a burst."""
+    at = _FIRST_FAULT_S
+    for _ in range(random.randint(2, 5)):
+        fault = random.choice(_FAULTS)
+        world.schedule(at, fault, world, random)
+        for _ in range(random.choice([0, 5, 15])):
+            early_s = random.uniform(0.0, 0.4)
+            centre = random.choice(list(CENTRES))
+            world.schedule(at - early_s, _submit, world, random, centre)
+        gap_s = random.choice([0.0, 0.1, 0.4, 0.8, 1.5, 2.5])
+        at += random.uniform(0.0, gap_s)
+
+
+def _pick_host(world: FleetWorld, random: Random) -> str:
+    """Return a host, often a leader."""
+    names = sorted(world.hosts)
+    leading = [name for name in names if world.hosts[name].state.hosts.claims]
+    return random.choice(leading if leading and random.random() < 0.5 else names)
+
+
+def _kill(world: FleetWorld, random: Random) -> None:
+    world.kill(_pick_host(world, random), random.uniform(0.3, 6.0))
+
+
+def _kill_leader_and_successor(world: FleetWorld, random: Random) -> None:
+    """Kill the leader of a data centre, and the next one soon after."""
+    centre = random.choice(list(CENTRES))
+    for delay_s in (0.0, random.uniform(0.0, 2.0)):
+        world.schedule(delay_s, _kill_leader, world, centre, random.uniform(0.5, 6.0))
+
+
+def _kill_leader(world: FleetWorld, centre: str, down_s: float) -> None:
+    leader = world.leader_of(centre)
+    if leader:
+        world.kill(leader, down_s)
+
+
+def _kill_many(world: FleetWorld, random: Random) -> None:
+    for name in random.sample(sorted(world.hosts), random.randint(2, 18)):
+        world.kill(name, random.uniform(0.5, 4.0))
+
+
+def _power_off(world: FleetWorld, random: Random) -> None:
+    for _ in range(random.randint(1, 3)):
+        world.power_off(_pick_host(world, random), random.uniform(0.5, 6.0))
+
+
+def _freeze(world: FleetWorld, random: Random) -> None:
+    for _ in range(random.randint(1, 3)):
+        seconds = random.choice([0.3, 0.8, 1.3, 1.6, 2.0, 3.0])
+        world.freeze(_pick_host(world, random), seconds * random.uniform(0.8, 1.2))
+
+
+def _reset(world: FleetWorld, random: Random) -> None:
+    for name in random.sample(sorted(world.hosts), random.randint(1, 10)):
+        world.reset_connections(name)
+
+
+def _cut_hosts(world: FleetWorld, random: Random) -> None:
+    """Cut a host from some of the other hosts."""
+    name = _pick_host(world, random)
+    share = random.choice([0.3, 1.0])
+    others = [one for one in sorted(world.hosts) if random.random() < share]
+    _cut(world, random, [name], others)
+
+
+def _cut_workers(world: FleetWorld, random: Random) -> None:
+    """Cut a host from some of the workers."""
+    name = _pick_host(world, random)
+    share = random.choice([0.1, 0.5, 1.0])
+    workers = [one for one in world.workers if random.random() < share]
+    _cut(world, random, [name], workers)
+
+
+def _cut_data_centres(world: FleetWorld, random: Random) -> None:
+    """Cut a data centre from the others."""
+    centre = random.choice(list(CENTRES))
+    inside = [name for name in world.hosts if name.startswith(centre)]
+    inside += [n for n, w in world.workers.items() if w.entry.data_centre == centre]
+    outside = (world.hosts.keys() | world.workers.keys()) - set(inside)
+    _cut(world, random, inside, sorted(outside))
+
+
+def _cut(world: FleetWorld, random: Random, ones: list[str], others: list[str]) -> None:
+    there = [(one, other) for one in ones for other in others]
+    back = [(other, one) for one, other in there]
+    pairs = random.choice([there, back, there + back, there + back])
+    seconds = random.choice([0.2, 0.5, 0.9, 1.5, 3.0])
+    world.note("network", f"cut {pairs[0][0]} to {pairs[0][1]}, {len(pairs)} paths")
+    world.cut(pairs, seconds * random.uniform(0.7, 1.3))
+
+
+def _cut_callers(world: FleetWorld, random: Random) -> None:
+    """Cut some hosts from their callers."""
+    names = set(random.sample(sorted(world.hosts), random.randint(1, 12)))
+    names -= world.cut_callers
+    world.note("network", f"callers cut from {sorted(names)}")
+    world.cut_callers |= names
+    seconds = random.uniform(0.1, 3.0)
+    world.schedule(seconds, world.cut_callers.difference_update, names)
+
+
+def _late_orders(world: FleetWorld, random: Random) -> None:
+    shares = ["late_order_share", "late_stop_share", "late_renewal_share"]
+    for name in random.choice([shares, shares[:1], shares[:2]]):
+        world.note("workers", f"late: {name}")
+        setattr(world, name, random.choice([0.1, 0.3, 0.5]))
+        world.schedule(random.uniform(1.0, 6.0), setattr, world, name, 0.0)
+
+
+def _late_frames(world: FleetWorld, random: Random) -> None:
+    world.note("network", "late frames")
+    world.network.late_share = random.choice([0.05, 0.2])
+    world.network.late_s = random.choice([0.1, 0.4, 1.0])
+    restore = (world.network, "late_share", 0.0)
+    world.schedule(random.uniform(1.0, 6.0), setattr, *restore)
+
+
+def _crash_workers(world: FleetWorld, random: Random) -> None:
+    for name in random.sample(sorted(world.workers), random.randint(1, 6)):
+        world.crash(name, down_s=random.uniform(0.3, 3.0))
+
+
+_FAULTS: tuple[Callable[[FleetWorld, Random], None], ...] = (
+    _kill,
+    _kill,
+    _kill_leader_and_successor,
+    _kill_many,
+    _power_off,
+    _freeze,
+    _freeze,
+    _reset,
+    _cut_hosts,
+    _cut_hosts,
+    _cut_workers,
+    _cut_data_centres,
+    _cut_callers,
+    _late_orders,
+    _late_frames,
+    _crash_workers,
+)
