Show two runs of one task after leaders lost in a row and after a pause

Two directed tests fail on the current code:

- an entry host is killed and two leaders of its jobs fall silent in a row: the first successor renews the leases of the runs and is lost before it stops them as orphans (40 tasks ran twice);
- a host that was paused for 3.5 s offers requests whose callers have closed them and sent the job again (48 tasks ran twice).

--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/__init__.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from poplarhill_dev.simulation.callers import Caller
-from poplarhill_dev.simulation.fleet import FleetWorld
+from poplarhill_dev.simulation.fleet import CENTRES, SMALL_FLEET, FleetWorld
 from poplarhill_dev.simulation.host import SimulatedHost
 
-__all__ = ["Caller", "FleetWorld", "SimulatedHost"]
+__all__ = ["CENTRES", "SMALL_FLEET", "Caller", "FleetWorld", "SimulatedHost"]
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/command.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/command.py
@@ -17,6 +17,8 @@
     outcomes: Counter[str] = Counter()
     for seed in range(int(first), int(last or first) + 1):
         world = run_scenario(seed)
+        if seed % 50 == 0:
+            click.echo(f"seed {seed}: {dict(counts)}")
         outcomes.update(caller.outcome or "none" for caller in world.callers.values())
         jobs = {(one.kind, one.job_id): one for one in reversed(world.violated)}
         for kind, job_id in jobs:
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -117,6 +117,11 @@
         self.state.hosts = Hosts(me, seeds, TokenSource(address), now)
         self.state.registry_read = True
 
+    @property
+    def idle(self) -> bool:
+        """Whether it has neither jobs nor workers."""
+        return not len(self.state.submissions) and not self.state.leader.workers
+
     def handle(self, event: Callable[[], None]) -> None:
         """Handle an event, or once the process is resumed if it is frozen."""
         if self.frozen:
--- /dev/null
+++ b/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
@@ -0,0 +1,56 @@
+"""Jobs that callers send again in a fleet with the heartbeats of a large one."""
+
+import pytest
+
+from poplarhill_dev.leased import simulated_job
+from poplarhill_dev.simulation import SMALL_FLEET, FleetWorld
+from poplarhill_dev.simulation.callers import RESEND_DELAY_S
+
+LEADER, SUCCESSOR, ENTRY = "dc1-00", "dc1-01", "dc1-05"
+RUN_S = 1.5  # as long as callers wait
+DOWN_S = 9.0  # longer than the test
+
+
+@pytest.fixture
+def fleet() -> FleetWorld:
+    fleet = FleetWorld(1, SMALL_FLEET)
+    assert fleet.leader_of("dc1") == LEADER
+    return fleet
+
+
+def submit_jobs(fleet: FleetWorld, host: str, count: int = 6) -> None:
+    """Submit jobs with long tasks to a host; they are sent again to another centre."""
+    for number in range(count):
+        job = simulated_job(f"j{number}", tasks=8, run_s=0.9)
+        job.runs.update({f"j{number}.0.0.{task}": RUN_S for task in range(8)})
+        fleet.submit_job(job, "dc2", host)
+
+
+# Guards against orphans whose lease each new leader renews before it is lost itself: no
+# host knows of them when their callers send the job again.
+@pytest.mark.parametrize("lose", ["kill", "power_off"])
+def test_runs_without_an_entry_host_end_though_two_leaders_are_lost(
+    fleet: FleetWorld, lose: str
+) -> None:
+    submit_jobs(fleet, ENTRY)
+    fleet.run(0.1)
+    getattr(fleet, lose)(LEADER, DOWN_S)
+    fleet.kill(ENTRY, DOWN_S)
+    while fleet.leader_of("dc1") != SUCCESSOR:
+        fleet.run(0.05)
+    fleet.run(0.2)
+    getattr(fleet, lose)(SUCCESSOR, DOWN_S)
+    fleet.run(RESEND_DELAY_S + RUN_S)
+    assert fleet.violated == []
+
+
+# Guards against requests that wait in the sockets of a paused host until their callers
+# have closed them and sent the job again.
+def test_a_request_whose_caller_has_left_starts_nothing_after_a_pause(
+    fleet: FleetWorld,
+) -> None:
+    fleet.handles_closed_requests = True
+    fleet.freeze(ENTRY, 3.5, tick_first=False)
+    submit_jobs(fleet, ENTRY)
+    fleet.run(5.0)
+    assert fleet.violated == []
