Show runs that outlive the resend delay after a lost withdrawal or an unseen kill

A name of the base class hid the method that cuts paths, so earlier simulated runs had no cuts; it is now cut_paths.

--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
@@ -166,9 +166,7 @@
         """Take the power from a machine, which falls silent; it starts again later."""
         self._end_process(name, PortState.SILENT, down_s)
 
-    def freeze(
-        self, name: str, seconds: float, tick_first: bool | None = None
-    ) -> None:
+    def freeze(self, name: str, seconds: float, tick_first: bool | None = None) -> None:
         """Stop the process of a host for a time.
 
         Args:
@@ -192,7 +190,7 @@
             self._close_connection(host, caller.attempts[-1])
             self._attempt_failed(caller, "connection reset")
 
-    def cut(self, pairs: Iterable[tuple[str, str]], seconds: float) -> None:
+    def cut_paths(self, pairs: Iterable[tuple[str, str]], seconds: float) -> None:
         """Cut paths between machines, each in one direction, for a time."""
         cut = set(pairs) - self.network.cuts
         self.network.cuts |= cut
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
@@ -157,7 +157,7 @@
     pairs = random.choice([there, back, there + back, there + back])
     seconds = random.choice([0.2, 0.5, 0.9, 1.5, 3.0])
     world.note("network", f"cut {pairs[0][0]} to {pairs[0][1]}, {len(pairs)} paths")
-    world.cut(pairs, seconds * random.uniform(0.7, 1.3))
+    world.cut_paths(pairs, seconds * random.uniform(0.7, 1.3))
 
 
 def _cut_callers(world: FleetWorld, random: Random) -> None:
--- a/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
+++ b/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
@@ -44,6 +44,31 @@
     assert fleet.violated == []
 
 
+# Guards against withdrawals that are lost with a connection: the leader runs the tasks
+# on until the limit of their job, which is later than the next attempt of its caller.
+def test_runs_end_though_the_withdrawal_of_their_job_is_lost(fleet: FleetWorld) -> None:
+    submit_jobs(fleet, ENTRY)
+    fleet.run(0.02)
+    fleet.cut_paths([(ENTRY, LEADER)], 1.2)
+    fleet.reset_connections(ENTRY)
+    fleet.run(RESEND_DELAY_S + RUN_S)
+    assert fleet.violated == []
+
+
+# Guards against a leader that gives up a lost entry host later than its callers resend.
+@pytest.mark.parametrize("both_ways", [False, True])
+def test_runs_of_a_killed_host_end_at_a_leader_that_cannot_reach_it(
+    fleet: FleetWorld, both_ways: bool
+) -> None:
+    submit_jobs(fleet, ENTRY)
+    fleet.run(0.02)
+    paths = [(LEADER, ENTRY), (ENTRY, LEADER)]
+    fleet.cut_paths(paths if both_ways else paths[:1], DOWN_S)
+    fleet.kill(ENTRY, DOWN_S)
+    fleet.run(RESEND_DELAY_S + RUN_S)
+    assert fleet.violated == []
+
+
 # Guards against requests that wait in the sockets of a paused host until their callers
 # have closed them and sent the job again.
 def test_a_request_whose_caller_has_left_starts_nothing_after_a_pause(
