--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
@@ -26,6 +26,7 @@
 from poplarhill_dev.simulation.host import SimulatedHost
 from poplarhill_dev.simulation.network import Link, Network, PortState
 from poplarhill_dev.simulation.workers import FleetWorker, HeldRenewal
+from poplarhilld.entry.store import LEADER_REGISTRY_REFRESH_S
 from poplarhilld.leading import Order, QueryWorker, RenewLease, StartRun, StopRun
 from poplarhilld.leases import (
     LeaseReply,
@@ -44,6 +45,8 @@
 SMALL_FLEET = MappingProxyType({"dc1": 7, "dc2": 7, "dc3": 6})
 WORKERS = 100
 STOP_TIMEOUT_S = 0.05
+_BALANCER_NOTICE_S = 2.5  # from SIGTERM until no more requests arrive
+_EXIT_BEFORE_KILL_S = 0.3
 _IDLE_TICK_S = 0.075  # of a host without jobs and workers
 _RENEWAL_TIMEOUT_S = 0.3  # beyond the time for which a worker may hold a renewal
 # Attempts that reach another data centre, as when the own one is out of rotation.
@@ -162,6 +165,45 @@
         for caller in self._callers_of(self.hosts[name]):
             self._attempt_failed(caller, "connection broken")
 
+    def shut_down(self, name: str, down_s: float) -> None:
+        """Send SIGTERM to a host; it ends once it is idle or its time is up."""
+        host = self.hosts[name]
+        if host.running and not host.state.shutting_down:
+            self.note(name, "SIGTERM, process ends later")
+            host.handle(host.begin_shutdown)
+            ends_at = self.now + host.state.settings.grace_s - _EXIT_BEFORE_KILL_S
+            self.schedule(
+                _BALANCER_NOTICE_S, self._end_when_idle, host, ends_at, down_s
+            )
+
+    def _end_when_idle(
+        self, host: SimulatedHost, ends_at: float, down_s: float
+    ) -> None:
+        idle = not len(host.state.submissions) and not host.state.hosts.claims
+        if not host.running:
+            return
+        if host.frozen or (not idle and self.now < ends_at):
+            self.schedule(TICK_S, self._end_when_idle, host, ends_at, down_s)
+            return
+        host.end_shutdown()
+        # What was sent arrives before the connections are closed.
+        self.schedule(2 * LINK_DELAY_S, self._kill_process, host, down_s)
+
+    def _kill_process(self, host: SimulatedHost, down_s: float) -> None:
+        if host.running:
+            self.kill(host.name, down_s)
+
+    def drain_workers(self, names: Iterable[str]) -> None:
+        """Let workers report that they drain; hosts read it within their intervals."""
+        for name in names:
+            worker = self.workers[name]
+            worker.entry = worker.entry._replace(draining=True)
+        shards = self._shards = partition(self.entries.values())
+        for host in self.hosts.values():
+            interval_s = LEADER_REGISTRY_REFRESH_S if host.state.leader.workers else 2.0
+            delay_s = self.random.uniform(0.0, interval_s)
+            self.schedule(delay_s, host.handle, partial(host.set_workers, shards))
+
     def power_off(self, name: str, down_s: float) -> None:
         """Take the power from a machine, which falls silent; it starts again later."""
         self._end_process(name, PortState.SILENT, down_s)
@@ -296,9 +338,12 @@
         names = [name for name in self.hosts if name.startswith(caller.data_centre)]
         if caller.attempts and self.random.random() < _RESENT_ELSEWHERE_SHARE:
             names = list(self.hosts)
-        listening = [name for name in names if name not in self.ports] or names
+        listening = [name for name in names if self._is_in_rotation(name)] or names
         self._send_to(caller, self.random.choice(listening))
 
+    def _is_in_rotation(self, name: str) -> bool:
+        return name not in self.ports and not self.hosts[name].state.shutting_down
+
     def _send_to(self, caller: Caller, name: str) -> None:
         """Let a caller send its job to a host."""
         host = self.hosts[name]
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -137,6 +137,21 @@
         while self._inbox and self.running:
             self._inbox.popleft()()
 
+    def begin_shutdown(self) -> None:
+        """Hand over the led shards and answer the jobs in flight, as on SIGTERM."""
+        state, now = self.state, self._environment.now
+        state.shutting_down = True
+        state.hosts.leave()
+        state.submissions.set_stop_time(now + state.settings.grace_s - 1.0)
+        self.tick()
+
+    def end_shutdown(self) -> None:
+        """Give up what is left before the process ends."""
+        state, now = self.state, self._environment.now
+        self.perform(state.submissions.tick(now))
+        self.perform(state.submissions.abandon_all(now))
+        self.perform(state.leader.resign())
+
     def set_workers(self, shards: Mapping[str, Mapping[str, WorkerEntry]]) -> None:
         """Put the list of workers that was read from the store in force."""
         self.state.shards = shards
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
@@ -186,6 +186,17 @@
     world.schedule(random.uniform(1.0, 6.0), setattr, *restore)
 
 
+def _shut_down(world: FleetWorld, random: Random) -> None:
+    """Stop hosts gracefully, in series."""
+    for number in range(random.randint(1, 4)):
+        name = _pick_host(world, random)
+        world.schedule(0.4 * number, world.shut_down, name, 1.0)
+
+
+def _drain_workers(world: FleetWorld, random: Random) -> None:
+    world.drain_workers(random.sample(sorted(world.workers), random.randint(1, 20)))
+
+
 def _crash_workers(world: FleetWorld, random: Random) -> None:
     for name in random.sample(sorted(world.workers), random.randint(1, 6)):
         world.crash(name, down_s=random.uniform(0.3, 3.0))
@@ -213,4 +224,6 @@
     _late_orders,
     _late_frames,
     _crash_workers,
+    _shut_down,
+    _drain_workers,
 )
