--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/command.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/command.py
@@ -19,7 +19,9 @@
         world = run_scenario(seed)
         if seed % 50 == 0:
             click.echo(f"seed {seed}: {dict(counts)}")
-        outcomes.update(caller.outcome or "none" for caller in world.callers.values())
+        outcomes.update(
+            caller.outcome or "none" for caller in world.callers.by_job.values()
+        )
         jobs = {(one.kind, one.job_id): one for one in reversed(world.violated)}
         for kind, job_id in jobs:
             counts[kind] += 1
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
@@ -35,7 +35,7 @@
 
 
 def _submit(world: FleetWorld, random: Random, centre: str) -> None:
-    job_id = f"j{len(world.callers)}"
+    job_id = f"j{len(world.callers.by_job)}"
     run_s = random.choice([0.2, 0.9, 0.9, 0.9])
     job = simulated_job(job_id, tasks=random.choice([2, 4, 8]), run_s=run_s)
     for task in range(job.offer.steps[0].count):
@@ -163,11 +163,11 @@
 def _cut_callers(world: FleetWorld, random: Random) -> None:
     """Cut some hosts from their callers."""
     names = set(random.sample(sorted(world.hosts), random.randint(1, 12)))
-    names -= world.cut_callers
+    names -= world.callers.cut_hosts
     world.note("network", f"callers cut from {sorted(names)}")
-    world.cut_callers |= names
+    world.callers.cut_hosts |= names
     seconds = random.uniform(0.1, 3.0)
-    world.schedule(seconds, world.cut_callers.difference_update, names)
+    world.schedule(seconds, world.callers.cut_hosts.difference_update, names)
 
 
 def _late_orders(world: FleetWorld, random: Random) -> None:
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
@@ -1,10 +1,32 @@
 """Workers of the simulated fleet: stops take time, orders may take effect late."""
 
-from collections.abc import Callable
+import heapq
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
+from typing import NamedTuple
 
-from poplarhill_dev.leased import SimulatedWorker
-from poplarhilld.leases import Renewal, Run, RunEndKind
+from poplarhill_dev.leased import (
+    ANSWER_TIMEOUT_S,
+    LINK_DELAY_S,
+    SimulatedWorker,
+    World,
+)
+from poplarhill_dev.simulation.host import SimulatedHost
+from poplarhill_dev.simulation.network import Network
+from poplarhilld.leading import Order, QueryWorker, RenewLease, StartRun, StopRun
+from poplarhilld.leases import (
+    LeaseReply,
+    OrderOutcome,
+    OrderReply,
+    Renewal,
+    RenewalFailure,
+    Run,
+    RunEndKind,
+)
+
+STOP_TIMEOUT_S = 0.05
+_RENEWAL_TIMEOUT_S = 0.3  # beyond the time for which a worker may hold a renewal
 
 
 @dataclass
@@ -61,3 +83,250 @@
             if kind is not RunEndKind.LAPSED:
                 kind = RunEndKind.STOPPED
         super()._end(at, run, kind)
+
+
+class Violation(NamedTuple):
+    """A violated invariant.
+
+    Attributes:
+        at: When it was violated, s.
+        kind: The invariant.
+        job_id: The job.
+        what: What was seen.
+    """
+
+    at: float
+    kind: str
+    job_id: str
+    what: str
+
+
+class WorkerWorld(World):
+    """Workers and the calls that hosts send them; checks each start of a run.
+
+    Args:
+        workers: The workers.
+        seed: Seed of every random choice.
+
+    Attributes:
+        network: Paths between the machines.
+        lines: Log lines, answers, starts and ends: time, host or worker, and what.
+        late_stop_share: Share of the stop orders that take effect late.
+        late_renewal_share: Share of the renewals that take effect late.
+        told_not_run: Ids of the jobs whose callers were told that nothing has run.
+        violated: The violated invariants.
+    """
+
+    def __init__(self, workers: Iterable[FleetWorker], seed: int) -> None:
+        super().__init__(workers, seed)
+        self.network = Network()
+        self.lines: list[tuple[float, str, object]] = []
+        self.late_stop_share = 0.0
+        self.late_renewal_share = 0.0
+        self.told_not_run: set[str] = set()
+        self.violated: list[Violation] = []
+        self._running_on: dict[str, set[str]] = {}
+        for name, worker in self.workers.items():
+            worker.stop_delay_s = partial(self.random.uniform, 0.0, STOP_TIMEOUT_S)
+            worker.on_end = partial(self._run_ended, name)
+
+    def schedule(self, delay_s: float, call: Callable, *args: object) -> None:
+        """Call a function after a delay, s."""
+        self._schedule(delay_s, call, *args)
+
+    def run(self, seconds: float) -> None:
+        """Advance the simulated time, carrying out what is due."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            due, _, call = heapq.heappop(self._events)
+            self.now = max(self.now, due)
+            call()
+        self.now = end
+
+    def note(self, who: str, what: object) -> None:
+        """Record a line of the trace."""
+        self.lines.append((self.now, who, what))
+
+    def call_worker(self, host: SimulatedHost, action: object) -> None:
+        """Send a call to a worker; the leader of the host handles the reply."""
+        leader = host.state.leader
+        match action:
+            case StartRun(entry, order):
+                name, run = entry.name, order.run
+                self._call(
+                    host,
+                    name,
+                    lambda answer: answer(self._start_run(name, order, host.name)),
+                    lambda reply: leader.handle_start_reply(self.now, name, run, reply),
+                    OrderReply(OrderOutcome.UNKNOWN),
+                    OrderReply(OrderOutcome.UNSENT),
+                    late_share=self.late_order_share,
+                )
+            case StopRun(entry, run, token):
+                name = entry.name
+                self.note(host.name, f"orders stop of {run} on {name}")
+                self._call(
+                    host,
+                    name,
+                    lambda answer: answer(self._stop_run(name, run, token)),
+                    lambda reply: leader.handle_stop_reply(self.now, name, run, reply),
+                    False,
+                    False,
+                    late_share=self.late_stop_share,
+                )
+            case RenewLease(_, _, pause_s) if pause_s:
+                renew = partial(self._renew_after_pause, host, action)
+                self.schedule(pause_s, host.handle, renew)
+            case RenewLease(entry, renewal):
+                self._renew_lease(host, entry.name, renewal, "handle_renewal_reply")
+            case QueryWorker(entry, renewal):
+                self._renew_lease(host, entry.name, renewal, "handle_state_reply")
+
+    def _renew_after_pause(self, host: SimulatedHost, action: RenewLease) -> None:
+        worker = host.state.leader.workers.get(action.worker.name)
+        if worker is None or worker.token != action.renewal.token or worker.fenced:
+            return
+        renewal = worker.next_renewal(self.now)
+        self.call_worker(host, RenewLease(action.worker, renewal))
+
+    def _renew_lease(
+        self, host: SimulatedHost, name: str, renewal: Renewal, method: str
+    ) -> None:
+        handle_reply = getattr(host.state.leader, method)
+        self._call(
+            host,
+            name,
+            partial(self._hold_renewal_until_end, name, renewal),
+            lambda reply: handle_reply(self.now, name, renewal, reply),
+            RenewalFailure.SILENT,
+            RenewalFailure.REFUSED,
+            renewal.wait_s + _RENEWAL_TIMEOUT_S,
+            self.late_renewal_share,
+        )
+
+    def _call(
+        self,
+        host: SimulatedHost,
+        name: str,
+        request: Callable[[Callable[[object], None]], None],
+        handle_reply: Callable[[object], list],
+        no_reply: object,
+        refused: object,
+        timeout_s: float = ANSWER_TIMEOUT_S,
+        late_share: float = 0.0,
+    ) -> None:
+        """Send a request to a worker.
+
+        Args:
+            host: The host that sends it.
+            name: Name of the worker.
+            request: Carries it out on the worker and passes the reply on.
+            handle_reply: Returns the actions of the leader on a reply.
+            no_reply: What the leader is told if there is no reply in time.
+            refused: What the leader is told if the connection is refused.
+            timeout_s: How long a reply is waited for, s.
+            late_share: Share of such requests that take effect late, without a reply.
+        """
+        worker, sent_at = self.workers[name], self.now
+
+        def reply(result: object) -> None:
+            host.handle(lambda: host.perform(handle_reply(result)))
+
+        def answer(result: object) -> None:
+            if self.network.is_cut(name, host.name) or worker.unreachable:
+                left_s = max(0.0, sent_at + timeout_s - self.now)
+                self.schedule(left_s, reply, no_reply)
+            else:
+                self.schedule(LINK_DELAY_S, reply, result)
+
+        if worker.refusing:
+            self.schedule(2 * LINK_DELAY_S, reply, refused)
+        elif self.network.is_cut(host.name, name) or worker.unreachable:
+            self.schedule(timeout_s, reply, no_reply)
+        elif late_share and self.random.random() < late_share:
+            self.schedule(self._late_delay_s(), request, lambda result: None)
+            self.schedule(timeout_s, reply, no_reply)
+        else:
+            self.schedule(LINK_DELAY_S, request, answer)
+
+    def _late_delay_s(self) -> float:
+        """Return when a late request takes effect: while it is valid, or much later."""
+        if self.random.random() < 0.3:
+            return self.random.uniform(0.25, 0.7)
+        return self.random.uniform(2.0, 12.0)
+
+    def _start_run(self, name: str, order: Order, host: str) -> OrderReply:
+        worker = self.workers[name]
+        known = order.run in worker.running
+        reply = self._apply_start(name, order)
+        if reply.outcome is not OrderOutcome.ACCEPTED:
+            self.note(name, f"start of {order.run} by {host}: {reply.outcome.value}")
+        elif not known:
+            self.note(name, f"{order.run} started by {host}")
+            self._check_start(name, order.run)
+            ends_at = worker.running[order.run].until
+            self.schedule(ends_at - self.now + 1e-6, self._answer_held, name)
+        return reply
+
+    def _stop_run(self, name: str, run: Run, token: int) -> bool:
+        worker = self.workers[name]
+        if token < worker.token:
+            self.note(name, f"stop of {run}: fenced")
+        worker.stop(self.now, run, token)
+        running = worker.running.get(run)
+        if running is not None:
+            self.schedule(running.until - self.now + 1e-6, self._answer_held, name)
+        return True
+
+    def _hold_renewal_until_end(
+        self, name: str, renewal: Renewal, answer: Callable[[object], None]
+    ) -> None:
+        """Grant a lease, and reply once a run has ended or the time has passed."""
+        worker = self.workers[name]
+        reply = worker.renew(self.now, renewal)
+        if isinstance(reply, LeaseReply) and not reply.ends and renewal.wait_s:
+            until = self.now + renewal.wait_s
+            worker.held.append(HeldRenewal(renewal, until, answer))
+            self.schedule(renewal.wait_s, self._answer_held, name)
+        else:
+            answer(reply)
+
+    def _answer_held(self, name: str) -> None:
+        """Reply to the renewals of a worker that are due or whose wait a run ended."""
+        worker = self.workers[name]
+        worker.advance(self.now)
+        held, worker.held = worker.held, []
+        for one in held:
+            reply = worker.renew(self.now, one.renewal._replace(deadline_s=None))
+            if (
+                isinstance(reply, LeaseReply)
+                and not reply.ends
+                and self.now < one.until
+            ):
+                worker.held.append(one)
+            else:
+                one.answer(reply)
+
+    def _run_ended(self, name: str, at: float, run: Run, kind: RunEndKind) -> None:
+        self.lines.append((at, name, f"{run} {kind.value}"))
+        self._running_on.get(run.task, set()).discard(name)
+
+    def _check_start(self, name: str, run: Run) -> None:
+        """Check that no other run of a task is under way when one starts."""
+        job_id = run.task.partition(".")[0]
+        if job_id in self.told_not_run:
+            self.record_violation("started after 'not run'", job_id, f"{run} on {name}")
+        on = self._running_on.setdefault(run.task, set())
+        on.add(name)
+        for other in sorted(on):
+            worker = self.workers[other]
+            worker.advance(self.now)
+            for one in worker.running:
+                if one.task == run.task and (other, one) != (name, run):
+                    what = f"{run} on {name} beside {one} on {other}"
+                    self.record_violation("ran twice", job_id, what)
+
+    def record_violation(self, kind: str, job_id: str, what: str) -> None:
+        """Record that an invariant is violated now."""
+        self.note("check", f"VIOLATION {kind}: {what}")
+        self.violated.append(Violation(self.now, kind, job_id, what))
--- a/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
+++ b/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
@@ -74,7 +74,7 @@
 def test_a_request_whose_caller_has_left_starts_nothing_after_a_pause(
     fleet: FleetWorld,
 ) -> None:
-    fleet.handles_closed_requests = True
+    fleet.callers.closed_requests_handled = True
     fleet.freeze(ENTRY, 3.5, tick_first=False)
     submit_jobs(fleet, ENTRY)
     fleet.run(5.0)
