--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
@@ -20,6 +20,7 @@
 SMALL_FLEET = MappingProxyType({"dc1": 7, "dc2": 7, "dc3": 6})
 WORKERS = 100
 _REGISTRY_REFRESH_S = 2.0  # of a host that leads nothing
+_REACHABILITY_INTERVAL_S = 0.5
 _BALANCER_NOTICE_S = 2.5  # from SIGTERM until no more requests arrive
 _EXIT_BEFORE_KILL_S = 0.3
 _IDLE_TICK_S = 0.075  # of a host without jobs and workers
@@ -213,6 +214,8 @@
         host.set_workers(self._shards)
         self.hosts[name] = host
         self.schedule(self.random.uniform(0.0, TICK_S), self._tick_host, host)
+        delay_s = self.random.uniform(0.0, _REACHABILITY_INTERVAL_S)
+        self.schedule(delay_s, self._check_reachability, host)
 
     def _tick_host(self, host: SimulatedHost) -> None:
         if host.running:
@@ -221,6 +224,25 @@
             interval_s = _IDLE_TICK_S if host.idle else TICK_S
             self.schedule(interval_s, self._tick_host, host)
 
+    def _check_reachability(self, host: SimulatedHost) -> None:
+        """Note which leaderless shards have a worker that responds to a host."""
+        if not host.running:
+            return
+        if not host.frozen:
+            watched = host.state.hosts.shards_to_watch(self._shards)
+            host.note_reachable(
+                shard
+                for shard in watched
+                if self._responds(host.name, min(self._shards[shard]))
+            )
+        self.schedule(_REACHABILITY_INTERVAL_S, self._check_reachability, host)
+
+    def _responds(self, host: str, name: str) -> bool:
+        paths = (host, name), (name, host)
+        worker = self.workers[name]
+        cut = any(self.network.is_cut(*path) for path in paths)
+        return not (cut or worker.unreachable or worker.refusing)
+
     def _resume(self, host: SimulatedHost, tick_first: bool | None) -> None:
         if host.running:
             self.note(host.name, "resumed")
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -157,6 +157,11 @@
         self.state.shards = shards
         self.state.registry_read_at = self._environment.now
 
+    def note_reachable(self, shards: Iterable[str]) -> None:
+        """Note the watched shards of which a worker responds to this host now."""
+        since, now = self.state.reachable_since, self._environment.now
+        self.state.reachable_since = {shard: since.get(shard, now) for shard in shards}
+
     def submit(self, number: int, submission: Submission) -> None:
         """Accept a job of a caller."""
         state, now = self.state, self._environment.now
