--- a/packages/poplarhill/src/poplarhill/types.py
+++ b/packages/poplarhill/src/poplarhill/types.py
@@ -2,7 +2,12 @@
 
 from typing import NamedTuple
 
+from poplarhill.decoding import parse_digits
+
 MAX_TASKS_PER_JOB = 160
+_MAX_OCTET = 255
+_MAX_PORT = 65_535
+_MAX_QUOTED_CHARS = 80
 
 
 class Address(NamedTuple):
@@ -23,13 +28,15 @@
         Raises:
             ValueError: The text is not of that form.
         """
-        host, _, port = text.rpartition(":")
-        parts = host.split(".")
-        if len(parts) != 4 or not all(p.isdecimal() and int(p) < 256 for p in parts):
-            raise ValueError(f"{text!r} is not an IP address and a port")
-        if not port.isdecimal() or not 0 < int(port) < 65536:
-            raise ValueError(f"{text!r} has no port from 1 to 65535")
-        return cls(host, int(port))
+        quoted = repr(text[:_MAX_QUOTED_CHARS])
+        host, _, port_digits = text.rpartition(":")
+        octets = [parse_digits(part, _MAX_OCTET) for part in host.split(".")]
+        if len(octets) != 4 or None in octets:
+            raise ValueError(f"{quoted} is not an IP address and a port")
+        port = parse_digits(port_digits, _MAX_PORT)
+        if not port:
+            raise ValueError(f"{quoted} has no port from 1 to {_MAX_PORT}")
+        return cls(host, port)
 
 
 class TaskId(NamedTuple):
