--- a/packages/poplarhill-dev/tests/adapter/test_odd_entries.py
+++ b/packages/poplarhill-dev/tests/adapter/test_odd_entries.py
@@ -14,6 +14,7 @@
 from poplarhill_platform_dev import StandInStore, worker_record
 
 SOUND = worker_record(worker_entry("w1"))
+HOST = b'{"address":"127.0.0.1:7001"}'
 MALFORMED = {
     "nested 5,000 deep": b'{"x":' + b"[" * 5_000 + b"]" * 5_000 + b"}",
     "nested 100,000 deep": b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
@@ -56,6 +57,20 @@
 }
 
 
+ODD_HOSTS = {
+    **{
+        name: data.replace(b"{", HOST[:-1] + b",", 1)
+        if name.startswith("nested")
+        else data
+        for name, data in MALFORMED.items()
+    },
+    **{
+        name: msgspec.json.encode({"address": address})
+        for name, address in ADDRESSES.items()
+    },
+}
+
+
 def named(values: dict) -> pytest.MarkDecorator:
     """Parametrize `data` by the values, with the keys as ids."""
     return pytest.mark.parametrize("data", list(values.values()), ids=list(values))
@@ -104,3 +119,18 @@
     record = {**SOUND, "capacity": {"cpu": 0, "mem_mb": 2**31 - 1, "gpu": 65_535}}
     found = read("workers", lambda store: store.put("keyed.servers", "w1", record))
     assert found[0]["w1"].room == Resources(0.0, 2**31 - 1, 65_535)
+
+
+# Guards against a host that ends, or follows no list, while another writer's entry
+# stands in the list of hosts.
+@named(ODD_HOSTS)
+def test_an_odd_host_costs_only_itself_and_is_logged_once(read, data: bytes) -> None:
+    def write(store: StandInStore) -> None:
+        store.put_bytes("keyed.hosts", "odd", data)
+        store.put_bytes("keyed.hosts", "h1", HOST)
+
+    with structlog.testing.capture_logs() as lines:
+        for found in read("hosts", write, write, write):
+            assert found == (Address("127.0.0.1", 7001),)
+    assert [line["event"] for line in lines] == ["HostEntryIgnored"]
+    assert len(str(lines)) < 500
