Keep the configuration in force when its record cannot be decoded

What callers saw: a record `config` nested deeply ended each host that read it. Other records that cannot be decoded counted as a store that does not answer, so that the logs named the store; a version below 0 or of 30 digits and limits out of range were put in force.

Cause: the list of exceptions there lacks RecursionError, the numbers had no range, and a bad record and a store without an answer shared one error.

Change: the record is decoded by `decode_json` with a range for each number. One that cannot be decoded is logged once as CatalogueIgnored; the version before it stays in force, and evacuations and later versions are read on. A negative `slo_ms` stays allowed, as `config check` only warns of it.

--- a/packages/poplarhill-dev/tests/adapter/test_odd_entries.py
+++ b/packages/poplarhill-dev/tests/adapter/test_odd_entries.py
@@ -11,7 +11,7 @@
 from poplarhill_dev.leased import worker_entry
 from poplarhill_dev.loopback import free_port
 from poplarhill_platform import StoreDirectory
-from poplarhill_platform_dev import StandInStore, worker_record
+from poplarhill_platform_dev import StandInStore, configuration, worker_record
 
 SOUND = worker_record(worker_entry("w1"))
 HOST = b'{"address":"127.0.0.1:7001"}'
@@ -24,6 +24,21 @@
     "not JSON": b"{",
     "no fields": b"{}",
 }
+ROUTES = configuration(1, ["/a/"], 1.5)["routes"]
+ODD_CONFIGURATIONS = {
+    **MALFORMED,
+    **{
+        f"{field} of {digits[:4]}, {len(digits)} digits": msgspec.json.encode(
+            {**configuration(2, [], 1.5), "routes": [{**ROUTES[0], field: 424242}]}
+        ).replace(b"424242", digits.encode())
+        for field in ("timeout_ms", "slo_ms", "stretch", "priority", "max_attempts")
+        for digits in ("9" * 5_000, "9" * 400, "9" * 30, "-" + "9" * 20, "true")
+    },
+    "version below 0": msgspec.json.encode(configuration(-1, ["/a/"], 1.5)),
+    "version of 30 digits": msgspec.json.encode(
+        configuration(424242, ["/a/"], 1.5)
+    ).replace(b"424242", b"9" * 30),
+}
 ADDRESSES = {
     "port 0": "127.0.0.1:0",
     "port 99999": "127.0.0.1:99999",
@@ -134,3 +149,29 @@
             assert found == (Address("127.0.0.1", 7001),)
     assert [line["event"] for line in lines] == ["HostEntryIgnored"]
     assert len(str(lines)) < 500
+
+
+# Guards against hosts that end, or no longer follow the configuration and the
+# evacuations, after one record `config` that cannot be decoded.
+@named(ODD_CONFIGURATIONS)
+def test_an_odd_configuration_leaves_the_last_one_in_force(read, data: bytes) -> None:
+    def put(version: int) -> Callable[[StandInStore], None]:
+        value = configuration(version, ["/a/"], 1.5)
+        return lambda store: store.put("keyed.op", "config", value)
+
+    def put_odd(store: StandInStore) -> None:
+        store.put_bytes("keyed.op", "config", data)
+
+    def evacuate(store: StandInStore) -> None:
+        store.put("keyed.op", "evacuate/dc1", {})
+
+    with structlog.testing.capture_logs() as lines:
+        found = read("next_catalogue", put(1), put_odd, evacuate, put(5))
+    assert [catalogue and catalogue.version for catalogue in found] == [
+        1,
+        None,
+        None,
+        5,
+    ]
+    assert [line["event"] for line in lines] == ["CatalogueIgnored"]
+    assert len(str(lines)) < 500
--- a/packages/poplarhill/src/poplarhill/decoding.py
+++ b/packages/poplarhill/src/poplarhill/decoding.py
@@ -34,6 +34,10 @@
 Factor = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 Duration = Annotated[float, msgspec.Meta(ge=0, le=_MAX_DURATION_S)]
 DurationMs = Annotated[float, msgspec.Meta(ge=0, le=_MAX_DURATION_S * _MILLI)]
+SignedDurationMs = Annotated[
+    float,
+    msgspec.Meta(ge=-_MAX_DURATION_S * _MILLI, le=_MAX_DURATION_S * _MILLI),
+]
 # A time of a clock that starts at any time, such as the Unix epoch.
 ClockMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT_DOUBLE)]
 Version = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT64)]
