Let a row that cannot be decoded hide no other row of a worker's reply

What callers saw: nothing yet. Found by the class of the odd registrations.

Cause: the rows of a renewal's reply were taken apart by position, without types. A nested row or field ended the process (RecursionError), as did a nested reply to an order; a short row made the whole reply count as none; null, true, -1 or 30 digits were taken as a run's number or as an end's sequence, and an end with a huge sequence acknowledges all later ones.

One of `running` may be any run, so as long as one is there, no run counts as ended because the list lacks it, and the worker has no free capacity; the ends that are listed still count, and the lease is renewed.

--- a/packages/poplarhilld/src/poplarhilld/leases/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/messages.py
@@ -77,12 +77,15 @@
         incarnation: When the worker process started, ms since the Unix epoch.
         running: Runs in progress on the worker.
         ends: Ends of runs after the renewal's `last_seen`, oldest first.
+        unreadable_runs: Count of further runs in progress that could not be decoded.
+            Any run that is not in `running` may be one of them.
     """
 
     clock_s: float
     incarnation: int
     running: tuple[Run, ...]
     ends: tuple[RunEnd, ...]
+    unreadable_runs: int = 0
 
 
 class RenewalFailure(Enum):
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -136,6 +136,7 @@
         self._reservations: dict[Run, Reservation] = {}
         self.reservations: Collection[Reservation] = self._reservations.values()
         self._unknown_needs = 0
+        self._unreadable_runs = 0
         self._free_capacity: Resources | None = None
         self._free_capacity_entry = entry
         # The newest last; a dictionary, since each reply looks up all listed runs.
@@ -161,7 +162,8 @@
     def free_capacity(self) -> Resources:
         """Return the capacity that no run holds.
 
-        It is zero while any run holds an unknown amount of capacity.
+        It is zero while any run holds an unknown amount of capacity, or could not be
+        read from the worker's reply.
         """
         if self._free_capacity is None or self._free_capacity_entry is not self.entry:
             self._free_capacity, self._free_capacity_entry = (
@@ -171,7 +173,7 @@
         return self._free_capacity
 
     def _compute_free_capacity(self) -> Resources:
-        if self._unknown_needs:
+        if self._unknown_needs or self._unreadable_runs:
             return Resources()
         cores, memory_mb, accelerators = self.entry.room
         for reservation in self._reservations.values():
@@ -239,6 +241,9 @@
             if end.sequence > self._last_seen_end:
                 self._last_seen_end = end.sequence
                 changes += self._apply_end(end.run, end.kind)
+        if reply.unreadable_runs != self._unreadable_runs:
+            self._unreadable_runs = reply.unreadable_runs
+            self._invalidate_free_capacity()
         if reply.running or self._reservations:
             changes += self._apply_running(now, renewal, reply)
         return changes
@@ -362,6 +367,8 @@
                     now,
                 )
                 changes.append(RunDiscovered(run))
+        if reply.unreadable_runs:
+            return changes  # each run that is not listed may be one of them
         for reservation in list(self._reservations.values()):
             if reservation.run in listed:
                 continue
