Refuse frames with values that no host could mean

What callers saw: nothing yet. Found by the class of the odd registrations: a capacity below 0, a weight that is not a number, a shard without a number, an unknown kind of error, or a step that depends on one that does not exist was decoded and went on to the slices, where such values raise.

Cause: the schema bounds only what its integer types bound.

Evidence: before the change all 33 messages of test_a_value_out_of_range_is_a_frame_error were decoded.

Change: `peers/checks.py` holds the ranges of `poplarhill.decoding` for resources, weights, addresses, shards, offers and kinds of error; the codec applies it to each message that it has decoded and refuses floats that are not finite. Such a frame is refused like a malformed one. The waits that leaders send were read for infinite values; there are none.

Result: those 33 and the other tests of the codec pass, its bound on the cost of encoding included, as do the tests of the shards, the membership, the locality, the daemon, poplarhill, the entry host's slices that read from outside, the leases and the adapter.

--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -1,14 +1,16 @@
 """Codec of frames: converts typed messages to packed Cap'n Proto and back."""
 
+import math
 from functools import cache
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, get_type_hints
 
 import capnp
 
 from poplarhill.types import Resources
 from poplarhilld.evacuation.messages import Evacuation
 from poplarhilld.locality.messages import RackLoad
+from poplarhilld.peers.checks import check_ranges
 from poplarhilld.peers.messages import (
     Beat,
     Claim,
@@ -148,11 +150,13 @@
         key: Name of the field in the schema.
         nested: Type of the message in it, or of each element of its list, if any.
         is_list: Whether it is a list.
+        is_float: Whether it is a floating-point number.
     """
 
     key: str
     nested: type | None
     is_list: bool
+    is_float: bool
 
 
 @cache
@@ -163,8 +167,9 @@
             _camel_case(name),
             _LIST_ELEMENT_TYPES.get(name) or _STRUCT_FIELD_TYPES.get(name),
             name in _LIST_ELEMENT_TYPES or name in _SCALAR_LISTS,
+            hint is float,
         )
-        for name in kind._fields
+        for name, hint in get_type_hints(kind).items()
     )
 
 
@@ -173,7 +178,7 @@
 
     Setting each field takes a tenth of the time that a conversion from a dict takes.
     """
-    for (key, nested, is_list), value in zip(
+    for (key, nested, is_list, _), value in zip(
         _fields_of(type(message)), message, strict=True
     ):
         if not value:
@@ -189,8 +194,13 @@
 
 
 def _from_struct(kind: type, struct: Any) -> Any:
+    """Return the message in a struct.
+
+    Raises:
+        ValueError: A value is out of its range.
+    """
     values = []
-    for key, nested, is_list in _fields_of(kind):
+    for key, nested, is_list, is_float in _fields_of(kind):
         value = getattr(struct, key)
         if is_list:
             if nested is None:
@@ -199,8 +209,12 @@
                 value = tuple(_from_struct(nested, element) for element in value)
         elif nested is not None:
             value = _from_struct(nested, value)
+        elif is_float and not math.isfinite(value):
+            raise ValueError(f"{key} is not finite")
         values.append(value)
-    return kind(*values)
+    message = kind(*values)
+    check_ranges(message)
+    return message
 
 
 def _camel_case(name: str) -> str:
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -1,5 +1,6 @@
 """The codec of frames between entry hosts."""
 
+import math
 import subprocess
 import sys
 import timeit
@@ -103,6 +104,56 @@
         return
 
 
+DIGEST = peers.LeaderDigest("h2", "10.0.0.2", 7001, "dc2", ("dc2",), 9, HEARTBEAT.load)
+ROOM = Resources(4.0, 64, 0)
+OUT_OF_RANGE = [
+    *(HEARTBEAT._replace(weight=value) for value in (math.nan, math.inf, -1.0, 1e300)),
+    *(HEARTBEAT._replace(load=peers.Load(math.nan)), HEARTBEAT._replace(port=0)),
+    *(HEARTBEAT._replace(host=host) for host in ("", "h2", "10.0.0.٢", "1" * 5000)),
+    *(
+        HEARTBEAT._replace(claims=(peers.Claim(shard, 7),))
+        for shard in ("dc1", "dc1/", "dc1/x", "dc1/-1", "dc1/" + "9" * 5000)
+    ),
+    HEARTBEAT._replace(leaders=(DIGEST._replace(port=0),)),
+    HEARTBEAT._replace(leaders=(DIGEST._replace(led_shards=("dc2/²",)),)),
+    peers.Heartbeat((MEMBER, MEMBER._replace(port=0)), 1),
+    *(
+        peers.WorkersReport((peers.ReducedWorker("w1", True, room),))
+        for room in (
+            *(
+                ROOM._replace(cores=cores)
+                for cores in (math.nan, math.inf, -1.0, 1e300)
+            ),
+            ROOM._replace(memory_mb=2**32 - 1),
+            ROOM._replace(accelerators=2**32 - 1),
+        )
+    ),
+    *(
+        OFFER._replace(offer=OFFER.offer._replace(**change))
+        for change in (
+            *({"left_s": value} for value in (math.nan, math.inf)),
+            *({"steps": ()}, {"steps": (STEP._replace(count=161),)}),
+            {"done": (16,)},
+            {"steps": (STEP._replace(after=()), STEP._replace(after=(7,)))},
+            {"steps": (STEP._replace(after=(), needs=Resources(-6.5, 64, 1)),)},
+        )
+    ),
+    peers.JobEnded("j1", "no such kind", "", 1.5, True),
+    peers.JobEnded("j1", "timeout", "", math.nan, True),
+]
+
+
+# Guards against hosts that end when a frame holds a weight without a capacity, a shard
+# without a number, or a step that depends on one that the job does not have.
+@pytest.mark.parametrize(
+    "message", OUT_OF_RANGE, ids=lambda message: type(message).__name__
+)
+def test_a_value_out_of_range_is_a_frame_error(message) -> None:
+    frame = encode(Envelope("h1", message))
+    with pytest.raises(FrameError):
+        decode(frame)
+
+
 # A heartbeat whose packed data ends early. pycapnp throws a second exception while
 # the first one unwinds, so the C++ runtime aborts the process.
 TRUNCATED_FRAME = (
