Write the log in blocks of whole lines that a pipe takes at once

What callers saw: nothing; operators saw torn lines.

Cause: up to 64 KiB were written in one call. A pipe may take part of such a write, and a reader that takes the log in smaller parts ends in the middle of a line.

Change: a block holds whole lines and at most PIPE_BUF bytes, which a pipe takes as a whole or not at all; only a single longer line is still written in parts.

Measured: `test_each_write_ends_with_a_whole_line` failed before, on its bound of PIPE_BUF. Whether such a reader now gets all lines has not been run.

--- a/packages/poplarhilld/src/poplarhilld/entry/logs.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/logs.py
@@ -2,6 +2,7 @@
 
 import fcntl
 import os
+import select
 from collections import deque
 from datetime import UTC, datetime
 from functools import partial
@@ -12,7 +13,6 @@
 from poplarhilld.logs import capture_library_logs
 
 _MAX_LINES = 20_000  # about 5 MB of lines, a tenth of the smallest host's memory
-_WRITE_BYTES = 65536  # capacity of a pipe
 
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
@@ -66,11 +66,12 @@
             self._unwritten = self._unwritten[written:]
 
     def _next_block(self) -> bytes:
-        parts = []
-        size = 0
-        while self._lines and size < _WRITE_BYTES:
+        """Return lines that a pipe takes as a whole or not at all."""
+        parts = [self._lines.popleft()]
+        size = len(parts[0]) + 1
+        while self._lines and size + len(self._lines[0]) < select.PIPE_BUF:
             parts.append(self._lines.popleft())
-            size += len(parts[-1])
+            size += len(parts[-1]) + 1
         return b"\n".join(parts) + b"\n"
 
 
--- a/packages/poplarhilld/tests/entry/test_logs.py
+++ b/packages/poplarhilld/tests/entry/test_logs.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import select
 from collections.abc import Iterator
 from datetime import UTC, datetime, timedelta
 
@@ -44,6 +45,24 @@
     assert b'"lines":7' in lines
 
 
+# Guards against a line that is torn where a reader takes the log in small parts.
+def test_each_write_ends_with_a_whole_line(
+    pipe: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    _, writing = pipe
+    buffer = LogBuffer(writing)
+    blocks: list[bytes] = []
+    monkeypatch.setattr(
+        os, "write", lambda _, block: blocks.append(block) or len(block)
+    )
+    for _ in range(100):
+        buffer.msg(b"x" * 300)
+    buffer.flush()
+    assert b"".join(blocks) == (b"x" * 300 + b"\n") * 100
+    assert all(block.endswith(b"\n") for block in blocks)
+    assert all(len(block) <= select.PIPE_BUF for block in blocks)
+
+
 def _read(descriptor: int) -> bytes:
     try:
         return os.read(descriptor, 1 << 20)
@@ -65,6 +84,7 @@
     started, found = map(json.loads, os.read(reading, 1000).splitlines())
     assert (started["event"], started["host"], started["cores"]) == ("Started", "h1", 2)
     assert (found["event"], found["host"]) == ("HostFound", "h2")
+    assert ("logged_by" in started, found["logged_by"]) == (False, "h1")
     structlog.reset_defaults()
 
 
