--- a/packages/poplarhill/src/poplarhill/story.py
+++ b/packages/poplarhill/src/poplarhill/story.py
@@ -1,5 +1,6 @@
 """Reads the logs of entry hosts for the history of a job and worker leadership."""
 
+import re
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
@@ -8,6 +9,7 @@
 Line = Mapping[str, Any]
 
 _COMMON_FIELDS = frozenset(("event", "host", "timestamp", "level"))
+_LINE_BEGIN = re.compile(rb'(?=\{")')
 
 
 class JobEvent(NamedTuple):
@@ -26,6 +28,28 @@
     details: dict[str, Any]
 
 
+class Attempt(NamedTuple):
+    """One submission of a job: what a caller sent to one host at one time.
+
+    Attributes:
+        host: Entry host that received it.
+        number: Its number at that host; 0 if the log does not tell.
+        received_at: Time at which it was offered to a leader first, ISO 8601.
+        answered_at: Time of its answer; empty if there is none in the log.
+        outcome: `complete` or the kind of the failure; empty without an answer.
+        limit_s: Time for which its caller waits, s; 0 if the log does not tell.
+        leaders: Leaders that it was offered to, in turn.
+    """
+
+    host: str
+    number: int
+    received_at: str
+    answered_at: str = ""
+    outcome: str = ""
+    limit_s: float = 0.0
+    leaders: tuple[str, ...] = ()
+
+
 class WorkerLeader(NamedTuple):
     """Which entry host leads a worker.
 
@@ -53,12 +77,30 @@
         begin = raw.find(b"{")
         if begin < 0:
             continue
-        try:
-            line = msgspec.json.decode(raw[begin:])
-        except msgspec.DecodeError:
-            continue
-        if isinstance(line, dict) and isinstance(line.get("event"), str):
+        line = _decode(raw[begin:])
+        if line is not None:
             yield line
+            continue
+        # A line that was cut off is followed by another one.
+        for part in _LINE_BEGIN.split(raw[begin:]):
+            line = _decode(part[: part.rfind(b"}") + 1])
+            if line is not None:
+                yield line
+
+
+def _decode(raw: bytes) -> Line | None:
+    try:
+        line = msgspec.json.decode(raw)
+    except msgspec.DecodeError:
+        return None
+    if isinstance(line, dict) and isinstance(line.get("event"), str):
+        return line
+    return None
+
+
+def writer(line: Line) -> str:
+    """Return the host that wrote a line, which may name another host as `host`."""
+    return str(line.get("logged_by", line.get("host", "")))
 
 
 def job_events(lines: Iterable[Line], job_id: str) -> list[JobEvent]:
@@ -72,6 +114,30 @@
     return sorted(found, key=lambda entry: entry.time)
 
 
+def attempts(events: Iterable[JobEvent]) -> list[Attempt]:
+    """Return the submissions of a job, the first one first.
+
+    Callers send a job again, with the same id and to any host, if they get no answer.
+    """
+    found: dict[tuple[str, int], Attempt] = {}
+    for entry in events:
+        number = int(entry.details.get("number", 0))
+        key = (entry.host, number)
+        match entry.event:
+            case "LeaderChosen":
+                attempt = found.setdefault(key, Attempt(*key, entry.time))
+                leaders = (*attempt.leaders, str(entry.details["leader"]))
+                found[key] = attempt._replace(leaders=leaders)
+            case "JobAnswered" | "JobAbandoned":
+                attempt = found.setdefault(key, Attempt(*key, entry.time))
+                found[key] = attempt._replace(
+                    answered_at=entry.time,
+                    outcome=str(entry.details.get("outcome", "abandoned")),
+                    limit_s=entry.details.get("limit_s", 0.0),
+                )
+    return sorted(found.values(), key=lambda attempt: attempt.received_at)
+
+
 def failure_reason(events: Iterable[JobEvent]) -> str | None:
     """Return why a job was not completed, or None if no line shows a reason.
 
@@ -125,4 +191,4 @@
     details = {
         name: value for name, value in line.items() if name not in _COMMON_FIELDS
     }
-    return JobEvent(_time(line), str(line.get("host", "")), line["event"], details)
+    return JobEvent(_time(line), writer(line), line["event"], details)
--- a/packages/poplarhill/tests/test_story.py
+++ b/packages/poplarhill/tests/test_story.py
@@ -66,6 +66,13 @@
     assert failure_reason(events) == "timeout: no outcome in time"
 
 
+# Guards against the loss of a line that follows the rest of one that was cut off.
+def test_a_line_after_one_that_was_cut_off_is_read() -> None:
+    answered = msgspec.json.encode({"event": "JobAnswered", "job": "b"})
+    text = [b'  1.5 h1 {"event":"RunResolved","task":"b.0.   1.6 h2 ' + answered]
+    assert [line["event"] for line in read_lines(text)] == ["JobAnswered"]
+
+
 def test_a_complete_job_has_no_failure_reason(text) -> None:
     done = {"event": "JobAnswered", "job": "b", "outcome": "complete"}
     assert failure_reason(job_events([done], "b")) is None
