--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from poplarhill.types import Address, Resources
@@ -266,13 +266,22 @@
         number: int,
         entries: dict[str, WorkerEntry] | None = None,
         lookahead: LookaheadOptions = LOOKAHEAD_OFF,
+        former_heard_at: float | None = None,
     ) -> Leader:
-        """Add a leader of some workers, or of all, with its own source of tokens."""
+        """Add a leader of some workers, or of all, with its own source of tokens.
+
+        `former_heard_at` is when it heard their former leader last, s, if it has.
+        """
         tokens = TokenSource(Address(f"10.0.0.{number}", 1))
         leader = Leader(tokens, LEASE_S, lookahead)
         self.leaders[name] = leader
         led = self.entries if entries is None else entries
-        self.perform(name, leader.set_workers(self.now, self.now, led))
+        heard_at = (
+            {} if former_heard_at is None else dict.fromkeys(led, former_heard_at)
+        )
+        self.perform(
+            name, leader.set_workers(self.now, self.now, led, frozenset(), heard_at)
+        )
         return leader
 
     def job_outcome(self, job_id: str) -> JobEnded | None:
@@ -286,10 +295,20 @@
         offer = job.offer
         self.jobs[offer.job_id] = job
         self._pending[host, offer.job_id] = leader, self.now
+        self._deliver_offer(leader, host, offer, self.now)
+        self._schedule(REPEAT_INTERVAL_S, self._repeat, leader, host, offer, self.now)
+
+    def _deliver_offer(
+        self, leader: str, host: str, offer: JobOffer, sent_at: float
+    ) -> None:
+        """Deliver an offer to a leader, or once it has resumed if it is paused."""
+        if leader in self.paused:
+            self._schedule(TICK_S, self._deliver_offer, leader, host, offer, sent_at)
+            return
+        age_s = self.now - sent_at
         self.perform(
-            leader, self.leaders[leader].handle_offer(self.now, host, 1, offer)
+            leader, self.leaders[leader].handle_offer(self.now, host, 1, offer, age_s)
         )
-        self._schedule(REPEAT_INTERVAL_S, self._repeat, leader, host, offer, self.now)
 
     def _repeat(self, leader: str, host: str, offer: JobOffer, begin: float) -> None:
         if self._pending.get((host, offer.job_id)) != (leader, begin):
@@ -299,9 +318,14 @@
             repeated = offer._replace(
                 elapsed_s=offer.elapsed_s + waited_s, left_s=offer.left_s - waited_s
             )
-            self._deliver_reply(leader, "handle_offer", host, 1, repeated)
+            self._deliver_offer(leader, host, repeated, self.now)
         self._schedule(REPEAT_INTERVAL_S, self._repeat, leader, host, offer, begin)
 
+    def hand_over(self, leader: str, job_id: str, host: str = "e1") -> None:
+        """Offer a job of a host to another leader, and to the former one no more."""
+        job = self.jobs[job_id]
+        self.submit(leader, replace(job, offer=job.offer._replace(handovers=1)), host)
+
     def submit_at(self, at: float, leader: str, job: SimulatedJob) -> None:
         """Offer a job to a leader at a simulated time, s."""
         self._schedule(at - self.now, self.submit, leader, job)
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 from poplarhill.exceptions import ErrorKind
 from poplarhilld.catalogue import WorkerEntry
@@ -146,6 +147,7 @@
         time_s: float,
         entries: Mapping[str, WorkerEntry],
         not_led_here: frozenset[str] = frozenset(),
+        former_leader_heard_at: Mapping[str, float] = MappingProxyType({}),
     ) -> list[LeaderAction]:
         """Set the workers that this host leads.
 
@@ -158,8 +160,11 @@
             entries: The workers by name.
             not_led_here: Names of the registered workers of the shards that this
                 host does not lead.
+            former_leader_heard_at: When the former leader of workers that were taken
+                over was last heard, s, by worker.
         """
         actions: list[LeaderAction] = []
+        self._state.former_leader_heard_at = former_leader_heard_at
         if entries != self._state.entries or not_led_here != self._state.not_led_here:
             self._state.placement_up_to_date = False
             self._state.note_worker_change()
@@ -213,9 +218,19 @@
             self._closer.forget_job(job)
         return actions
 
-    def handle_offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
-        """Accept a job from an entry host, or refuse it."""
-        return self._offers.handle_offer(now, host, number, offer)
+    def handle_offer(
+        self, now: float, host: str, number: int, offer: JobOffer, age_s: float = 0.0
+    ) -> list:
+        """Accept a job from an entry host, or refuse it.
+
+        Args:
+            now: The leader's clock, s.
+            host: Name of the entry host.
+            number: Number of the submission there.
+            offer: The job.
+            age_s: How long the offer was under way, s.
+        """
+        return self._offers.handle_offer(now, host, number, offer, age_s)
 
     def handle_withdrawal(self, now: float, host: str, withdrawn: JobWithdrawn) -> list:
         """Stop a job that was cancelled or whose last caller has left."""
@@ -293,6 +308,7 @@
         if self._state.renewal_backoff_s:
             self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
+        worker.has_orphans = self._state.runs.has_orphans(name)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
         if self._state.placement_up_to_date:
             return actions
