Show runs that outlive the resend delay because their workers are claimed late

A frozen leader, its preferred successor and the entry host killed 60 ms later: the next host claims the workers 0.85 s after that, just before the leases lapse, and stops the unclaimed runs 0.45 s later. The tests now begin when the heartbeats between neighbours are rare, as in a fleet that has run for some seconds.

--- a/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
+++ b/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
@@ -14,6 +14,7 @@
 @pytest.fixture
 def fleet() -> FleetWorld:
     fleet = FleetWorld(1, SMALL_FLEET)
+    fleet.run(0.5)  # until the heartbeats between neighbours are rare
     assert fleet.leader_of("dc1") == LEADER
     return fleet
 
@@ -44,6 +45,21 @@
     assert fleet.violated == []
 
 
+# Guards against a successor that claims the workers just before their leases lapse, and
+# gives unclaimed runs the full time to be offered again.
+def test_runs_without_an_entry_host_end_though_their_workers_are_claimed_late(
+    fleet: FleetWorld,
+) -> None:
+    submit_jobs(fleet, ENTRY)
+    fleet.run(0.1)
+    fleet.freeze(LEADER, DOWN_S)
+    fleet.run(0.06)
+    fleet.kill(ENTRY, DOWN_S)
+    fleet.kill(SUCCESSOR, DOWN_S)
+    fleet.run(RESEND_DELAY_S + RUN_S)
+    assert fleet.violated == []
+
+
 # Guards against withdrawals that are lost with a connection: the leader runs the tasks
 # on until the limit of their job, which is later than the next attempt of its caller.
 def test_runs_end_though_the_withdrawal_of_their_job_is_lost(fleet: FleetWorld) -> None:
