--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -104,6 +104,8 @@
             reply.
         last_reply_at: When the worker last replied, by the leader's clock, s. Before
             the first reply, this is when this host first claimed the worker.
+        listed_at: When the renewal was sent whose reply was the last one but one, by
+            the leader's clock, s. Runs in that reply had not ended by then.
         has_orphans: Whether it may have runs that belong to no job of this leader.
         orphan_lease_until: End of the lease that renewals ask for at the latest while
             it has, by the leader's clock, s. The host of their jobs may be lost, and
@@ -138,6 +140,7 @@
         self.incarnation: int | None = None
         self._clock_at_reply_s = 0.0
         self.last_reply_at = now
+        self.listed_at = self._newest_list_at = now
         self.has_orphans = False
         self.orphan_lease_until = -math.inf
         self._last_seen_end = 0
@@ -146,6 +149,7 @@
         self._reservations: dict[Run, Reservation] = {}
         self.reservations: Collection[Reservation] = self._reservations.values()
         self._unknown_needs = 0
+        self._unreadable_runs = 0
         self._free_capacity: Resources | None = None
         self._free_capacity_entry = entry
         # The newest last; a dictionary, since each reply looks up all listed runs.
@@ -171,7 +175,8 @@
     def free_capacity(self) -> Resources:
         """Return the capacity that no run holds.
 
-        It is zero while any run holds an unknown amount of capacity.
+        It is zero while any run holds an unknown amount of capacity, or could not be
+        read from the worker's reply.
         """
         if self._free_capacity is None or self._free_capacity_entry is not self.entry:
             self._free_capacity, self._free_capacity_entry = (
@@ -181,7 +186,7 @@
         return self._free_capacity
 
     def _compute_free_capacity(self) -> Resources:
-        if self._unknown_needs:
+        if self._unknown_needs or self._unreadable_runs:
             return Resources()
         cores, memory_mb, accelerators = self.entry.room
         for reservation in self._reservations.values():
@@ -208,6 +213,10 @@
         self._claimed_at = now
         self.confirmed = False
 
+    def lease_left_s(self, now: float) -> float:
+        """Return the time for which the worker may run anything by its clock, s."""
+        return self._may_run_until_s - self.clock_s(now)
+
     def lease_has_expired(self, now: float) -> bool:
         """Return whether a worker without replies can no longer run anything.
 
@@ -252,12 +261,16 @@
         if self.incarnation != reply.incarnation:
             changes += self._start_incarnation(reply)
         self._clock_at_reply_s, self.last_reply_at = reply.clock_s, now
+        self.listed_at, self._newest_list_at = self._newest_list_at, renewal.sent_at
         if renewal.token == self.token:
             self.confirmed = True
         for end in reply.ends:
             if end.sequence > self._last_seen_end:
                 self._last_seen_end = end.sequence
                 changes += self._apply_end(end.run, end.kind)
+        if reply.unreadable_runs != self._unreadable_runs:
+            self._unreadable_runs = reply.unreadable_runs
+            self._invalidate_free_capacity()
         if reply.running or self._reservations:
             changes += self._apply_running(now, renewal, reply)
         return changes
@@ -381,6 +394,8 @@
                     now,
                 )
                 changes.append(RunDiscovered(run))
+        if reply.unreadable_runs:
+            return changes  # each run that is not listed may be one of them
         for reservation in list(self._reservations.values()):
             if reservation.run in listed:
                 continue
