Take offers that tell no time as not delayed

What callers saw: their job was stopped after a second if its entry host runs an earlier build than the leader, as while hosts are replaced one by one.

Cause: a message without the sender's clock reads as sent at 0, so that each repeat of the offer looked older than the one before.

--- a/packages/poplarhilld/src/poplarhilld/peers/ages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/ages.py
@@ -38,8 +38,11 @@
         Args:
             now: The receiver's clock, s.
             host: Name of the sender.
-            sent_at_s: When it was sent, by the sender's clock, s.
+            sent_at_s: When it was sent, by the sender's clock, s; 0 if it does not say,
+                as those of earlier builds, which then count as not delayed.
         """
+        if not sent_at_s:
+            return 0.0
         difference_s = now - sent_at_s
         period = self._periods.get(host)
         if (
--- a/packages/poplarhilld/tests/peers/test_ages.py
+++ b/packages/poplarhilld/tests/peers/test_ages.py
@@ -40,3 +40,11 @@
     ]
     assert found[0] == pytest.approx(0.2, abs=0.01)
     assert found[-1] < 0.01
+
+
+# Once, the offers of a host of an earlier build, which do not tell when they were sent,
+# were ignored after a second, and its job was stopped.
+def test_a_message_that_does_not_tell_when_it_was_sent_is_not_late() -> None:
+    ages = MessageAges()
+    assert ages.age_s(10.0, "h1", 0.0) == 0.0
+    assert ages.age_s(20.0, "h1", 0.0) == 0.0
