End lapsed jobs on a leader that is always late

What callers saw: nothing yet; runs of lapsed jobs would have gone on for as long as their leader lacked processor time.

Cause: a late tick puts off the end of lapsed jobs by 0.1 s, so that waiting offers are read first. On a leader whose every tick is late, each one did.

Evidence: test_a_leader_that_is_always_late_ends_lapsed_jobs fails without the change (ticks of 0.25 s).

Change: only the first of several late ticks puts it off.

--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -72,6 +72,7 @@
         self._late = late
         self._starved_check_at = 0.0
         self._ticked_at = -math.inf
+        self._is_late = False
         self._lapse_check_at = -math.inf
 
     def handle_offer(
@@ -262,7 +263,8 @@
 
     def check_deadlines(self, now: float) -> list[LeaderAction]:
         """Close the jobs that can't meet their deadline or are not offered any more."""
-        if now - self._ticked_at > _LATE_TICK_S:
+        was_late, self._is_late = self._is_late, now - self._ticked_at > _LATE_TICK_S
+        if self._is_late and not was_late:
             self._lapse_check_at = now + _READ_TIME_S
         self._ticked_at = now
         actions: list[LeaderAction] = []
--- a/packages/poplarhilld/tests/leading/test_lapsed_offers.py
+++ b/packages/poplarhilld/tests/leading/test_lapsed_offers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from poplarhill import ErrorKind
+from poplarhill_dev import leased
 from poplarhill_dev.leased import SimulatedWorker, World, simulated_job, worker_entry
 
 RESEND_DELAY_S = 1.3
@@ -51,6 +52,18 @@
     assert world.job_outcome("a").error == ""
 
 
+# Once, a leader whose every tick was late put off the end of lapsed jobs for ever.
+def test_a_leader_that_is_always_late_ends_lapsed_jobs(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(leased, "TICK_S", 0.25)
+    world.submit("h1", simulated_job("a", tasks=4, run_s=5.0, left_s=9.0))
+    world.run(0.6)
+    world.silent_hosts.add("e1")
+    world.run(1.5)
+    assert not any(worker.running for worker in world.workers.values())
+
+
 # Guards against starting tasks that nobody may wait for any more.
 def test_a_resumed_leader_starts_nothing_on_offers_that_have_lapsed(
     world: World,
