Count a lost leader as heard only while it led

What callers saw: nothing yet; unclaimed runs of a lost leader would have got up to a second more if its process was there again before its successor claimed.

Cause: the time at which a former leader was heard was that of any heartbeat under its name, also of its next process.

Evidence: test_a_lost_leader_that_has_restarted_was_not_heard_as_leader fails without the change, with both ways to tick.

Change: peers keep when they were heard with claims, across restarts.

Result: shards/test_hosts.py passes.

--- a/packages/poplarhilld/src/poplarhilld/shards/fleet.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/fleet.py
@@ -186,7 +186,7 @@
         former = self.peers.get(self.last_leader.get(shard, ""))
         if former is not None:
             earlier = self.former_leaders_heard_at.get(shard, ())
-            heard_at = (former.received_at, *earlier[: _MOST_FORMER_LEADERS - 1])
+            heard_at = (former.led_at, *earlier[: _MOST_FORMER_LEADERS - 1])
             self.former_leaders_heard_at[shard] = heard_at
         self.last_leader[shard] = name
 
--- a/packages/poplarhilld/src/poplarhilld/shards/peer.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/peer.py
@@ -1,5 +1,6 @@
 """What a host knows of another host and of the addresses that it sends to."""
 
+import math
 from dataclasses import dataclass
 
 from poplarhilld.peers.messages import Beat
@@ -18,6 +19,8 @@
         name: Name of the host.
         heartbeat: Its newest heartbeat.
         received_at: When that was received, s.
+        led_at: When a heartbeat was received in which it claims a shard, s, from this
+            process or an earlier one.
         live: Whether heartbeats pass in both directions.
         live_since: When it last became live, s.
         lost_at: When it was last lost, s; None once it is live again or given up.
@@ -31,6 +34,7 @@
     name: str
     heartbeat: Beat
     received_at: float
+    led_at: float = -math.inf
     live: bool = False
     live_since: float = 0.0
     lost_at: float | None = None
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -184,7 +184,8 @@
             if peer is not None:
                 lost_s = 0.0 if peer.lost_at is None else round(now - peer.lost_at, 3)
                 actions.append(HostLost(name, "it has restarted", lost_s))
-            peer = self._fleet.peers[name] = Peer(name, heartbeat, now)
+            led_at = -math.inf if peer is None else peer.led_at
+            peer = self._fleet.peers[name] = Peer(name, heartbeat, now, led_at)
             self._fleet.note_change()
             known = self._fleet.targets.get(Address(heartbeat.host, heartbeat.port))
             if (
@@ -196,6 +197,8 @@
         if _leadership_of(heartbeat) != _leadership_of(peer.heartbeat):
             self._fleet.note_change()
         peer.heartbeat, peer.received_at = heartbeat, now
+        if heartbeat.claims:
+            peer.led_at = now
         address = Address(heartbeat.host, heartbeat.port)
         self._fleet.add_addresses(now, [address])
         target = self._fleet.targets[address]
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -331,6 +331,24 @@
             assert lost - HEARTBEAT_INTERVAL_S <= at <= lost + STEP_S
 
 
+# Once, the first heartbeat of a lost leader's next process counted as the leader's,
+# so that a late successor gave its runs more time.
+def test_a_lost_leader_that_has_restarted_was_not_heard_as_leader(fleet: Fleet) -> None:
+    lost_at = fleet.now
+    fleet.paused.add("h0")
+    fleet.cannot_lead.update(fleet.hosts)
+    fleet.run(1.0)
+    fleet.paused.clear()
+    fleet.start("h0", Address("10.0.0.0", 1), incarnation=2)
+    fleet.run(0.5)
+    fleet.cannot_lead -= {"h2"}
+    fleet.run(4.0)
+    times = [fleet.hosts["h2"].former_leaders_heard_at[shard] for shard in SHARDS]
+    assert all(
+        lost_at - HEARTBEAT_INTERVAL_S <= at <= lost_at + STEP_S for (at,) in times
+    )
+
+
 def test_a_resumed_leader_yields(fleet: Fleet) -> None:
     fleet.paused.add("h0")
     fleet.run(2.0)
