Do not stop the jobs of a host for its silence

What callers saw: their job was stopped, and they got a 504, though their entry host was there and repeated its offer.

Cause: a leader took the silence of a host for the loss of its callers. Since offers lapse by themselves, silence says nothing more; the offers arrive or not.

Change: only a restart of a host or a refused connection ends its jobs at once. A host that is silent loses them 1.0 s after its last offer was sent, instead of 2.1 s after its last heartbeat (14 s for a distant one).

--- a/packages/poplarhilld/src/poplarhilld/shards/intervals.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/intervals.py
@@ -10,9 +10,8 @@
 
 HEARTBEAT_INTERVAL_S = 0.15  # a quarter of the timeout
 HOST_TIMEOUT_S = 0.6  # four heartbeats; below half of the time until callers retry
-# From the loss of a silent host until the work for its callers stops. It may only have
-# been paused, and most callers wait no longer than this.
-GIVE_UP_DELAY_S = 1.5
+# After the loss of a host, others may be lost with it, or may claim what it led.
+UNSETTLED_S = 1.5
 TIMEOUT_HEARTBEATS = 4  # a host is lost after this many intervals of silence
 # While fewer other hosts than this are known, all hosts use the short interval.
 SMALL_FLEET_HOSTS = 12
--- a/packages/poplarhilld/src/poplarhilld/shards/liveness.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/liveness.py
@@ -15,7 +15,6 @@
 )
 from poplarhilld.shards.messages import (
     HostGone,
-    HostLost,
     ShardAction,
 )
 from poplarhilld.shards.partition import data_centre
@@ -174,11 +173,3 @@
         peer.lost_at = now
         gone = HostGone(peer.name, reason, round(now - peer.received_at, 3))
         return [LogDecision(gone)]
-
-    def give_up(self, now: float, peer: Peer, reason: str) -> list[ShardAction]:
-        """Return that the work for a lost host is to stop, if not told before."""
-        if peer.lost_at is None:
-            return []
-        lost_s = round(now - peer.lost_at, 3)
-        peer.lost_at = None
-        return [HostLost(peer.name, reason, lost_s)]
--- a/packages/poplarhilld/src/poplarhilld/shards/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/messages.py
@@ -23,7 +23,9 @@
 
 @dataclass(frozen=True)
 class HostLost:
-    """An entry host has restarted, refuses connections, or is silent for long.
+    """An entry host has restarted or refuses connections.
+
+    A silent one may only be cut off; its jobs end when their offers lapse.
 
     Attributes:
         host: Name of the host.
--- a/packages/poplarhilld/src/poplarhilld/shards/peer.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/peer.py
@@ -23,7 +23,9 @@
             process or an earlier one.
         live: Whether heartbeats pass in both directions.
         live_since: When it last became live, s.
-        lost_at: When it was last lost, s; None once it is live again or given up.
+        lost_at: When it was last lost, s; None once it is live again or some time has
+            passed.
+        given_up: Whether its address has refused a connection since it was live.
         interval_s: Interval at which its heartbeats are expected, s.
         send_interval_s: Interval of the heartbeats to it, s.
         relation: What it is to this host.
@@ -38,6 +40,7 @@
     live: bool = False
     live_since: float = 0.0
     lost_at: float | None = None
+    given_up: bool = False
     interval_s: float = HEARTBEAT_INTERVAL_S
     send_interval_s: float = HEARTBEAT_INTERVAL_S
     relation: Relation = Relation.CLOSE
--- a/packages/poplarhilld/src/poplarhilld/shards/schedule.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/schedule.py
@@ -10,7 +10,7 @@
 def next_due_at(peers: Iterable[Peer], targets: Iterable[Target]) -> float:
     """Return when the next heartbeat or timeout is due, by the host's clock, s.
 
-    A host that was lost is due at once, since it may be given up.
+    After a host was lost, something is due at once for some time.
     """
     due_at = math.inf
     for target in targets:
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -27,9 +27,9 @@
 from poplarhilld.shards.fleet import CLAIM_DELAY_S, Fleet, LocalHost
 from poplarhilld.shards.heartbeats import Heartbeats
 from poplarhilld.shards.intervals import (
-    GIVE_UP_DELAY_S,
     HEARTBEAT_INTERVAL_S,
     HOST_TIMEOUT_S,
+    UNSETTLED_S,
 )
 from poplarhilld.shards.liveness import Liveness
 from poplarhilld.shards.messages import (
@@ -208,6 +208,7 @@
         self._fleet.add_addresses(now, known_addresses)
         if not peer.live and self._fleet.me.name in heartbeat.heard:
             peer.live, peer.live_since, peer.lost_at = True, now, None
+            peer.given_up = False
             self._fleet.note_change()
             found = HostFound(
                 name,
@@ -232,8 +233,11 @@
                 actions += self._liveness.mark_lost(
                     now, peer, "its address refuses connections"
                 )
-            reason = "its address refuses connections"
-            actions += self._liveness.give_up(now, peer, reason)
+            if not peer.given_up:
+                peer.given_up = True
+                lost_s = round(now - (peer.lost_at or peer.received_at), 3)
+                reason = "its address refuses connections"
+                actions.append(HostLost(peer.name, reason, lost_s))
         return actions
 
     def set_outdated(self, outdated: bool) -> None:
@@ -315,8 +319,8 @@
                 actions += self._liveness.mark_lost(now, peer, "silent")
         self._liveness.update_reports()
         for peer in self._fleet.peers.values():
-            if peer.lost_at is not None and now - peer.lost_at > GIVE_UP_DELAY_S:
-                actions += self._liveness.give_up(now, peer, "lost for too long")
+            if peer.lost_at is not None and now - peer.lost_at > UNSETTLED_S:
+                peer.lost_at = None
         for peer in list(self._fleet.peers.values()):
             if self._liveness.is_reported_gone(now, peer):
                 reason = "the leader of its data centre receives no heartbeats from it"
