--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -93,7 +93,7 @@
     def adopt_orphans(self, now: float, job: LedJob) -> list[LeaderAction]:
         """Adopt the runs of a job that an earlier leader ordered."""
         actions: list[LeaderAction] = []
-        for (run, name, since), task in self._state.runs.orphans_of(job):
+        for (run, name, since, _), task in self._state.runs.orphans_of(job):
             worker = self._state.workers.get(name)
             if worker is None:
                 continue
--- a/packages/poplarhilld/src/poplarhilld/leading/runs.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -17,12 +17,14 @@
     Attributes:
         run: The run.
         worker: Name of its worker.
+        since: When it was found, by the leader's clock, s.
         stop_at: When it is stopped unless its job is offered here, by the leader's
             clock, s.
     """
 
     run: Run
     worker: str
+    since: float
     stop_at: float
 
 
@@ -111,7 +113,7 @@
             stop_by: When it has to be stopped at the latest, by the leader's clock, s.
         """
         stop_at = min(now + ORPHAN_TIMEOUT_S, stop_by)
-        self._orphans[worker, run] = Orphan(run, worker, stop_at)
+        self._orphans[worker, run] = Orphan(run, worker, now, stop_at)
 
     def has_orphans(self, worker: str) -> bool:
         """Return whether a worker has runs that belong to no job of this leader."""
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -386,7 +386,7 @@
         """Do what is due because time has passed: timeouts, retries, deadlines."""
         actions: list[LeaderAction] = []
         actions += self._group.check_workers(now)
-        for run, name, _ in self._state.runs.unclaimed(now):
+        for run, name, *_ in self._state.runs.unclaimed(now):
             if name in self._state.workers:
                 actions += self._closer.stop_run(
                     now, self._state.workers[name], run, "its job was not offered"
