Log how long a closed job ran, and bound from it what could be served

Change: JobClosed has tasks, cores, last_start_s, mean_run_s and longest_run_s, once per job. `python -m poplarhill_dev run-bound` counts per route, for all jobs, the largest tenth and the next fifth: served, lost with a run that is longer than the limit, and the expected number of those that were lost although they could have been served, by what they waited for (Kaplan-Meier, lost jobs censored).

No decision changes.

--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -1,17 +1,19 @@
 """Commands of the development package."""
 
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 
 import click
 import curio
 
-from poplarhill.story import read_lines
+from poplarhill.story import Line, read_lines
 from poplarhill_dev.demo import run_demo
 from poplarhill_dev.known_red import run_tests
 from poplarhill_dev.losses import find_losses, format_losses, plot_losses
 from poplarhill_dev.platform import PlatformStandIn
 from poplarhill_dev.replay import placement_cost, replay
+from poplarhill_dev.run_bound import closed_jobs, format_bounds
 from poplarhill_dev.slopes import run_slopes
 from poplarhill_dev.spread import run_spread
 from poplarhill_dev.worker import WorkerStandIn, run_workers
@@ -164,17 +166,28 @@
 @click.option("--plot", type=click.Path(path_type=Path), help="SVG file to write.")
 def losses(files: tuple[Path, ...], plot: Path | None) -> None:
     """Show from the logs in FILES which jobs were not served, when and why."""
-    found = []
+    lost = find_losses(_read_logs(files))
+    click.echo(format_losses(lost))
+    if plot is not None:
+        plot_losses(lost, plot)
+
+
+@main.command("run-bound")
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+def run_bound(files: tuple[Path, ...]) -> None:
+    """Show from the logs in FILES how many jobs a system without delay had served."""
+    click.echo(format_bounds(closed_jobs(_read_logs(files))))
+
+
+def _read_logs(files: Iterable[Path]) -> list[Line]:
+    lines: list[Line] = []
     for path in files:
         try:
             with path.open("rb") as text:
-                found += read_lines(text)
+                lines += read_lines(text)
         except OSError as error:
             raise click.ClickException(f"{path}: {error.strerror}") from error
-    lost = find_losses(found)
-    click.echo(format_losses(lost))
-    if plot is not None:
-        plot_losses(lost, plot)
+    return lines
 
 
 @main.command("known-red", context_settings={"ignore_unknown_options": True})
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from operator import mul
+from typing import NamedTuple
 
 from poplarhilld.leading.estimates import CompletedRun
 from poplarhilld.leading.spread import RunTimeSpread
@@ -65,6 +66,24 @@
         return not self.done and self.run is None
 
 
+class JobTiming(NamedTuple):
+    """When the tasks of a job started and how long they have run.
+
+    Attributes:
+        last_start_s: Time from the job's arrival until its last task was started, s;
+            `None` if a task was never started.
+        mean_run_s: Mean run time of its tasks so far, s.
+        longest_run_s: Longest of these run times, s.
+    """
+
+    last_start_s: float | None
+    mean_run_s: float | None
+    longest_run_s: float | None
+
+
+_UNKNOWN_TIMING = JobTiming(None, None, None)
+
+
 class LedJob:
     """A job that was offered to this leader.
 
@@ -156,6 +175,11 @@
         """Whether all its tasks are done."""
         return not self._open_tasks
 
+    @property
+    def cores(self) -> float:
+        """Cores that all its tasks need together."""
+        return sum([step.count * step.needs.cores for step in self.offer.steps])
+
     @property
     def not_run(self) -> bool:
         """Whether no run of it was ever ordered, by this or another leader."""
@@ -251,6 +275,35 @@
             step_s[task.step] = max(step_s[task.step], ran_s)
         return _longest_chain_s(self.offer, step_s)
 
+    def timing(self, now: float) -> JobTiming:
+        """Return when its tasks started and how long they have run.
+
+        A task that was started more than once counts with its last run.
+
+        Args:
+            now: The leader's clock, s.
+
+        Returns:
+            Only unknown values if an earlier leader ordered a run, or none was ordered.
+        """
+        run_s: list[float] = []
+        last_start_at = self.arrived_at
+        for task in self.tasks:
+            if task.adopted or (task.done and not task.took_s):
+                return _UNKNOWN_TIMING
+            if task.done:
+                run_s.append(task.took_s * task.run_factor)
+            elif task.run is not None:
+                run_s.append(now - task.ordered_at)
+            else:
+                continue
+            last_start_at = max(last_start_at, task.ordered_at)
+        if not run_s:
+            return _UNKNOWN_TIMING
+        all_started = len(run_s) == len(self.tasks)
+        last_start_s = last_start_at - self.arrived_at if all_started else None
+        return JobTiming(last_start_s, sum(run_s) / len(run_s), max(run_s))
+
     def ready_tasks(self) -> list[LedTask]:
         """Return the waiting tasks of which all earlier steps are done."""
         if self.stopping:
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -262,6 +262,12 @@
         detail: Explanation of the error; empty without one.
         took_s: Time since the job arrived at its entry host, s.
         runs: Count of runs that were ordered or adopted for it.
+        tasks: Count of its tasks.
+        cores: Cores that all its tasks need together.
+        last_start_s: Time from the job's arrival until its last task was started, s;
+            `None` if that is unknown or a task was never started.
+        mean_run_s: Mean run time of its tasks so far, s; `None` if that is unknown.
+        longest_run_s: Longest of these run times, s.
     """
 
     job: str
@@ -269,3 +275,8 @@
     detail: str
     took_s: float
     runs: int
+    tasks: int
+    cores: float
+    last_start_s: float | None
+    mean_run_s: float | None
+    longest_run_s: float | None
--- a/packages/poplarhilld/tests/leading/test_long_jobs.py
+++ b/packages/poplarhilld/tests/leading/test_long_jobs.py
@@ -7,11 +7,30 @@
 
 from poplarhill import ErrorKind
 from poplarhill_dev.leased import World, simulated_job
+from poplarhilld.decisions import LogDecision
+from poplarhilld.leading.messages import JobClosed
 from poplarhilld.leading.spread import RunTimeSpread
 
 CALLER_WAITS_S = 1.35
 
 
+@pytest.fixture
+def closed_jobs(world: World, monkeypatch) -> dict[str, JobClosed]:
+    """Log lines of the closed jobs, by id."""
+    found: dict[str, JobClosed] = {}
+    perform = world.perform
+
+    def note_closed(leader: str, actions: list) -> None:
+        for action in actions:
+            match action:
+                case LogDecision(JobClosed() as closed):
+                    found[closed.job] = closed
+        perform(leader, actions)
+
+    monkeypatch.setattr(world, "perform", note_closed)
+    return found
+
+
 @pytest.fixture
 def spread() -> RunTimeSpread:
     return RunTimeSpread()
@@ -68,3 +87,18 @@
     true_least_s = 0.75  # 1.645 standard deviations below the mean
     assert spread.least_run_s("r", 1.0) == pytest.approx(true_least_s, abs=0.06)
     assert completed_only.least_run_s("r", 1.0) < spread.least_run_s("r", 1.0)
+
+
+# Logs could not tell a job that waited from one whose tasks take longer than its limit.
+def test_the_line_of_a_closed_job_says_when_it_started_and_how_long_it_ran(
+    world: World, closed_jobs: dict[str, JobClosed]
+) -> None:
+    world.submit("h1", simulated_job("a", tasks=8, run_s=0.5, left_s=9.0))
+    world.submit("h1", simulated_job("waits", tasks=2, run_s=0.5, left_s=0.8))
+    world.run(2.0)
+    done, waits = closed_jobs["a"], closed_jobs["waits"]
+    assert (done.tasks, done.cores, done.last_start_s) == (8, 54.4, 0.0)
+    assert done.mean_run_s <= done.longest_run_s == pytest.approx(0.5, abs=0.05)
+    assert waits.outcome == ErrorKind.TIMEOUT.value
+    assert waits.last_start_s == pytest.approx(0.5, abs=0.05)
+    assert waits.longest_run_s == pytest.approx(0.3, abs=0.06)
