Keep runs with a reused number apart in `log overlaps`

What operators saw: a certain overlap of 1.85 s that there was not. A job that was closed and offered again numbers its runs from 1 again, so a worker may get an order for a number that it has had before. Both were taken for one run, from the first order to the last end.

Change: an order, or an end that began after the last one, begins a new run if the run of that number has ended or never started.

Measured: the new case of test_runs_one_after_the_other_do_not_overlap gave the overlap above with the code before, none with this.

--- a/packages/poplarhill/src/poplarhill/overlaps.py
+++ b/packages/poplarhill/src/poplarhill/overlaps.py
@@ -64,7 +64,7 @@
 
 @dataclass
 class _Found:
-    """What the lines tell of a run; a worker accepts its number only once."""
+    """What the lines tell of a run, which its number and its worker identify."""
 
     leaders: list[str] = field(default_factory=list)
     began_at: float = math.inf
@@ -83,6 +83,16 @@
         """Whether its worker reported it, while it ran or when it had ended."""
         return bool(self.end) or self.found_at < math.inf
 
+    def is_followed_by(self, event: str, at: float, line: Line) -> bool:
+        """Return whether a line is about a later run of the same number.
+
+        A job that was closed and offered again numbers its runs from 1 again.
+        """
+        if event == "RunOrdered":
+            return bool(self.end or self.never_started)
+        resolved = event == "RunResolved" and line["fate"] != "never_started"
+        return resolved and bool(self.end) and at - line["took_s"] > self.ended_at
+
     def note_leader(self, leader: str) -> None:
         if leader not in self.leaders:
             self.leaders.append(leader)
@@ -95,7 +105,7 @@
     """Collects the runs of all tasks, and what bounds the ends of unresolved runs."""
 
     def __init__(self) -> None:
-        self.tasks: dict[str, dict[_Key, _Found]] = defaultdict(dict)
+        self.tasks: dict[str, dict[_Key, list[_Found]]] = defaultdict(dict)
         self._confirmed: dict[str, list[tuple[float, str]]] = defaultdict(list)
         self._completed: dict[str, float] = {}
         self._written: dict[str, list[tuple[float, bool]]] = defaultdict(list)
@@ -115,9 +125,10 @@
             case {"event": "JobClosed", "job": job, "outcome": "complete"}:
                 self._completed.setdefault(job, at)
             case {"event": event, "task": task, "run": number, "worker": worker}:
-                runs = self.tasks[task]
-                run = runs.setdefault((number, worker), _Found())
-                self._read_run(run, event, at, host, line)
+                runs = self.tasks[task].setdefault((number, worker), [_Found()])
+                if runs[-1].is_followed_by(event, at, line):
+                    runs.append(_Found())
+                self._read_run(runs[-1], event, at, host, line)
 
     def _read_run(
         self, run: _Found, event: str, at: float, host: str, line: Line
@@ -153,7 +164,8 @@
         """Return the runs of a task that may have begun, in order of time."""
         found = [
             (key, run)
-            for key, run in self.tasks[task].items()
+            for key, runs in self.tasks[task].items()
+            for run in runs
             if run.began_at < math.inf
             and (run.was_reported or run.never_started < max(1, run.orders))
         ]
@@ -223,7 +235,7 @@
     overlaps = [
         overlap
         for task, runs in reader.tasks.items()
-        if len(runs) > 1
+        if sum(map(len, runs.values())) > 1
         for first, second in combinations(reader.runs_of(task), 2)
         if (overlap := _overlap(task, first, second)).possible_s > 0
     ]
--- a/packages/poplarhill/tests/test_overlaps.py
+++ b/packages/poplarhill/tests/test_overlaps.py
@@ -62,6 +62,13 @@
         [ordered(3.1, "h2", "w2"), resolved(4.0, "h2", "w2", 0.9)],
         # The worker never started it.
         [ordered(2.5, "h2", "w2"), resolved(2.6, "h2", "w2", 0.1, "never_started")],
+        # Its number was used before, for an order that the worker did not carry out.
+        [
+            ordered(0.1, "h2", "w2"),
+            resolved(0.4, "h2", "w2", 0.3, "never_started"),
+            ordered(3.1, "h2", "w2"),
+            resolved(4.0, "h2", "w2", 0.9),
+        ],
         # The next leader adopts the same run.
         [
             line(
