--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -513,6 +513,8 @@
 ) -> None:
     actions = fleet.hosts["h0"].connection_refused(fleet.now, Address("10.0.0.1", 1))
     assert HostLost("h1") in actions
+    [lost] = [action for action in actions if isinstance(action, HostLost)]
+    assert (lost.reason, lost.lost_s) == ("its address refuses connections", 0.0)
 
 
 def test_a_settled_host_ticks_once_an_interval_unless_something_changes(
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -126,6 +126,19 @@
     assert of_type(actions, WithdrawFromLeader)[0].host == "h1"
 
 
+# Guards against two submissions of one job whose lines look alike.
+def test_the_log_tells_the_submission_and_the_leader_that_it_was_withdrawn_from(
+    submissions, submit
+) -> None:
+    submit(number=7)
+    actions = submissions.update_leaders(0.2, {"h2": LEADER._replace(tenure=9)})
+    [chosen] = [action.decision for action in of_type(actions, LogDecision)]
+    assert (chosen.number, chosen.leader, chosen.withdrawn_from) == (7, "h2", "h1")
+    assert chosen.age_s == 0.2
+    [answered] = of_type(submissions.drop_caller(0.3, 7), LogDecision)
+    assert (answered.decision.number, answered.decision.withdrawn) == (7, True)
+
+
 def test_a_job_is_offered_again_to_a_leader_with_a_new_tenure(
     submissions, submit
 ) -> None:
