Test which replies to orders are logged

Guards against an order that may have been carried out and leaves no line, and against a line for each of the many orders that are accepted at once.

--- a/packages/poplarhilld/tests/entry/test_performer.py
+++ b/packages/poplarhilld/tests/entry/test_performer.py
@@ -1,14 +1,20 @@
 """What the performer of actions sends to other hosts, and what it handles here."""
 
+from types import SimpleNamespace
+
 import curio
+import pytest
 
 from poplarhill.types import Address
-from poplarhilld.entry import EntrySettings
+from poplarhill_dev.leased import worker_entry
+from poplarhilld.entry import EntrySettings, worker_calls
 from poplarhilld.entry.clock import uptime
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.performer import Performer
 from poplarhilld.entry.state import HostState
-from poplarhilld.leading import ReportJob
+from poplarhilld.leading import ReportJob, StartRun
+from poplarhilld.leading.messages import Order
+from poplarhilld.leases import OrderOutcome, OrderReply, Run
 from poplarhilld.peers.messages import Beat, JobEnded, JobProgress
 from poplarhilld.submissions import OfferToLeader
 
@@ -44,3 +50,34 @@
         assert len(sent) == 1
 
     curio.run(main)
+
+
+# Guards against an order that may have been carried out and leaves no line, and against
+# a line for each of the many orders that are accepted at once.
+@pytest.mark.parametrize(
+    ("outcome", "reply_s", "logged"),
+    [("accepted", 0.0, []), ("accepted", 0.2, [1]), ("unknown", 0.0, [1])],
+)
+def test_orders_not_accepted_at_once_are_logged(
+    monkeypatch, outcome, reply_s, logged
+) -> None:
+    lines = []
+
+    async def start(worker, order, on_reply) -> None:
+        await curio.sleep(reply_s)
+        await on_reply(OrderReply(OrderOutcome(outcome)))
+
+    async def main() -> None:
+        settings = EntrySettings("h1", "dc1", ANY, ANY, ANY, ANY, ANY)
+        client = SimpleNamespace(start=start)
+        performer = Performer(HostState(settings, uptime()), client, EntryMetrics())
+        order = Order(Run("a.0.0.0", 1), "", 1.0, 1)
+        await performer.perform([StartRun(worker_entry("w1"), order)])
+
+    log = SimpleNamespace(info=lambda event, **fields: lines.append((event, fields)))
+    monkeypatch.setattr(worker_calls, "_log", log)
+    curio.run(main)
+    assert [fields["run"] for _, fields in lines] == logged
+    for event, fields in lines:
+        assert (event, fields["outcome"]) == ("OrderReplied", outcome)
+        assert fields["took_s"] >= reply_s
--- a/packages/poplarhilld/tests/entry/test_ticker.py
+++ b/packages/poplarhilld/tests/entry/test_ticker.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from types import SimpleNamespace
 
 import curio
 import pytest
@@ -27,9 +28,7 @@
 def test_a_pause_of_the_process_is_logged(monkeypatch, pause_s, logged) -> None:
     lines = []
 
-    class Log:
-        def info(self, event: str, **fields: float) -> None:
-            lines.append((event, fields))
+    log = SimpleNamespace(info=lambda event, **fields: lines.append((event, fields)))
 
     async def main() -> None:
         settings = EntrySettings("h1", "dc1", ANY, ANY, ANY, ANY, ANY)
@@ -42,7 +41,7 @@
             time.sleep(longest_s + waits.pop())
 
         monkeypatch.setattr(state.pause, "wait", wait)
-        monkeypatch.setattr(ticker, "_log", Log())
+        monkeypatch.setattr(ticker, "_log", log)
         performer = Performer(state, None, EntryMetrics())
         reading, writing = os.pipe()
         with pytest.raises(_StopLoopError):
