Show runs whose leases are extended by two lost successors in a row

A leader is killed with its callers' connections, its successor too, 0.25 s after it claimed the workers, and the next one falls silent 0.25 s after its claim. Simulated hosts now use the constructor of the real performer, so that what it holds is there.

--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -4,11 +4,14 @@
 from collections import deque
 from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Protocol
+from unittest.mock import patch
 
 from poplarhill.exceptions import Failure
 from poplarhill.types import Address
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.decisions import LogDecision
+from poplarhilld.entry import performer
+from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.performer import Performer
 from poplarhilld.entry.settings import EntrySettings
 from poplarhilld.entry.state import HostState
@@ -32,6 +35,7 @@
 )
 
 _UNUSED = Address("127.0.0.1", 1)
+_METRICS = EntryMetrics()
 
 
 class Environment(Protocol):
@@ -56,7 +60,7 @@
 
 
 class _SimulatedPerformer(Performer):
-    """Handles messages as the real one, without sockets.
+    """Handles messages as the real one, without links to other hosts.
 
     Args:
         state: State of the host.
@@ -64,8 +68,8 @@
     """
 
     def __init__(self, state: HostState, perform: Callable[[Iterable], None]) -> None:
-        self._state = state
-        self._name = state.settings.name
+        with patch.object(performer, "PeerLinks"):  # the real ones open a socket
+            super().__init__(state, None, _METRICS)
         self._perform = perform
 
     async def perform(self, actions: Iterable) -> None:
--- a/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
+++ b/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
@@ -45,6 +45,23 @@
     assert fleet.violated == []
 
 
+# Guards against leases that each of several successors extends, although none of them
+# knows the jobs of the runs that it finds.
+def test_runs_of_a_killed_leader_end_though_two_successors_are_lost(
+    fleet: FleetWorld,
+) -> None:
+    submit_jobs(fleet, LEADER)
+    fleet.run(0.1)
+    fleet.kill(LEADER, DOWN_S)
+    for lose in (fleet.kill, fleet.power_off):
+        while not fleet.leader_of("dc1"):
+            fleet.run(0.02)
+        fleet.run(0.25)
+        lose(fleet.leader_of("dc1"), DOWN_S)
+    fleet.run(RESEND_DELAY_S + RUN_S)
+    assert fleet.violated == []
+
+
 # Guards against a successor that claims the workers just before their leases lapse, and
 # gives unclaimed runs the full time to be offered again.
 def test_runs_without_an_entry_host_end_though_their_workers_are_claimed_late(
