Leave simulated hosts that are down as they are when they are killed again

The callers of a machine without power saw a broken connection when it was killed later, which nothing tells them.

--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
@@ -91,9 +91,10 @@
 
     def kill(self, name: str, down_s: float) -> None:
         """End the process of a host; its port refuses connections until it is back."""
-        self._end_process(name, PortState.REFUSED, down_s)
-        self._reset_links(name)
-        self.callers.connections_broken(self.hosts[name])
+        if self.hosts[name].running:
+            self._end_process(name, PortState.REFUSED, down_s)
+            self._reset_links(name)
+            self.callers.connections_broken(self.hosts[name])
 
     def shut_down(self, name: str, down_s: float) -> None:
         """Send SIGTERM to a host; it ends once it is idle or its time is up."""
@@ -132,7 +133,8 @@
 
     def power_off(self, name: str, down_s: float) -> None:
         """Take the power from a machine, which falls silent; it starts again later."""
-        self._end_process(name, PortState.SILENT, down_s)
+        if self.hosts[name].running:
+            self._end_process(name, PortState.SILENT, down_s)
 
     def freeze(self, name: str, seconds: float, tick_first: bool | None = None) -> None:
         """Stop the process of a host for a time.
@@ -152,9 +154,10 @@
     def reset_connections(self, name: str) -> None:
         """Break all connections of a host to other hosts and to callers."""
         host = self.hosts[name]
-        self.note(name, "connections reset")
-        self.schedule(self.random.uniform(0.0, 0.005), self._reset_links, name)
-        self.callers.connections_reset(host)
+        if host.running:
+            self.note(name, "connections reset")
+            self.schedule(self.random.uniform(0.0, 0.005), self._reset_links, name)
+            self.callers.connections_reset(host)
 
     def cut_paths(self, pairs: Iterable[tuple[str, str]], seconds: float) -> None:
         """Cut paths between machines, each in one direction, for a time."""
@@ -251,8 +254,6 @@
             host.resume(tick_first)
 
     def _end_process(self, name: str, port: PortState, down_s: float) -> None:
-        if name in self.ports:
-            return
         self.note(name, f"process ends, port {port.name}")
         self.hosts[name].running = False
         self.ports[name] = port
