--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -20,8 +20,10 @@
     ShareLosses,
     StartRun,
     StopRun,
+    as_handed_over,
 )
 from poplarhilld.peers import PeerLinks
+from poplarhilld.peers.ages import MessageAges
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.peers.messages import (
     Beat,
@@ -63,6 +65,7 @@
         )
         settings = state.settings
         self._name = settings.name
+        self._ages = MessageAges()
         self._peers = PeerLinks(
             settings.name,
             settings.peers,
@@ -108,8 +111,10 @@
                 case AnswerNewPeer(address):
                     await self._peers.reconnect(address)
                     await state.pause.end()
-                case HostLost(host):
-                    pending.extend(state.leader.handle_lost_host(uptime(), host))
+                case HostLost(host, reason, lost_s):
+                    pending.extend(
+                        state.leader.handle_lost_host(uptime(), host, reason, lost_s)
+                    )
         for address, together in messages.items():
             await self._peers.send(address, *together)
 
@@ -152,10 +157,14 @@
                     copy = Evacuations(message.evacuations_end, message.evacuations)
                     actions = actions + self._adopt_evacuations(sender, copy)
                 return actions
-            case OfferedJob(number, offer):
+            case OfferedJob(number):
                 if not state.hosts.claims:
                     return []
-                return state.leader.handle_offer(now, sender, number, offer)
+                offer = as_handed_over(message, state.hosts.leading_since_epoch)
+                age_s = 0.0
+                if sender != self._name:
+                    age_s = self._ages.age_s(now, sender, message.sent_at_s)
+                return state.leader.handle_offer(now, sender, number, offer, age_s)
             case JobWithdrawn(job_id, cancelled):
                 actions = state.leader.handle_withdrawal(now, sender, message)
                 if cancelled:
--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -2,6 +2,8 @@
 
 import time
 
+import structlog
+
 from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.entry.clock import processor_time_s, uptime
 from poplarhilld.entry.logs import LogBuffer
@@ -13,6 +15,9 @@
 _IDLE_TICK_S = 0.075  # without jobs and workers; half of the heartbeat interval
 # A leader that has missed two reads asks other hosts what they have read.
 _REGISTRY_OUTDATED_S = 2 * LEADER_REGISTRY_REFRESH_S
+_SHORTEST_PAUSE_S = 0.2  # a loop that is only busy is rarely this late
+_TAKEOVER_TIME_S = 3.0  # by then all runs of a lost leader have ended
+_log = structlog.get_logger()
 
 
 class Ticker:
@@ -43,8 +48,18 @@
             until_deadline_s = state.submissions.next_deadline - now
             shortest_s = min(shortest_s, until_deadline_s)
             longest_s = min(longest_s, until_deadline_s)
-            state.overload.expect_turn(now + max(0.0, longest_s))
+            due, processor_s = now + max(0.0, longest_s), processor_time_s()
+            state.overload.expect_turn(due)
             await state.pause.wait(shortest_s, longest_s)
+            late_s = uptime() - due
+            if late_s > _SHORTEST_PAUSE_S:
+                _log.info(
+                    "ProcessPaused",
+                    late_s=round(late_s, 3),
+                    processor_s=round(processor_time_s() - processor_s, 3),
+                    jobs=len(state.submissions),
+                    led_jobs=len(state.leader.jobs),
+                )
             lines = state.overload.note_turn(uptime(), processor_time_s())
             if lines:
                 await self._performer.perform(lines)
@@ -96,15 +111,24 @@
             if state.leader.workers:
                 await perform(state.leader.resign())
             return
+        now = uptime()
         led_entries: dict[str, WorkerEntry] = {}
+        former_leaders_heard_at: dict[str, tuple[float, ...]] = {}
         not_led_here: set[str] = set()
         for shard, entries in state.shards.items():
             if shard in state.hosts.claims:
                 led_entries.update(entries)
+                heard_at = state.hosts.former_leaders_heard_at.get(shard)
+                if heard_at and now - heard_at[0] < _TAKEOVER_TIME_S:
+                    former_leaders_heard_at.update(dict.fromkeys(entries, heard_at))
             else:
                 not_led_here.update(entries)
         await perform(
             state.leader.set_workers(
-                uptime(), time.time(), led_entries, frozenset(not_led_here)
+                now,
+                time.time(),
+                led_entries,
+                frozenset(not_led_here),
+                former_leaders_heard_at,
             )
         )
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -1,5 +1,7 @@
 """Accepts or refuses the jobs that entry hosts offer."""
 
+import math
+
 from poplarhill.exceptions import ErrorKind
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.admission import (
@@ -19,6 +21,8 @@
 from poplarhilld.leading.messages import (
     JobTaken,
     LeaderAction,
+    OfferAnswered,
+    OfferIgnored,
     ReportJob,
 )
 from poplarhilld.leading.order import core_second_cost
@@ -32,6 +36,11 @@
 )
 
 _STARVED_INTERVAL_S = 0.1  # a tenth of the shortest time limits of callers
+# A tick this late shows that the process was paused or overloaded, so that repeated
+# offers may wait unread for as long as `_READ_TIME_S`.
+_LATE_TICK_S = 0.2
+_READ_TIME_S = 0.1
+_LATE_OFFER_S = 0.05  # less is within what a tick adds
 
 
 class Offers:
@@ -62,23 +71,41 @@
         self._evacuated = evacuated
         self._late = late
         self._starved_check_at = 0.0
+        self._ticked_at = -math.inf
+        self._is_late = False
+        self._lapse_check_at = -math.inf
+
+    def handle_offer(
+        self, now: float, host: str, number: int, offer: JobOffer, age_s: float
+    ) -> list:
+        """Accept a job from an entry host, or refuse it.
 
-    def handle_offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
-        """Accept a job from an entry host, or refuse it."""
+        Ignores an offer that lapsed on its way: the host may have answered its caller
+        or have offered the job elsewhere. It repeats the offer otherwise.
+        """
+        lapses_at = now - age_s + self._state.limits.lifetime_s
+        if now >= lapses_at:
+            ignored = OfferIgnored(offer.job_id, host, round(age_s, 4))
+            return [LogDecision(ignored)]
+        if age_s >= _LATE_OFFER_S:
+            offer = offer._replace(
+                elapsed_s=offer.elapsed_s + age_s, left_s=offer.left_s - age_s
+            )
         subscriber = Subscriber(host, number)
         job = self._state.jobs.get(offer.job_id)
         answered = self._state.history.answer((subscriber, offer.job_id))
         if job is not None and not (job.stopping and answered is not None):
-            return self._subscribe(now, job, subscriber, offer)
+            return self._subscribe(now, job, subscriber, offer, lapses_at)
         if self._state.history.is_cancelled(now, offer.job_id):
             cancelled = Refusal(ErrorKind.CANCELLED, "the job was cancelled")
             return self._refuse(subscriber, offer, now, cancelled)
         completion = self._state.history.completion(offer.job_id)
         if completion is not None:
-            return [ReportJob(host, completion)]
+            return _answer_again(subscriber, completion)
         if answered is not None:
-            return [ReportJob(host, answered)]
+            return _answer_again(subscriber, answered)
         job = self._make_job(now, host, offer)
+        job.offer_lapses_at = lapses_at
         late = self._late.find_refusal(now, host, job)
         if late is not None:
             return self._refuse(subscriber, offer, now, late)
@@ -109,20 +136,28 @@
         self._state.placement_up_to_date = False
         self._state.subscribers[offer.job_id] = {subscriber}
         self._state.runs.add_job(job)
-        self._outcomes.adopt_orphans(now, job)
+        adopted = self._outcomes.adopt_orphans(now, job)
         actions: list[LeaderAction] = [
             *switched,
-            LogDecision(self._offer_line(job, wait_s, "taken")),
+            LogDecision(self._offer_line(job, subscriber, offer, wait_s, "taken")),
+            *adopted,
         ]
         if job.complete:
             return actions + self._closer.close_job(now, job, JobEnded(job.job_id))
         return actions + self._assignment.assign(now)
 
     def _subscribe(
-        self, now: float, job: LedJob, subscriber: Subscriber, offer: JobOffer
+        self,
+        now: float,
+        job: LedJob,
+        subscriber: Subscriber,
+        offer: JobOffer,
+        lapses_at: float,
     ) -> list[LeaderAction]:
         """Add a subscriber to a job that was accepted already."""
         subscribers = self._state.subscribers[job.job_id]
+        if lapses_at > job.offer_lapses_at:
+            job.offer_lapses_at = lapses_at
         if subscriber in subscribers and not job.stopping:
             return []
         if job.stopping:
@@ -133,7 +168,7 @@
             subscribers.clear()
         subscribers.add(subscriber)
         job.deadline = max(job.deadline, now + offer.left_s)
-        joined = LogDecision(self._offer_line(job, 0.0, "joined"))
+        joined = LogDecision(self._offer_line(job, subscriber, offer, 0.0, "joined"))
         return [joined, *self._assignment.assign(now)]
 
     def _refusal_for(self, now: float, job: LedJob, wait_s: float) -> Refusal | None:
@@ -196,12 +231,19 @@
         if elsewhere:
             report = report._replace(elsewhere=True, done=offer.done)
         self._state.history.note_answer(now, (subscriber, offer.job_id), report)
-        line = self._offer_line(job, 0.0, f"refused: {kind.value}: {detail}")
+        refused = f"refused: {kind.value}: {detail}"
+        line = self._offer_line(job, subscriber, offer, 0.0, refused)
         return [LogDecision(line), ReportJob(host, report)]
 
-    def _offer_line(self, job: LedJob, wait_s: float, outcome: str) -> JobTaken:
+    def _offer_line(
+        self,
+        job: LedJob,
+        subscriber: Subscriber,
+        offer: JobOffer,
+        wait_s: float,
+        outcome: str,
+    ) -> JobTaken:
         """Return the log line on an offer that was taken, joined or refused."""
-        offer = job.offer
         return JobTaken(
             offer.job_id,
             offer.route,
@@ -212,16 +254,26 @@
             round(job.run_s, 4),
             len(self._state.jobs),
             outcome,
+            subscriber.host,
+            subscriber.offer_number,
+            round(offer.elapsed_s, 4),
+            round(offer.left_s, 4),
+            job.ran_before,
         )
 
     def check_deadlines(self, now: float) -> list[LeaderAction]:
-        """Close the jobs that can no longer meet their deadline."""
+        """Close the jobs that can't meet their deadline or are not offered any more."""
+        was_late, self._is_late = self._is_late, now - self._ticked_at > _LATE_TICK_S
+        if self._is_late and not was_late:
+            self._lapse_check_at = now + _READ_TIME_S
+        self._ticked_at = now
         actions: list[LeaderAction] = []
         for job in list(self._state.jobs.values()):
             # On most ticks nothing is due for most jobs, so this calls no function.
             if (
                 job.stopping
                 or job.offer.handovers
+                or now >= job.offer_lapses_at
                 or now + job.least_run_s >= job.deadline
             ):
                 actions += self._check_deadline(now, job)
@@ -237,8 +289,14 @@
             return self._closer.close_job(
                 now, job, job_ended(job, kind, "the deadline of the job has passed")
             )
+        if now >= max(job.offer_lapses_at, self._lapse_check_at):
+            return self._close_lapsed(now, job)
         if job.offer.handovers and waits_too_long(
-            now, job, bool(self._state.not_led_here), self._state.workers.values()
+            now,
+            job,
+            bool(self._state.not_led_here),
+            self._state.workers.values(),
+            self._state.limits,
         ):
             detail = "its leader was lost, and its tasks may still run there"
             report = job_ended(job, ErrorKind.WORKER_LOST, detail)
@@ -249,6 +307,17 @@
             return self._closer.close_job(now, job, report)
         return []
 
+    def _close_lapsed(self, now: float, job: LedJob) -> list[LeaderAction]:
+        """Close a job whose offer no host has repeated in time.
+
+        If nothing of it was ordered, an offer that arrives later is taken as a new one.
+        """
+        detail = "its entry host has not repeated the offer"
+        if job.not_run:
+            self._state.subscribers[job.job_id].clear()
+        report = job_ended(job, ErrorKind.WORKER_LOST, detail)
+        return self._closer.close_job(now, job, report)
+
     def refuse_starved(self, now: float) -> list[LeaderAction]:
         """Refuse the jobs that wait and that will not start in time."""
         if now < self._starved_check_at or not self._state.queue:
@@ -272,3 +341,11 @@
                 report = give_back(now, self._state, job, waiting, report, left_s)
                 actions += self._closer.close_job(now, job, report)
         return actions
+
+
+def _answer_again(subscriber: Subscriber, report: JobEnded) -> list[LeaderAction]:
+    """Return the recorded outcome of a job to one that offers it again."""
+    host, number = subscriber
+    outcome = report.error or "complete"
+    line = OfferAnswered(report.job_id, host, number, outcome)
+    return [LogDecision(line), ReportJob(host, report)]
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -24,6 +24,7 @@
 )
 from poplarhilld.locality import Locality
 from poplarhilld.lookahead import Lookahead, LookaheadOptions
+from poplarhilld.peers.offer_limits import OfferLimits
 
 
 class Subscriber(NamedTuple):
@@ -40,11 +41,14 @@
         tokens: Source of fencing tokens.
         lease_s: Longest lease that a worker grants, s.
         lookahead: When placement looks ahead, and which of its parts are used.
+        limits: How long an offer keeps a job.
 
     Attributes:
         workers: Workers that this host leads or has led, by name.
         entries: Workers that this host is to lead, by name.
         not_led_here: Names of the registered workers that other hosts lead.
+        former_leaders_heard_at: When the former leaders of workers that were taken over
+            were last heard, s, the newest first, by worker.
         evacuated: Names of the evacuated data centres.
         renewal_backoff_s: Pause before the next renewal to a silent worker, s.
         reclaim_at: When each fenced worker may be claimed again, s.
@@ -70,13 +74,19 @@
     """
 
     def __init__(
-        self, tokens: TokenSource, lease_s: float, lookahead: LookaheadOptions
+        self,
+        tokens: TokenSource,
+        lease_s: float,
+        lookahead: LookaheadOptions,
+        limits: OfferLimits,
     ) -> None:
         self.tokens = tokens
         self.lease_s = lease_s
+        self.limits = limits
         self.workers: dict[str, LeasedWorker] = {}
         self.entries: Mapping[str, WorkerEntry] = {}
         self.not_led_here: frozenset[str] = frozenset()
+        self.former_leaders_heard_at: Mapping[str, tuple[float, ...]] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.renewal_backoff_s: dict[str, float] = {}
         self.reclaim_at: dict[str, float] = {}
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -6,9 +6,11 @@
 """
 
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 from poplarhill.exceptions import ErrorKind
 from poplarhilld.catalogue import WorkerEntry
+from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.assignment import Assignment
 from poplarhilld.leading.closing import JobCloser, job_ended
 from poplarhilld.leading.evacuated import EvacuatedJobs
@@ -16,7 +18,9 @@
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.late import LateOffers
 from poplarhilld.leading.messages import (
+    JobWithdrawal,
     LeaderAction,
+    LostHostWithdrawn,
     QueryWorker,
     RenewLease,
     ShareLosses,
@@ -44,6 +48,7 @@
     Load,
     TaskLosses,
 )
+from poplarhilld.peers.offer_limits import DEFAULT_LIMITS, OfferLimits
 
 
 class Leader:
@@ -55,6 +60,7 @@
         lookahead: When placement looks ahead, and which of its parts are used.
         overload: Overload control of the host; `None` accepts all offers.
         own_name: Name of this host.
+        limits: How long an offer keeps a job.
     """
 
     def __init__(
@@ -64,8 +70,9 @@
         lookahead: LookaheadOptions = LOOKAHEAD_OFF,
         overload: OverloadControl | None = None,
         own_name: str = "",
+        limits: OfferLimits = DEFAULT_LIMITS,
     ) -> None:
-        self._state = LeaderState(tokens, lease_s, lookahead)
+        self._state = LeaderState(tokens, lease_s, lookahead, limits)
         self._closer = JobCloser(self._state)
         self._outcomes = RunOutcomes(self._state, self._closer)
         self._group = WorkerGroup(self._state, self._closer, self._outcomes)
@@ -140,6 +147,7 @@
         time_s: float,
         entries: Mapping[str, WorkerEntry],
         not_led_here: frozenset[str] = frozenset(),
+        former_leaders_heard_at: Mapping[str, tuple[float, ...]] = MappingProxyType({}),
     ) -> list[LeaderAction]:
         """Set the workers that this host leads.
 
@@ -152,8 +160,11 @@
             entries: The workers by name.
             not_led_here: Names of the registered workers of the shards that this
                 host does not lead.
+            former_leaders_heard_at: When the former leaders of workers that were taken
+                over were last heard, s, the newest first, by worker.
         """
         actions: list[LeaderAction] = []
+        self._state.former_leaders_heard_at = former_leaders_heard_at
         if entries != self._state.entries or not_led_here != self._state.not_led_here:
             self._state.placement_up_to_date = False
             self._state.note_worker_change()
@@ -207,9 +218,19 @@
             self._closer.forget_job(job)
         return actions
 
-    def handle_offer(self, now: float, host: str, number: int, offer: JobOffer) -> list:
-        """Accept a job from an entry host, or refuse it."""
-        return self._offers.handle_offer(now, host, number, offer)
+    def handle_offer(
+        self, now: float, host: str, number: int, offer: JobOffer, age_s: float = 0.0
+    ) -> list:
+        """Accept a job from an entry host, or refuse it.
+
+        Args:
+            now: The leader's clock, s.
+            host: Name of the entry host.
+            number: Number of the submission there.
+            offer: The job.
+            age_s: How long the offer was under way, s.
+        """
+        return self._offers.handle_offer(now, host, number, offer, age_s)
 
     def handle_withdrawal(self, now: float, host: str, withdrawn: JobWithdrawn) -> list:
         """Stop a job that was cancelled or whose last caller has left."""
@@ -218,21 +239,49 @@
         job = self._state.jobs.get(withdrawn.job_id)
         if job is None or job.stopping:
             return []
-        subscribers = self._state.subscribers[withdrawn.job_id]
         if withdrawn.cancelled:
             report = job_ended(job, ErrorKind.CANCELLED, "the job was cancelled")
             return self._closer.close_job(now, job, report)
-        subscribers -= {one for one in subscribers if one.host == host}
+        return self._drop_subscribers(now, job, host, "the caller has left")
+
+    def _drop_subscribers(
+        self, now: float, job: LedJob, host: str, reason: str
+    ) -> list[LeaderAction]:
+        """Drop the submissions of a job at a host; close the job if none is left."""
+        subscribers = self._state.subscribers[job.job_id]
+        dropped = {one for one in subscribers if one.host == host}
+        subscribers -= dropped
+        actions: list[LeaderAction] = []
+        if dropped:
+            left, under_way = len(subscribers), len(job.under_way)
+            line = JobWithdrawal(job.job_id, host, reason, left, under_way)
+            actions.append(LogDecision(line))
         if subscribers:
-            return []
-        report = job_ended(job, ErrorKind.STOPPED, "the caller has left")
-        return self._closer.close_job(now, job, report)
+            return actions
+        report = job_ended(job, ErrorKind.STOPPED, reason)
+        return actions + self._closer.close_job(now, job, report)
+
+    def handle_lost_host(
+        self, now: float, host: str, reason: str = "", lost_s: float = 0.0
+    ) -> list[LeaderAction]:
+        """Stop the jobs of an entry host that has stopped responding.
 
-    def handle_lost_host(self, now: float, host: str) -> list[LeaderAction]:
-        """Stop the jobs of an entry host that has stopped responding."""
+        Args:
+            now: The leader's clock, s.
+            host: Name of the host.
+            reason: Why its jobs are stopped.
+            lost_s: Time since it was no longer considered live, s.
+        """
         actions: list[LeaderAction] = []
-        for job_id in list(self._state.jobs):
-            actions += self.handle_withdrawal(now, host, JobWithdrawn(job_id))
+        jobs = 0
+        for job in list(self._state.jobs.values()):
+            if not job.stopping:
+                dropped = self._drop_subscribers(now, job, host, "its host was lost")
+                jobs += bool(dropped)
+                actions += dropped
+        if jobs:
+            line = LostHostWithdrawn(host, reason, lost_s, jobs)
+            actions.insert(0, LogDecision(line))
         return actions
 
     def handle_losses(self, now: float, losses: Iterable[TaskLosses]) -> None:
@@ -259,6 +308,7 @@
         if self._state.renewal_backoff_s:
             self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
+        worker.has_orphans = self._state.runs.has_orphans(name)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
         if self._state.placement_up_to_date:
             return actions
@@ -301,7 +351,8 @@
                     task.next_number += 8
             case OrderOutcome.UNKNOWN:
                 self._state.health.note_no_reply(now, name)
-                actions += self._closer.stop_run(now, worker, run)
+                reason = "its order has no reply"
+                actions += self._closer.stop_run(now, worker, run, reason)
             case OrderOutcome.UNHEALTHY | OrderOutcome.INVALID:
                 if self._state.health.note_unhealthy(now, name):
                     actions.append(
@@ -337,7 +388,9 @@
         actions += self._group.check_workers(now)
         for run, name, _ in self._state.runs.unclaimed(now):
             if name in self._state.workers:
-                actions += self._closer.stop_run(now, self._state.workers[name], run)
+                actions += self._closer.stop_run(
+                    now, self._state.workers[name], run, "its job was not offered"
+                )
         actions += self._offers.check_deadlines(now)
         self._state.locality.review(now, self._state)
         for job in self._state.suspects.jobs:
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -123,6 +123,9 @@
 struct OfferedJob {
   number @0 :UInt64;
   offer @1 :JobOffer;
+  tenure @2 :UInt64;
+  repeated @3 :Bool;
+  sentAtS @4 :Float64;
 }
 
 struct JobWithdrawn {
--- a/packages/poplarhilld/src/poplarhilld/shards/claiming.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/claiming.py
@@ -224,6 +224,7 @@
         epoch = self._fleet.tokens.next(time_s)
         self._fleet.leading_since_epoch = self._fleet.leading_since_epoch or epoch
         self._fleet.claims[shard] = Claim(shard, epoch, shards[shard])
+        self._fleet.note_successor(shard, self._fleet.me.name)
         self._fleet.note_change()
         taken = LeadershipTaken(shard, epoch, reason, len(self._fleet.live) + 1)
         return [LogDecision(taken)]
--- a/packages/poplarhilld/src/poplarhilld/shards/fleet.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/fleet.py
@@ -18,6 +18,7 @@
 # After a data centre has lost its leader, its live hosts have sent a heartbeat to each
 # other and to the leaders of other data centres within this time.
 _PROBE_TIME_S = 2 * HEARTBEAT_INTERVAL_S
+_MOST_FORMER_LEADERS = 4  # more are not lost one after the other within seconds
 CLAIM_DELAY_S = 0.3  # two heartbeats, so that a new host learns of existing leaders
 
 
@@ -60,6 +61,9 @@
         claims: Claims of the shards that this host leads, by shard.
         leader_of_shard: Leader of each shard that has one; None after a change of a
             host or claim.
+        last_leader: The last known leader of each shard, which may be lost.
+        former_leaders_heard_at: When the leaders before the last one were last heard,
+            s, the newest first, by shard.
         update_intervals_at: When the intervals of heartbeats are next worked out, s.
         reported_by_leaders: For each data centre with a live leader, the hosts whose
             heartbeats its leaders receive.
@@ -86,6 +90,8 @@
         self.targets: dict[Address, Target] = {}
         self.claims: dict[str, Claim] = {}
         self.leader_of_shard: dict[str, str] | None = None
+        self.last_leader: dict[str, str] = {}
+        self.former_leaders_heard_at: dict[str, tuple[float, ...]] = {}
         self.update_intervals_at = now
         self.reported_by_leaders: dict[str, set[str]] = {}
         self.leaderless_since: dict[str, float] = {}
@@ -169,7 +175,20 @@
             for claim in heartbeat.claims:
                 claimant = (claim.epoch, name)
                 newest[claim.shard] = max(newest.get(claim.shard, claimant), claimant)
-        return {shard: name for shard, (_, name) in newest.items()}
+        leaders = {shard: name for shard, (_, name) in newest.items()}
+        for shard, name in leaders.items():
+            if self.last_leader.get(shard) != name:
+                self.note_successor(shard, name)
+        return leaders
+
+    def note_successor(self, shard: str, name: str) -> None:
+        """Note when the former leader of a shard was heard."""
+        former = self.peers.get(self.last_leader.get(shard, ""))
+        if former is not None:
+            earlier = self.former_leaders_heard_at.get(shard, ())
+            heard_at = (former.led_at, *earlier[: _MOST_FORMER_LEADERS - 1])
+            self.former_leaders_heard_at[shard] = heard_at
+        self.last_leader[shard] = name
 
     def note_change(self) -> None:
         """Forget what was worked out from the hosts and their claims."""
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -100,6 +100,14 @@
         """Claims of the shards that this host leads, by shard."""
         return self._fleet.claims
 
+    @property
+    def former_leaders_heard_at(self) -> Mapping[str, tuple[float, ...]]:
+        """When the leaders before the last one were last heard, s, by shard.
+
+        The newest is first. The leader of a claimed shard is this host.
+        """
+        return self._fleet.former_leaders_heard_at
+
     @property
     def leading_since_epoch(self) -> int:
         """Epoch since which this host has led continuously; 0 if it leads nothing.
@@ -174,8 +182,10 @@
             if peer is not None and peer.live:
                 actions += self._liveness.mark_lost(now, peer, "it has restarted")
             if peer is not None:
-                actions.append(HostLost(name))
-            peer = self._fleet.peers[name] = Peer(name, heartbeat, now)
+                lost_s = 0.0 if peer.lost_at is None else round(now - peer.lost_at, 3)
+                actions.append(HostLost(name, "it has restarted", lost_s))
+            led_at = -math.inf if peer is None else peer.led_at
+            peer = self._fleet.peers[name] = Peer(name, heartbeat, now, led_at)
             self._fleet.note_change()
             known = self._fleet.targets.get(Address(heartbeat.host, heartbeat.port))
             if (
@@ -187,6 +197,8 @@
         if _leadership_of(heartbeat) != _leadership_of(peer.heartbeat):
             self._fleet.note_change()
         peer.heartbeat, peer.received_at = heartbeat, now
+        if heartbeat.claims:
+            peer.led_at = now
         address = Address(heartbeat.host, heartbeat.port)
         self._fleet.add_addresses(now, [address])
         target = self._fleet.targets[address]
@@ -220,7 +232,8 @@
                 actions += self._liveness.mark_lost(
                     now, peer, "its address refuses connections"
                 )
-            actions += self._liveness.give_up(peer)
+            reason = "its address refuses connections"
+            actions += self._liveness.give_up(now, peer, reason)
         return actions
 
     def set_outdated(self, outdated: bool) -> None:
@@ -303,7 +316,7 @@
         self._liveness.update_reports()
         for peer in self._fleet.peers.values():
             if peer.lost_at is not None and now - peer.lost_at > GIVE_UP_DELAY_S:
-                actions += self._liveness.give_up(peer)
+                actions += self._liveness.give_up(now, peer, "lost for too long")
         for peer in list(self._fleet.peers.values()):
             if self._liveness.is_reported_gone(now, peer):
                 reason = "the leader of its data centre receives no heartbeats from it"
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -15,6 +15,7 @@
     JobWithdrawn,
     OfferedJob,
 )
+from poplarhilld.peers.offer_limits import DEFAULT_LIMITS, OfferLimits
 from poplarhilld.submissions.choice import choose_leader
 from poplarhilld.submissions.messages import (
     AnswerCaller,
@@ -35,6 +36,8 @@
 )
 
 REPEAT_INTERVAL_S = 0.3  # delay that a lost offer or report causes
+_REPEATS = 3  # of an offer within its lifetime
+_PAUSE_THRESHOLD_S = 0.45  # a tick this late shows that the process was paused
 # 0.6 s to detect that a leader is lost, plus the time until a successor takes over.
 LEADERLESS_TIMEOUT_S = 1.2
 _NO_LEADER_RETRY_AFTER_S = 1.0  # a new leader is known after about a second
@@ -89,12 +92,16 @@
 
     Each submission has a number of its own; several may share a job id.
 
+    Args:
+        limits: How long an offer keeps a job at its leader.
+
     Attributes:
         remote_slowdown: Factor on run times outside the rack of the data; 1 is off.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: OfferLimits = DEFAULT_LIMITS) -> None:
         self.remote_slowdown = OFF
+        self._repeat_interval_s = min(REPEAT_INTERVAL_S, limits.lifetime_s / _REPEATS)
         self._jobs: dict[int, _PendingJob] = {}
         self._by_id: dict[str, set[int]] = {}
         self._leaders: Mapping[str, LeaderView] = {}
@@ -103,6 +110,8 @@
         self._leaderless_since: float | None = None
         self._stop_at = math.inf
         self._transfers = TransferCounts()
+        self._ticked_at = math.inf
+        self._has_held_offers = False
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -168,6 +177,7 @@
                 job.offers,
                 round(now - job.received_at, 4),
                 round(job.deadline - now, 4),
+                job.number,
             )
             actions.append(LogDecision(abandoned))
             actions += self._withdraw(job)
@@ -213,6 +223,8 @@
             self._leaderless_since = None
         elif self._leaderless_since is None:
             self._leaderless_since = now
+        if self._holds_offers(now):
+            return []
         actions: list[SubmissionAction] = []
         for job in list(self._jobs.values()):
             leader = leaders.get(job.leader)
@@ -222,6 +234,8 @@
 
     def tick(self, now: float) -> list[SubmissionAction]:
         """Answer jobs that are out of time and repeat offers that are due."""
+        holds_offers = self._holds_offers(now)
+        self._ticked_at, self._has_held_offers = now, holds_offers
         actions: list[SubmissionAction] = []
         for job in list(self._jobs.values()):
             if now >= min(job.deadline, self._stop_at):
@@ -229,10 +243,19 @@
                 if not job.offers:
                     failure = Failure(ErrorKind.EXPIRED, "no leader was found in time")
                 actions += self._answer(now, job, failure, withdraw=True)
-            elif now >= job.next_offer:
+            elif now >= job.next_offer and not holds_offers:
                 actions += self._offer_job(now, job)
         return actions
 
+    def _holds_offers(self, now: float) -> bool:
+        """Return whether offers wait for the next tick, after a pause of the process.
+
+        By then it has read which callers have closed their connections. These may have
+        sent their jobs again elsewhere.
+        """
+        was_paused = now - self._ticked_at > _PAUSE_THRESHOLD_S
+        return was_paused and not self._has_held_offers and bool(self._leaders)
+
     def _offer_job(
         self,
         now: float,
@@ -256,24 +279,32 @@
                 job.submission.steps,
                 self.remote_slowdown,
             )
-        job.next_offer = now + REPEAT_INTERVAL_S
+        job.next_offer = now + self._repeat_interval_s
         leader = self._leaders.get(name)
         if leader is None:
             return self._wait_for_leader(now, job)
         actions: list[SubmissionAction] = []
-        if (name, leader.tenure) != (job.leader, job.tenure):
-            if job.leader and job.leader != name:
+        repeated = (name, leader.tenure) == (job.leader, job.tenure)
+        if not repeated:
+            former = job.leader if job.leader != name else ""
+            if former:
                 withdrawn = JobWithdrawn(job.submission.job_id)
-                actions.append(WithdrawFromLeader(job.leader, withdrawn))
+                actions.append(WithdrawFromLeader(former, withdrawn))
             job.leader, job.tenure = name, leader.tenure
             job.handovers += 1
-            actions.append(self._log_choice(job, leader, reason))
+            actions.append(self._log_choice(now, job, leader, reason, former))
         job.offers += 1
-        offered = OfferedJob(job.number, self._job_offer(now, job))
+        offer = self._job_offer(now, job)
+        offered = OfferedJob(job.number, offer, job.tenure, repeated, now)
         return [*actions, OfferToLeader(name, offered)]
 
     def _log_choice(
-        self, job: _PendingJob, leader: LeaderView, reason: str
+        self,
+        now: float,
+        job: _PendingJob,
+        leader: LeaderView,
+        reason: str,
+        former: str,
     ) -> LogDecision:
         chosen = LeaderChosen(
             job.submission.job_id,
@@ -284,6 +315,10 @@
             round(job.needs_cores, 1),
             round(leader.load.free_cores, 1),
             round(leader.load.queued_core_s, 1),
+            job.number,
+            round(now - job.received_at, 4),
+            round(job.deadline - now, 4),
+            former,
         )
         return LogDecision(chosen)
 
@@ -441,6 +476,8 @@
             round(now - job.received_at, 4),
             round(submission.limit_s, 4),
             "caller" if submission.limited_by_caller else "route",
+            job.number,
+            withdraw,
         )
         actions: list[SubmissionAction] = [LogDecision(answered)]
         if withdraw:
--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -1,13 +1,16 @@
 """Two leaders of the same workers: the one with the higher token wins."""
 
+from dataclasses import replace
+
+import pytest
+
 from poplarhill import ErrorKind
 from poplarhill_dev.leased import World, simulated_job
+from poplarhilld.leading import as_handed_over
 from poplarhilld.leases import Run
-from poplarhilld.shards.intervals import (
-    GIVE_UP_DELAY_S,
-    HEARTBEAT_INTERVAL_S,
-    HOST_TIMEOUT_S,
-)
+from poplarhilld.peers.messages import OfferedJob
+from poplarhilld.peers.offer_limits import DEFAULT_LIMITS
+from poplarhilld.shards.intervals import HOST_TIMEOUT_S
 
 
 def test_a_takeover_adopts_runs(world: World) -> None:
@@ -166,6 +169,38 @@
     assert world.starts == 4
 
 
+# Once, a host that had stopped to lead and led again took the repeated offer of a job
+# that it had lost for a new job. It started the tasks before the worker of their first
+# runs had replied.
+def test_a_leader_that_leads_again_starts_nothing_of_its_former_jobs(
+    world: World,
+) -> None:
+    leader = world.leaders["h1"]
+    job = simulated_job("a", tasks=2, run_s=1.0, left_s=3.0)
+    world.submit("h1", job)
+    world.run(0.1)
+    (worker,) = [worker for worker in world.workers.values() if worker.running]
+    world.perform("h1", leader.resign())
+    worker.unreachable = True
+    world.perform("h1", leader.set_workers(world.now, world.now, world.entries))
+    world.run(0.05)
+    offered = OfferedJob(1, job.offer, tenure=7, repeated=True)
+    world.submit("h1", replace(job, offer=as_handed_over(offered, 9)))
+    world.run(0.1)
+    worker.unreachable = False
+    world.run(1.5)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 2
+    assert not world.violations
+
+
+# Guards against a wait, and an answer that it may have run, for a job that is new.
+@pytest.mark.parametrize(("tenure", "repeated"), [(7, False), (9, True), (9, False)])
+def test_a_new_job_is_not_taken_for_a_lost_one(tenure: int, repeated: bool) -> None:
+    offer = simulated_job("a").offer
+    assert as_handed_over(OfferedJob(1, offer, tenure, repeated), 9) == offer
+
+
 def test_jobs_wait_for_workers_that_were_claimed_just_now(world: World) -> None:
     # After a restart of the fleet the backlog arrives at a leader whose workers have
     # not yet replied.
@@ -186,7 +221,7 @@
 
 
 # Once, a leader beyond a cut worked on for 1.5 s after it had lost the host of a job,
-# and the next one waited for 1.2 s only: callers that wait long got tasks run twice.
+# which takes 12 s for a distant host. The next one waited for 1.8 s: tasks ran twice.
 def test_the_next_leader_starts_nothing_while_one_beyond_a_cut_works_on(
     world: World,
 ) -> None:
@@ -198,14 +233,16 @@
     world.run(0.1)
     world.cut = lambda leader, worker: (leader == "h1") == (worker in far)
     world.run(HOST_TIMEOUT_S)
-    h1, h2 = world.leaders["h1"], world.add_leader("h2", 2, far)
+    h2 = world.add_leader("h2", 2, far)
     world.perform("h2", h2.set_workers(world.now, world.now, far, frozenset(near)))
-    offer = job.offer._replace(handovers=1)
-    world.perform("h2", h2.handle_offer(world.now, "e1", 1, offer))
-    # The last heartbeat before the cut may have reached h1 one interval later.
-    world.run(GIVE_UP_DELAY_S + HEARTBEAT_INTERVAL_S)
-    world.perform("h1", h1.handle_lost_host(world.now, "e1"))
+    # The host repeats its offer to the next leader only. The first one hears nothing of
+    # it, nor that it was lost.
+    world.submit("h2", replace(job, offer=job.offer._replace(handovers=1)))
+    world.run(DEFAULT_LIMITS.runs_ended_after_s - 0.1)
+    starts = world.starts
+    assert starts == 4
     world.run(2.0)
+    assert world.starts > starts
     assert not world.violations
 
 
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -10,6 +10,7 @@
 from poplarhilld.catalogue import Route
 from poplarhilld.decisions import LogDecision
 from poplarhilld.peers import JobEnded, JobProgress, Load, StepSpec
+from poplarhilld.peers.offer_limits import OfferLimits
 from poplarhilld.submissions import (
     AnswerCaller,
     LeaderView,
@@ -113,6 +114,62 @@
     assert of_type(submissions.tick(REPEAT_INTERVAL_S), OfferToLeader)
 
 
+# Guards against a leader that takes an offer which it has lost for a new one, or a new
+# one for one that it has lost.
+def test_an_offer_tells_the_tenure_that_it_was_made_to(
+    submissions: Submissions, submit: Callable[..., list]
+) -> None:
+    (first,) = of_type(submit(), OfferToLeader)
+    (second,) = of_type(submissions.tick(REPEAT_INTERVAL_S), OfferToLeader)
+    again = LEADER._replace(tenure=8)
+    (third,) = of_type(submissions.update_leaders(0.4, {"h1": again}), OfferToLeader)
+    offers = [action.offered for action in (first, second, third)]
+    assert [(one.tenure, one.repeated) for one in offers] == [
+        (7, False),
+        (7, True),
+        (8, False),
+    ]
+    assert third.offered.offer.handovers == 1
+
+
+# Once, a host that resumed from a pause repeated the offers of callers that had closed
+# their connections and had sent their jobs elsewhere, since it had not read that yet.
+@pytest.mark.parametrize("leaders", [{"h1": LEADER}, {"h2": LEADER}])
+def test_a_resumed_host_offers_nothing_before_it_has_read_its_connections(
+    submissions: Submissions, submit: Callable[..., list], leaders: dict
+) -> None:
+    submit(1)
+    submit(2, "b")
+    submissions.tick(0.05)
+    resumed = [*submissions.update_leaders(0.8, leaders), *submissions.tick(0.8)]
+    assert not of_type(resumed, OfferToLeader)
+    submissions.drop_caller(0.81, 1)
+    after = [*submissions.update_leaders(0.85, leaders), *submissions.tick(0.85)]
+    offers = of_type(after, OfferToLeader)
+    assert [offer.offered.number for offer in offers] == [2]
+
+
+# Guards against an overloaded host that never repeats its offers.
+def test_a_host_that_is_always_late_repeats_its_offers(
+    submissions: Submissions, submit: Callable[..., list]
+) -> None:
+    submit()
+    ticks = [submissions.tick(0.05), submissions.tick(0.6), submissions.tick(1.15)]
+    assert [len(of_type(actions, OfferToLeader)) for actions in ticks] == [0, 0, 1]
+
+
+# Guards against offers that lapse between two repeats where callers come again sooner.
+def test_offers_are_repeated_three_times_within_their_lifetime() -> None:
+    submissions = Submissions(OfferLimits.from_resend_delay(0.6))
+    submissions.update_leaders(0.0, {"h1": LEADER})
+    steps = (StepSpec(4, Resources(6.8, 64, 0), 0.2),)
+    submissions.submit(0.0, 1, Submission("a", ROUTE, "{}", steps, 1.5))
+    repeats = [
+        of_type(submissions.tick(0.01 * step), OfferToLeader) for step in range(30)
+    ]
+    assert sum(map(bool, repeats)) >= 2
+
+
 def test_a_job_is_offered_to_the_next_leader_with_its_done_tasks(
     submissions, submit
 ) -> None:
