Decode everything from outside with the one decoder, and fuzz all of it

What callers saw: a settings file, a document given to a command or a line of a log that is nested 5,000 deep ended the program with RecursionError. The API took `memory_mb` of 30 digits. Errors quoted 10,000 characters of the data.

Cause: seven places had seven lists of exceptions, and an eighth could differ again.

Change: requests of the API, records of the configuration and of the claims, replies of the log, both settings, the commands and the logs use `decode_json` or `convert_json`, and the free slots of a response `parse_digits`. A test gives each decoder odd values in each place of a sound one, and random bytes; what the decoders of workers and jobs take is also sent through a frame. Another fails when a further module decodes JSON itself; the check of an operator's file is the one exception, as it names the line of each fault.

--- a/packages/poplarhill/src/poplarhill/cli/_support.py
+++ b/packages/poplarhill/src/poplarhill/cli/_support.py
@@ -1,6 +1,5 @@
 """Helpers shared by the commands."""
 
-import json
 import sys
 from pathlib import Path
 from typing import Any, TypeVar
@@ -9,6 +8,7 @@
 import curio
 import msgspec
 
+from poplarhill.decoding import InvalidDataError, decode_json
 from poplarhill.exceptions import ErrorKind, Failure, PoplarhillError
 from poplarhill.http import (
     ConnectionLostError,
@@ -86,8 +86,8 @@
         PoplarhillError: The file cannot be read or is not JSON.
     """
     try:
-        return json.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+        return decode_json(path.read_bytes())
+    except (OSError, InvalidDataError) as error:
         raise bad_request(f"{path}: {error}") from error
 
 
@@ -125,7 +125,7 @@
         PoplarhillError: The response is not of the expected form.
     """
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, kind)
+    except InvalidDataError as error:
         failure = Failure(ErrorKind.BAD_RESPONSE, str(error))
         raise PoplarhillError(failure) from error
--- a/packages/poplarhill/src/poplarhill/configuration/records.py
+++ b/packages/poplarhill/src/poplarhill/configuration/records.py
@@ -4,10 +4,11 @@
 
 import msgspec
 
+from poplarhill.decoding import InvalidDataError, Offset, Version, decode_json
+
 CONFIG_STREAM = "configuration"
 
 _Id = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class Change(msgspec.Struct, tag="change", forbid_unknown_fields=True):
@@ -23,7 +24,7 @@
     """
 
     change_id: _Id
-    base_version: _Count
+    base_version: Version
     author: str
     note: str
     patch: dict[str, Any]
@@ -45,11 +46,11 @@
         winners: Ids of the latest accepted changes by their base version.
     """
 
-    version: _Count
+    version: Version
     document: dict[str, Any]
-    next_offset: _Count
+    next_offset: Offset
     time: float
-    winners: dict[int, str] = {}
+    winners: dict[Version, str] = {}
 
 
 class Restoration(msgspec.Struct, tag="restoration", forbid_unknown_fields=True):
@@ -63,15 +64,13 @@
         host: Name of the entry host that wrote the record.
     """
 
-    version: _Count
+    version: Version
     document: dict[str, Any]
     host: str
 
 
 ConfigurationRecord = Change | Snapshot | Restoration
 
-_decoder = msgspec.json.Decoder(ConfigurationRecord)
-
 
 def encode_record(record: ConfigurationRecord) -> str:
     """Return a record as the JSON text of a log record's body."""
@@ -81,6 +80,6 @@
 def decode_record(body: str) -> ConfigurationRecord | None:
     """Return the record encoded in a body, or None if the body is not valid."""
     try:
-        return _decoder.decode(body)
-    except (msgspec.MsgspecError, RecursionError, UnicodeError):
+        return decode_json(body, ConfigurationRecord)
+    except InvalidDataError:
         return None
--- a/packages/poplarhill/src/poplarhill/platform/client.py
+++ b/packages/poplarhill/src/poplarhill/platform/client.py
@@ -5,8 +5,7 @@
 
 from typing import Protocol, TypeVar
 
-import msgspec
-
+from poplarhill.decoding import InvalidDataError, decode_json
 from poplarhill.http import (
     ConnectionLostError,
     InvalidResponseError,
@@ -124,6 +123,6 @@
 def _decode(body: bytes, kind: type[_Value]) -> _Value | None:
     """Decode a JSON array into a named tuple; return None if it is invalid."""
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError:
+        return decode_json(body, kind)
+    except InvalidDataError:
         return None
--- a/packages/poplarhill/src/poplarhill/platform/types.py
+++ b/packages/poplarhill/src/poplarhill/platform/types.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from poplarhill.decoding import Offset, Version
+
 
 class Record(NamedTuple):
     """One record of a stream.
@@ -12,7 +14,7 @@
         body: JSON text, opaque to the log.
     """
 
-    offset: int
+    offset: Offset
     time: float
     body: str
 
@@ -24,7 +26,7 @@
         offset: Offset of the record.
     """
 
-    offset: int
+    offset: Offset
 
 
 class AppendRefused(NamedTuple):
@@ -59,8 +61,8 @@
     """
 
     records: tuple[Record, ...]
-    next_offset: int
-    end_offset: int
+    next_offset: Offset
+    end_offset: Offset
     time: float
 
 
@@ -71,7 +73,7 @@
         earliest: Offset of the oldest record that the log keeps.
     """
 
-    earliest: int
+    earliest: Offset
 
 
 class Unavailable(NamedTuple):
@@ -93,7 +95,7 @@
         leaving: Names of the hosts and workers that are about to shut down.
     """
 
-    version: int
+    version: Version
     live: frozenset[str]
     leaving: frozenset[str]
 
--- a/packages/poplarhill/src/poplarhill/schema.py
+++ b/packages/poplarhill/src/poplarhill/schema.py
@@ -6,6 +6,8 @@
 
 from poplarhill.exceptions import SettingsError
 
+_MAX_MESSAGE_CHARS = 500  # messages quote the value
+
 
 def check(value: Any, schema: dict[str, Any]) -> None:
     """Validate a decoded JSON value against a schema.
@@ -21,4 +23,4 @@
 
 def _describe(error: jsonschema.ValidationError) -> str:
     path = "/" + "/".join(str(part) for part in error.absolute_path)
-    return f"{path}: {error.message}"
+    return f"{path}: {error.message[:_MAX_MESSAGE_CHARS]}"
--- a/packages/poplarhill/src/poplarhill/story.py
+++ b/packages/poplarhill/src/poplarhill/story.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
-import msgspec
+from poplarhill.decoding import InvalidDataError, decode_json
 
 Line = Mapping[str, Any]
 
@@ -54,8 +54,8 @@
         if begin < 0:
             continue
         try:
-            line = msgspec.json.decode(raw[begin:])
-        except msgspec.DecodeError:
+            line = decode_json(raw[begin:])
+        except InvalidDataError:
             continue
         if isinstance(line, dict) and isinstance(line.get("event"), str):
             yield line
--- a/packages/poplarhilld/src/poplarhilld/api/requests.py
+++ b/packages/poplarhilld/src/poplarhilld/api/requests.py
@@ -6,6 +6,14 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from poplarhill.decoding import (
+    Accelerators,
+    Cores,
+    Duration,
+    InvalidDataError,
+    MemoryMb,
+    decode_json,
+)
 from poplarhill.exceptions import ErrorBody, ErrorKind, Failure
 from poplarhill.types import MAX_TASKS_PER_JOB, JobSpec, Resources
 
@@ -16,8 +24,6 @@
 _Tasks = Annotated[list[str], msgspec.Meta(min_length=1, max_length=MAX_TASKS_PER_JOB)]
 _Timeout = Annotated[float, msgspec.Meta(le=_MAX_TIMEOUT_S)]
 _Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9._-]{1,64}$")]
-_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class JobRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -38,10 +44,10 @@
     timeout_s: _Timeout = _DEFAULT_TIMEOUT_S
     customer: _Name = "default"
     idempotent: bool = True
-    cores: _NotNegative = 0.0
-    memory_mb: _Count = 0
-    accelerators: _Count = 0
-    run_time_s: _NotNegative | None = None
+    cores: Cores = 0.0
+    memory_mb: MemoryMb = 0
+    accelerators: Accelerators = 0
+    run_time_s: Duration | None = None
 
 
 class JobAnswer(TypedDict, total=False):
@@ -72,8 +78,8 @@
         now: The host's own clock, s.
     """
     try:
-        request = msgspec.json.decode(body, type=JobRequest)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        request = decode_json(body, JobRequest)
+    except InvalidDataError as error:
         return Error(Failure(ErrorKind.BAD_REQUEST, str(error)))
     if key is not None and not 0 < len(key) <= _MAX_KEY_CHARS:
         detail = f"Idempotency-Key must have 1 to {_MAX_KEY_CHARS} characters"
--- a/packages/poplarhilld/src/poplarhilld/claims/ledger.py
+++ b/packages/poplarhilld/src/poplarhilld/claims/ledger.py
@@ -3,8 +3,7 @@
 from collections import OrderedDict, deque
 from typing import NamedTuple
 
-import msgspec
-
+from poplarhill.decoding import InvalidDataError, decode_json
 from poplarhill.platform import Record
 from poplarhilld.claims.messages import ClaimId, ClaimRecord
 
@@ -165,6 +164,6 @@
 
 def _decode(body: str) -> ClaimRecord | None:
     try:
-        return msgspec.json.decode(body, type=ClaimRecord)
-    except msgspec.MsgspecError:
+        return decode_json(body, ClaimRecord)
+    except InvalidDataError:
         return None
--- a/packages/poplarhilld/src/poplarhilld/claims/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/claims/messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from poplarhill.decoding import Version
 from poplarhill.platform import AppendResult, ReadResult
 from poplarhilld.jobs.messages import JobOutcome
 
@@ -37,10 +38,10 @@
     """
 
     host: str
-    incarnation: int
-    first: int
+    incarnation: Version
+    first: Version
     keys: tuple[str, ...] = ()
-    released: tuple[int, ...] = ()
+    released: tuple[Version, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -6,6 +6,15 @@
 
 import msgspec
 
+from poplarhill.decoding import (
+    Cores,
+    Duration,
+    DurationMs,
+    Factor,
+    InvalidDataError,
+    convert_json,
+    decode_json,
+)
 from poplarhill.exceptions import SettingsError
 from poplarhill.types import Address
 from poplarhilld.locality import OFF
@@ -26,10 +35,10 @@
     store: str
     advertise: str = ""
     seeds: str = ""
-    cores: float = 1.0
-    core_speed: float = 1.0
-    lease_ms: float = 1000.0
-    grace_s: float = 6.0
+    cores: Cores = 1.0
+    core_speed: Factor = 1.0
+    lease_ms: DurationMs = 1000.0
+    grace_s: Duration = 6.0
     lookahead: LookaheadMode = LookaheadMode.AUTO
     remote_slowdown: float | str = ""
 
@@ -79,8 +88,8 @@
             SettingsError: A value is invalid; the message names its path.
         """
         try:
-            fields = msgspec.convert(value, _File)
-        except msgspec.ValidationError as error:
+            fields = convert_json(value, _File)
+        except InvalidDataError as error:
             raise SettingsError((str(error),)) from error
         problems = []
         addresses: dict[str, Address] = {}
@@ -129,8 +138,8 @@
             SettingsError: The file cannot be read or does not pass its checks.
         """
         try:
-            value = msgspec.json.decode(path.read_bytes())
-        except (OSError, msgspec.DecodeError) as error:
+            value = decode_json(path.read_bytes())
+        except (OSError, InvalidDataError) as error:
             raise SettingsError((f"{path}: {error}",)) from error
         return cls.from_config(value)
 
--- a/packages/poplarhilld/src/poplarhilld/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/settings.py
@@ -1,9 +1,9 @@
 """Settings of one process, read from JSON and validated at start."""
 
-import json
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from poplarhill.decoding import decode_json
 from poplarhill.exceptions import SettingsError
 from poplarhill.schema import check
 from poplarhill.types import Address
@@ -60,7 +60,7 @@
             SettingsError: The file cannot be read or is invalid.
         """
         try:
-            value = json.loads(path.read_text(encoding="utf-8"))
+            value = decode_json(path.read_bytes())
         except (OSError, ValueError) as error:
             raise SettingsError((f"{path}: {error}",)) from error
         return cls.from_config(value)
--- a/packages/poplarhilld/src/poplarhilld/workers/link.py
+++ b/packages/poplarhilld/src/poplarhilld/workers/link.py
@@ -12,6 +12,7 @@
 import curio
 import structlog
 
+from poplarhill.decoding import parse_digits
 from poplarhill.exceptions import ErrorKind
 from poplarhill.http import (
     Connection,
@@ -31,6 +32,7 @@
 FREE_SLOTS_HEADER = "slots-free"
 
 _HTTP_OK = 200
+_MAX_FREE_SLOTS = 65_535
 _HTTP_STOPPED = 409
 _HTTP_UNAVAILABLE = 503
 _STOP_TIMEOUT_S = 2.0
@@ -197,7 +199,6 @@
 
 def _free_slots(response: Response) -> int | None:
     """Return the free slots that a response reports; `None` if it does not."""
-    try:
-        return int(response.headers[FREE_SLOTS_HEADER])
-    except (KeyError, ValueError):
-        return None
+    text = response.headers.get(FREE_SLOTS_HEADER, "")
+    number = parse_digits(text.removeprefix("-"), _MAX_FREE_SLOTS)
+    return -number if number and text.startswith("-") else number
