Ignore an evacuation that names no data centre

What callers saw: nothing yet. The key `evacuate/` counted as an evacuation of the data centre without a name, so of workers that state none.

Cause: the name was taken from the key without a look at it.

--- a/packages/poplarhill-dev/tests/adapter/test_odd_entries.py
+++ b/packages/poplarhill-dev/tests/adapter/test_odd_entries.py
@@ -95,7 +95,9 @@
 def read() -> Callable:
     """Return a function that reads from a directory, as often as there are writes."""
 
-    def read(method: str, *writes: Callable[[StandInStore], None]) -> list:
+    def read(
+        method: str, *writes: Callable[[StandInStore], None], result: str = ""
+    ) -> list:
         results = []
 
         async def main() -> None:
@@ -106,7 +108,8 @@
             directory = StoreDirectory(address, None)
             for write in writes:
                 write(store)
-                results.append(await getattr(directory, method)())
+                found = await getattr(directory, method)()
+                results.append(getattr(directory, result) if result else found)
 
         curio.run(main)
         return results
@@ -175,3 +178,13 @@
     ]
     assert [line["event"] for line in lines] == ["CatalogueIgnored"]
     assert len(str(lines)) < 500
+
+
+# Guards against an evacuation of the workers that state no data centre.
+def test_an_evacuation_without_a_name_is_ignored(read) -> None:
+    def put(store: StandInStore) -> None:
+        for key in ("evacuate/", "evacuate/dc1", "evacuate"):
+            store.put("keyed.op", key, {})
+
+    (evacuations,) = read("next_catalogue", put, result="evacuations")
+    assert [one.data_centre for one in evacuations.in_force] == ["dc1"]
