Reject documents with numbers that no float or frame can hold

What callers saw: nothing yet. A document with `slots`, `cores`, `memory_mb`, `accelerators`, `weight`, `key_window_s` or a count of 30 or 400 digits was put in force; arithmetic with floats raises on such integers, and frames carry 16 bits of slots and 32 bits of memory.

Cause: the schema of the document has lower bounds only.

Change: upper bounds. `queue_wait_s` keeps none, as `config check` only warns of one of 400 digits; hosts compare it and do not calculate with it.

--- a/packages/poplarhill/src/poplarhill/configuration/document.py
+++ b/packages/poplarhill/src/poplarhill/configuration/document.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from poplarhill.configuration.patch import apply_patch
+from poplarhill.decoding import MAX_ACCELERATORS, MAX_CORES, MAX_MEMORY_MB
 from poplarhill.exceptions import SettingsError
 from poplarhill.schema import check
 from poplarhill.types import WorkerSpec
@@ -17,16 +18,18 @@
 
 _NAME = "^[A-Za-z0-9._-]{1,64}$"
 _POSITIVE = {"type": "number", "exclusiveMinimum": 0}
-_COUNT = {"type": "integer", "minimum": 1}
+_BOUNDED = {**_POSITIVE, "maximum": 1e9}
+_COUNT = {"type": "integer", "minimum": 1, "maximum": 2**31 - 1}
+_SLOT_COUNT = {**_COUNT, "maximum": 65_535}  # frames carry 16 bits
 
 _WORKER_FIELDS: dict[str, Any] = {
     "host": {"type": "string", "pattern": r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$"},
     "port": {"type": "integer", "minimum": 1, "maximum": 65535},
-    "slots": _COUNT,
-    "connections": _COUNT,
-    "cores": _POSITIVE,
-    "memory_mb": _COUNT,
-    "accelerators": {"type": "integer", "minimum": 0},
+    "slots": _SLOT_COUNT,
+    "connections": _SLOT_COUNT,
+    "cores": {**_POSITIVE, "maximum": MAX_CORES},
+    "memory_mb": {**_COUNT, "maximum": MAX_MEMORY_MB},
+    "accelerators": {"type": "integer", "minimum": 0, "maximum": MAX_ACCELERATORS},
     "rack": {"type": "string"},
     "data_centre": {"type": "string"},
     "draining": {"type": "boolean"},
@@ -47,9 +50,9 @@
     "queue_tasks": _COUNT,
     "queue_wait_s": _POSITIVE,
     "lending": {"type": "boolean"},
-    "beyond_share": {"type": "integer", "minimum": 0},
+    "beyond_share": {**_COUNT, "minimum": 0},
     "eject_fraction": {"type": "number", "minimum": 0, "maximum": 1},
-    "key_window_s": _POSITIVE,
+    "key_window_s": _BOUNDED,
 }
 
 SCHEMA: dict[str, Any] = {
@@ -88,7 +91,7 @@
             "additionalProperties": {
                 "type": "object",
                 "additionalProperties": False,
-                "properties": {"weight": _POSITIVE, "quota_tasks": _COUNT},
+                "properties": {"weight": _BOUNDED, "quota_tasks": _COUNT},
             },
         },
         "evacuations": {
--- a/packages/poplarhill/tests/configuration/test_fold.py
+++ b/packages/poplarhill/tests/configuration/test_fold.py
@@ -1,5 +1,7 @@
 """Tests of the fold of configuration records."""
 
+import json
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -153,3 +155,33 @@
     outcomes = [fold.apply(record) for record in records]
     accepted = [o.change_id for o in outcomes if isinstance(o, Change)]
     assert len(accepted) == len(set(accepted))
+
+
+ENDPOINT = {"host": "10.0.0.1", "port": 80}
+
+
+# Guards against hosts that end over a number of a document that no float or frame can
+# hold.
+@pytest.mark.parametrize(
+    "patch",
+    [
+        *(
+            {"services": {"s": {"workers": {"w": {**ENDPOINT, field: value}}}}}
+            for field in ("slots", "connections", "cores", "memory_mb", "accelerators")
+            for value in (10**400, 10**30, 2**31)
+        ),
+        *({"defaults": {field: 10**400}} for field in ("worker_cap", "queue_tasks")),
+        *({"defaults": {field: 10**30}} for field in ("beyond_share", "key_window_s")),
+        *({"customers": {"c": {f: 10**30}}} for f in ("weight", "quota_tasks")),
+    ],
+    ids=lambda patch: str(patch)[:70],
+)
+def test_a_document_with_a_number_out_of_range_is_rejected(patch: dict) -> None:
+    fold, outcomes = fold_all(
+        [
+            '{"type":"change","change_id":"a","base_version":0,"author":"","note":"",'
+            f'"patch":{json.dumps(patch)}}}'
+        ]
+    )
+    assert isinstance(outcomes[0], Rejection)
+    assert state(fold) == (0, {})
