--- a/packages/poplarhill-dev/tests/adapter/test_odd_records.py
+++ b/packages/poplarhill-dev/tests/adapter/test_odd_records.py
@@ -68,7 +68,16 @@
 
 
 ODD_ITEMS = [
-    *(None, [], "a", 5, {}, {**SOUND, "key": None}, {**SOUND, "value": 5}),
+    *(
+        None,
+        [],
+        "a",
+        5,
+        {},
+        {**SOUND, "key": None},
+        {**SOUND, "value": 5},
+        {**SOUND, "key": ""},
+    ),
     *({**SOUND, "key": "odd", "value": value} for value in ("=", "a", "é", "e30=!")),
     *({**SOUND, "key": "odd", "offset": offset} for offset in (-1, 2**70, "NUMBER")),
 ]
