--- a/packages/poplarhill/src/poplarhill/story.py
+++ b/packages/poplarhill/src/poplarhill/story.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
-import msgspec
+from poplarhill.decoding import InvalidDataError, decode_json
 
 Line = Mapping[str, Any]
 
@@ -90,8 +90,8 @@
 
 def _decode(raw: bytes) -> Line | None:
     try:
-        line = msgspec.json.decode(raw)
-    except msgspec.DecodeError:
+        line = decode_json(raw)
+    except InvalidDataError:
         return None
     if isinstance(line, dict) and isinstance(line.get("event"), str):
         return line
