Offer the jobs of a lost leader to the next one of the data centre

What callers saw: a 502 for each job under way in a data centre whose leader was lost or stopped, though the next leader was there within 0.1 s and found their runs.

Cause: the entry hosts chose anew among all leaders in the tick in which they lost theirs. The next leader was not known yet, or reported no capacity since its workers had not replied; one of another data centre was chosen, knew none of the runs, could not start the tasks in time and said so at once.

Change: such a job goes to the next leader of the data centre, whatever it reports, and waits up to 0.4 s for it. New jobs and jobs that were led elsewhere move at once, as before.

--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -28,6 +28,7 @@
     SubmissionAction,
     WithdrawFromLeader,
 )
+from poplarhilld.submissions.succession import Succession
 from poplarhilld.submissions.transfer import (
     MAX_TRANSFERS,
     JobTransferred,
@@ -63,6 +64,7 @@
         refused_by: Leaders that could run it on evacuated workers only.
         may_have_run: Whether a leader that gave it back had ordered runs of it.
         transfers: Count of offers to another leader after it was given back untouched.
+        led_nearby: Whether its leader led workers in this host's data centre.
     """
 
     number: int
@@ -77,6 +79,7 @@
     refused_by: set[str] = field(default_factory=set)
     may_have_run: bool = False
     transfers: int = 0
+    led_nearby: bool = False
 
     @property
     def deadline(self) -> float:
@@ -110,6 +113,7 @@
         self._leaderless_since: float | None = None
         self._stop_at = math.inf
         self._transfers = TransferCounts()
+        self._succession = Succession()
         self._ticked_at = math.inf
         self._has_held_offers = False
 
@@ -223,6 +227,7 @@
             self._leaderless_since = None
         elif self._leaderless_since is None:
             self._leaderless_since = now
+        self._succession.update(now, leaders.values())
         if self._holds_offers(now):
             return []
         actions: list[SubmissionAction] = []
@@ -271,6 +276,8 @@
         """
         name, reason = job.leader, "same leader"
         if name not in self._leaders:
+            if job.leader and job.led_nearby and self._succession.is_awaited(now):
+                return []
             leaders = targets or self._candidates(job)
             name, reason = choose_leader(
                 leaders,
@@ -291,6 +298,7 @@
                 withdrawn = JobWithdrawn(job.submission.job_id)
                 actions.append(WithdrawFromLeader(former, withdrawn))
             job.leader, job.tenure = name, leader.tenure
+            job.led_nearby = leader.same_data_centre
             job.handovers += 1
             actions.append(self._log_choice(now, job, leader, reason, former))
         job.offers += 1
@@ -396,6 +404,12 @@
         """Return the leaders among which to choose one for a job."""
         if job.refused_by:
             return self._leaders_beside(job.refused_by) or self._open_leaders
+        if job.leader and job.led_nearby:
+            # The next leader of its workers adopts its runs, and reports no capacity
+            # before these have replied.
+            successors = {n: v for n, v in self._leaders.items() if v.same_data_centre}
+            if successors:
+                return successors
         if job.handovers >= 0 and self._open_leaders is not self._leaders:
             # Its leader was lost. Runs of it on evacuated workers can finish only if
             # the next leader of these workers gets it; that one gives it back if there
