--- a/packages/poplarhill-dev/tests/simulation/test_scenarios.py
+++ b/packages/poplarhill-dev/tests/simulation/test_scenarios.py
@@ -3,6 +3,7 @@
 import pytest
 
 from poplarhill_dev.simulation.scenario import run_scenario
+from poplarhilld.submissions.messages import LeaderChosen
 
 SEEDS = 4
 
@@ -17,3 +18,11 @@
 # A failed seed has to come back with the same trace.
 def test_a_seed_gives_the_same_run_each_time() -> None:
     assert run_scenario(7).lines == run_scenario(7).lines
+
+
+# Shows that the scenarios reach what they are to test.
+def test_jobs_are_handed_over_and_sent_again() -> None:
+    world = run_scenario(31)
+    chosen = [what for _, _, what in world.lines if isinstance(what, LeaderChosen)]
+    assert any(line.handovers for line in chosen)
+    assert any(len(caller.attempts) > 1 for caller in world.callers.by_job.values())
