Show runs of a killed host whose leader is lost within the lifetime of its offers

The leader can neither reach the killed entry host nor be refused, so it renews the leases of the runs until their offers lapse; it is killed 0.9 s or frozen 0.7 s later.

--- a/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
+++ b/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
@@ -77,6 +77,22 @@
     assert fleet.violated == []
 
 
+# Guards against leases that a leader has renewed for runs of a host that was lost
+# before it: they outlast the resend delay when the leader is lost as well.
+@pytest.mark.parametrize(("lose", "after_s"), [("kill", 0.9), ("freeze", 0.7)])
+def test_runs_of_a_killed_host_end_though_their_leader_is_lost_after_it(
+    fleet: FleetWorld, lose: str, after_s: float
+) -> None:
+    submit_jobs(fleet, ENTRY)
+    fleet.run(0.02)
+    fleet.cut_paths([(LEADER, ENTRY)], DOWN_S)
+    fleet.kill(ENTRY, DOWN_S)
+    fleet.run(after_s)
+    getattr(fleet, lose)(LEADER, DOWN_S)
+    fleet.run(RESEND_DELAY_S + RUN_S)
+    assert fleet.violated == []
+
+
 # Guards against withdrawals that are lost with a connection: the leader runs the tasks
 # on until the limit of their job, which is later than the next attempt of its caller.
 def test_runs_end_though_the_withdrawal_of_their_job_is_lost(fleet: FleetWorld) -> None:
