Close lapsed jobs at once if their repeats were missing before a pause

What callers saw: two runs of one task, if the leader of a lost host was paused for 0.2 s while the offers lapsed.

Cause: after each late tick a leader put off the end of lapsed jobs by 0.1 s, so that repeats which wait in its connections are read first. It did so also for jobs whose repeats had been missing long before the pause, and again at each late tick that followed a prompt one.

Change: only jobs that were offered until half a lifetime before the pause get that time.

Tests: test_a_leader_with_every_other_tick_late_ends_lapsed_jobs and the cases 0.2 and 0.25 s of test_runs_of_a_killed_host_end_at_a_leader_that_is_paused_ shortly fail without the change (12 tasks run twice in each case).

--- a/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
+++ b/packages/poplarhill-dev/tests/simulation/test_resent_jobs.py
@@ -116,3 +116,19 @@
     fleet.kill(ENTRY, DOWN_S)
     fleet.run(RESEND_DELAY_S + RUN_S)
     assert fleet.violated == []
+
+
+# Guards against a leader that takes the missing repeats of a host which was lost long
+# before a pause of the leader for ones that the pause delays.
+@pytest.mark.parametrize("pause_s", [0.2, 0.25, 0.5])
+def test_runs_of_a_killed_host_end_at_a_leader_that_is_paused_shortly(
+    fleet: FleetWorld, pause_s: float
+) -> None:
+    submit_jobs(fleet, ENTRY)
+    fleet.run(0.02)
+    fleet.cut_paths([(LEADER, ENTRY), (ENTRY, LEADER)], DOWN_S)
+    fleet.kill(ENTRY, DOWN_S)
+    fleet.run(0.95)
+    fleet.freeze(LEADER, pause_s, tick_first=True)
+    fleet.run(RESEND_DELAY_S + RUN_S)
+    assert fleet.violated == []
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -72,8 +72,8 @@
         self._late = late
         self._starved_check_at = 0.0
         self._ticked_at = -math.inf
-        self._is_late = False
-        self._lapse_check_at = -math.inf
+        self._paused_at = -math.inf
+        self._read_until = -math.inf
 
     def handle_offer(
         self, now: float, host: str, number: int, offer: JobOffer, age_s: float
@@ -270,9 +270,8 @@
 
     def check_deadlines(self, now: float) -> list[LeaderAction]:
         """Close the jobs that can't meet their deadline or are not offered any more."""
-        was_late, self._is_late = self._is_late, now - self._ticked_at > _LATE_TICK_S
-        if self._is_late and not was_late:
-            self._lapse_check_at = now + _READ_TIME_S
+        if now - self._ticked_at > _LATE_TICK_S:
+            self._paused_at, self._read_until = self._ticked_at, now + _READ_TIME_S
         self._ticked_at = now
         actions: list[LeaderAction] = []
         for job in list(self._state.jobs.values()):
@@ -296,7 +295,7 @@
             return self._closer.close_job(
                 now, job, job_ended(job, kind, "the deadline of the job has passed")
             )
-        if now >= max(job.offer_lapses_at, self._lapse_check_at):
+        if now >= job.offer_lapses_at and not self._may_be_unread(now, job):
             return self._close_lapsed(now, job)
         if job.offer.handovers and waits_too_long(
             now,
@@ -314,6 +313,16 @@
             return self._closer.close_job(now, job, report)
         return []
 
+    def _may_be_unread(self, now: float, job: LedJob) -> bool:
+        """Return whether the repeated offer of a lapsed job may wait in a connection.
+
+        That is so right after a pause of this process, unless repeats were missing
+        before the pause.
+        """
+        lifetime_s = self._state.limits.lifetime_s
+        offered_at = job.offer_lapses_at - lifetime_s
+        return now < self._read_until and offered_at > self._paused_at - lifetime_s / 2
+
     def _close_lapsed(self, now: float, job: LedJob) -> list[LeaderAction]:
         """Close a job whose offer no host has repeated in time.
 
--- a/packages/poplarhilld/tests/leading/test_lapsed_offers.py
+++ b/packages/poplarhilld/tests/leading/test_lapsed_offers.py
@@ -64,6 +64,21 @@
     assert not any(worker.running for worker in world.workers.values())
 
 
+# Each late tick put off the end of lapsed jobs, also those whose repeats were missing
+# before it, so that a leader with every other tick late never ended them.
+def test_a_leader_with_every_other_tick_late_ends_lapsed_jobs(world: World) -> None:
+    world.submit("h1", simulated_job("a", tasks=4, run_s=9.0, left_s=9.0))
+    world.run(0.65)
+    world.silent_hosts.add("e1")
+    begin = world.now
+    while world.now < begin + 3.0:
+        for steps in (6, 1):
+            for _ in range(steps):
+                world.run(0.04)  # too short to tick
+            world.perform("h1", world.leaders["h1"].tick(world.now))
+    assert not any(worker.running for worker in world.workers.values())
+
+
 # Guards against starting tasks that nobody may wait for any more.
 def test_a_resumed_leader_starts_nothing_on_offers_that_have_lapsed(
     world: World,
