Keep a run that a restarted worker has just accepted

What callers could see: two runs of one task within one submission, after a worker had restarted under its name.

Cause: the first list of the new process ended all runs that were known before, as lost with the old one. One that the new process had accepted after it wrote that list, by another connection, ended too, and its task was started again.

Change: only runs that were known before the renewal was sent end. A later one that was the old process's ends with the next list, which lacks it.

Test: test_a_run_that_the_new_process_accepted_is_not_taken_for_lost fails without the change.

--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -256,7 +256,7 @@
         """
         changes: list[RunChange] = []
         if self.incarnation != reply.incarnation:
-            changes += self._start_incarnation(reply)
+            changes += self._start_incarnation(renewal, reply)
         self._clock_at_reply_s, self.last_reply_at = reply.clock_s, now
         self.listed_at, self._newest_list_at = self._newest_list_at, renewal.sent_at
         if renewal.token == self.token:
@@ -343,11 +343,14 @@
             if reservation.state is not ReservationState.ORDERED
         ]
 
-    def _start_incarnation(self, reply: LeaseReply) -> list[RunChange]:
+    def _start_incarnation(
+        self, renewal: Renewal, reply: LeaseReply
+    ) -> list[RunChange]:
         """Reset the state for a new incarnation and close the running runs.
 
-        They ended with the previous incarnation. Orders without a known outcome may
-        still reach the new one, so they keep their capacity until they expire.
+        They ended with the previous incarnation. The new one may have accepted those
+        that became known after the renewal was sent. Orders without a known outcome
+        may still reach it, so they keep their capacity until they expire.
         """
         first_reply = self.incarnation is None
         self.incarnation = reply.incarnation
@@ -360,6 +363,7 @@
             reservation.run
             for reservation in self._reservations.values()
             if reservation.state is ReservationState.RUNNING
+            and reservation.running_since < renewal.sent_at
         ]
         for reservation in self._reservations.values():
             reservation.deadline_s = reply.clock_s + ORDER_VALIDITY_S
