Keep the seed of a simulated fleet in which a task runs twice on the merged code

Seed 1185 of 200 (1001-1200) on, and again on: an entry host is killed, the leader of its job, in another data centre, 0.75 s later, before it has learnt of the loss; the successor is lost 0.1 s after its claim. The run lives on by leases that were renewed after the loss.

--- a/packages/poplarhill-dev/tests/simulation/test_scenarios.py
+++ b/packages/poplarhill-dev/tests/simulation/test_scenarios.py
@@ -5,12 +5,12 @@
 from poplarhill_dev.simulation.scenario import run_scenario
 from poplarhilld.submissions.messages import LeaderChosen
 
-SEEDS = 4
+SEEDS = (1, 2, 3, 4, 1185)
 
 
 # Guards against two runs of one task, and against runs after their caller was told that
 # nothing has run, whatever faults coincide. `simulate --seeds` runs more.
-@pytest.mark.parametrize("seed", range(1, SEEDS + 1))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_no_task_runs_twice_under_random_faults(seed: int) -> None:
     assert run_scenario(seed).violated == []
 
