--- a/packages/poplarhilld/tests/leases/test_restarted_workers.py
+++ b/packages/poplarhilld/tests/leases/test_restarted_workers.py
@@ -17,8 +17,8 @@
 OLD = LeaseReply(480.0, 1, (), ())
 
 
-# Guards against a second run beside one that the new process has accepted: a list of its
-# runs from just before was read after that, and the run was taken for lost.
+# Guards against a second run beside one that the new process has accepted: a list of
+# its runs from just before was read after that, and the run was taken for lost.
 def test_a_run_that_the_new_process_accepted_is_not_taken_for_lost() -> None:
     worker = LeasedWorker(worker_entry("w1"), 7, 1.0, 0.0)
     worker.apply_renewal_reply(0.0, worker.next_renewal(0.0), OLD)
