--- a/packages/poplarhilld/src/poplarhilld/leases/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/__init__.py
@@ -11,8 +11,8 @@
 from poplarhilld.leases.messages import RunEnd as RunEnd
 from poplarhilld.leases.messages import RunEndKind as RunEndKind
 from poplarhilld.leases.messages import RunOutcome as RunOutcome
+from poplarhilld.leases.reservation import Reservation as Reservation
+from poplarhilld.leases.reservation import ReservationState as ReservationState
 from poplarhilld.leases.tokens import TokenSource as TokenSource
 from poplarhilld.leases.worker import ORDER_VALIDITY_S as ORDER_VALIDITY_S
 from poplarhilld.leases.worker import LeasedWorker as LeasedWorker
-from poplarhilld.leases.worker import Reservation as Reservation
-from poplarhilld.leases.worker import ReservationState as ReservationState
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -2,8 +2,6 @@
 
 import math
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
-from enum import Enum
 
 from poplarhill.types import Resources
 from poplarhilld.catalogue import WorkerEntry
@@ -18,6 +16,7 @@
     RunEndKind,
     RunOutcome,
 )
+from poplarhilld.leases.reservation import Reservation, ReservationState
 
 # A worker refuses a start order that arrives later than this after it was sent. An
 # order without a reply keeps its capacity reserved for at least this long, until a
@@ -47,46 +46,6 @@
 RunChange = RunClosed | RunDiscovered
 
 
-class ReservationState(Enum):
-    """What this leader knows about a run that holds capacity.
-
-    Attributes:
-        ORDERED: The start order was sent and has no reply yet.
-        UNCERTAIN: The worker may or may not have received the start order.
-        RUNNING: The worker accepted the order or lists the run.
-    """
-
-    ORDERED = "ordered"
-    UNCERTAIN = "uncertain"
-    RUNNING = "running"
-
-
-@dataclass
-class Reservation:
-    """Capacity of a worker that a run holds or may hold.
-
-    Attributes:
-        run: The run.
-        needs: Capacity that it holds; `None` while this is unknown.
-        state: What is known about the run.
-        deadline_s: Time by the worker's clock after which it cannot start, s.
-        last_event_at: When it was ordered or discovered, or when the worker last
-            answered an order to stop it, by the leader's clock, s. Only a renewal
-            that is sent at or after this time can prove that the run never started.
-        running_since: When this leader learnt that it runs, by the leader's clock,
-            s; 0 before that.
-        stall_check_at: Until then it can't count as stalled, by the leader's clock, s.
-    """
-
-    run: Run
-    needs: Resources | None
-    state: ReservationState
-    deadline_s: float
-    last_event_at: float
-    running_since: float = 0.0
-    stall_check_at: float = 0.0
-
-
 class LeasedWorker:
     """A worker whose lease this host holds or claims.
 
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 from poplarhill.exceptions import ANSWERS, ErrorKind, Failure, RunState
 from poplarhilld.decisions import LogDecision
@@ -28,6 +27,7 @@
     SubmissionAction,
     WithdrawFromLeader,
 )
+from poplarhilld.submissions.pending import PendingJob
 from poplarhilld.submissions.succession import Succession
 from poplarhilld.submissions.transfer import (
     MAX_TRANSFERS,
@@ -45,51 +45,6 @@
 _SHUTTING_DOWN_RETRY_AFTER_S = 0.0  # other hosts accept at once what this one refuses
 
 
-@dataclass
-class _PendingJob:
-    """A submitted job that is not yet answered.
-
-    Attributes:
-        number: Number of the submission.
-        submission: The job as the caller submitted it.
-        received_at: When it was submitted, by the host's clock, s.
-        leader: Name of the leader that it was offered to last, if any.
-        tenure: Epoch since which that leader leads; if it changes, the leader has
-            lost the job.
-        offers: Count of offers, including repeated ones.
-        handovers: Count of changes of its leader or of the tenure; -1 before the
-            first leader was chosen.
-        next_offer: When the offer is repeated, by the host's clock, s.
-        done: Numbers of the tasks that are done.
-        refused_by: Leaders that could run it on evacuated workers only.
-        may_have_run: Whether a leader that gave it back had ordered runs of it.
-        transfers: Count of offers to another leader after it was given back untouched.
-        led_nearby: Whether its leader led workers in this host's data centre.
-    """
-
-    number: int
-    submission: Submission
-    received_at: float
-    leader: str = ""
-    tenure: int = 0
-    offers: int = 0
-    handovers: int = -1
-    next_offer: float = 0.0
-    done: set[int] = field(default_factory=set)
-    refused_by: set[str] = field(default_factory=set)
-    may_have_run: bool = False
-    transfers: int = 0
-    led_nearby: bool = False
-
-    @property
-    def deadline(self) -> float:
-        return self.received_at + self.submission.limit_s
-
-    @property
-    def needs_cores(self) -> float:
-        return sum(s.count * s.needs.cores for s in self.submission.steps)
-
-
 class Submissions:
     """Jobs that callers submitted to this host and that are not yet answered.
 
@@ -105,7 +60,7 @@
     def __init__(self, limits: OfferLimits = DEFAULT_LIMITS) -> None:
         self.remote_slowdown = OFF
         self._repeat_interval_s = min(REPEAT_INTERVAL_S, limits.lifetime_s / _REPEATS)
-        self._jobs: dict[int, _PendingJob] = {}
+        self._jobs: dict[int, PendingJob] = {}
         self._by_id: dict[str, set[int]] = {}
         self._leaders: Mapping[str, LeaderView] = {}
         # Those that new jobs may go to: not to an evacuated one while there are others.
@@ -138,7 +93,7 @@
         self, now: float, number: int, submission: Submission
     ) -> list[SubmissionAction]:
         """Accept a job, or refuse it if this host stops before its deadline."""
-        job = _PendingJob(number, submission, now)
+        job = PendingJob(number, submission, now)
         self._jobs[number] = job
         self._by_id.setdefault(submission.job_id, set()).add(number)
         if job.deadline > self._stop_at:
@@ -264,7 +219,7 @@
     def _offer_job(
         self,
         now: float,
-        job: _PendingJob,
+        job: PendingJob,
         targets: Mapping[str, LeaderView] | None = None,
     ) -> list[SubmissionAction]:
         """Offer a job to its leader, or to another one if it no longer leads.
@@ -309,7 +264,7 @@
     def _log_choice(
         self,
         now: float,
-        job: _PendingJob,
+        job: PendingJob,
         leader: LeaderView,
         reason: str,
         former: str,
@@ -330,7 +285,7 @@
         )
         return LogDecision(chosen)
 
-    def _wait_for_leader(self, now: float, job: _PendingJob) -> list[SubmissionAction]:
+    def _wait_for_leader(self, now: float, job: PendingJob) -> list[SubmissionAction]:
         """Keep a job until a leader is known; refuse it after too long without one."""
         if self._leaderless_since is None:
             self._leaderless_since = now
@@ -340,7 +295,7 @@
         failure = Failure(kind, "no leader is reachable", _NO_LEADER_RETRY_AFTER_S)
         return self._answer(now, job, failure, withdraw=True)
 
-    def _job_offer(self, now: float, job: _PendingJob) -> JobOffer:
+    def _job_offer(self, now: float, job: PendingJob) -> JobOffer:
         submission = job.submission
         route = submission.route
         return JobOffer(
@@ -360,7 +315,7 @@
         )
 
     def _apply_end(
-        self, now: float, job: _PendingJob, report: JobEnded
+        self, now: float, job: PendingJob, report: JobEnded
     ) -> list[SubmissionAction]:
         if not report.error:
             self._transfers.counts["completed"] += bool(job.transfers)
@@ -383,7 +338,7 @@
         return self._answer(now, job, failure, withdraw=False)
 
     def _offer_elsewhere(
-        self, now: float, job: _PendingJob, report: JobEnded
+        self, now: float, job: PendingJob, report: JobEnded
     ) -> list[SubmissionAction]:
         """Offer a job to another leader, if one is known that has usable workers.
 
@@ -400,7 +355,7 @@
         job.handovers -= 1  # the next offer counts one
         return self._offer_job(now, job)
 
-    def _candidates(self, job: _PendingJob) -> Mapping[str, LeaderView]:
+    def _candidates(self, job: PendingJob) -> Mapping[str, LeaderView]:
         """Return the leaders among which to choose one for a job."""
         if job.refused_by:
             return self._leaders_beside(job.refused_by) or self._open_leaders
@@ -423,7 +378,7 @@
         return self._open_leaders
 
     def _transfer(
-        self, now: float, job: _PendingJob, report: JobEnded
+        self, now: float, job: PendingJob, report: JobEnded
     ) -> list[SubmissionAction]:
         """Offer a job that was given back untouched to a leader with capacity.
 
@@ -476,7 +431,7 @@
         return {n: v for n, v in self._open_leaders.items() if n not in refused_by}
 
     def _answer(
-        self, now: float, job: _PendingJob, failure: Failure | None, withdraw: bool
+        self, now: float, job: PendingJob, failure: Failure | None, withdraw: bool
     ) -> list[SubmissionAction]:
         submission = job.submission
         self._remove(job)
@@ -498,7 +453,7 @@
             actions += self._withdraw(job)
         return [*actions, AnswerCaller(job.number, failure)]
 
-    def _remove(self, job: _PendingJob) -> None:
+    def _remove(self, job: PendingJob) -> None:
         job_id = job.submission.job_id
         del self._jobs[job.number]
         numbers = self._by_id[job_id]
@@ -506,7 +461,7 @@
         if not numbers:
             del self._by_id[job_id]
 
-    def _withdraw(self, job: _PendingJob) -> list[SubmissionAction]:
+    def _withdraw(self, job: PendingJob) -> list[SubmissionAction]:
         if not job.leader:
             return []
         withdrawn = JobWithdrawn(job.submission.job_id)
