Keep the first report of an end in the list of overlaps

A worker reports its ends again to each leader that takes it over.

Test: test_an_end_that_is_reported_again_extends_no_run.

--- a/packages/poplarhill/src/poplarhill/overlaps.py
+++ b/packages/poplarhill/src/poplarhill/overlaps.py
@@ -148,8 +148,11 @@
             case "RunResolved" | "UnknownRunEnded":
                 run.note_leader(host)
                 run.began_at = min(run.began_at, at - line.get("took_s", 0.0))
-                run.ended_at, run.end = at, f"{line['fate']} at {host}"
-                run.listed_at = max(run.listed_at, listed_at)
+                if not run.end:
+                    run.ended_at, run.end = at, f"{line['fate']} at {host}"
+                if event == "RunResolved":
+                    # A worker reports ends again to each leader that takes it over.
+                    run.listed_at = max(run.listed_at, listed_at)
             case "RunFound":
                 run.note_leader(host)
                 run.found_at = min(run.found_at, at)
--- a/packages/poplarhill/tests/test_overlaps.py
+++ b/packages/poplarhill/tests/test_overlaps.py
@@ -47,6 +47,15 @@
     return run
 
 
+# Guards against a certain overlap where there is none: a worker reports its ends again
+# to the next leader, which does not know the run.
+def test_an_end_that_is_reported_again_extends_no_run() -> None:
+    fields = {"task": TASK, "run": 1, "worker": "w1", "fate": "ended"}
+    again = line("UnknownRunEnded", 4.5, "h3", listed_s=0.09, **fields)
+    second = [ordered(3.1, "h1", "w2", 2), resolved(4.0, "h1", "w2", 0.9, run=2)]
+    assert not find_overlaps([*FIRST, *second, again])
+
+
 # Guards against an overlap of two leaders' runs that the report leaves out.
 def test_runs_at_two_leaders_overlap_for_certain() -> None:
     second = [ordered(2.5, "h2", "w2"), resolved(4.0, "h2", "w2", 1.5)]
