Count a job that returns while it stops as handed over

What callers could see: two runs of one task. A host that moved a job to another leader and back found it there still being stopped; it was taken up again with the count of its first offer, and its tasks started at once, beside those that the other leader may run.

Change: the offer that takes it up again counts, from now on.

Test: test_a_job_that_returns_while_it_stops_counts_as_handed_over fails without the change (3 starts instead of 2).

--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -168,6 +168,8 @@
         if subscriber in subscribers and not job.stopping:
             return []
         if job.stopping:
+            # Another leader may have had it since it was withdrawn here.
+            job.offer, job.offered_at = offer, now
             job.stopping = False
             self._state.placement_up_to_date = False
             job.arrived_at = now - offer.elapsed_s
--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -8,7 +8,7 @@
 from poplarhill_dev.leased import World, simulated_job
 from poplarhilld.leading import as_handed_over
 from poplarhilld.leases import Run
-from poplarhilld.peers.messages import OfferedJob
+from poplarhilld.peers.messages import JobWithdrawn, OfferedJob
 from poplarhilld.peers.offer_limits import DEFAULT_LIMITS
 from poplarhilld.shards.intervals import HOST_TIMEOUT_S
 
@@ -282,3 +282,31 @@
     world.run(0.8)
     assert world.job_outcome("a").error == ""
     assert world.starts == 2
+
+
+# Guards against tasks that start at once when their job comes back to a leader that has
+# not stopped all of its runs: another leader, which had it meanwhile, may run them.
+def test_a_job_that_returns_while_it_stops_counts_as_handed_over(world: World) -> None:
+    entries = world.entries
+    near = {name: entries[name] for name in ("w0", "w1")}
+    far = {name: entries[name] for name in ("w2", "w3")}
+    h1, h2 = world.leaders["h1"], world.add_leader("h2", 2, far)
+    world.perform("h1", h1.set_workers(world.now, world.now, near, frozenset(far)))
+    world.perform("h2", h2.set_workers(world.now, world.now, far, frozenset(near)))
+    world.run(2.0)
+    world.submit("h1", simulated_job("a", tasks=1, run_s=5.0, left_s=9.0))
+    world.run(0.2)
+    [runner] = (worker for worker in world.workers.values() if worker.running)
+    runner.unreachable = True  # no stop order reaches it
+    world.hand_over("h2", "a")
+    withdrawn = JobWithdrawn("a")
+    world.perform("h1", h1.handle_withdrawal(world.now, "e1", withdrawn))
+    world.run(1.4)
+    assert world.starts == 2  # h2 has waited for the runs at h1
+    world.paused.add("h2")
+    runner.unreachable = False
+    offer = world.jobs["a"].offer._replace(handovers=2)
+    world.perform("h1", h1.handle_offer(world.now, "e1", 1, offer))
+    world.run(0.4)
+    assert world.starts == 2
+    assert not world.violations
