Repeat offers at each tick of a host that is always late

What callers could see: a 502 for live jobs of an overloaded entry host.

Cause: after a late tick a host holds its offers until the next one, by which it has read who left. With every tick late it held them at every second tick.

Change: only the first of several late ticks holds the offers.

Test: test_a_host_that_is_always_late_repeats_its_offers asks for offers at the third and the fourth late tick; the fourth had none before.

--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -70,7 +70,7 @@
         self._transfers = TransferCounts()
         self._succession = Succession()
         self._ticked_at = math.inf
-        self._has_held_offers = False
+        self._was_late = False
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -195,7 +195,8 @@
     def tick(self, now: float) -> list[SubmissionAction]:
         """Answer jobs that are out of time and repeat offers that are due."""
         holds_offers = self._holds_offers(now)
-        self._ticked_at, self._has_held_offers = now, holds_offers
+        self._was_late = self._is_late(now)
+        self._ticked_at = now
         actions: list[SubmissionAction] = []
         for job in list(self._jobs.values()):
             if now >= min(job.deadline, self._stop_at):
@@ -211,10 +212,13 @@
         """Return whether offers wait for the next tick, after a pause of the process.
 
         By then it has read which callers have closed their connections. These may have
-        sent their jobs again elsewhere.
+        sent their jobs again elsewhere. A process whose ticks are late in a row is
+        overloaded rather than paused, and reads between them.
         """
-        was_paused = now - self._ticked_at > _PAUSE_THRESHOLD_S
-        return was_paused and not self._has_held_offers and bool(self._leaders)
+        return self._is_late(now) and not self._was_late and bool(self._leaders)
+
+    def _is_late(self, now: float) -> bool:
+        return now - self._ticked_at > _PAUSE_THRESHOLD_S
 
     def _offer_job(
         self,
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -149,13 +149,15 @@
     assert [offer.offered.number for offer in offers] == [2]
 
 
-# Guards against an overloaded host that never repeats its offers.
+# Guards against an overloaded host that never repeats its offers, or at every second
+# tick only, so that its jobs lapse.
 def test_a_host_that_is_always_late_repeats_its_offers(
     submissions: Submissions, submit: Callable[..., list]
 ) -> None:
     submit()
-    ticks = [submissions.tick(0.05), submissions.tick(0.6), submissions.tick(1.15)]
-    assert [len(of_type(actions, OfferToLeader)) for actions in ticks] == [0, 0, 1]
+    ticks = [submissions.tick(at) for at in (0.05, 0.51, 0.97, 1.43)]
+    offers = [len(of_type(actions, OfferToLeader)) for actions in ticks]
+    assert offers == [0, 0, 1, 1]
 
 
 # Guards against offers that lapse between two repeats where callers come again sooner.
