--- a/packages/poplarhilld/tests/leading/test_takeover.py
+++ b/packages/poplarhilld/tests/leading/test_takeover.py
@@ -235,7 +235,7 @@
     world.run(HOST_TIMEOUT_S)
     h2 = world.add_leader("h2", 2, far)
     world.perform("h2", h2.set_workers(world.now, world.now, far, frozenset(near)))
-    # The host repeats its offer to the next leader only. The first one hears nothing of
+    # The host repeats its offer to the next leader only. The first one is not told of
     # it, nor that it was lost.
     world.submit("h2", replace(job, offer=job.offer._replace(handovers=1)))
     world.run(DEFAULT_LIMITS.runs_ended_after_s - 0.1)
