Start handed-over tasks only on proof by the former leader's workers

What callers saw: a task that runs twice within one submission. After 1.3 s it started tasks on no evidence but the time, so that one that was done under the former leader ran again if the caller waited that long.

Cause: what one host believes (a list, a time) stood in for a proof.

Change: a leader tells the digest of its workers of each data centre in its heartbeats. An entry host names in each offer the digests that it knows, and the leader orders runs of the job only on these workers. On a handover the host passes them on, and the next leader starts waiting tasks only if its own sets include them and each worker there obeys it and has told its runs. Otherwise the job ends as one that may have run; no time is taken for a proof any more. A leader that claims workers back which another one held starts nothing of a job until the next offer shows that the job is still here.

--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -35,7 +35,13 @@
     TokenSource,
 )
 from poplarhilld.lookahead import LOOKAHEAD_OFF, LookaheadOptions
-from poplarhilld.peers.messages import JobEnded, JobOffer, JobProgress, StepSpec
+from poplarhilld.peers.messages import (
+    UNKNOWN_WORKERS,
+    JobEnded,
+    JobOffer,
+    JobProgress,
+    StepSpec,
+)
 from poplarhilld.submissions.state import REPEAT_INTERVAL_S
 
 LEASE_S = 1.0
@@ -252,6 +258,8 @@
         self.shared_losses: list[tuple[float, JobProgress]] = []
         # Leader and time of the last offer of each job that waits for its outcome.
         self._pending: dict[tuple[str, str], tuple[str, float]] = {}
+        # Digests of the workers of that leader, as the host knows them.
+        self._told: dict[tuple[str, str], tuple[int, ...]] = {}
         self._events: list = []
         self._event_numbers = itertools.count()
 
@@ -304,8 +312,12 @@
             self._schedule(TICK_S, self._deliver_offer, leader, host, offer, sent_at)
             return
         age_s = self.now - sent_at
+        # Hosts learn at once which workers a leader has.
+        digests = self.leaders[leader].workers_digests
+        self._told[host, offer.job_id] = digests
         self.perform(
-            leader, self.leaders[leader].handle_offer(self.now, host, 1, offer, age_s)
+            leader,
+            self.leaders[leader].handle_offer(self.now, host, 1, offer, age_s, digests),
         )
 
     def _repeat(self, leader: str, host: str, offer: JobOffer, begin: float) -> None:
@@ -322,7 +334,16 @@
     def hand_over(self, leader: str, job_id: str, host: str = "e1") -> None:
         """Offer a job of a host to another leader, and to the former one no more."""
         job = self.jobs[job_id]
-        self.submit(leader, replace(job, offer=job.offer._replace(handovers=1)), host)
+        self.submit(leader, replace(job, offer=self.handed_over(job_id, host)), host)
+
+    def handed_over(self, job_id: str, host: str = "e1") -> JobOffer:
+        """Return the offer of a job of a host to the leader after the present one."""
+        offer = self.jobs[job_id].offer
+        former = self._told.get((host, job_id)) or (UNKNOWN_WORKERS,)
+        return offer._replace(
+            handovers=offer.handovers + 1,
+            former_workers=(*offer.former_workers, *former),
+        )
 
     def submit_at(self, at: float, leader: str, job: SimulatedJob) -> None:
         """Offer a job to a leader at a simulated time, s."""
--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -164,7 +164,9 @@
                 age_s = 0.0
                 if sender != self._name:
                     age_s = self._ages.age_s(now, sender, message.sent_at_s)
-                return state.leader.handle_offer(now, sender, number, offer, age_s)
+                return state.leader.handle_offer(
+                    now, sender, number, offer, age_s, message.workers_digests
+                )
             case JobWithdrawn(job_id, cancelled):
                 actions = state.leader.handle_withdrawal(now, sender, message)
                 if cancelled:
--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -113,6 +113,7 @@
                 load,
                 self.evacuations.leaves_nothing(load.cores, map(data_centre, claims)),
                 self._racks_of(claims),
+                self.leader.workers_digests,
             )
         relayed = self.hosts.relayed_digests if self._places_near_data else {}
         for name, beat in self.hosts.leaders.items():
@@ -123,7 +124,9 @@
             if not shards and name in relayed:
                 shards = self._shards_of(relayed[name])
             racks = self._racks_of(shards)
-            view[name] = LeaderView(beat.tenure, near, beat.load, evacuated, racks)
+            view[name] = LeaderView(
+                beat.tenure, near, beat.load, evacuated, racks, beat.workers_digests
+            )
         return view
 
     @property
--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -92,6 +92,7 @@
         state.hosts.set_outdated(
             bool(state.hosts.claims) and unread_s > _REGISTRY_OUTDATED_S
         )
+        state.hosts.set_workers_digests(state.leader.workers_digests)
         actions = state.hosts.tick(
             now,
             time.time(),
--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -1,11 +1,11 @@
 """Places the waiting tasks of a leader on its workers."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.capacity import TOLERANCE, FreeCapacity
-from poplarhilld.leading.handover import must_wait
+from poplarhilld.leading.handover import knows_all_runs
 from poplarhilld.leading.job import LedJob, LedTask
 from poplarhilld.leading.messages import (
     LeaderAction,
@@ -28,6 +28,8 @@
 from poplarhilld.locality import Placement, PlacementPass, Waiting
 from poplarhilld.lookahead import Plan
 
+_NONE_BARRED: frozenset[str] = frozenset()
+
 
 class Assignment:
     """Starts the tasks that fit, in queue order.
@@ -82,6 +84,8 @@
         near_data: PlacementPass | None = None
         if self._state.locality.active:
             near_data = self._begin_pass(now, capacity, capacity_short, fast, plan)
+        worker_sets = self._state.worker_sets
+        known_digests = worker_sets.digests
         for job in waiting:
             if least_cores > max_free:
                 break
@@ -91,6 +95,9 @@
                 continue
             avoid_fast = capacity_short and tolerates_slow_worker(now, job)
             max_slowdown = max_slowdown_for(now, job, fast)
+            barred: frozenset[str] = _NONE_BARRED
+            if job.workers_digests != known_digests:
+                barred = worker_sets.added_since(job.workers_digests)
             for task in job.ready_tasks():
                 if task.lost or task.spec.needs.cores > initial_max_free:
                     continue
@@ -102,7 +109,9 @@
                 worker: LeasedWorker | None = None
                 fits_elsewhere = False
                 if near_data is None:
-                    closed = () if plan is None else plan.closed_to(job, task)
+                    closed: Container[str] = barred
+                    if plan is not None:
+                        closed = plan.closed_to(job, task) | barred
                     worker = choose_worker(
                         job, task, capacity, avoid_fast, max_slowdown, closed
                     )
@@ -152,12 +161,14 @@
             fast: Slowdown of the fast workers in use.
             plan: Decisions of a round that looks ahead, if it does.
         """
+        worker_sets = self._state.worker_sets
 
-        def closed_to(job: LedJob, task: LedTask, remote: bool) -> Iterable[str]:
+        def closed_to(job: LedJob, task: LedTask, remote: bool) -> frozenset[str]:
+            barred = worker_sets.added_since(job.workers_digests)
             if plan is None:
-                return ()
+                return barred
             factor = self._state.locality.slowdown if remote else 1.0
-            return plan.closed_to(job, task, factor)
+            return plan.closed_to(job, task, factor) | barred
 
         def choose(
             job: LedJob, task: LedTask, workers: Iterable[LeasedWorker], remote: bool
@@ -190,7 +201,12 @@
         actions: list[LeaderAction] = []
         for job, task in suspects:
             worker = self._state.suspects.choose_worker(
-                job, task, capacity, self._state.times.rounded_slowdowns, len(suspects)
+                job,
+                task,
+                capacity,
+                self._state.times.rounded_slowdowns,
+                len(suspects),
+                self._state.worker_sets.added_since(job.workers_digests),
             )
             if worker is not None:
                 actions += self._start_run(now, job, task, worker, capacity)
@@ -222,20 +238,19 @@
             now: The leader's clock, s.
             max_free: Free cores of the worker that has most of them.
         """
-        for job in self._state.queue.by_rank(now):
+        state = self._state
+        # The leader that has held workers of this one may have jobs of it by now. The
+        # next offer of a job shows that it is still here.
+        moved_unless_lapsing_at = state.reclaimed_at + state.limits.lifetime_s
+        for job in state.queue.by_rank(now):
             if job.least_cores > max_free or job.stopping:
                 continue
             if now >= job.offer_lapses_at:
                 continue  # nobody may wait for it any more
-            if job.offer.handovers and must_wait(
-                now,
-                job,
-                bool(self._state.not_led_here),
-                self._state.workers.values(),
-                self._state.limits,
-            ):
-                # The wait ends without an event.
-                self._state.placement_up_to_date = False
+            if job.offer_lapses_at < moved_unless_lapsing_at:
+                continue
+            handed_over = job.offer.handovers
+            if handed_over and not knows_all_runs(job.offer, state.worker_sets):
                 continue
             yield job
 
--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -68,6 +68,7 @@
     def reclaim(self, now: float, time_s: float, worker: LeasedWorker) -> list:
         """Claim a fenced worker again, because this host leads its shard."""
         worker.reclaim(now, self._state.tokens.next(time_s))
+        self._state.reclaimed_at = now
         del self._state.reclaim_at[worker.entry.name]
         self._state.note_worker_change()
         return self._request_lease(now, worker, "claimed again after it was fenced")
--- a/packages/poplarhilld/src/poplarhilld/leading/handover.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/handover.py
@@ -1,17 +1,20 @@
 """Jobs that another leader had before: when their tasks may start here.
 
-Runs of such a job may still be under way: on workers that have not replied yet, or on
-those that the other leader still leads beyond a network partition.
+Runs of such a job may be under way, and tasks of it may be done, on any worker of the
+former leader. Time shows that no run is left, but not whether a task is done. This
+leader knows all that the job has run only if it leads the workers of the former leader,
+and each of them has accepted its token and told its runs. Which workers these are comes
+from the former leader, by way of the job's entry host: the lists of workers that hosts
+read may differ.
 """
 
 import math
-from collections.abc import Iterable
 
 from poplarhilld.leading.admission import fits_in_time
 from poplarhilld.leading.job import LedJob
-from poplarhilld.leases import LeasedWorker
-from poplarhilld.peers.messages import JobOffer, OfferedJob
-from poplarhilld.peers.offer_limits import OfferLimits
+from poplarhilld.leading.shared import LeaderState
+from poplarhilld.leading.worker_sets import WorkerSets
+from poplarhilld.peers.messages import UNKNOWN_WORKERS, JobOffer, OfferedJob
 
 
 def as_handed_over(offered: OfferedJob, tenure: int) -> JobOffer:
@@ -27,55 +30,40 @@
     offer = offered.offer
     if not offered.repeated or offered.tenure == tenure:
         return offer
-    return offer._replace(handovers=offer.handovers + 1)
-
+    workers = offered.workers_digests or (UNKNOWN_WORKERS,)
+    return offer._replace(
+        handovers=offer.handovers + 1,
+        former_workers=(*offer.former_workers, *workers),
+    )
 
-def must_wait(
-    now: float,
-    job: LedJob,
-    led_elsewhere: bool,
-    workers: Iterable[LeasedWorker],
-    limits: OfferLimits,
-) -> bool:
-    """Return whether the tasks of a job must not start yet.
 
-    They wait until this leader leads all workers and knows their runs, or until another
-    leader, which the job is not offered to any more, has stopped them.
+def knows_all_runs(offer: JobOffer, worker_sets: WorkerSets) -> bool:
+    """Return whether a leader knows every run of a job that was handed over.
 
     Args:
-        now: The leader's clock, s.
-        job: The job.
-        led_elsewhere: Whether another leader has workers.
-        workers: Workers of this leader.
-        limits: How long an offer keeps a job.
+        offer: Newest offer of the job.
+        worker_sets: Workers of the leader.
     """
-    if not job.offer.handovers or now >= job.offered_at + limits.runs_ended_after_s:
-        return False
-    return led_elsewhere or not all(
-        worker.confirmed and not worker.fenced for worker in workers
+    return bool(offer.former_workers) and worker_sets.are_confirmed(
+        offer.former_workers
     )
 
 
-def waits_too_long(
-    now: float,
-    job: LedJob,
-    led_elsewhere: bool,
-    workers: Iterable[LeasedWorker],
-    limits: OfferLimits,
-) -> bool:
-    """Return whether waiting tasks of a job will not start in time for its caller.
+def cannot_start(now: float, job: LedJob, state: LeaderState) -> bool:
+    """Return whether waiting tasks of a job that was handed over will not start.
 
-    Before the workers have replied, its runs on them are not known.
+    Until the workers have replied and the runs that other leaders had have been found
+    or have ended, this leader may adopt runs of them.
 
     Args:
         now: The leader's clock, s.
         job: The job.
-        led_elsewhere: Whether another leader has workers.
-        workers: Workers of this leader.
-        limits: How long an offer keeps a job.
+        state: State of the leader.
     """
-    if not job.offer.handovers or not led_elsewhere or job.least_cores == math.inf:
+    if job.least_cores == math.inf or knows_all_runs(job.offer, state.worker_sets):
         return False
-    if any(worker.awaits_first_reply(now) for worker in workers):
+    if any(worker.awaits_first_reply(now) for worker in state.workers.values()):
         return False
-    return not fits_in_time(job.offered_at + limits.runs_ended_after_s, job)
+    settled_at = job.offered_at + state.limits.runs_ended_after_s
+    led_elsewhere = bool(state.not_led_here)
+    return now >= settled_at or (led_elsewhere and not fits_in_time(settled_at, job))
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -94,6 +94,8 @@
         deadline: When its caller stops waiting, by the leader's clock, s.
         offer_lapses_at: When it is closed unless an entry host repeats its offer, by
             the leader's clock, s.
+        workers_digests: Digests of this leader's workers that the job's entry host
+            knows; runs are ordered only on these.
         run_count: Count of runs that were ordered or adopted for it.
         ran_before: Whether this leader had ordered runs of it before it was offered
             again.
@@ -136,6 +138,7 @@
         self.arrived_at = now - offer.elapsed_s
         self.deadline = now + offer.left_s
         self.offer_lapses_at = math.inf
+        self.workers_digests: tuple[int, ...] = ()
         self.run_count = 0
         self.ran_before = False
         self.stopping = False
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -177,6 +177,8 @@
         left_s: Time until its deadline, s.
         ran_before: Whether this leader had ordered runs of the job before it was
             offered again.
+        knows_runs: Whether this leader knows all runs that the job has had at earlier
+            leaders; if not, it starts none of its tasks.
     """
 
     job: str
@@ -193,6 +195,7 @@
     age_s: float
     left_s: float
     ran_before: bool
+    knows_runs: bool = True
 
 
 class OfferAnswered(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -15,7 +15,7 @@
 from poplarhilld.leading.assignment import Assignment
 from poplarhilld.leading.closing import JobCloser, job_ended
 from poplarhilld.leading.evacuated import EvacuatedJobs
-from poplarhilld.leading.handover import waits_too_long
+from poplarhilld.leading.handover import cannot_start, knows_all_runs
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.late import LateOffers
 from poplarhilld.leading.messages import (
@@ -76,7 +76,13 @@
         self._read_until = -math.inf
 
     def handle_offer(
-        self, now: float, host: str, number: int, offer: JobOffer, age_s: float
+        self,
+        now: float,
+        host: str,
+        number: int,
+        offer: JobOffer,
+        age_s: float,
+        workers_digests: tuple[int, ...],
     ) -> list:
         """Accept a job from an entry host, or refuse it.
 
@@ -92,6 +98,8 @@
                 elapsed_s=offer.elapsed_s + age_s, left_s=offer.left_s - age_s
             )
         job = self._state.jobs.get(offer.job_id)
+        if job is not None:
+            job.workers_digests = workers_digests
         if job is not None and not job.stopping and lapses_at > job.offer_lapses_at:
             # Most offers are repeated ones, so these take few calls.
             job.offer_lapses_at = lapses_at
@@ -113,6 +121,7 @@
             return _answer_again(subscriber, answered)
         job = self._make_job(now, host, offer)
         job.offer_lapses_at = lapses_at
+        job.workers_digests = workers_digests
         late = self._late.find_refusal(now, host, job)
         if late is not None:
             return self._refuse(subscriber, offer, now, late)
@@ -268,6 +277,7 @@
             round(offer.elapsed_s, 4),
             round(offer.left_s, 4),
             job.ran_before,
+            not offer.handovers or knows_all_runs(offer, self._state.worker_sets),
         )
 
     def check_deadlines(self, now: float) -> list[LeaderAction]:
@@ -299,14 +309,8 @@
             )
         if now >= job.offer_lapses_at and not self._may_be_unread(now, job):
             return self._close_lapsed(now, job)
-        if job.offer.handovers and waits_too_long(
-            now,
-            job,
-            bool(self._state.not_led_here),
-            self._state.workers.values(),
-            self._state.limits,
-        ):
-            detail = "its leader was lost, and its tasks may still run there"
+        if job.offer.handovers and cannot_start(now, job, self._state):
+            detail = "its leader was lost, and its tasks may have run there"
             report = job_ended(job, ErrorKind.WORKER_LOST, detail)
             return self._closer.close_job(now, job, report)
         if not fits_in_time(now, job) and job.not_run:
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -1,5 +1,6 @@
 """State that the parts of a leader share."""
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -18,6 +19,7 @@
 from poplarhilld.leading.runs import RunTable
 from poplarhilld.leading.spread import RunTimeSpread
 from poplarhilld.leading.suspects import Suspects
+from poplarhilld.leading.worker_sets import WorkerSets
 from poplarhilld.leases import (
     LeasedWorker,
     TokenSource,
@@ -52,6 +54,7 @@
         evacuated: Names of the evacuated data centres.
         renewal_backoff_s: Pause before the next renewal to a silent worker, s.
         reclaim_at: When each fenced worker may be claimed again, s.
+        reclaimed_at: When a fenced worker was claimed again last, s.
         lost: Names of the workers that do not respond.
         refused: Lost workers whose address refused a connection: their process has
             ended, or a partition refuses connections.
@@ -90,11 +93,14 @@
         self.evacuated: frozenset[str] = frozenset()
         self.renewal_backoff_s: dict[str, float] = {}
         self.reclaim_at: dict[str, float] = {}
+        self.reclaimed_at = -math.inf
         self.lost: set[str] = set()
         self.refused: set[str] = set()
         # Workers that may run tasks; None after a change of a worker.
         self._usable: list[LeasedWorker] | None = None
         self._capacity: FreeCapacity | None = None
+        self._worker_sets = WorkerSets()
+        self._worker_set_changed = False
         self._by_service: dict[str, list[LeasedWorker]] = {}
         self.changed_workers: set[str] = set()
         self.jobs: dict[str, LedJob] = {}
@@ -119,8 +125,17 @@
         """
         self._usable = None
         self._capacity = None
+        self._worker_set_changed = True
         self._by_service.clear()
 
+    @property
+    def worker_sets(self) -> WorkerSets:
+        """The workers on which this leader may have runs, and those of recent times."""
+        if self._worker_set_changed:
+            self._worker_set_changed = False
+            self._worker_sets.update(self.workers)
+        return self._worker_sets
+
     def is_usable(self, worker: LeasedWorker) -> bool:
         """Return whether a worker is led here, responds and may be given tasks.
 
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -92,6 +92,11 @@
         """Workers that this host leads, by name."""
         return self._state.workers
 
+    @property
+    def workers_digests(self) -> tuple[int, ...]:
+        """Digests of the workers on which this leader may have runs."""
+        return self._state.worker_sets.digests
+
     @property
     def jobs(self) -> Mapping[str, LedJob]:
         """Accepted jobs by id, until they are closed and none of their runs is left."""
@@ -219,7 +224,13 @@
         return actions
 
     def handle_offer(
-        self, now: float, host: str, number: int, offer: JobOffer, age_s: float = 0.0
+        self,
+        now: float,
+        host: str,
+        number: int,
+        offer: JobOffer,
+        age_s: float = 0.0,
+        workers_digests: tuple[int, ...] = (),
     ) -> list:
         """Accept a job from an entry host, or refuse it.
 
@@ -229,8 +240,11 @@
             number: Number of the submission there.
             offer: The job.
             age_s: How long the offer was under way, s.
+            workers_digests: Digests of this leader's workers that the host knows.
         """
-        return self._offers.handle_offer(now, host, number, offer, age_s)
+        return self._offers.handle_offer(
+            now, host, number, offer, age_s, workers_digests
+        )
 
     def handle_withdrawal(self, now: float, host: str, withdrawn: JobWithdrawn) -> list:
         """Stop a job that was cancelled or whose last caller has left."""
--- a/packages/poplarhilld/src/poplarhilld/leading/suspects.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/suspects.py
@@ -1,6 +1,6 @@
 """The jobs of a leader under whose tasks workers may have crashed."""
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Container, Iterable, Mapping
 
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading.capacity import FreeCapacity
@@ -134,6 +134,7 @@
         capacity: FreeCapacity,
         slowdowns: Mapping[str, float],
         suspects: int,
+        closed: Container[str] = (),
     ) -> LeasedWorker | None:
         """Return an idle worker that is set aside and fits a task, if there is one.
 
@@ -145,6 +146,7 @@
             capacity: Free capacity of the workers that may take tasks now.
             slowdowns: Rounded slowdowns of the known workers, by name.
             suspects: Count of suspected tasks that wait.
+            closed: Names of workers that may not be chosen.
         """
         isolation = self._isolation
         by_name = {worker.entry.name: worker for worker in capacity.workers}
@@ -155,7 +157,9 @@
             vacant = [by_name[name] for name in isolation.vacant]
             idle = [worker for worker in vacant if not any(worker.reservations)]
             idle_capacity = FreeCapacity(idle, slowdowns)
-            worker = choose_worker(job, task, idle_capacity, avoid_fast=False)
+            worker = choose_worker(
+                job, task, idle_capacity, avoid_fast=False, closed=closed
+            )
             fitting = [
                 name
                 for name, other in by_name.items()
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -101,6 +101,8 @@
         "done",
         "led_data_centres",
         "led_shards",
+        "former_workers",
+        "workers_digests",
     }
 )
 
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -118,6 +118,7 @@
   leftS @10 :Float64;
   handovers @11 :UInt16;
   done @12 :List(UInt16);
+  formerWorkers @13 :List(UInt64);
 }
 
 struct OfferedJob {
@@ -126,6 +127,7 @@
   tenure @2 :UInt64;
   repeated @3 :Bool;
   sentAtS @4 :Float64;
+  workersDigests @5 :List(UInt64);
 }
 
 struct JobWithdrawn {
@@ -201,6 +203,7 @@
   outdated @15 :Bool;
   evacuations @16 :List(Evacuation);
   evacuationsEnd @17 :UInt64;
+  workersDigests @18 :List(UInt64);
 }
 
 struct Evacuation {
@@ -227,6 +230,7 @@
   tenure @5 :UInt64;
   load @6 :Load;
   ledShards @7 :List(Text);
+  workersDigests @8 :List(UInt64);
 }
 
 struct Frame {
--- a/packages/poplarhilld/src/poplarhilld/peers/leadership.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/leadership.py
@@ -6,6 +6,8 @@
 from poplarhilld.evacuation.messages import Evacuation
 from poplarhilld.locality.messages import RackLoad
 
+UNKNOWN_WORKERS = 0  # in place of the digests of workers that are not known
+
 
 class StepSpec(NamedTuple):
     """One step of a job: a number of equal tasks.
@@ -49,6 +51,8 @@
         left_s: Time until the caller's deadline, s.
         handovers: Count of earlier leaders that the job was offered to.
         done: Numbers of the tasks that are known to be done.
+        former_workers: Digests of the sets of workers on which the earlier leaders may
+            have ordered runs of the job; 0 stands for workers that are not known.
     """
 
     job_id: str
@@ -64,6 +68,7 @@
     left_s: float
     handovers: int = 0
     done: tuple[int, ...] = ()
+    former_workers: tuple[int, ...] = ()
 
 
 class JobWithdrawn(NamedTuple):
@@ -166,6 +171,9 @@
         tenure: Epoch since which the leader has led, as the sender knows.
         repeated: Whether the job was offered to that leader and tenure before.
         sent_at_s: When it was sent, by the sender's clock, s.
+        workers_digests: Digests of the leader's workers in its last heartbeat that the
+            sender received; runs of the job are ordered only on these. None if they
+            are not known, which allows all.
     """
 
     number: int
@@ -173,6 +181,7 @@
     tenure: int = 0
     repeated: bool = False
     sent_at_s: float = 0.0
+    workers_digests: tuple[int, ...] = ()
 
 
 class Claim(NamedTuple):
@@ -224,6 +233,7 @@
         tenure: Epoch since which it has led without a break.
         load: Load that it reported last.
         led_shards: The shards that it leads, if tasks are placed near their data.
+        workers_digests: Digests of its workers.
     """
 
     name: str
@@ -234,6 +244,7 @@
     tenure: int
     load: Load
     led_shards: tuple[str, ...] = ()
+    workers_digests: tuple[int, ...] = ()
 
 
 class Beat(NamedTuple):
@@ -267,6 +278,8 @@
         evacuations: The evacuations in force in the sender's copy.
         evacuations_end: Offset of the first record of the store that this copy does
             not include; 0 if the sender has not seen any evacuation.
+        workers_digests: Digests of the sets of workers on which the sender may have
+            runs, one for each data centre.
     """
 
     host: str
@@ -287,6 +300,7 @@
     outdated: bool = False
     evacuations: tuple[Evacuation, ...] = ()
     evacuations_end: int = 0
+    workers_digests: tuple[int, ...] = ()
 
 
 class ReducedWorker(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/peers/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from poplarhilld.peers.leadership import UNKNOWN_WORKERS as UNKNOWN_WORKERS
 from poplarhilld.peers.leadership import Beat as Beat
 from poplarhilld.peers.leadership import Claim as Claim
 from poplarhilld.peers.leadership import JobEnded as JobEnded
--- a/packages/poplarhilld/src/poplarhilld/shards/fleet.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/fleet.py
@@ -73,6 +73,7 @@
         busy: Share of its processor that this host uses.
         leaving: Whether this host is shutting down.
         outdated: Whether this host leads and has not read the workers for some time.
+        workers_digests: Digests of the workers on which this host may have runs.
         reports_shards: Whether to report which shards other leaders lead.
         evacuations: The copy of the evacuations that heartbeats carry.
         leading_since_epoch: Epoch since which this host has led continuously; 0 if it
@@ -99,6 +100,7 @@
         self.busy = 0.0
         self.leaving = False
         self.outdated = False
+        self.workers_digests: tuple[int, ...] = ()
         self.reports_shards = False
         self.evacuations = Evacuations()
         self.leading_since_epoch = 0
@@ -144,6 +146,7 @@
                 True,
                 tenure=digest.tenure,
                 load=digest.load,
+                workers_digests=digest.workers_digests,
             )
             for digest in self.reported_leaders()
             if digest.name != self.me.name
--- a/packages/poplarhilld/src/poplarhilld/shards/heartbeats.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/heartbeats.py
@@ -89,6 +89,7 @@
             outdated=self._fleet.outdated,
             evacuations=self._fleet.evacuations.in_force,
             evacuations_end=self._fleet.evacuations.end,
+            workers_digests=self._fleet.workers_digests,
         )
 
     def _leader_digests(self) -> tuple[LeaderDigest, ...]:
@@ -108,6 +109,7 @@
                 heartbeat.tenure,
                 heartbeat.load,
                 tuple(claim.shard for claim in heartbeat.claims) if with_shards else (),
+                heartbeat.workers_digests,
             )
             for name, heartbeat in leaders.items()
         )
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -244,6 +244,10 @@
         """Set whether this host leads and has not read the workers for some time."""
         self._fleet.outdated = outdated
 
+    def set_workers_digests(self, digests: tuple[int, ...]) -> None:
+        """Set the digests of the workers on which this host may have runs."""
+        self._fleet.workers_digests = digests
+
     def set_reports_shards(self, reports_shards: bool) -> None:
         """Set whether to report to nearby hosts which shards other leaders lead."""
         self._fleet.reports_shards = reports_shards
--- a/packages/poplarhilld/src/poplarhilld/submissions/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/messages.py
@@ -53,6 +53,7 @@
         load: Load that it reported last.
         evacuated: Whether all its workers are in evacuated data centres.
         racks: Cores of its workers by rack; empty where the settings give no slowdown.
+        workers_digests: Digests of its workers; none if they are not known.
     """
 
     tenure: int
@@ -60,6 +61,7 @@
     load: Load
     evacuated: bool = False
     racks: Mapping[str, float] = MappingProxyType({})
+    workers_digests: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/submissions/pending.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/pending.py
@@ -25,6 +25,9 @@
         may_have_run: Whether a leader that gave it back had ordered runs of it.
         transfers: Count of offers to another leader after it was given back untouched.
         led_nearby: Whether its leader led workers in this host's data centre.
+        workers_digests: Digests of its leader's workers, as told in the last offer; the
+            leader orders runs only on these.
+        former_workers: Such digests of the earlier leaders that may have runs of it.
     """
 
     number: int
@@ -40,6 +43,8 @@
     may_have_run: bool = False
     transfers: int = 0
     led_nearby: bool = False
+    workers_digests: tuple[int, ...] = ()
+    former_workers: tuple[int, ...] = ()
 
     @property
     def deadline(self) -> float:
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -7,6 +7,7 @@
 from poplarhilld.decisions import LogDecision
 from poplarhilld.locality import OFF
 from poplarhilld.peers.messages import (
+    UNKNOWN_WORKERS,
     JobEnded,
     JobOffer,
     JobProgress,
@@ -253,6 +254,8 @@
         repeated = (name, leader.tenure) == (job.leader, job.tenure)
         if not repeated:
             former = job.leader if job.leader != name else ""
+            if job.leader:
+                job.former_workers += job.workers_digests or (UNKNOWN_WORKERS,)
             if former:
                 withdrawn = JobWithdrawn(job.submission.job_id)
                 actions.append(WithdrawFromLeader(former, withdrawn))
@@ -261,8 +264,11 @@
             job.handovers += 1
             actions.append(self._log_choice(now, job, leader, reason, former))
         job.offers += 1
+        job.workers_digests = leader.workers_digests
         offer = self._job_offer(now, job)
-        offered = OfferedJob(job.number, offer, job.tenure, repeated, now)
+        offered = OfferedJob(
+            job.number, offer, job.tenure, repeated, now, job.workers_digests
+        )
         return [*actions, OfferToLeader(name, offered)]
 
     def _log_choice(
@@ -316,6 +322,7 @@
             job.deadline - now,
             job.handovers,
             tuple(sorted(job.done)),
+            job.former_workers,
         )
 
     def _apply_end(
--- /dev/null
+++ b/packages/poplarhilld/tests/leading/test_former_workers.py
@@ -0,0 +1,125 @@
+"""Jobs that were handed over: which workers the former leader had decides."""
+
+from poplarhill import ErrorKind
+from poplarhill_dev.leased import SimulatedWorker, World, simulated_job, worker_entry
+from poplarhilld.peers.messages import UNKNOWN_WORKERS
+
+
+# Once, a leader whose list lacked the worker of a run took all workers on its list for
+# all that there are, and started the task beside that run.
+def test_a_leader_without_a_worker_of_the_former_one_starts_nothing(
+    world: World,
+) -> None:
+    world.submit("h1", simulated_job("a", tasks=4, run_s=1.0, left_s=9.0, cores=16.0))
+    world.run(0.1)
+    known = {name: entry for name, entry in world.entries.items() if name != "w0"}
+    world.paused.add("h1")
+    h2 = world.add_leader("h2", 2, known)
+    world.perform("h2", h2.set_workers(world.now, world.now, known))
+    world.hand_over("h2", "a")
+    world.run(3.0)
+    assert world.starts == 4
+    assert not world.violations
+    assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
+
+
+# Once, a task that was done at a leader beyond a cut ran again 1.3 s after its job had
+# been handed over, if the caller waited that long.
+def test_a_task_that_was_done_beyond_a_cut_is_not_run_again() -> None:
+    world = World(SimulatedWorker(worker_entry(f"w{n}")) for n in range(4))
+    near = {name: world.entries[name] for name in ("w0", "w1")}
+    far = {name: world.entries[name] for name in ("w2", "w3")}
+    h1, h2 = world.add_leader("h1", 1, near), world.add_leader("h2", 2, far)
+    world.perform("h1", h1.set_workers(world.now, world.now, near, frozenset(far)))
+    world.perform("h2", h2.set_workers(world.now, world.now, far, frozenset(near)))
+    world.run(0.2)
+    world.submit("h1", simulated_job("a", tasks=1, run_s=0.1, left_s=9.0))
+    world.run(0.5)
+    assert world.job_outcome("a").error == ""  # this report is lost
+    world.reports.clear()
+    world.hand_over("h2", "a")
+    world.run(4.0)
+    assert world.starts == 1
+    assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
+
+
+# Guards against a needless wait: the next leader of the same workers knows their runs.
+def test_the_next_leader_of_the_same_workers_starts_waiting_tasks_at_once() -> None:
+    world = World(SimulatedWorker(worker_entry(f"w{n}")) for n in range(4))
+    led = {name: world.entries[name] for name in ("w0", "w1")}
+    others = frozenset(world.entries) - led.keys()
+    h1 = world.add_leader("h1", 1, led)
+    world.perform("h1", h1.set_workers(world.now, world.now, led, others))
+    world.run(0.2)
+    job = simulated_job("a", tasks=4, run_s=0.3, left_s=3.0, cores=16.0)
+    world.submit("h1", job)
+    world.run(0.1)
+    world.paused.add("h1")
+    h2 = world.add_leader("h2", 2, led)
+    world.perform("h2", h2.set_workers(world.now, world.now, led, others))
+    world.hand_over("h2", "a")
+    world.run(1.0)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 4
+    assert not world.violations
+
+
+# Guards against a run on a worker of which a host cannot tell the next leader.
+def test_a_worker_that_the_host_does_not_know_of_gets_no_run(world: World) -> None:
+    leader = world.leaders["h1"]
+    known = {name: world.entries[name] for name in ("w0", "w1")}
+    world.perform("h1", leader.set_workers(world.now, world.now, known))
+    world.run(1.5)
+    digests = leader.workers_digests
+    world.perform("h1", leader.set_workers(world.now, world.now, world.entries))
+    world.run(0.2)
+    job = simulated_job("a", tasks=4, cores=16.0)
+    world.jobs["a"] = job
+    offer = job.offer
+    actions = leader.handle_offer(world.now, "e1", 1, offer, 0.0, digests)
+    world.perform("h1", actions)
+    world.run(0.01)
+    assert {n for n, w in world.workers.items() if w.running} == {"w0", "w1"}
+    actions = leader.handle_offer(
+        world.now, "e1", 1, offer, 0.0, leader.workers_digests
+    )
+    world.perform("h1", actions)
+    world.run(0.06)
+    assert all(worker.running for worker in world.workers.values())
+
+
+# Guards against taking workers that a host does not know for none.
+def test_a_job_from_a_leader_of_unknown_workers_starts_nothing(world: World) -> None:
+    job = simulated_job("a", handovers=1, left_s=5.0)
+    offer = job.offer._replace(former_workers=(UNKNOWN_WORKERS,))
+    world.jobs["a"] = job
+    leader = world.leaders["h1"]
+    world.perform("h1", leader.handle_offer(world.now, "e1", 1, offer))
+    world.run(2.0)
+    assert world.starts == 0
+    assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
+
+
+# Guards against two leaders that start one task: one that claims its workers back does
+# not know whether the job has gone to the leader that held them.
+def test_a_leader_that_claims_workers_back_waits_for_the_next_offer(
+    world: World,
+) -> None:
+    leader = world.leaders["h1"]
+    world.submit("h1", simulated_job("first", tasks=4, run_s=0.2, cores=16.0))
+    world.submit(
+        "h1", simulated_job("a", 0.2, tasks=1, cores=16.0, left_s=9.0, stretch=30.0)
+    )
+    world.silent_hosts.add("e1")
+    world.run(0.05)
+    h2 = world.add_leader("h2", 2)
+    world.run(0.02)
+    world.perform("h2", h2.resign())
+    for _ in range(14):
+        world.perform("h1", leader.set_workers(world.now, world.now, world.entries))
+        world.run(0.05)
+    assert any(w.confirmed and not w.fenced for w in leader.workers.values())
+    assert "a.0.0.0" not in world.starts_by_task
+    world.silent_hosts.clear()
+    world.run(0.3)
+    assert "a.0.0.0" in world.starts_by_task
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -10,6 +10,7 @@
 from poplarhilld.catalogue import Route
 from poplarhilld.decisions import LogDecision
 from poplarhilld.peers import JobEnded, JobProgress, Load, StepSpec
+from poplarhilld.peers.messages import UNKNOWN_WORKERS
 from poplarhilld.peers.offer_limits import OfferLimits
 from poplarhilld.submissions import (
     AnswerCaller,
@@ -132,6 +133,25 @@
     assert third.offered.offer.handovers == 1
 
 
+# Guards against a next leader that takes its own list for that of the former one.
+def test_an_offer_names_the_workers_of_the_former_leaders(
+    submissions: Submissions, submit: Callable[..., list]
+) -> None:
+    submissions.update_leaders(0.0, {"h1": LEADER._replace(workers_digests=(5, 6))})
+    (first,) = of_type(submit(), OfferToLeader)
+    assert first.offered.workers_digests == (5, 6)
+    submissions.update_leaders(0.1, {"h1": LEADER._replace(workers_digests=(5, 8))})
+    (repeated,) = of_type(submissions.tick(REPEAT_INTERVAL_S), OfferToLeader)
+    assert repeated.offered.workers_digests == (5, 8)
+    assert repeated.offered.offer.former_workers == ()
+    actions = submissions.update_leaders(0.4, {"h2": LEADER._replace(tenure=9)})
+    (second,) = of_type(actions, OfferToLeader)
+    assert second.offered.offer.former_workers == (5, 8)
+    actions = submissions.update_leaders(0.45, {"h3": LEADER._replace(tenure=10)})
+    (third,) = of_type(actions, OfferToLeader)
+    assert third.offered.offer.former_workers == (5, 8, UNKNOWN_WORKERS)
+
+
 # Once, a host that resumed from a pause repeated the offers of callers that had closed
 # their connections and had sent their jobs elsewhere, since it had not read that yet.
 @pytest.mark.parametrize("leaders", [{"h1": LEADER}, {"h2": LEADER}])
