Simulate the store: hosts read different lists of workers

The simulated fleet gave all hosts one list of workers, so that no seed could contradict what a host takes its list for. Each process now has the product's Registry and reads a simulated store at the intervals of the product, with faults that are drawn per seed: down, some hosts refused, entries omitted, lapsed, old or deleted, workers that register and leave.

--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -139,13 +139,21 @@
     is_flag=True,
     help="Let hosts handle requests that they read together with their close.",
 )
-def simulate(seeds: str, trace: bool, closed_requests: bool) -> None:
+@click.option(
+    "--store",
+    type=click.Choice(["on", "off"]),
+    default="on",
+    help="Whether the store of workers has faults.",
+)
+def simulate(seeds: str, trace: bool, closed_requests: bool, store: str) -> None:
     """Run simulated fleets under random faults and check that no task runs twice."""
     from poplarhill_dev.simulation.command import run_seeds
+    from poplarhill_dev.simulation.scenario import ScenarioOptions
 
     first, _, last = seeds.partition("-")
     numbers = range(int(first), int(last or first) + 1)
-    sys.exit(0 if run_seeds(numbers, trace, closed_requests) else 1)
+    options = ScenarioOptions(closed_requests, store == "on")
+    sys.exit(0 if run_seeds(numbers, trace, options) else 1)
 
 
 @main.command()
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/clock.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/clock.py
@@ -3,9 +3,9 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
-from poplarhilld.entry import clock, state, ticker
+from poplarhilld.entry import clock, performer, state, ticker
 
 
 class _SimulatedTime:
@@ -27,7 +27,7 @@
 
 @contextmanager
 def simulated_time(now: Callable[[], float]) -> Iterator[None]:
-    """Let the modules of an entry host read a simulated clock.
+    """Let the modules of an entry host read a simulated clock, and log nothing.
 
     Args:
         now: Returns the simulated time, s.
@@ -35,4 +35,6 @@
     with ExitStack() as patches:
         for module in (clock, state, ticker):
             patches.enter_context(patch.object(module, "time", _SimulatedTime(now)))
+        # The log of a host is its log decisions; the rest would go to the terminal.
+        patches.enter_context(patch.object(performer, "_log", Mock()))
         yield
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/command.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/command.py
@@ -5,21 +5,22 @@
 
 import click
 
-from poplarhill_dev.simulation.scenario import run_scenario
+from poplarhill_dev.simulation.scenario import DEFAULTS, ScenarioOptions, run_scenario
 
 _PROGRESS_SEEDS = 50
 
 
 def run_seeds(
-    seeds: Iterable[int], trace: bool = False, closed_requests: bool = False
+    seeds: Iterable[int],
+    trace: bool = False,
+    options: ScenarioOptions = DEFAULTS,
 ) -> bool:
     """Run a simulated fleet with each seed; return whether all invariants held.
 
     Args:
         seeds: The seeds.
-        closed_requests: Whether hosts handle requests that they read together with
-            their close.
         trace: Whether to print what concerns the first job of each kind of violation.
+        options: Options of the scenarios.
     """
     counts: Counter[str] = Counter()
     outcomes: Counter[str] = Counter()
@@ -27,7 +28,7 @@
     for done, seed in enumerate(seeds):
         if done and done % _PROGRESS_SEEDS == 0:
             click.echo(f"{done} seeds, {failed_seeds} failed")
-        world = run_scenario(seed, closed_requests)
+        world = run_scenario(seed, options)
         callers = world.callers.by_job.values()
         outcomes.update(caller.outcome or "none" for caller in callers)
         failed_seeds += bool(world.violated)
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
@@ -1,6 +1,7 @@
 """A simulated fleet: hosts, the links between them, workers and callers."""
 
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Iterable, Mapping, Sequence
 from functools import partial
 from types import MappingProxyType
 
@@ -10,9 +11,11 @@
 from poplarhill_dev.simulation.callers import Caller, Callers
 from poplarhill_dev.simulation.host import SimulatedHost
 from poplarhill_dev.simulation.network import Link, PortState
+from poplarhill_dev.simulation.store import SimulatedStore
 from poplarhill_dev.simulation.workers import FleetWorker, WorkerWorld
+from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.entry.store import LEADER_REGISTRY_REFRESH_S
-from poplarhilld.shards import HostLost, partition
+from poplarhilld.shards import HostLost
 from poplarhilld.shards.messages import LeadershipTaken, LeadershipYielded
 
 CENTRES = MappingProxyType({"dc1": 13, "dc2": 13, "dc3": 11})
@@ -20,12 +23,23 @@
 SMALL_FLEET = MappingProxyType({"dc1": 7, "dc2": 7, "dc3": 6})
 WORKERS = 100
 _REGISTRY_REFRESH_S = 2.0  # of a host that leads nothing
+_STORE_RETRY_S = 0.3
 _REACHABILITY_INTERVAL_S = 0.5
 _BALANCER_NOTICE_S = 2.5  # from SIGTERM until no more requests arrive
 _EXIT_BEFORE_KILL_S = 0.3
 _IDLE_TICK_S = 0.075  # of a host without jobs and workers
 _ELECTION_S = 3.0  # until each data centre has a leader whose workers have replied
-_FLEET_WORDS = ("process ends", "frozen", "resumed", "reset", "cut", "late", "SIGTERM")
+_FLEET_WORDS = (
+    "store",
+    "leaves",
+    "process ends",
+    "frozen",
+    "resumed",
+    "reset",
+    "cut",
+    "late",
+    "SIGTERM",
+)
 
 
 class FleetWorld(WorkerWorld):
@@ -40,6 +54,7 @@
         hosts: The present process of each host, by name.
         ports: State of the port of each host that does not listen, by name.
         callers: The callers.
+        store: The store that lists the workers.
     """
 
     def __init__(
@@ -53,7 +68,7 @@
         self.ports: dict[str, PortState] = {}
         self.callers = Callers(self)
         self._links: dict[tuple[str, Address], Link] = {}
-        self._shards = partition(self.entries.values())
+        self.store = SimulatedStore(self, self.entries)
         self._names: dict[Address, str] = {
             Address(f"10.{centre[2:]}.0.{number}", 1): f"{centre}-{number:02}"
             for centre, count in centres.items()
@@ -129,7 +144,38 @@
         for name in names:
             worker = self.workers[name]
             worker.entry = worker.entry._replace(draining=True)
-        self._shards = partition(self.entries.values())
+            self.store.put(worker.entry)
+
+    def add_workers(self, count: int) -> None:
+        """Let new workers register; hosts read it within their intervals."""
+        centres = sorted({name[:3] for name in self._addresses})
+        for number in range(len(self.workers), len(self.workers) + count):
+            worker = _worker(number, centres)
+            self.workers[worker.entry.name] = worker
+            self.prepare_worker(worker)
+            self.store.put(worker.entry)
+
+    def leave_workers(
+        self, names: Iterable[str], drain_s: float, stop_after_s: float
+    ) -> None:
+        """Let workers drain, remove their entries and stop.
+
+        Args:
+            names: Names of the workers.
+            drain_s: How long they serve after they have reported that they drain, s.
+            stop_after_s: How long they still run after that without an entry, s.
+        """
+        names = list(names)
+        self.drain_workers(names)
+        for name in names:
+            self.note(name, f"leaves in {drain_s + stop_after_s:.2f} s")
+            self.schedule(drain_s, self.store.remove, name)
+            self.schedule(drain_s + stop_after_s, self._stop_worker, name)
+
+    def _stop_worker(self, name: str) -> None:
+        self.note(name, "leaves now")
+        self.crash(name, down_s=math.inf)
+        self.workers[name].unreachable = True  # though it was to restart
 
     def power_off(self, name: str, down_s: float) -> None:
         """Take the power from a machine, which falls silent; it starts again later."""
@@ -220,23 +266,36 @@
             self.schedule(interval_s, self._tick_host, host)
 
     def _read_workers(self, host: SimulatedHost) -> None:
-        """Let a host read the list of workers, now and at its intervals."""
-        if host.running:
-            host.handle(partial(host.set_workers, self._shards))
-            leads = host.state.leader.workers
-            interval_s = LEADER_REGISTRY_REFRESH_S if leads else _REGISTRY_REFRESH_S
-            self.schedule(interval_s, self._read_workers, host)
+        """Let a host read the list of workers from the store."""
+        if not host.running:
+            return
+        entries = self.store.read(host.name)
+        if entries is None:
+            retry = partial(self.schedule, _STORE_RETRY_S, self._read_workers, host)
+            host.handle(retry)
+            return
+        answered = partial(self._workers_answered, host, entries)
+        self.schedule(LINK_DELAY_S, host.handle, answered)
+
+    def _workers_answered(
+        self, host: SimulatedHost, entries: Mapping[str, WorkerEntry]
+    ) -> None:
+        host.set_workers(entries)
+        leads = host.state.leader.workers
+        interval_s = LEADER_REGISTRY_REFRESH_S if leads else _REGISTRY_REFRESH_S
+        self.schedule(interval_s, host.handle, partial(self._read_workers, host))
 
     def _check_reachability(self, host: SimulatedHost) -> None:
         """Note which leaderless shards have a worker that responds to a host."""
         if not host.running:
             return
         if not host.frozen:
-            watched = host.state.hosts.shards_to_watch(self._shards)
+            shards = host.state.shards
+            watched = host.state.hosts.shards_to_watch(shards)
             host.note_reachable(
                 shard
                 for shard in watched
-                if self._responds(host.name, min(self._shards[shard]))
+                if self._responds(host.name, min(shards[shard]))
             )
         self.schedule(_REACHABILITY_INTERVAL_S, self._check_reachability, host)
 
@@ -283,11 +342,9 @@
 
 
 def _workers(count: int, centres: tuple[str, ...]) -> list[FleetWorker]:
-    return [
-        FleetWorker(
-            worker_entry(f"w{number}", rack=f"r{number % 8}")._replace(
-                data_centre=centres[number % len(centres)]
-            )
-        )
-        for number in range(count)
-    ]
+    return [_worker(number, centres) for number in range(count)]
+
+
+def _worker(number: int, centres: Sequence[str]) -> FleetWorker:
+    entry = worker_entry(f"w{number}", rack=f"r{number % 8}")
+    return FleetWorker(entry._replace(data_centre=centres[number % len(centres)]))
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -3,7 +3,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Coroutine, Iterable, Mapping
-from typing import Protocol
+from typing import NamedTuple, Protocol
 from unittest.mock import patch
 
 from poplarhill.exceptions import Failure
@@ -26,7 +26,8 @@
     StopRun,
 )
 from poplarhilld.lookahead import LookaheadMode
-from poplarhilld.shards import AnswerNewPeer, HostLost, SendHeartbeat
+from poplarhilld.peers.messages import WorkersReport
+from poplarhilld.shards import AnswerNewPeer, HostLost, SendHeartbeat, partition
 from poplarhilld.submissions import (
     AnswerCaller,
     OfferToLeader,
@@ -59,6 +60,16 @@
         """Record a log line."""
 
 
+class WorkersRead(NamedTuple):
+    """Log line: a host has read a list of workers that differs from the last one.
+
+    Attributes:
+        workers: Count of the listed workers.
+    """
+
+    workers: int
+
+
 class _SimulatedPerformer(Performer):
     """Handles messages as the real one, without links to other hosts.
 
@@ -126,7 +137,6 @@
         self.state = HostState(settings, now)
         # The processor time of the simulation says nothing of the host.
         self.state.busy = BusyMeter(math.inf, settings.cores)
-        self.state.registry_read = True
         self._performer = _SimulatedPerformer(self.state, self.perform)
         self._ticker = Ticker(self.state, self._performer, None)
 
@@ -165,10 +175,29 @@
         self.perform(state.submissions.abandon_all(now))
         self.perform(state.leader.resign())
 
-    def set_workers(self, shards: Mapping[str, Mapping[str, WorkerEntry]]) -> None:
+    def set_workers(self, entries: Mapping[str, WorkerEntry]) -> None:
         """Put the list of workers that was read from the store in force."""
-        self.state.shards = shards
-        self.state.registry_read_at = self._environment.now
+        state, now = self.state, self._environment.now
+        state.registry_read_at = now
+        state.hosts.set_outdated(False)
+        if state.registry.update(now, entries) or not state.registry_read:
+            state.registry_read = True
+            state.shards = partition(state.registry.workers.values())
+            self._environment.log(self.name, WorkersRead(len(entries)))
+            _complete(self._ticker.tick())
+        self._report_workers()
+
+    def _report_workers(self) -> None:
+        """Tell leaders that can't read the list of workers which take fewer tasks."""
+        report = WorkersReport(self.state.registry.reduced)
+        if not report.reduced:
+            return
+        messages: dict[Address, list] = {}
+        for name, beat in self.state.hosts.leaders.items():
+            if beat.outdated:
+                self._add_message(messages, name, report)
+        for address, together in messages.items():
+            self._environment.send(self, address, together)
 
     def note_reachable(self, shards: Iterable[str]) -> None:
         """Note the watched shards of which a worker responds to this host now."""
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import NamedTuple
 
 from poplarhill_dev.leased import simulated_job
 from poplarhill_dev.simulation.fleet import CENTRES, SMALL_FLEET, FleetWorld
+from poplarhill_dev.simulation.store_faults import schedule_store_faults
 
 LOAD_S = 4.5
 DRAIN_S = 4.0
@@ -13,23 +15,43 @@
 _FLEETS = (SMALL_FLEET, SMALL_FLEET, SMALL_FLEET, CENTRES)
 
 
-def run_scenario(seed: int, closed_requests: bool = False) -> FleetWorld:
-    """Run a fleet under the load and the faults of a seed.
+class ScenarioOptions(NamedTuple):
+    """What the scenarios of all seeds have in common.
 
-    Args:
-        seed: The seed.
+    Attributes:
         closed_requests: Whether hosts handle requests that they read together with
             their close.
+        store: Whether the store has faults, and workers come and go.
     """
+
+    closed_requests: bool = False
+    store: bool = True
+
+
+DEFAULTS = ScenarioOptions()
+
+
+def run_scenario(seed: int, options: ScenarioOptions = DEFAULTS) -> FleetWorld:
+    """Run a fleet under the load and the faults of a seed."""
     random = Random(seed)
     world = FleetWorld(seed, random.choice(_FLEETS))
-    world.callers.closed_requests_handled = closed_requests
+    world.callers.closed_requests_handled = options.closed_requests
+    if options.store:
+        _begin_store_faults(world, seed)
     _schedule_jobs(world, random)
     _schedule_faults(world, random)
     world.run(LOAD_S + DRAIN_S)
     return world
 
 
+def _begin_store_faults(world: FleetWorld, seed: int) -> None:
+    """Schedule faults of the store, often some time before the load begins."""
+    random = Random(f"store {seed}")
+    before_s = random.choice([0.0, 2.0, 4.0])
+    schedule_store_faults(world, random, 0.0, before_s + 0.6 * LOAD_S)
+    world.run(before_s)
+
+
 def _schedule_jobs(world: FleetWorld, random: Random) -> None:
     """Schedule arrivals, more of them in one data centre than in the others."""
     rate = _JOBS_PER_S * random.choice([0.5, 1.0, 3.0])
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
@@ -127,9 +127,13 @@
         self.told_not_run: set[str] = set()
         self.violated: list[Violation] = []
         self._running_on: dict[str, set[str]] = {}
-        for name, worker in self.workers.items():
-            worker.stop_delay_s = partial(self.random.uniform, 0.0, STOP_TIMEOUT_S)
-            worker.on_end = partial(self._run_ended, name)
+        for worker in self.workers.values():
+            self.prepare_worker(worker)
+
+    def prepare_worker(self, worker: FleetWorker) -> None:
+        """Let a worker draw how long its stops take, and report the ends of runs."""
+        worker.stop_delay_s = partial(self.random.uniform, 0.0, STOP_TIMEOUT_S)
+        worker.on_end = partial(self._run_ended, worker.entry.name)
 
     def schedule(self, delay_s: float, call: Callable, *args: object) -> None:
         """Call a function after a delay, s."""
