--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/callers.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
@@ -17,8 +18,8 @@
     from poplarhill_dev.simulation.host import SimulatedHost
 
 RESEND_DELAY_S = 1.3
-CALLER_TIMEOUT_S = 1.54
 MAX_ATTEMPTS = 4
+_PATIENCE_S = 0.01  # of callers that state no time, beyond the timeout of the route
 ROUTE = Route("deposit", "one.example", "/r/", "booking", 1.53, 0.06, 1.6, 0, 2)
 # Attempts that reach another data centre, as when the own one is out of rotation.
 _RESENT_ELSEWHERE_SHARE = 0.25
@@ -46,6 +47,10 @@
     Attributes:
         job: The job.
         data_centre: Data centre of the caller.
+        route: Route that it uses.
+        stated_timeout_s: How long it waits, as it states in its requests, s; infinite
+            if it states nothing.
+        resends: Whether it sends the job again after a failed attempt.
         attempts: Its requests so far.
         waiting: Whether the last one awaits its answer.
         outcome: Answer that ended the job for the caller; empty before that.
@@ -53,6 +58,9 @@
 
     job: SimulatedJob
     data_centre: str
+    route: Route = ROUTE
+    stated_timeout_s: float = math.inf
+    resends: bool = True
     attempts: list[Attempt] = field(default_factory=list)
     waiting: bool = False
     outcome: str = ""
@@ -65,7 +73,15 @@
     @property
     def submission(self) -> Submission:
         """The job as it is submitted."""
-        return Submission(self.job_id, ROUTE, "{}", self.job.offer.steps)
+        steps, timeout_s = self.job.offer.steps, self.stated_timeout_s
+        return Submission(self.job_id, self.route, "{}", steps, timeout_s)
+
+    @property
+    def timeout_s(self) -> float:
+        """How long it waits for an answer, s."""
+        if math.isinf(self.stated_timeout_s):
+            return self.route.timeout_s + _PATIENCE_S
+        return self.stated_timeout_s
 
     def awaits(self, attempt: Attempt) -> bool:
         """Return whether it waits for the answer to an attempt."""
@@ -150,7 +166,7 @@
         if port is PortState.REFUSED:
             self._attempt_failed(caller, "connection refused")
             return
-        world.schedule(CALLER_TIMEOUT_S, self._give_up, caller, host, attempt)
+        world.schedule(caller.timeout_s, self._give_up, caller, host, attempt)
         if port is PortState.OPEN and name not in self.cut_hosts:
             read = partial(self._read, host, caller, attempt)
             world.schedule(LINK_DELAY_S, host.handle, read)
@@ -195,7 +211,7 @@
     def _attempt_failed(self, caller: Caller, why: str) -> None:
         caller.waiting = False
         self._world.note("caller", f"{caller.job_id}: {why}")
-        if len(caller.attempts) < MAX_ATTEMPTS:
+        if caller.resends and len(caller.attempts) < MAX_ATTEMPTS:
             self._world.schedule(RESEND_DELAY_S, self._send, caller)
 
 
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
@@ -87,8 +87,12 @@
             data_centre: Data centre of the caller.
             host: Host that it is sent to first; any if not given.
         """
-        self.jobs[job.offer.job_id] = job
-        self.callers.submit(Caller(job, data_centre), host)
+        self.submit(Caller(job, data_centre), host)
+
+    def submit(self, caller: Caller, host: str = "") -> None:
+        """Let a caller submit its job to a host, any of its data centre if none."""
+        self.jobs[caller.job_id] = caller.job
+        self.callers.submit(caller, host)
 
     def answer(self, process: str, number: int, failure: Failure | None) -> None:
         """Answer the caller of a submission."""
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
@@ -4,13 +4,12 @@
 from random import Random
 from typing import NamedTuple
 
-from poplarhill_dev.leased import simulated_job
 from poplarhill_dev.simulation.fleet import CENTRES, SMALL_FLEET, FleetWorld
+from poplarhill_dev.simulation.load import LOAD_S, CallerKind, Load
 from poplarhill_dev.simulation.store_faults import schedule_store_faults
 
-LOAD_S = 4.5
-DRAIN_S = 4.0
-_JOBS_PER_S = 10.0
+_DRAIN_S = 4.0
+_LONG_DRAIN_S = 7.0  # most long jobs end by then
 _FIRST_FAULT_S = 0.5
 _FLEETS = (SMALL_FLEET, SMALL_FLEET, SMALL_FLEET, CENTRES)
 
@@ -22,10 +21,14 @@
         closed_requests: Whether hosts handle requests that they read together with
             their close.
         store: Whether the store has faults, and workers come and go.
+        callers: How long callers wait.
+        long_routes: Whether the timeout of a route is as long as its callers wait.
     """
 
     closed_requests: bool = False
     store: bool = True
+    callers: CallerKind = CallerKind.MIXED
+    long_routes: bool = False
 
 
 DEFAULTS = ScenarioOptions()
@@ -38,9 +41,10 @@
     world.callers.closed_requests_handled = options.closed_requests
     if options.store:
         _begin_store_faults(world, seed)
-    _schedule_jobs(world, random)
-    _schedule_faults(world, random)
-    world.run(LOAD_S + DRAIN_S)
+    load = Load(seed, options.callers, options.long_routes)
+    load.schedule(world, random)
+    _schedule_faults(world, random, load)
+    world.run(LOAD_S + (_LONG_DRAIN_S if load.long else _DRAIN_S))
     return world
 
 
@@ -52,27 +56,7 @@
     world.run(before_s)
 
 
-def _schedule_jobs(world: FleetWorld, random: Random) -> None:
-    """Schedule arrivals, more of them in one data centre than in the others."""
-    rate = _JOBS_PER_S * random.choice([0.5, 1.0, 3.0])
-    weights = [random.choice([1, 1, 4]) for _ in CENTRES]
-    at = 0.0
-    while at < LOAD_S:
-        at += random.expovariate(rate)
-        [centre] = random.choices(list(CENTRES), weights)
-        world.schedule(at, _submit, world, random, centre)
-
-
-def _submit(world: FleetWorld, random: Random, centre: str) -> None:
-    job_id = f"j{len(world.callers.by_job)}"
-    run_s = random.choice([0.2, 0.9, 0.9, 0.9])
-    job = simulated_job(job_id, tasks=random.choice([2, 4, 8]), run_s=run_s)
-    for task in range(job.offer.steps[0].count):
-        job.runs[f"{job_id}.0.0.{task}"] = run_s * random.uniform(0.6, 1.8)
-    world.submit_job(job, centre)
-
-
-def _schedule_faults(world: FleetWorld, random: Random) -> None:
+def _schedule_faults(world: FleetWorld, random: Random, load: Load) -> None:
     """Schedule a few faults, most of them close together, each after a burst."""
     at = _FIRST_FAULT_S
     for _ in range(random.randint(2, 5)):
@@ -81,7 +65,7 @@
         for _ in range(random.choice([5, 10, 20])):
             early_s = random.uniform(0.0, 0.25)
             centre = random.choice(list(CENTRES))
-            world.schedule(at - early_s, _submit, world, random, centre)
+            world.schedule(at - early_s, load.submit, world, random, centre)
         gap_s = random.choice([0.0, 0.1, 0.4, 0.8, 1.5])
         at += random.uniform(0.0, gap_s)
 
--- a/packages/poplarhill-dev/tests/simulation/test_scenarios.py
+++ b/packages/poplarhill-dev/tests/simulation/test_scenarios.py
@@ -1,12 +1,15 @@
 """Simulated fleets under random faults."""
 
+import math
+
 import pytest
 
+from poplarhill_dev.simulation.load import CallerKind, Load
 from poplarhill_dev.simulation.scenario import ScenarioOptions, run_scenario
-from poplarhilld.submissions.messages import LeaderChosen
+from poplarhilld.submissions.messages import JobAnswered, LeaderChosen
 
 SEEDS = (1, 2, 3, 4, 1185)
-EQUAL_LISTS = ScenarioOptions(store=False)
+EQUAL_LISTS = ScenarioOptions(store=False, callers=CallerKind.SHORT)
 
 
 # Guards against two runs of one task, and against runs after their caller was told that
@@ -27,3 +30,20 @@
     chosen = [what for _, _, what in world.lines if isinstance(what, LeaderChosen)]
     assert any(line.handovers for line in chosen)
     assert any(len(caller.attempts) > 1 for caller in world.callers.by_job.values())
+
+
+# Guards against a simulation in which no job lasts longer than the timeouts of routes.
+def test_jobs_last_as_long_as_their_callers_wait() -> None:
+    options = ScenarioOptions(callers=CallerKind.LONG, long_routes=True)
+    world = run_scenario(5, options)
+    callers = world.callers.by_job.values()
+    answered = [what for _, _, what in world.lines if isinstance(what, JobAnswered)]
+    late = [one for one in answered if one.outcome == "complete" and one.took_s > 2.5]
+    assert len(late) > 5
+    assert max(caller.timeout_s for caller in callers) > 10.0
+    assert any(math.isinf(caller.stated_timeout_s) for caller in callers)
+
+
+def test_callers_resend_in_some_scenarios_only() -> None:
+    loads = [Load(seed, CallerKind.LONG, long_routes=True) for seed in range(20)]
+    assert {load.resends for load in loads} == {True, False}
