Check in the simulation that no task starts again after it was done

Only two runs at the same time were looked for. A start after a run that ended done is now found as well, if a leader acknowledges that end before or after the start while the lease of the worker holds, and so is a start on a worker that has reported for 2 s that it drains, by a host that can read the list. The checks get a module of their own.

--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/callers.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/callers.py
@@ -194,13 +194,13 @@
         caller.outcome = failure.kind.value if failure else "complete"
         world.note("caller", f"{job_id}: {caller.outcome}")
         if failure is not None and failure.answer.run_state is RunState.NOT_RUN:
-            world.told_not_run.add(job_id)
+            world.checks.told_not_run.add(job_id)
             started = any(
                 task.startswith(f"{job_id}.") for task in world.starts_by_task
             )
             if started and len(caller.attempts) == 1:
                 what = caller.outcome
-                world.record_violation("started before 'not run'", job_id, what)
+                world.checks.record("started before 'not run'", job_id, what)
 
     def _give_up(self, caller: Caller, host: SimulatedHost, attempt: Attempt) -> None:
         if caller.awaits(attempt):
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/fleet.py
@@ -98,6 +98,10 @@
         """Answer the caller of a submission."""
         self.callers.answer(process, number, failure)
 
+    def undisturbed_since(self, name: str) -> float:
+        """Return since when a host runs and can read all new entries, s."""
+        return max(self.hosts[name].runs_since, self.store.served_since(name))
+
     def leader_of(self, centre: str) -> str:
         """Return a host that leads workers of a data centre; empty if there is none."""
         leading = (
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -105,6 +105,7 @@
         state: The decision objects of the host.
         frozen: Whether the process is stopped; what arrives waits.
         running: Whether the process runs or is frozen.
+        runs_since: When the process was started or last resumed, s.
     """
 
     def __init__(
@@ -121,6 +122,7 @@
         self.process = f"{name}@{incarnation}"
         self.frozen = False
         self.running = True
+        self.runs_since = now
         self._environment = environment
         self._inbox: deque[Callable[[], None]] = deque()
         settings = EntrySettings(
@@ -155,6 +157,7 @@
     def resume(self, tick_first: bool) -> None:
         """Resume a frozen process, which handles what has arrived."""
         self.frozen = False
+        self.runs_since = self._environment.now
         if tick_first:
             self.tick()
         while self._inbox and self.running:
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/store.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/store.py
@@ -84,9 +84,12 @@
         entries = self._list_at(self._clock.now - age_s)
         return {n: entry for n, entry in entries.items() if n not in missing}
 
-    def serves_since(self, host: str, since: float) -> bool:
-        """Return whether a host could read all new entries from a time on, s."""
-        return max(self._down_until, self._impaired_until.get(host, 0.0)) <= since
+    def served_since(self, host: str) -> float:
+        """Return since when a host could read all new entries, s.
+
+        It lies in the future while the host is affected by a fault.
+        """
+        return max(self._down_until, self._impaired_until.get(host, 0.0))
 
     def put(self, entry: WorkerEntry) -> None:
         """Register a worker or replace its entry, once the store is available."""
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
-from typing import NamedTuple
 
 from poplarhill_dev.leased import (
     ANSWER_TIMEOUT_S,
@@ -12,6 +11,7 @@
     SimulatedWorker,
     World,
 )
+from poplarhill_dev.simulation.checks import Checks, Violation
 from poplarhill_dev.simulation.clock import simulated_time
 from poplarhill_dev.simulation.host import SimulatedHost
 from poplarhill_dev.simulation.network import Network
@@ -52,11 +52,36 @@
     Attributes:
         stop_delay_s: Returns how long the next stop takes, s.
         held: Renewals that wait for the end of a run.
+        on_acknowledged: Callback for a run whose end is acknowledged, unless the lease
+            has lapsed since.
     """
 
     stop_delay_s: Callable[[], float] = lambda: 0.0
     held: list[HeldRenewal] = field(default_factory=list)
+    on_acknowledged: Callable[[Run], None] = lambda run: None
     _stopped: set[Run] = field(default_factory=set)
+    _ended_at: dict[Run, float] = field(default_factory=dict)
+    _lapsed_at: float = 0.0
+
+    def renew(self, now: float, renewal: Renewal) -> LeaseReply | RenewalFailure:
+        """Apply a renewal and reply at once, without waiting for a run to end."""
+        self.advance(now)
+        before = self.ends
+        reply = super().renew(now, renewal)
+        if len(self.ends) < len(before):
+            for end in before:
+                ended_at = self._ended_at.pop(end.run, 0.0)
+                if end in self.ends:
+                    self._ended_at[end.run] = ended_at
+                elif ended_at > self._lapsed_at:
+                    self.on_acknowledged(end.run)
+        return reply
+
+    def advance(self, now: float) -> None:
+        """End the runs that are complete or that outlast the lease."""
+        super().advance(now)
+        if now > self.lease_until:
+            self._lapsed_at = self.lease_until
 
     def stop(self, now: float, run: Run, token: int) -> bool:
         """Apply an order to stop a run, which ends a little later."""
@@ -77,31 +102,17 @@
         """Restart the process: a new incarnation under the same name."""
         super().restart(now)
         self._stopped.clear()
+        self._ended_at.clear()
 
     def _end(self, at: float, run: Run, kind: RunEndKind) -> None:
         if run in self._stopped:
             self._stopped.discard(run)
             if kind is not RunEndKind.LAPSED:
                 kind = RunEndKind.STOPPED
+        self._ended_at[run] = at
         super()._end(at, run, kind)
 
 
-class Violation(NamedTuple):
-    """A violated invariant.
-
-    Attributes:
-        at: When it was violated, s.
-        kind: The invariant.
-        job_id: The job.
-        what: What was seen.
-    """
-
-    at: float
-    kind: str
-    job_id: str
-    what: str
-
-
 class WorkerWorld(World):
     """Workers and the calls that hosts send them; checks each start of a run.
 
@@ -114,8 +125,7 @@
         lines: Log lines, answers, starts and ends: time, host or worker, and what.
         late_stop_share: Share of the stop orders that take effect late.
         late_renewal_share: Share of the renewals that take effect late.
-        told_not_run: Ids of the jobs whose callers were told that nothing has run.
-        violated: The violated invariants.
+        checks: Checks the invariants.
     """
 
     def __init__(self, workers: Iterable[FleetWorker], seed: int) -> None:
@@ -124,9 +134,7 @@
         self.lines: list[tuple[float, str, object]] = []
         self.late_stop_share = 0.0
         self.late_renewal_share = 0.0
-        self.told_not_run: set[str] = set()
-        self.violated: list[Violation] = []
-        self._running_on: dict[str, set[str]] = {}
+        self.checks = Checks(self)
         for worker in self.workers.values():
             self.prepare_worker(worker)
 
@@ -134,6 +142,14 @@
         """Let a worker draw how long its stops take, and report the ends of runs."""
         worker.stop_delay_s = partial(self.random.uniform, 0.0, STOP_TIMEOUT_S)
         worker.on_end = partial(self._run_ended, worker.entry.name)
+        worker.on_acknowledged = partial(
+            self.checks.end_acknowledged, worker.entry.name
+        )
+
+    @property
+    def violated(self) -> list[Violation]:
+        """The violated invariants."""
+        return self.checks.violated
 
     def schedule(self, delay_s: float, call: Callable, *args: object) -> None:
         """Call a function after a delay, s."""
@@ -158,11 +174,13 @@
         leader = host.state.leader
         match action:
             case StartRun(entry, order):
-                name, run = entry.name, order.run
+                name, run, sent_at = entry.name, order.run, self.now
                 self._call(
                     host,
                     name,
-                    lambda answer: answer(self._start_run(name, order, host.name)),
+                    lambda answer: answer(
+                        self._start_run(name, order, host.name, sent_at)
+                    ),
                     lambda reply: leader.handle_start_reply(self.now, name, run, reply),
                     OrderReply(OrderOutcome.UNKNOWN),
                     OrderReply(OrderOutcome.UNSENT),
@@ -261,7 +279,9 @@
             return self.random.uniform(0.25, 0.7)
         return self.random.uniform(2.0, 12.0)
 
-    def _start_run(self, name: str, order: Order, host: str) -> OrderReply:
+    def _start_run(
+        self, name: str, order: Order, host: str, sent_at: float
+    ) -> OrderReply:
         worker = self.workers[name]
         known = order.run in worker.running
         reply = self._apply_start(name, order)
@@ -269,7 +289,7 @@
             self.note(name, f"start of {order.run} by {host}: {reply.outcome.value}")
         elif not known:
             self.note(name, f"{order.run} started by {host}")
-            self._check_start(name, order.run)
+            self.checks.run_started(name, order.run, host, sent_at)
             ends_at = worker.running[order.run].until
             self.schedule(ends_at - self.now + 1e-6, self._answer_held, name)
         return reply
@@ -315,24 +335,4 @@
 
     def _run_ended(self, name: str, at: float, run: Run, kind: RunEndKind) -> None:
         self.lines.append((at, name, f"{run} {kind.value}"))
-        self._running_on.get(run.task, set()).discard(name)
-
-    def _check_start(self, name: str, run: Run) -> None:
-        """Check that no other run of a task is under way when one starts."""
-        job_id = run.task.partition(".")[0]
-        if job_id in self.told_not_run:
-            self.record_violation("started after 'not run'", job_id, f"{run} on {name}")
-        on = self._running_on.setdefault(run.task, set())
-        on.add(name)
-        for other in sorted(on):
-            worker = self.workers[other]
-            worker.advance(self.now)
-            for one in worker.running:
-                if one.task == run.task and (other, one) != (name, run):
-                    what = f"{run} on {name} beside {one} on {other}"
-                    self.record_violation("ran twice", job_id, what)
-
-    def record_violation(self, kind: str, job_id: str, what: str) -> None:
-        """Record that an invariant is violated now."""
-        self.note("check", f"VIOLATION {kind}: {what}")
-        self.violated.append(Violation(self.now, kind, job_id, what))
+        self.checks.run_ended(name, at, run, kind)
