--- a/packages/poplarhill-dev/tests/simulation/test_lists_that_differ.py
+++ b/packages/poplarhill-dev/tests/simulation/test_lists_that_differ.py
@@ -43,8 +43,8 @@
     assert fleet.violated == []
 
 
-# Guards against leaders that yield to a host which, by its own list, need not lead their
-# workers: the data centres then have no leader at all.
+# Guards against leaders that yield to a host which, by its own list, need not lead
+# their workers: the data centres then have no leader at all.
 def test_data_centres_keep_a_leader_though_the_lists_of_hosts_differ(
     fleet: FleetWorld,
 ) -> None:
