--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -75,6 +75,9 @@
         remote_slowdown: Factor on the run times of tasks whose data is in another rack.
         overloads: Times of the starts that took more than the free capacity.
         on_end: Callback for the end of a run; takes the time, the run and the kind.
+        lapsed_at: When its lease last expired, s.
+        done: Tasks whose end a leader has acknowledged while the lease held.
+        clock_zero: When its clock began, s.
     """
 
     entry: WorkerEntry
@@ -91,6 +94,10 @@
     remote_slowdown: float = 1.0
     overloads: list[float] = field(default_factory=list)
     on_end: Callable[[float, Run, RunEndKind], None] = lambda at, run, kind: None
+    lapsed_at: float = -1.0
+    done: set[str] = field(default_factory=set)
+    clock_zero: float = 0.0
+    _ended_at: dict[Run, float] = field(default_factory=dict)
     _sequence: int = 0
     _closed: dict[str, int] = field(default_factory=dict)
 
@@ -102,6 +109,7 @@
                 kind = RunEndKind.FAILED if running.fails else RunEndKind.DONE
                 self._end(until, running.run, kind)
         if now > self.lease_until:
+            self.lapsed_at = self.lease_until
             for run in list(self.running):
                 self._end(self.lease_until, run, RunEndKind.LAPSED)
 
@@ -112,19 +120,27 @@
             return RenewalFailure.FENCED
         self.token = renewal.token
         self._extend(now, renewal.deadline_s)
+        for end in self.ends:
+            if end.sequence <= renewal.last_seen:
+                lapsed = self.lapsed_at >= self._ended_at.pop(end.run)
+                if end.kind is RunEndKind.DONE and not lapsed:
+                    self.done.add(end.run.task)
         self.ends = [end for end in self.ends if end.sequence > renewal.last_seen]
-        return LeaseReply(now, self.incarnation, tuple(self.running), tuple(self.ends))
+        clock_s = now - self.clock_zero
+        runs, ends = tuple(self.running), tuple(self.ends)
+        return LeaseReply(clock_s, self.incarnation, runs, ends)
 
     def start(self, now: float, order: Order, job: "SimulatedJob") -> OrderReply:
         """Apply an order to start a run; free capacity is not checked."""
         self.advance(now)
+        clock_s = now - self.clock_zero
         if order.token < self.token:
-            return OrderReply(OrderOutcome.FENCED, now)
+            return OrderReply(OrderOutcome.FENCED, clock_s)
         self.token = order.token
-        if now > order.deadline_s:
-            return OrderReply(OrderOutcome.EXPIRED, now)
+        if clock_s > order.deadline_s:
+            return OrderReply(OrderOutcome.EXPIRED, clock_s)
         if order.run.number <= self._closed.get(order.run.task, 0):
-            return OrderReply(OrderOutcome.OUTDATED, now)
+            return OrderReply(OrderOutcome.OUTDATED, clock_s)
         self._extend(now, order.deadline_s)
         if order.run not in self.running:
             slowdown = self.slowdown
@@ -143,7 +159,7 @@
                 > self.entry.room.cores
             ):
                 self.overloads.append(now)
-        return OrderReply(OrderOutcome.ACCEPTED, now)
+        return OrderReply(OrderOutcome.ACCEPTED, clock_s)
 
     def stop(self, now: float, run: Run, token: int) -> bool:
         """Apply an order to stop a run and return whether it was answered."""
@@ -159,6 +175,7 @@
     def restart(self, now: float) -> None:
         """Restart the process: a new incarnation under the same name."""
         self.incarnation += 1
+        self.clock_zero = now
         self.token = 0
         self.lease_until = now
         self.running.clear()
@@ -168,7 +185,7 @@
 
     def _extend(self, now: float, deadline_s: float | None) -> None:
         if deadline_s is not None:
-            until = min(deadline_s, now + LEASE_S)
+            until = min(deadline_s + self.clock_zero, now + LEASE_S)
             self.lease_until = max(self.lease_until, until)
 
     def _end(self, at: float, run: Run, kind: RunEndKind) -> None:
@@ -176,6 +193,7 @@
         self._sequence += 1
         self._closed[run.task] = max(run.number, self._closed.get(run.task, 0))
         self.ends.append(RunEnd(self._sequence, run, kind))
+        self._ended_at[run] = at
         self.on_end(at, run, kind)
 
 
@@ -222,6 +240,7 @@
         leaders: The leaders by name.
         paused: Names of leaders that are paused; they receive replies afterwards.
         cut: Returns whether the link between a leader and a worker is cut.
+        loses_stops: Returns whether stop orders of a leader to a worker are lost.
         late_order_share: Share of the start orders that arrive 2 to 12 seconds late.
         silent_hosts: Names of entry hosts that do not repeat their offers.
         jobs: Submitted jobs by id.
@@ -241,6 +260,7 @@
         self.leaders: dict[str, Leader] = {}
         self.paused: set[str] = set()
         self.cut: Callable[[str, str], bool] = lambda leader, worker: False
+        self.loses_stops: Callable[[str, str], bool] = lambda leader, worker: False
         self.late_order_share = 0.0
         self.silent_hosts: set[str] = set()
         self.jobs: dict[str, SimulatedJob] = {}
@@ -289,8 +309,16 @@
         return found[-1] if found else None
 
     def submit(self, leader: str, job: SimulatedJob, host: str = "e1") -> None:
-        """Offer a job to a leader, again and again until its outcome is reported."""
+        """Offer a job to a leader, again and again until its outcome is reported.
+
+        The offer names the tasks that were reported to the host as done.
+        """
         offer = job.offer
+        done = set(offer.done)
+        for _, reported_to, report in self.reports:
+            if reported_to == host and report.job_id == offer.job_id:
+                done.update(report.done)
+        offer = offer._replace(done=tuple(sorted(done)))
         self.jobs[offer.job_id] = job
         self._pending[host, offer.job_id] = leader, self.now
         self._deliver_offer(leader, host, offer, self.now)
@@ -433,19 +461,26 @@
                 lost,
             )
             return
-        self.workers[name].renew(self.now, renewal)
-        self._hold_renewal(leader, name, renewal, self.now + renewal.wait_s)
+        worker = self.workers[name]
+        worker.renew(self.now, renewal)
+        until = self.now + renewal.wait_s
+        self._hold_renewal(leader, name, renewal, until, worker.incarnation)
 
     def _hold_renewal(
-        self, leader: str, name: str, renewal: Renewal, until: float
+        self,
+        leader: str,
+        name: str,
+        renewal: Renewal,
+        until: float,
+        incarnation: int,
     ) -> None:
         """Reply to a renewal once a run has ended, at the latest at `until`."""
         reply: LeaseReply | RenewalFailure = RenewalFailure.SILENT
-        if not self._is_unreachable(leader, name) and not self.workers[name].refusing:
+        worker = self.workers[name]
+        broken = worker.refusing or worker.incarnation != incarnation
+        if not broken and not self._is_unreachable(leader, name):
             # A renewal extends the lease when it arrives, not while it is held.
-            reply = self.workers[name].renew(
-                self.now, renewal._replace(deadline_s=None)
-            )
+            reply = worker.renew(self.now, renewal._replace(deadline_s=None))
             if isinstance(reply, LeaseReply) and not reply.ends and self.now < until:
                 self._schedule(
                     _END_POLL_INTERVAL_S,
@@ -454,6 +489,7 @@
                     name,
                     renewal,
                     until,
+                    incarnation,
                 )
                 return
         self._schedule(
@@ -523,9 +559,13 @@
         )
 
     def _apply_start(self, name: str, order: Order) -> OrderReply:
-        job = self.jobs[order.run.task.split(".")[0]]
+        task = order.run.task
+        job = self.jobs[task.split(".")[0]]
+        is_new = order.run not in self.workers[name].running
         reply = self.workers[name].start(self.now, order, job)
         if reply.outcome is OrderOutcome.ACCEPTED:
+            if is_new and any(task in worker.done for worker in self.workers.values()):
+                self._record_violation(f"{task} starts after it was done")
             self.starts += 1
             self.starts_by_task.setdefault(order.run.task, []).append(self.now)
             if order.run.task in job.deadly:
@@ -535,7 +575,9 @@
     def _stop(self, leader: str, entry: WorkerEntry, run: Run, token: int) -> None:
         answered = False
         worker = self.workers[entry.name]
-        if not self._is_unreachable(leader, entry.name) and not worker.refusing:
+        lost = self._is_unreachable(leader, entry.name)
+        lost = lost or self.loses_stops(leader, entry.name)
+        if not lost and not worker.refusing:
             answered = self.workers[entry.name].stop(self.now, run, token)
         delay_s = LINK_DELAY_S if answered else ANSWER_TIMEOUT_S
         self._schedule(
