Start no task again whose end another leader may have acknowledged

What callers could have seen: a task that was done ran a second time within one submission, if their leader lost the worker to another leader for a time, as it happens when the hosts' lists of workers differ. Callers that wait for 1.5 s left no time for it.

Cause: a leader took a run for ended without a result when the worker was fenced and led elsewhere (after 1.8 s), or when the worker, claimed again, listed it no more. The other leader may have acknowledged its end as done.

A reservation now has the token under which its run was ordered or last listed. If the run vanishes under another token, or its worker is given up while fenced, its outcome is unknown: the job is closed at once as "may have run", and the task does not start again. A worker that has refused the token and is led elsewhere is released at once, as waiting proves nothing. Runs of workers that were never fenced are handled as before.

--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -80,13 +80,20 @@
         taken = WorkerTaken(entry.name, address, worker.token, reason, lease_s)
         return [LogDecision(taken), RenewLease(entry, worker.next_renewal(now))]
 
-    def mark_fenced(self, now: float, worker: LeasedWorker) -> list[LeaderAction]:
+    def mark_fenced(
+        self, now: float, worker: LeasedWorker, superseded: bool = False
+    ) -> list[LeaderAction]:
         """Start no more runs on a worker; its runs go on.
 
-        The worker has accepted a newer token, or this host no longer leads it.
+        Args:
+            now: The leader's clock, s.
+            worker: The worker.
+            superseded: Whether it has accepted a newer token. If not, this host no
+                longer leads it.
         """
         name = worker.entry.name
         worker.fenced = True
+        worker.superseded = worker.superseded or superseded
         self._state.note_worker_change()
         self._state.reclaim_at[name] = now + _RECLAIM_DELAY_S
         return [
@@ -121,7 +128,7 @@
         name = worker.entry.name
         match failure:
             case RenewalFailure.FENCED:
-                return self.mark_fenced(now, worker)
+                return self.mark_fenced(now, worker, superseded=True)
             case RenewalFailure.REPLACED:
                 self._state.refused.add(name)
                 actions = self.mark_lost(now, worker, failure.value, process_ended=True)
@@ -155,7 +162,8 @@
             self._state.note_worker_change()
             actions.append(worker_state(now, worker, "lost", reason))
         if process_ended or worker.lease_has_expired(now):
-            for run in worker.presumed_ended_runs():
+            for reservation in worker.presumed_ended_runs():
+                run = reservation.run
                 task = self._state.runs.task_of(name, run)
                 if task is not None and task.run == run:
                     if name in self._state.refused:
@@ -166,6 +174,8 @@
                     actions.append(_presumed_ended(now, worker, run, why))
                     self._closer.forget_run(name, run)
                     task.avoid.add(name)
+                    if worker.end_is_unknown(reservation):
+                        actions += self._outcomes.give_up(now, task)
         return actions
 
     def check_workers(self, now: float) -> list[LeaderAction]:
@@ -210,12 +220,13 @@
         """
         name = worker.entry.name
         if worker.fenced:
-            if (
-                name not in self._state.entries
-                and now - self._state.reclaim_at[name]
-                > self._state.limits.runs_ended_after_s
-            ):
-                # By now the other leader has stopped or adopted the runs there.
+            if name in self._state.entries:
+                return []
+            given_up_at = self._state.reclaim_at[name]
+            given_up_at += self._state.limits.runs_ended_after_s
+            # Waiting proves nothing of runs that this host can't list any more.
+            superseded = worker.superseded and not worker.awaits_order_reply
+            if superseded or now > given_up_at:
                 reason = "led by another host or no longer registered"
                 return self._release_with_runs(now, worker, reason)
             return []
@@ -230,12 +241,20 @@
     def _release_with_runs(
         self, now: float, worker: LeasedWorker, reason: str
     ) -> list[LeaderAction]:
-        """Release a worker; the tasks of the runs left on it may start again."""
-        presumed: list[LeaderAction] = [
-            _presumed_ended(now, worker, reservation.run, reason)
-            for reservation in worker.reservations
-        ]
-        return presumed + self.release(worker.entry.name, reason)
+        """Release a worker.
+
+        The tasks of the runs left on it may start again, unless another leader may
+        have acknowledged the ends of these runs.
+        """
+        name = worker.entry.name
+        actions: list[LeaderAction] = []
+        for reservation in worker.reservations:
+            run = reservation.run
+            actions.append(_presumed_ended(now, worker, run, reason))
+            task = self._state.runs.task_of(name, run)
+            if task is not None and worker.end_is_unknown(reservation):
+                actions += self._outcomes.give_up(now, task)
+        return actions + self.release(name, reason)
 
     def _check_stall(
         self, now: float, worker: LeasedWorker, task: LedTask, reservation: Reservation
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -155,10 +155,26 @@
                     now, name, run, job.job_id, len(self._state.workers)
                 ):
                     actions.append(worker_state(now, worker, "ejected", "tasks failed"))
-            case RunOutcome.ENDED | RunOutcome.LOST | RunOutcome.NEVER_STARTED:
+            case RunOutcome.UNKNOWN:
+                self._state.health.note_end(now, name, run)
+                actions += self.give_up(now, task)
+            case _:
                 self._state.health.note_end(now, name, run)
         return actions + self._update_job(now, job, task)
 
+    def give_up(self, now: float, task: LedTask) -> list[LeaderAction]:
+        """Close the job of a task whose run may have ended with success.
+
+        Another leader may have acknowledged that, so the task must not start again.
+        """
+        job = self._state.runs.job_of(task.name)
+        if job is None or job.stopping or task.done:
+            return []
+        detail = f"task {task.number} may have run on a worker that another host led"
+        return self._closer.close_job(
+            now, job, job_ended(job, ErrorKind.WORKER_LOST, detail)
+        )
+
     def _handle_unknown_done(self, now: float, run: Run) -> list[LeaderAction]:
         """Note that a run which this leader has neither ordered nor adopted is done.
 
--- a/packages/poplarhilld/src/poplarhilld/leading/run_messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/run_messages.py
@@ -58,7 +58,7 @@
 class RunPresumedEnded(NamedTuple):
     """Log line: a run counts as ended although its worker has not reported that.
 
-    Its task may start again.
+    Its task may start again, unless another leader may have had the worker.
 
     Attributes:
         task: Name of the task.
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -360,7 +360,7 @@
                         worker_state(now, worker, "ejected", reply.outcome.value)
                     )
             case OrderOutcome.FENCED:
-                actions += self._group.mark_fenced(now, worker)
+                actions += self._group.mark_fenced(now, worker, superseded=True)
             case OrderOutcome.REPLACED:
                 self._state.health.note_no_reply(now, name)
         for change in changes:
--- a/packages/poplarhilld/src/poplarhilld/leases/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/messages.py
@@ -156,6 +156,7 @@
         ENDED: The run ended without a result of the task.
         LOST: The process of its worker ended.
         NEVER_STARTED: The worker did not start the run and will not start it.
+        UNKNOWN: The run has ended, and another leader may have acknowledged its end.
     """
 
     DONE = "done"
@@ -163,6 +164,7 @@
     ENDED = "ended"
     LOST = "lost"
     NEVER_STARTED = "never_started"
+    UNKNOWN = "unknown"
 
 
 class RunClosed(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/leases/reservation.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/reservation.py
@@ -30,6 +30,8 @@
         needs: Capacity that it holds; `None` while this is unknown.
         state: What is known about the run.
         deadline_s: Time by the worker's clock after which it cannot start, s.
+        token: Fencing token under which it was ordered or last listed. If the worker
+            has been claimed under another one since, another leader may have had it.
         last_event_at: When it was ordered or discovered, or when the worker last
             answered an order to stop it, by the leader's clock, s. Only a renewal
             that is sent at or after this time can prove that the run never started.
@@ -42,6 +44,7 @@
     needs: Resources | None
     state: ReservationState
     deadline_s: float
+    token: int
     last_event_at: float
     running_since: float = 0.0
     stall_check_at: float = 0.0
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -58,6 +58,7 @@
         token: Fencing token of this host for the worker.
         fenced: Whether this host must start no runs on the worker, because the
             worker has accepted a newer token or this host no longer leads it.
+        superseded: Whether the worker has accepted a newer token.
         confirmed: Whether the worker has accepted this host's token.
         incarnation: When its process started, ms since the Unix epoch; `None` before a
             reply.
@@ -92,7 +93,7 @@
         self.entry = entry
         self._note_change = note_change
         self.token = token
-        self.fenced = False
+        self.fenced = self.superseded = False
         self.confirmed = False
         self._lease_s = lease_s
         self._claimed_at = now
@@ -168,7 +169,7 @@
     def reclaim(self, now: float, token: int) -> None:
         """Claim the worker again under a new token."""
         self.token = token
-        self.fenced = False
+        self.fenced = self.superseded = False
         self._claimed_at = now
         self.confirmed = False
 
@@ -248,7 +249,8 @@
         deadline_s = self.clock_s(now) + validity_s
         if deadline_s > self._may_run_until_s:
             self._may_run_until_s = deadline_s
-        self._add(Reservation(run, needs, ReservationState.ORDERED, deadline_s, now))
+        ordered = ReservationState.ORDERED
+        self._add(Reservation(run, needs, ordered, deadline_s, self.token, now))
         return deadline_s
 
     def apply_order_reply(
@@ -290,14 +292,27 @@
             self._unknown_needs -= 1
             self._invalidate_free_capacity()
 
-    def presumed_ended_runs(self) -> list[Run]:
+    def end_is_unknown(self, reservation: Reservation) -> bool:
+        """Return whether another leader may have acknowledged the end of a run.
+
+        A reply under the token that the run was ordered or listed under disproves it.
+        """
+        return self.fenced or reservation.token != self.token
+
+    @property
+    def awaits_order_reply(self) -> bool:
+        """Whether any order has no reply yet."""
+        ordered = ReservationState.ORDERED
+        return any(one.state is ordered for one in self._reservations.values())
+
+    def presumed_ended_runs(self) -> list[Reservation]:
         """Return the runs that have ended once the lease or the process has.
 
         Orders that still await a reply are left out. The runs keep their capacity
         until the worker confirms their end.
         """
         return [
-            reservation.run
+            reservation
             for reservation in self._reservations.values()
             if reservation.state is not ReservationState.ORDERED
         ]
@@ -319,14 +334,14 @@
         if first_reply:
             return []
         ended = [
-            reservation.run
+            reservation
             for reservation in self._reservations.values()
             if reservation.state is ReservationState.RUNNING
             and reservation.running_since < renewal.sent_at
         ]
         for reservation in self._reservations.values():
             reservation.deadline_s = reply.clock_s + ORDER_VALIDITY_S
-        return [self._close_run(run, RunOutcome.LOST) for run in ended]
+        return [self._close_missing(one, RunOutcome.LOST) for one in ended]
 
     def _apply_end(self, run: Run, kind: RunEndKind) -> list[RunChange]:
         self._recent_ends[run] = None
@@ -334,7 +349,8 @@
             del self._recent_ends[next(iter(self._recent_ends))]
         if run not in self._reservations:
             # An unknown run, such as one of an earlier leader, is closed like others.
-            self._add(Reservation(run, Resources(), ReservationState.RUNNING, 0.0, 0.0))
+            running = ReservationState.RUNNING
+            self._add(Reservation(run, Resources(), running, 0.0, self.token, 0.0))
         match kind:
             case RunEndKind.DONE:
                 return [self._close_run(run, RunOutcome.DONE)]
@@ -353,11 +369,12 @@
             reservation = self._reservations.get(run)
             if reservation is None:
                 self._unknown_needs += 1
-                self._add(
-                    Reservation(run, None, ReservationState.RUNNING, 0.0, now, now)
-                )
+                running = ReservationState.RUNNING
+                self._add(Reservation(run, None, running, 0.0, self.token, now, now))
                 changes.append(RunDiscovered(run))
-            elif reservation.state is not ReservationState.RUNNING:
+                continue
+            reservation.token = self.token
+            if reservation.state is not ReservationState.RUNNING:
                 reservation.state, reservation.running_since = (
                     ReservationState.RUNNING,
                     now,
@@ -372,21 +389,28 @@
                 reservation.state is ReservationState.RUNNING
                 and reservation.running_since < renewal.sent_at
             ):
-                changes.append(self._close_run(reservation.run, RunOutcome.ENDED))
+                changes.append(self._close_missing(reservation, RunOutcome.ENDED))
             elif (
                 reservation.state is ReservationState.UNCERTAIN
                 and renewal.sent_at >= reservation.last_event_at
                 and reply.clock_s > reservation.deadline_s
             ):
-                changes.append(
-                    self._close_run(reservation.run, RunOutcome.NEVER_STARTED)
-                )
+                never_started = RunOutcome.NEVER_STARTED
+                changes.append(self._close_missing(reservation, never_started))
         return changes
 
     def _add(self, reservation: Reservation) -> None:
         self._reservations[reservation.run] = reservation
         self._invalidate_free_capacity()
 
+    def _close_missing(
+        self, reservation: Reservation, outcome: RunOutcome
+    ) -> RunClosed:
+        """Close a run that the worker lists no more, nor its end."""
+        if reservation.token != self.token:
+            outcome = RunOutcome.UNKNOWN
+        return self._close_run(reservation.run, outcome)
+
     def _close_run(self, run: Run, outcome: RunOutcome) -> RunClosed:
         reservation = self._reservations.pop(run)
         if reservation.needs is None:
