Claim a restarted worker under a new fencing token

What callers could have seen: two runs of one task, or a second start of a task that was done, after a worker had restarted under its id.

Cause: the clock of the new process begins anew, so a delayed order to the former one had not expired there, and its token was accepted. A renewal that was sent to the former process acknowledged the first ends of the new one, which nobody had read; the runs vanished and were taken for ended without a result.

A leader that meets a new process takes a new token, which the delayed orders lack. The worker's clock in the reply to an order tells which process accepted it: the outcome of a run that the new one accepted under the former token, and does not list, is unknown.

--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -74,11 +74,17 @@
 
     def _request_lease(self, now: float, worker: LeasedWorker, reason: str) -> list:
         """Send the first lease renewal to a worker under a new token."""
+        renew = RenewLease(worker.entry, worker.next_renewal(now))
+        return [self._taken(worker, reason), renew]
+
+    def _taken(self, worker: LeasedWorker, reason: str) -> LogDecision:
+        """Return the log line on a worker that is claimed under a new token."""
         entry = worker.entry
         address = f"{entry.address.host}:{entry.address.port}"
         lease_s = self._state.lease_s
-        taken = WorkerTaken(entry.name, address, worker.token, reason, lease_s)
-        return [LogDecision(taken), RenewLease(entry, worker.next_renewal(now))]
+        return LogDecision(
+            WorkerTaken(entry.name, address, worker.token, reason, lease_s)
+        )
 
     def mark_fenced(
         self, now: float, worker: LeasedWorker, superseded: bool = False
@@ -302,8 +308,21 @@
                     now, worker, incarnation, change.run
                 )
             actions += self._outcomes.apply_change(now, worker, change)
+        if incarnation not in (None, worker.incarnation):
+            actions.append(self._replace_token(now, worker))
         return actions
 
+    def _replace_token(self, now: float, worker: LeasedWorker) -> LeaderAction:
+        """Take a new token for a worker whose process has restarted.
+
+        Its clock begins anew, so a delayed order to its former process would not have
+        expired there, but is refused for its token.
+        """
+        above = worker.token
+        worker.replace_token(now, self._state.tokens.next(0.0, above))
+        self._state.note_worker_change()
+        return self._taken(worker, "its process has restarted")
+
 
 def _presumed_ended(
     now: float, worker: LeasedWorker, run: Run, reason: str
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -328,9 +328,11 @@
             return []
         if not isinstance(reply, LeaseReply):
             return []
-        return self._group.apply_reply(
-            now, worker, renewal, reply
-        ) + self._assignment.assign(now)
+        actions = self._group.apply_reply(now, worker, renewal, reply)
+        if worker.token != renewal.token:
+            # The reply to the renewal under way does not count any more.
+            actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
+        return actions + self._assignment.assign(now)
 
     def handle_start_reply(
         self, now: float, name: str, run: Run, reply: OrderReply
@@ -340,6 +342,7 @@
         if worker is None:
             return []
         actions: list[LeaderAction] = []
+        outdated_token = worker.was_ordered_earlier(run)
         changes = worker.apply_order_reply(now, run, reply)
         match reply.outcome:
             case OrderOutcome.ACCEPTED:
@@ -359,7 +362,7 @@
                     actions.append(
                         worker_state(now, worker, "ejected", reply.outcome.value)
                     )
-            case OrderOutcome.FENCED:
+            case OrderOutcome.FENCED if not outdated_token:
                 actions += self._group.mark_fenced(now, worker, superseded=True)
             case OrderOutcome.REPLACED:
                 self._state.health.note_no_reply(now, name)
--- a/packages/poplarhilld/src/poplarhilld/leases/reservation.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/reservation.py
@@ -1,5 +1,6 @@
 """Capacity of a worker that a run holds or may hold."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -31,12 +32,15 @@
         state: What is known about the run.
         deadline_s: Time by the worker's clock after which it cannot start, s.
         token: Fencing token under which it was ordered or last listed. If the worker
-            has been claimed under another one since, another leader may have had it.
+            has been claimed under another one since, another leader may have had it. 0
+            if a new process of the worker may have ended it.
         last_event_at: When it was ordered or discovered, or when the worker last
             answered an order to stop it, by the leader's clock, s. Only a renewal
             that is sent at or after this time can prove that the run never started.
         running_since: When this leader learnt that it runs, by the leader's clock,
             s; 0 before that.
+        accepted_clock_s: When the worker accepted the order, by its clock, s; infinite
+            if it has listed the run, or did not report its clock.
         stall_check_at: Until then it can't count as stalled, by the leader's clock, s.
     """
 
@@ -47,4 +51,5 @@
     token: int
     last_event_at: float
     running_since: float = 0.0
+    accepted_clock_s: float = math.inf
     stall_check_at: float = 0.0
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -173,6 +173,18 @@
         self._claimed_at = now
         self.confirmed = False
 
+    def replace_token(self, now: float, token: int) -> None:
+        """Claim the worker under a new token, though no other leader has had it."""
+        for reservation in self._reservations.values():
+            if reservation.token == self.token:
+                reservation.token = token
+        self.reclaim(now, token)
+
+    def was_ordered_earlier(self, run: Run) -> bool:
+        """Return whether a run was ordered before the worker was last claimed."""
+        reservation = self._reservations.get(run)
+        return reservation is not None and reservation.last_event_at < self._claimed_at
+
     def lease_left_s(self, now: float) -> float:
         """Return the time for which the worker may run anything by its clock, s."""
         return self._may_run_until_s - self.clock_s(now)
@@ -216,7 +228,7 @@
         """
         changes: list[RunChange] = []
         if self.incarnation != reply.incarnation:
-            changes += self._start_incarnation(renewal, reply)
+            changes += self._start_incarnation(reply, now - renewal.sent_at)
         self._clock_at_reply_s, self.last_reply_at = reply.clock_s, now
         self.listed_at, self._newest_list_at = self._newest_list_at, renewal.sent_at
         if renewal.token == self.token:
@@ -266,6 +278,8 @@
             case OrderOutcome.ACCEPTED:
                 reservation.state = ReservationState.RUNNING
                 reservation.running_since = now
+                if reply.clock_s is not None:
+                    reservation.accepted_clock_s = reply.clock_s
                 return []
             case OrderOutcome.UNKNOWN:
                 reservation.state = ReservationState.UNCERTAIN
@@ -317,14 +331,14 @@
             if reservation.state is not ReservationState.ORDERED
         ]
 
-    def _start_incarnation(
-        self, renewal: Renewal, reply: LeaseReply
-    ) -> list[RunChange]:
+    def _start_incarnation(self, reply: LeaseReply, took_s: float) -> list[RunChange]:
         """Reset the state for a new incarnation and close the running runs.
 
-        They ended with the previous incarnation. The new one may have accepted those
-        that became known after the renewal was sent. Orders without a known outcome
-        may still reach it, so they keep their capacity until they expire.
+        They ended with the previous incarnation. The clock of the new one begins anew,
+        so it may have accepted those whose orders were answered at an earlier time of
+        the clock. It takes renewals that were sent to the previous one for an
+        acknowledgement of their ends. Orders without a known outcome may still reach
+        it, so they keep their capacity until they expire.
         """
         first_reply = self.incarnation is None
         self.incarnation = reply.incarnation
@@ -337,11 +351,14 @@
             reservation
             for reservation in self._reservations.values()
             if reservation.state is ReservationState.RUNNING
-            and reservation.running_since < renewal.sent_at
+            and reservation.accepted_clock_s > reply.clock_s + took_s
         ]
+        changes = [self._close_missing(one, RunOutcome.LOST) for one in ended]
         for reservation in self._reservations.values():
             reservation.deadline_s = reply.clock_s + ORDER_VALIDITY_S
-        return [self._close_missing(one, RunOutcome.LOST) for one in ended]
+            if reservation.state is ReservationState.RUNNING:
+                reservation.token = 0
+        return changes
 
     def _apply_end(self, run: Run, kind: RunEndKind) -> list[RunChange]:
         self._recent_ends[run] = None
@@ -374,6 +391,7 @@
                 changes.append(RunDiscovered(run))
                 continue
             reservation.token = self.token
+            reservation.accepted_clock_s = math.inf
             if reservation.state is not ReservationState.RUNNING:
                 reservation.state, reservation.running_since = (
                     ReservationState.RUNNING,
