Bound each lease by the offers whose runs it carries

What callers could have seen: two runs of one task, when its leader was lost or paused soon after the entry host (callers sent the job again 1.3 s later), or when a job had moved to another leader and the stop orders of the former one were lost.

Cause: a leader renewed the lease of a worker for a second each time, whatever the offers of the jobs there, so the runs outlived the wait of the next leader.

A renewal, or the deadline of an order, now extends the lease until 0.2 s after the first offer lapses whose runs are on the worker. What bounded the runs of unknown jobs only is the same rule. Offers that are repeated each 0.3 s leave at least 0.8 s, so renewals are as rare as before; the loop over a worker's runs makes no calls.

--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -250,8 +250,7 @@
         name = worker.entry.name
         free_cores = capacity.of(name).cores
         run = Run(task.name, task.next_number)
-        wanted_s = job.offer_lapses_at - now
-        deadline_s = worker.reserve(now, run, task.spec.needs, wanted_s)
+        deadline_s = worker.reserve(now, run, task.spec.needs, job)
         capacity.update(name)
         if not job.run_count:
             self._state.history.note_ordered(now, job.job_id)
--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -58,8 +58,14 @@
     def claim(self, now: float, time_s: float, entry: WorkerEntry) -> list:
         """Claim a worker under a new fencing token."""
         token = self._state.tokens.next(time_s)
+        limits = self._state.limits
         worker = LeasedWorker(
-            entry, token, self._state.lease_s, now, self._state.changed_workers.add
+            entry,
+            token,
+            self._state.lease_s,
+            now,
+            self._state.changed_workers.add,
+            limits.last_stop_s - limits.lifetime_s,
         )
         self._state.workers[entry.name] = worker
         self._state.note_worker_change()
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -15,6 +15,7 @@
 from poplarhilld.leading.shared import LeaderState, worker_state
 from poplarhilld.leading.suspects import find_deadly_task
 from poplarhilld.leases import (
+    Lapsing,
     LeasedWorker,
     Run,
     RunClosed,
@@ -64,6 +65,7 @@
             return [_found(run, name, "orphan")]
         task = job.task(run.task)
         worker.set_needs(run, task.spec.needs)
+        worker.set_job(run, job)
         if task.waiting and not job.stopping:
             self._adopt(now, worker, run, job, task)
             return [_found(run, name, "adopted")]
@@ -78,16 +80,15 @@
         soon after the leader before it may not have stopped the runs that it found.
         """
         limits = self._state.limits
-        stop_by, worker.orphan_lease_until = math.inf, -math.inf
+        stop_by, lapses_at = math.inf, -math.inf
         former = self._state.former_leaders_heard_at.get(worker.entry.name)
         if former:
             heard_at, *earlier = former
             for before in earlier:
                 if heard_at - before < limits.runs_ended_after_s:
                     heard_at = before
-            stop_by = heard_at + limits.lifetime_s
-            worker.orphan_lease_until = heard_at + limits.last_stop_s
-        worker.has_orphans = True
+            stop_by = lapses_at = heard_at + limits.lifetime_s
+        worker.set_job(run, Lapsing(lapses_at))
         self._state.runs.add_orphan(now, run, worker.entry.name, stop_by)
 
     def adopt_orphans(self, now: float, job: LedJob) -> list[LeaderAction]:
@@ -100,6 +101,7 @@
             worker.set_needs(run, task.spec.needs)
             if task.waiting:
                 self._state.runs.note_closed(name, run)
+                worker.set_job(run, job)
                 self._adopt(now, worker, run, job, task)
                 job.run_count += 1
                 orphan_s = round(now - since, 4)
--- a/packages/poplarhilld/src/poplarhilld/leading/runs.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/runs.py
@@ -115,10 +115,6 @@
         stop_at = min(now + ORPHAN_TIMEOUT_S, stop_by)
         self._orphans[worker, run] = Orphan(run, worker, now, stop_at)
 
-    def has_orphans(self, worker: str) -> bool:
-        """Return whether a worker has runs that belong to no job of this leader."""
-        return bool(self._orphans) and any(name == worker for name, _ in self._orphans)
-
     def orphans_of(self, job: LedJob) -> list[tuple[Orphan, LedTask]]:
         """Return the orphans that are runs of a job."""
         tasks = {task.name: task for task in job.tasks}
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -308,8 +308,6 @@
         if self._state.renewal_backoff_s:
             self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
-        if worker.has_orphans:
-            worker.has_orphans = self._state.runs.has_orphans(name)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
         if self._state.placement_up_to_date:
             return actions
@@ -342,7 +340,8 @@
         if worker is None:
             return []
         actions: list[LeaderAction] = []
-        outdated_token = worker.was_ordered_earlier(run)
+        fenced = reply.outcome is OrderOutcome.FENCED
+        superseded = fenced and not worker.was_ordered_earlier(run)
         changes = worker.apply_order_reply(now, run, reply)
         match reply.outcome:
             case OrderOutcome.ACCEPTED:
@@ -362,7 +361,7 @@
                     actions.append(
                         worker_state(now, worker, "ejected", reply.outcome.value)
                     )
-            case OrderOutcome.FENCED if not outdated_token:
+            case OrderOutcome.FENCED if superseded:
                 actions += self._group.mark_fenced(now, worker, superseded=True)
             case OrderOutcome.REPLACED:
                 self._state.health.note_no_reply(now, name)
--- a/packages/poplarhilld/src/poplarhilld/leases/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/__init__.py
@@ -11,6 +11,7 @@
 from poplarhilld.leases.messages import RunEnd as RunEnd
 from poplarhilld.leases.messages import RunEndKind as RunEndKind
 from poplarhilld.leases.messages import RunOutcome as RunOutcome
+from poplarhilld.leases.reservation import Lapsing as Lapsing
 from poplarhilld.leases.reservation import Reservation as Reservation
 from poplarhilld.leases.reservation import ReservationState as ReservationState
 from poplarhilld.leases.tokens import TokenSource as TokenSource
--- a/packages/poplarhilld/src/poplarhilld/leases/reservation.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/reservation.py
@@ -3,11 +3,37 @@
 import math
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple, Protocol
 
 from poplarhill.types import Resources
 from poplarhilld.leases.messages import Run
 
 
+class Offered(Protocol):
+    """What a run is done for, such as a job.
+
+    Attributes:
+        offer_lapses_at: When its offer lapses unless it is repeated, by the leader's
+            clock, s.
+    """
+
+    offer_lapses_at: float
+
+
+class Lapsing(NamedTuple):
+    """Stands for a job that is not known, whose offer is not repeated here.
+
+    Attributes:
+        offer_lapses_at: When its offer lapses, by the leader's clock, s.
+    """
+
+    offer_lapses_at: float
+
+
+UNLIMITED = Lapsing(math.inf)
+LAPSED = Lapsing(-math.inf)
+
+
 class ReservationState(Enum):
     """What this leader knows about a run that holds capacity.
 
@@ -31,6 +57,8 @@
         needs: Capacity that it holds; `None` while this is unknown.
         state: What is known about the run.
         deadline_s: Time by the worker's clock after which it cannot start, s.
+        job: What it is done for. It gets no lease that outlasts the offer of that by
+            more than the time to stop it.
         token: Fencing token under which it was ordered or last listed. If the worker
             has been claimed under another one since, another leader may have had it. 0
             if a new process of the worker may have ended it.
@@ -48,6 +76,7 @@
     needs: Resources | None
     state: ReservationState
     deadline_s: float
+    job: Offered
     token: int
     last_event_at: float
     running_since: float = 0.0
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -16,7 +16,13 @@
     RunEndKind,
     RunOutcome,
 )
-from poplarhilld.leases.reservation import Reservation, ReservationState
+from poplarhilld.leases.reservation import (
+    LAPSED,
+    UNLIMITED,
+    Offered,
+    Reservation,
+    ReservationState,
+)
 
 # A worker refuses a start order that arrives later than this after it was sent. An
 # order without a reply keeps its capacity reserved for at least this long, until a
@@ -28,9 +34,10 @@
 # Another leader may have renewed the lease just before it expired; it stops the
 # orphans on the worker within this time.
 TAKEOVER_GRACE_S = 0.8
-# While an unclaimed run keeps the lease from being extended: soon after the run is
-# claimed or stopped, the others on the worker need the next renewal.
+# While a run keeps the lease from being extended: soon after the run has ended or its
+# offer was repeated, the others on the worker need the next renewal.
 _SHORT_RENEWAL_WAIT_S = 0.1
+_SHORT_LEASE_S = 0.6  # an offer that is repeated in time leaves more
 # A renewal extends the lease only if the last reply is no older than this. While
 # renewals are answered, each one follows the last reply within 0.4 s. A worker counts
 # as responsive for twice this time after its last reply, and is given the same time
@@ -66,10 +73,6 @@
             the first reply, this is when this host first claimed the worker.
         listed_at: When the renewal was sent whose reply was the last one but one, by
             the leader's clock, s. Runs in that reply had not ended by then.
-        has_orphans: Whether it may have runs that belong to no job of this leader.
-        orphan_lease_until: End of the lease that renewals ask for at the latest while
-            it has, by the leader's clock, s. The host of their jobs may be lost, and
-            this leader, too, before it has stopped them.
         reservations: Reservations of all runs that hold or may hold capacity; a
             read-only view.
 
@@ -80,6 +83,7 @@
         now: The leader's clock, s.
         note_change: Called with its name when its free capacity may have changed,
             but not when its entry is replaced.
+        stops_s: Time that it may take to stop a run whose offer has lapsed, s.
     """
 
     def __init__(
@@ -89,20 +93,19 @@
         lease_s: float,
         now: float,
         note_change: Callable[[str], object] = lambda name: None,
+        stops_s: float = 0.2,
     ) -> None:
         self.entry = entry
         self._note_change = note_change
         self.token = token
         self.fenced = self.superseded = False
         self.confirmed = False
-        self._lease_s = lease_s
+        self._lease_s, self._stops_s = lease_s, stops_s
         self._claimed_at = now
         self.incarnation: int | None = None
         self._clock_at_reply_s = 0.0
         self.last_reply_at = now
         self.listed_at = self._newest_list_at = now
-        self.has_orphans = False
-        self.orphan_lease_until = -math.inf
         self._last_seen_end = 0
         # By the worker's clock: end of the lease, or deadline of an order if later.
         self._may_run_until_s = 0.0
@@ -201,21 +204,28 @@
         return now > self.last_reply_at + left_s / _MIN_CLOCK_RATE + TAKEOVER_GRACE_S
 
     def next_renewal(self, now: float) -> Renewal:
-        """Return the renewal to send now and note the lease that it asks for."""
-        deadline_s = None
-        if self.incarnation is not None and now - self.last_reply_at <= MAX_REPLY_AGE_S:
-            # If renewals without replies extended the lease, this leader could
-            # never conclude that it has expired.
-            lease_s = self._lease_s
-            if self.has_orphans:
-                lease_s = min(lease_s, self.orphan_lease_until - now)
-            if lease_s > 0:
-                deadline_s = self.clock_s(now) + lease_s
-                if deadline_s > self._may_run_until_s:
-                    self._may_run_until_s = deadline_s
+        """Return the renewal to send now and note the lease that it asks for.
+
+        The lease ends when the first run there must have ended unless its offer is
+        repeated: this leader may be lost before it has stopped that run, or its stop
+        orders may be.
+        """
+        deadline_s, lease_s = None, self._lease_s
+        # Runs for each reply of each worker, so the usual case makes no calls.
+        for reservation in self._reservations.values():
+            left_s = reservation.job.offer_lapses_at + self._stops_s - now
+            if left_s < lease_s:
+                lease_s = left_s
+        # If renewals without replies extended the lease, this leader could never
+        # conclude that it has expired.
+        responds = now - self.last_reply_at <= MAX_REPLY_AGE_S
+        if self.incarnation is not None and responds and lease_s > 0:
+            deadline_s = self.clock_s(now) + lease_s
+            if deadline_s > self._may_run_until_s:
+                self._may_run_until_s = deadline_s
         wait_s = RENEWAL_WAIT_S if self.confirmed else 0.0
-        if self.has_orphans:
-            wait_s = min(wait_s, _SHORT_RENEWAL_WAIT_S)
+        if lease_s < _SHORT_LEASE_S and wait_s:
+            wait_s = _SHORT_RENEWAL_WAIT_S
         return Renewal(self.token, self._last_seen_end, deadline_s, wait_s, now)
 
     def apply_renewal_reply(
@@ -245,7 +255,7 @@
         return changes
 
     def reserve(
-        self, now: float, run: Run, needs: Resources, wanted_s: float = math.inf
+        self, now: float, run: Run, needs: Resources, job: Offered = UNLIMITED
     ) -> float:
         """Reserve capacity for a run and return the deadline of its order.
 
@@ -255,14 +265,21 @@
             now: The leader's clock, s.
             run: The run.
             needs: Capacity that it takes.
-            wanted_s: Time after which it must not start any more, s.
+            job: What it is done for. It must not start after the offer of that.
         """
-        validity_s = wanted_s if wanted_s < ORDER_VALIDITY_S else ORDER_VALIDITY_S
+        validity_s = job.offer_lapses_at - now
+        if validity_s > ORDER_VALIDITY_S:
+            validity_s = ORDER_VALIDITY_S
+        # The deadline extends the lease of the other runs as well.
+        for reservation in self._reservations.values():
+            left_s = reservation.job.offer_lapses_at + self._stops_s - now
+            if left_s < validity_s:
+                validity_s = left_s
         deadline_s = self.clock_s(now) + validity_s
         if deadline_s > self._may_run_until_s:
             self._may_run_until_s = deadline_s
         ordered = ReservationState.ORDERED
-        self._add(Reservation(run, needs, ordered, deadline_s, self.token, now))
+        self._add(Reservation(run, needs, ordered, deadline_s, job, self.token, now))
         return deadline_s
 
     def apply_order_reply(
@@ -306,6 +323,12 @@
             self._unknown_needs -= 1
             self._invalidate_free_capacity()
 
+    def set_job(self, run: Run, job: Offered) -> None:
+        """Set what a discovered run is done for."""
+        reservation = self._reservations.get(run)
+        if reservation is not None:
+            reservation.job = job
+
     def end_is_unknown(self, reservation: Reservation) -> bool:
         """Return whether another leader may have acknowledged the end of a run.
 
@@ -367,7 +390,8 @@
         if run not in self._reservations:
             # An unknown run, such as one of an earlier leader, is closed like others.
             running = ReservationState.RUNNING
-            self._add(Reservation(run, Resources(), running, 0.0, self.token, 0.0))
+            found = Reservation(run, Resources(), running, 0.0, LAPSED, self.token, 0.0)
+            self._add(found)
         match kind:
             case RunEndKind.DONE:
                 return [self._close_run(run, RunOutcome.DONE)]
@@ -387,7 +411,9 @@
             if reservation is None:
                 self._unknown_needs += 1
                 running = ReservationState.RUNNING
-                self._add(Reservation(run, None, running, 0.0, self.token, now, now))
+                token = self.token
+                found = Reservation(run, None, running, 0.0, LAPSED, token, now, now)
+                self._add(found)
                 changes.append(RunDiscovered(run))
                 continue
             reservation.token = self.token
--- a/packages/poplarhilld/tests/leases/test_lapse.py
+++ b/packages/poplarhilld/tests/leases/test_lapse.py
@@ -1,8 +1,9 @@
 """Expiry of the lease on a worker that does not reply."""
 
+from poplarhill.types import Resources
 from poplarhill_dev.leased import LEASE_S, worker_entry
 from poplarhilld.leading.runs import ORPHAN_TIMEOUT_S
-from poplarhilld.leases import LeasedWorker, LeaseReply
+from poplarhilld.leases import Lapsing, LeasedWorker, LeaseReply, Run
 
 
 def worker_after_one_reply() -> LeasedWorker:
@@ -40,3 +41,26 @@
     for step in range(1, 40):
         worker.next_renewal(step * 0.05)
     assert worker.lease_has_expired(2.5 * LEASE_S)
+
+
+# Guards against runs that outlast their offer by the lease on their worker.
+def test_no_renewal_and_no_order_extends_the_lease_past_an_offer() -> None:
+    worker = LeasedWorker(worker_entry("w1"), 7, LEASE_S, 0.0, stops_s=0.2)
+    reply = LeaseReply(50.0, 1, (Run("a.0.0.0", 1),), ())
+    worker.apply_renewal_reply(0.0, worker.next_renewal(0.0), reply)
+    worker.set_job(Run("a.0.0.0", 1), Lapsing(0.1))
+    renewal = worker.next_renewal(0.0)
+    assert abs(renewal.deadline_s - 50.3) < 1e-6
+    assert renewal.wait_s < 0.2  # the next one may extend it
+    order_deadline_s = worker.reserve(0.0, Run("b.0.0.0", 1), Resources(1.0, 64, 0))
+    assert abs(order_deadline_s - 50.3) < 1e-6
+
+
+# Guards against renewals that are sent more often than before while offers arrive.
+def test_an_offer_that_is_repeated_in_time_takes_no_more_renewals() -> None:
+    worker = worker_after_one_reply()
+    plain = worker.next_renewal(0.0)
+    worker.reserve(0.0, Run("a.0.0.0", 1), Resources(1.0, 64, 0), Lapsing(0.65))
+    renewal = worker.next_renewal(0.0)
+    assert renewal.wait_s == plain.wait_s
+    assert renewal.deadline_s > 50.0 + 2 * renewal.wait_s
