--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -322,8 +322,6 @@
         if self._state.renewal_backoff_s:
             self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
-        if worker.has_orphans:
-            worker.has_orphans = self._state.runs.has_orphans(name)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
         if self._state.placement_up_to_date:
             return actions
@@ -342,9 +340,11 @@
             return []
         if not isinstance(reply, LeaseReply):
             return []
-        return self._group.apply_reply(
-            now, worker, renewal, reply
-        ) + self._assignment.assign(now)
+        actions = self._group.apply_reply(now, worker, renewal, reply)
+        if worker.token != renewal.token:
+            # The reply to the renewal under way does not count any more.
+            actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
+        return actions + self._assignment.assign(now)
 
     def handle_start_reply(
         self, now: float, name: str, run: Run, reply: OrderReply
@@ -354,6 +354,8 @@
         if worker is None:
             return []
         actions: list[LeaderAction] = []
+        fenced = reply.outcome is OrderOutcome.FENCED
+        superseded = fenced and not worker.was_ordered_earlier(run)
         changes = worker.apply_order_reply(now, run, reply)
         match reply.outcome:
             case OrderOutcome.ACCEPTED:
@@ -373,8 +375,8 @@
                     actions.append(
                         worker_state(now, worker, "ejected", reply.outcome.value)
                     )
-            case OrderOutcome.FENCED:
-                actions += self._group.mark_fenced(now, worker)
+            case OrderOutcome.FENCED if superseded:
+                actions += self._group.mark_fenced(now, worker, superseded=True)
             case OrderOutcome.REPLACED:
                 self._state.health.note_no_reply(now, name)
         for change in changes:
