--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -81,6 +81,8 @@
         remote_slowdown: Factor on the run times of tasks whose data is in another rack.
         overloads: Times of the starts that took more than the free capacity.
         on_end: Callback for the end of a run; takes the time, the run and the kind.
+        on_acknowledged: Callback for a run whose end is acknowledged, unless the lease
+            has lapsed since.
         lapsed_at: When its lease last expired, s.
         done: Tasks whose end a leader has acknowledged while the lease held.
         clock_zero: When its clock began, s.
@@ -100,6 +102,7 @@
     remote_slowdown: float = 1.0
     overloads: list[float] = field(default_factory=list)
     on_end: Callable[[float, Run, RunEndKind], None] = lambda at, run, kind: None
+    on_acknowledged: Callable[[Run], None] = lambda run: None
     lapsed_at: float = -1.0
     done: set[str] = field(default_factory=set)
     clock_zero: float = 0.0
@@ -129,6 +132,8 @@
         for end in self.ends:
             if end.sequence <= renewal.last_seen:
                 lapsed = self.lapsed_at >= self._ended_at.pop(end.run)
+                if not lapsed:
+                    self.on_acknowledged(end.run)
                 if end.kind is RunEndKind.DONE and not lapsed:
                     self.done.add(end.run.task)
         self.ends = [end for end in self.ends if end.sequence > renewal.last_seen]
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
@@ -52,36 +52,11 @@
     Attributes:
         stop_delay_s: Returns how long the next stop takes, s.
         held: Renewals that wait for the end of a run.
-        on_acknowledged: Callback for a run whose end is acknowledged, unless the lease
-            has lapsed since.
     """
 
     stop_delay_s: Callable[[], float] = lambda: 0.0
     held: list[HeldRenewal] = field(default_factory=list)
-    on_acknowledged: Callable[[Run], None] = lambda run: None
     _stopped: set[Run] = field(default_factory=set)
-    _ended_at: dict[Run, float] = field(default_factory=dict)
-    _lapsed_at: float = 0.0
-
-    def renew(self, now: float, renewal: Renewal) -> LeaseReply | RenewalFailure:
-        """Apply a renewal and reply at once, without waiting for a run to end."""
-        self.advance(now)
-        before = self.ends
-        reply = super().renew(now, renewal)
-        if len(self.ends) < len(before):
-            for end in before:
-                ended_at = self._ended_at.pop(end.run, 0.0)
-                if end in self.ends:
-                    self._ended_at[end.run] = ended_at
-                elif ended_at > self._lapsed_at:
-                    self.on_acknowledged(end.run)
-        return reply
-
-    def advance(self, now: float) -> None:
-        """End the runs that are complete or that outlast the lease."""
-        super().advance(now)
-        if now > self.lease_until:
-            self._lapsed_at = self.lease_until
 
     def stop(self, now: float, run: Run, token: int) -> bool:
         """Apply an order to stop a run, which ends a little later."""
@@ -102,14 +77,12 @@
         """Restart the process: a new incarnation under the same name."""
         super().restart(now)
         self._stopped.clear()
-        self._ended_at.clear()
 
     def _end(self, at: float, run: Run, kind: RunEndKind) -> None:
         if run in self._stopped:
             self._stopped.discard(run)
             if kind is not RunEndKind.LAPSED:
                 kind = RunEndKind.STOPPED
-        self._ended_at[run] = at
         super()._end(at, run, kind)
 
 
