Known red: a job ends before the time that its caller states

Reported by the users: of the largest tenth of balance-transfer too few are served. A caller states in each request how long it waits for a response. If the timeout of the route is shorter, the job is ended at that and its caller gets a 504.

--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -66,6 +66,14 @@
     assert of_type(answers, AnswerCaller) == [AnswerCaller(1, None)]
 
 
+# A job whose caller had said that it waits for 3 s was ended after 1.5 s.
+def test_a_job_is_not_ended_while_its_caller_says_that_it_waits() -> None:
+    submissions = limited(route_timeout_s=1.5, caller_timeout_s=3.0)
+    assert not of_type(submissions.tick(2.9), AnswerCaller)
+    answers = submissions.apply_report(2.95, "h1", JobEnded("a"))
+    assert of_type(answers, AnswerCaller) == [AnswerCaller(1, None)]
+
+
 def test_a_job_is_given_up_at_the_timeout_of_its_route() -> None:
     submissions = limited(route_timeout_s=1.4, caller_timeout_s=1.5)
     [answer] = of_type(submissions.tick(1.4), AnswerCaller)
