Infer earlier attempts only where callers state one time

A caller that retries has less time left than usual, so a leader counts the difference to the longest recent timeout of the route as time already waited. Where callers state times of their own, one patient caller made all others count as retries: their jobs were late on arrival, went behind new ones, and were refused as starved.

Cause: the longest time that any caller of a route states was taken for the usual one. Change: the usual timeout of a route is the one that half of its last 16 jobs have; if there is none, nothing is inferred.

test_a_caller_that_states_a_long_time_delays_no_others fails before.

--- a/packages/poplarhilld/src/poplarhilld/leading/demand.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/demand.py
@@ -1,10 +1,13 @@
 """Arrival rates, sizes and timeouts of the jobs of each route or service."""
 
 import math
+from collections import Counter, deque
 
 _MEMORY_S = 10.0  # time constant; traffic changes within about ten seconds
 _WORK_MEMORY_S = 1.5  # a burst lasts some seconds
 _FIRST_RATE = 0.1  # jobs per second of a route without any job so far
+_RECENT_TIMEOUTS = 16  # jobs of a route whose timeouts are compared
+_TIMEOUT_DECIMALS = 2  # timeouts that differ by less than 10 ms count as equal
 
 
 class Demand:
@@ -14,7 +17,8 @@
         self._rates: dict[str, tuple[float, float]] = {}
         self._mean_core_seconds: dict[str, float] = {}
         self._work_rates: dict[str, tuple[float, float]] = {}
-        self._timeouts: dict[str, tuple[float, float]] = {}
+        self._timeouts: dict[str, deque[float]] = {}
+        self._usual_timeouts: dict[str, float] = {}
 
     def note_arrival(self, now: float, route: str, core_seconds: float) -> None:
         """Note a new job.
@@ -29,15 +33,21 @@
         mean = self._mean_core_seconds.get(route, core_seconds)
         self._mean_core_seconds[route] = mean + (core_seconds - mean) / _MEMORY_S
 
-    def longest_timeout_s(self, now: float, route: str) -> float:
-        """Return the longest recent timeout of callers of a route, s; 0 if unknown."""
-        longest_s, since = self._timeouts.get(route, (0.0, now))
-        return longest_s if now - since <= _MEMORY_S else 0.0
+    def usual_timeout_s(self, route: str) -> float:
+        """Return the timeout of half of the recent callers of a route or more, s.
 
-    def note_timeout(self, now: float, route: str, timeout_s: float) -> None:
+        Returns:
+            0 if there is none, because callers state times of their own.
+        """
+        return self._usual_timeouts.get(route, 0.0)
+
+    def note_timeout(self, route: str, timeout_s: float) -> None:
         """Note the timeout of the caller of a new job, s."""
-        if timeout_s >= self.longest_timeout_s(now, route):
-            self._timeouts[route] = (timeout_s, now)
+        timeouts = self._timeouts.setdefault(route, deque(maxlen=_RECENT_TIMEOUTS))
+        timeouts.append(round(timeout_s, _TIMEOUT_DECIMALS))
+        counts = Counter(timeouts)
+        common = [t for t, count in counts.items() if 2 * count >= len(timeouts)]
+        self._usual_timeouts[route] = max(common, default=0.0)
 
     def rate(self, now: float, route: str) -> float:
         """Return the recent arrival rate of a route, jobs per second."""
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -11,6 +11,8 @@
 from poplarhilld.leases import Run
 from poplarhilld.peers.messages import JobOffer, LostWorker, StepSpec
 
+_SAME_TIMEOUT_S = 0.01  # timeouts that differ by less count as equal
+
 
 def step_prefix(job_id: str, step: int) -> str:
     """Return what the names of the tasks of a step begin with.
@@ -115,8 +117,6 @@
         host: The entry host that offered it.
         now: The leader's clock, s.
         step_s: Expected run time of a task of each step, s.
-        earlier_wait_s: How long its caller had waited before the job arrived at its
-            entry host, s.
         spread: How far run times lie from their estimates.
     """
 
@@ -126,7 +126,6 @@
         host: str,
         now: float,
         step_s: Sequence[float],
-        earlier_wait_s: float = 0.0,
         spread: RunTimeSpread | None = None,
     ) -> None:
         self.offer = offer
@@ -169,9 +168,8 @@
         self.least_run_s = spread.least_run_s(offer.route, self.run_s)
         self._home_least_run_s = self.least_run_s
         self.held = False
-        asked_at = self.arrived_at - earlier_wait_s
-        self.due = asked_at + offer.stretch * self.run_s + offer.allowance_s
-        self._home_due = self.due
+        self.due = self.arrived_at + offer.stretch * self.run_s + offer.allowance_s
+        self._first_due = self._home_due = self.due
 
     @property
     def complete(self) -> bool:
@@ -225,10 +223,20 @@
             return self._step_s[task.step]
         return self.home_step_s[task.step] * task.run_factor
 
-    def move_due(self, by_s: float) -> None:
-        """Make it due later, or earlier if the time is negative."""
-        self.due += by_s
-        self._home_due += by_s
+    def set_usual_timeout(self, usual_s: float) -> None:
+        """Make it due earlier by the time that its caller has spent on attempts before.
+
+        A caller that tries again has less time left than the callers of its route
+        usually have.
+
+        Args:
+            usual_s: Usual timeout of the callers of its route, s; 0 if there is none.
+        """
+        timeout_s = self.offer.elapsed_s + self.offer.left_s
+        earlier_s = usual_s - timeout_s
+        home_due = self._first_due - (earlier_s if earlier_s > _SAME_TIMEOUT_S else 0.0)
+        self.due += home_due - self._home_due
+        self._home_due = home_due
 
     def set_run_factors(self, factors: tuple[float, ...]) -> None:
         """Set the factors on the run times of the steps where they would run.
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -116,7 +116,7 @@
         late = self._late.find_refusal(now, host, job)
         if late is not None:
             return self._refuse(subscriber, offer, now, late)
-        self._note_timeout(now, offer)
+        self._note_timeout(offer)
         self._state.suspects.add_job(job)
         deadly = find_deadly_task(job, self._outcomes.has_crashed)
         if deadly is not None:
@@ -198,29 +198,26 @@
             self._state.times.expected_s(offer.route, step.run_time_s)
             for step in offer.steps
         ]
-        timeout_s = offer.elapsed_s + offer.left_s
-        longest_timeout_s = self._state.demand.longest_timeout_s(now, offer.route)
-        # Time that the caller has spent on earlier attempts.
-        earlier_wait_s = max(0.0, longest_timeout_s - timeout_s)
-        job = LedJob(offer, host, now, step_s, earlier_wait_s, self._state.spread)
+        job = LedJob(offer, host, now, step_s, self._state.spread)
+        job.set_usual_timeout(self._state.demand.usual_timeout_s(offer.route))
         job.ran_before = self._state.history.was_ordered(offer.job_id)
         return job
 
-    def _note_timeout(self, now: float, offer: JobOffer) -> None:
-        """Update the longest recent timeout of callers of a route from a new offer.
+    def _note_timeout(self, offer: JobOffer) -> None:
+        """Note the timeout of the caller of a new job.
 
-        A caller that retries has less time left than usual. If this offer raises the
-        longest timeout, the callers of queued jobs of the route have spent more time on
-        earlier attempts than was assumed, so these jobs become due earlier.
+        If this changes the usual timeout of the route, the callers of its queued jobs
+        have spent more or less time on earlier attempts than was assumed.
         """
-        timeout_s = offer.elapsed_s + offer.left_s
-        longest_timeout_s = self._state.demand.longest_timeout_s(now, offer.route)
-        self._state.demand.note_timeout(now, offer.route, timeout_s)
-        if not 0 < longest_timeout_s < timeout_s:
+        demand, route = self._state.demand, offer.route
+        before_s = demand.usual_timeout_s(route)
+        demand.note_timeout(route, offer.elapsed_s + offer.left_s)
+        usual_s = demand.usual_timeout_s(route)
+        if usual_s == before_s:
             return
         for job in self._state.queue.jobs:
-            if job.offer.route == offer.route:
-                job.move_due(longest_timeout_s - timeout_s)
+            if job.offer.route == route:
+                job.set_usual_timeout(usual_s)
 
     def _expected_wait_s(self, now: float, job: LedJob) -> float:
         cores = self._state.capacity().of_service(job.offer.service)
--- a/packages/poplarhilld/tests/leading/test_jobs.py
+++ b/packages/poplarhilld/tests/leading/test_jobs.py
@@ -127,3 +127,17 @@
     world.run(1.5)
     ended = {r.job_id: at for at, _, r in world.reports if isinstance(r, JobEnded)}
     assert ended["new"] < ended["again"]
+
+
+# A caller that stated a long time made all other jobs of its route count as retries:
+# they went behind it as late, or were refused as such.
+def test_a_caller_that_states_a_long_time_delays_no_others(world: World) -> None:
+    world.submit("h1", simulated_job("first", tasks=8, run_s=0.1, left_s=2.1))
+    for number, left_s in enumerate((2.0, 2.3, 2.2, 1.9)):
+        job = simulated_job(f"j{number}", tasks=2, run_s=0.2, left_s=left_s)
+        world.submit("h1", job)
+    world.submit("h1", simulated_job("patient", tasks=8, run_s=0.2, left_s=4.8))
+    world.run(2.0)
+    ended = {r.job_id: at for at, _, r in world.reports if isinstance(r, JobEnded)}
+    assert max(ended[f"j{number}"] for number in range(4)) < ended["patient"]
+    assert not any(r.error for _, _, r in world.reports if isinstance(r, JobEnded))
--- a/packages/poplarhilld/tests/locality/test_kept_state.py
+++ b/packages/poplarhilld/tests/locality/test_kept_state.py
@@ -133,7 +133,7 @@
     offer = job_offer("j1", run_s=0.2)._replace(stretch=1.5)
     job = LedJob(offer, "e1", 10.0, [0.2])
     due = job.due
-    job.move_due(-0.3)
+    job.set_usual_timeout(offer.left_s + 0.3)
     job.set_run_factors((2.0,))
     assert job.due == pytest.approx(due - 0.3 + 1.5 * 0.2)
     job.set_run_factors((1.0,))
