Judge what a late host accepts by the time of the request

A late host accepts a job that can bear its delay, whatever its priority. On arrival it took the timeout of the route for the time of the caller, so that it accepted jobs whose callers wait for less than the delay costs. A leader took the time until the caller's deadline: with patient callers most jobs are accepted, the delay grows, and jobs of a better priority with impatient callers are refused instead.

Change: on arrival the shorter of the route's timeout and the time that the caller states; at a leader, which knows how long such jobs run, the time until the job is due.

--- a/packages/poplarhill-dev/tests/adapter/test_late_host.py
+++ b/packages/poplarhill-dev/tests/adapter/test_late_host.py
@@ -38,3 +38,28 @@
         assert not any(worker.peak_cores for worker in platform.workers)
 
     platform.run_scenario(scenario)
+
+
+# The timeout of the route was taken for the time of a caller that waits for less, so
+# that its job was accepted although the delay used up that time.
+def test_a_late_host_goes_by_the_time_that_a_caller_states(
+    platform, monkeypatch
+) -> None:
+    limits = []
+
+    def find_refusal(now: float, priority: int, source: str, limit_s: float) -> None:
+        limits.append(limit_s)
+
+    async def scenario(platform) -> None:
+        while not platform.host.ready:
+            await curio.sleep(0.05)
+        control = platform.host._state.overload
+        monkeypatch.setattr(control, "find_refusal", find_refusal)
+        for number, wait_ms in enumerate(("300", "9000", "")):
+            fields = {"deadline-ms": wait_ms}
+            path = f"/r0/{number:016x}"
+            request = Request("POST", path, "", fields, b"no JSON")
+            await fetch(*platform.settings.callers, request, 5.0)
+
+    platform.run_scenario(scenario)
+    assert limits == [0.3, 1.5, 1.5]
--- a/packages/poplarhilld/src/poplarhilld/entry/callers.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/callers.py
@@ -29,17 +29,25 @@
         self._metrics = metrics
         self._count = 0
 
-    def find_refusal(self, route: Route, job_id: str) -> Failure | None:
+    def find_refusal(
+        self, route: Route, job_id: str, caller_timeout_s: float
+    ) -> Failure | None:
         """Return why a new job is refused on arrival, or `None` if it is accepted.
 
         A job that is in flight here already is accepted: it may have run.
+
+        Args:
+            route: Its route.
+            job_id: Its id.
+            caller_timeout_s: Longest time that the caller waits for the answer, s;
+                infinite if the request does not say.
         """
         state = self._state
         if state.submissions.is_in_flight(job_id) or job_id in state.leader.jobs:
             return None
-        shed = state.overload.find_refusal(
-            uptime(), route.priority, "caller", route.timeout_s
-        )
+        # Patient callers do not make this host later for others of their route.
+        limit_s = min(route.timeout_s, caller_timeout_s)
+        shed = state.overload.find_refusal(uptime(), route.priority, "caller", limit_s)
         if shed is None:
             return None
         self._metrics.jobs.labels(route.name, shed.failure.kind.value).inc()
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -1,5 +1,6 @@
 """The process of an entry host, on one curio event loop."""
 
+import math
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -183,9 +184,11 @@
         state = self._state
         return state.submissions.is_in_flight(job_id) or job_id in state.leader.jobs
 
-    def find_refusal(self, route: Route, job_id: str) -> Failure | None:
+    def find_refusal(
+        self, route: Route, job_id: str, caller_timeout_s: float = math.inf
+    ) -> Failure | None:
         """Return why a new job is refused before its request is read, if so."""
-        return self._callers.find_refusal(route, job_id)
+        return self._callers.find_refusal(route, job_id, caller_timeout_s)
 
     async def submit(self, submission: Submission) -> Failure | None:
         """Run a job and return its failure, or `None` once it is complete."""
--- a/packages/poplarhilld/src/poplarhilld/leading/late.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/late.py
@@ -33,7 +33,7 @@
         """
         if self._overload is None or host == self._own_name or self._may_have_run(job):
             return None
-        left_s = job.deadline - now
+        left_s = min(job.due, job.deadline) - now
         shed = self._overload.find_refusal(now, job.offer.priority, "offer", left_s)
         if shed is None:
             return None
--- a/packages/poplarhilld/src/poplarhilld/overload/control.py
+++ b/packages/poplarhilld/src/poplarhilld/overload/control.py
@@ -21,7 +21,7 @@
 # A job passes the loops of its hosts about five times: request, offer, start, end of
 # the run and report.
 _TURNS_PER_JOB = 5
-_DELAYED_SHARE = 1 / 3  # of the time that a caller waits; the rest is left for the run
+_DELAYED_SHARE = 1 / 3  # of the time of a job; the rest is left for the run
 _GOLDEN_RATIO = 0.6180339887  # its multiples lie evenly in any interval
 
 
@@ -111,8 +111,8 @@
             now: The clock of the process, s.
             priority: Priority of its route; 0 is the best.
             source: Who sends it: `caller` or `offer`.
-            limit_s: How long its caller waits, s. A job that can bear the delay is
-                accepted.
+            limit_s: Time in which it is to be answered, s. A job that can bear the
+                delay is accepted.
         """
         if self._late_since is None:
             if not self._meter.is_late(now):
--- a/packages/poplarhilld/src/poplarhilld/overload/delay.py
+++ b/packages/poplarhilld/src/poplarhilld/overload/delay.py
@@ -1,12 +1,12 @@
 """How late an event loop is, measured from its own events."""
 
 # A job passes the loops of its hosts about five times (request, offer, start, end of
-# the run, report). Five such delays take 0.5 s of the 1.5 s that callers wait. It is
-# also the period in which a processor limit is enforced: a process that has used up
-# its part is delayed by nearly one period without any backlog.
+# the run, report). Five such delays take 0.5 s, a third of a route's usual timeout.
+# It is also the period in which a processor limit is enforced: a process that has used
+# up its part is delayed by nearly one period without any backlog.
 TARGET_DELAY_S = 0.1
-# Five such delays take all that callers wait, so nothing would end in time, whatever
-# delays the loop.
+# Five such delays take the whole timeout of a route, so nothing would end in time,
+# whatever delays the loop.
 IDLE_TARGET_DELAY_S = 0.3
 # Below this share of its processor, a process is delayed by others on its machine,
 # not by its own work.
--- a/packages/poplarhilld/tests/overload/test_hooks.py
+++ b/packages/poplarhilld/tests/overload/test_hooks.py
@@ -70,6 +70,18 @@
     assert not late
 
 
+# Jobs of patient callers were all accepted, so that a late leader refused those of a
+# better priority instead.
+def test_a_late_leader_refuses_jobs_whose_callers_wait_long_beyond_their_objective(
+    late_control,
+) -> None:
+    world = late_world(late_control)
+    for n in range(JOBS):
+        job = simulated_job(f"j{n}", tasks=1, run_s=0.05, left_s=60.0)
+        world.submit("h1", job, host="e2")
+    assert len(refusals(world)) >= 0.8 * JOBS
+
+
 # The jobs of a late leader must not all go to the one leader that looks best.
 def test_a_late_leader_is_not_chosen_and_its_jobs_are_spread() -> None:
     late = Load(800.0, 800.0, 0.0, 1.0, late=True)
