Refuse at a stopping host only what probably ends after it

A host that stops refuses a job whose limit is longer than the rest of its grace period, since it may not live to answer it.

Cause: the limit was taken for how long the job takes. Change: the host learns from its own answers how long the jobs of a route take in relation to what they declare, and accepts those of which 19 in 20 are answered before it stops. What is not answered by then gets a 504 one second before the end of the grace period, as before, so that no connection ends without an answer. A job that declares no run time goes by its limit.

test_a_stopping_host_accepts_a_short_job_of_a_patient_caller fails before; the tests of a stop over real connections pass.

--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -10,6 +10,7 @@
 from poplarhilld.leading.spread import RunTimeSpread
 from poplarhilld.leases import Run
 from poplarhilld.peers.messages import JobOffer, LostWorker, StepSpec
+from poplarhilld.peers.steps import longest_chain_s
 
 _SAME_TIMEOUT_S = 0.01  # timeouts that differ by less count as equal
 
@@ -163,7 +164,7 @@
         self._update_work()
         self.update_least_cores()
         self.home_step_s = self._step_s = tuple(step_s)
-        self.run_s = self.home_run_s = _longest_chain_s(offer, step_s)
+        self.run_s = self.home_run_s = longest_chain_s(offer.steps, step_s)
         spread = spread or RunTimeSpread()
         self.least_run_s = spread.least_run_s(offer.route, self.run_s)
         self._home_least_run_s = self.least_run_s
@@ -244,7 +245,7 @@
         This changes its queue cost, so `JobQueue.update` must be called next.
         """
         self._step_s = step_s = tuple(map(mul, self.home_step_s, factors))
-        self.run_s = _longest_chain_s(self.offer, step_s)
+        self.run_s = longest_chain_s(self.offer.steps, step_s)
         self.due = self._home_due + self.offer.stretch * (self.run_s - self.home_run_s)
         if self.home_run_s > 0:
             self.least_run_s = self._home_least_run_s * self.run_s / self.home_run_s
@@ -284,7 +285,7 @@
             if task.run is not None:
                 ran_s = (now - task.ordered_at) / task.run_factor
             step_s[task.step] = max(step_s[task.step], ran_s)
-        return _longest_chain_s(self.offer, step_s)
+        return longest_chain_s(self.offer.steps, step_s)
 
     def timing(self, now: float) -> JobTiming:
         """Return when its tasks started and how long they have run.
@@ -348,11 +349,3 @@
     def on_worker(self, step: int, worker: str) -> int:
         """Return how many tasks of a step run on a worker."""
         return sum(t.worker == worker and t.step == step for t in self.under_way)
-
-
-def _longest_chain_s(offer: JobOffer, step_s: Sequence[float]) -> float:
-    ends: list[float] = []
-    for step, run_s in zip(offer.steps, step_s, strict=True):
-        begin = max((ends[earlier] for earlier in step.after), default=0.0)
-        ends.append(begin + run_s)
-    return max(ends, default=0.0)
--- a/packages/poplarhilld/src/poplarhilld/leading/spread.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/spread.py
@@ -14,6 +14,7 @@
 # One job in 20 is done this many standard deviations below the mean. A job that needs
 # more luck is refused, as its caller is better off with an answer at once.
 _LEAST_DEVIATIONS = -1.645
+_MOST_DEVIATIONS = 1.645  # 19 jobs in 20 are done by then
 
 # With a lower share the bound lies far beyond what was seen; it is the best guess then.
 _MIN_SHARE_ABOVE = 1e-6
@@ -83,8 +84,16 @@
             route: The route.
             expected_s: Expected run time of a job, s.
         """
-        mean, variance, _ = self._routes.get(route, _PRIOR)
-        return expected_s * math.exp(mean + _LEAST_DEVIATIONS * math.sqrt(variance))
+        return self._run_s(route, expected_s, _LEAST_DEVIATIONS)
+
+    def most_run_s(self, route: str, expected_s: float) -> float:
+        """Return the run time that 19 jobs of a route in 20 stay below, s.
+
+        Args:
+            route: The route.
+            expected_s: Expected run time of a job, s.
+        """
+        return self._run_s(route, expected_s, _MOST_DEVIATIONS)
 
     def usual_factor(self, route: str) -> float:
         """Return the median run time of the jobs of a route over the expected one."""
@@ -94,6 +103,10 @@
         """Return the standard deviation of the logarithm of run times of a route."""
         return math.sqrt(self._routes.get(route, _PRIOR).variance)
 
+    def _run_s(self, route: str, expected_s: float, deviations: float) -> float:
+        mean, variance, _ = self._routes.get(route, _PRIOR)
+        return expected_s * math.exp(mean + deviations * math.sqrt(variance))
+
 
 def _truncated(spread: _Spread, least: float) -> tuple[float, float]:
     """Return mean and variance of the values above a bound."""
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -15,6 +15,7 @@
     OfferedJob,
 )
 from poplarhilld.peers.offer_limits import DEFAULT_LIMITS, OfferLimits
+from poplarhilld.submissions.answer_times import AnswerTimes
 from poplarhilld.submissions.choice import choose_leader
 from poplarhilld.submissions.messages import (
     AnswerCaller,
@@ -67,6 +68,7 @@
         self._open_leaders: Mapping[str, LeaderView] = {}
         self._leaderless_since: float | None = None
         self._stop_at = math.inf
+        self._answer_times = AnswerTimes()
         self._transfers = TransferCounts()
         self._succession = Succession()
         self._ticked_at = math.inf
@@ -92,11 +94,14 @@
     def submit(
         self, now: float, number: int, submission: Submission
     ) -> list[SubmissionAction]:
-        """Accept a job, or refuse it if this host stops before its deadline."""
+        """Accept a job, or refuse it if this host probably stops before its end."""
         job = PendingJob(number, submission, now)
         self._jobs[number] = job
         self._by_id.setdefault(submission.job_id, set()).add(number)
-        if job.deadline > self._stop_at:
+        if (
+            job.deadline > self._stop_at
+            and now + self._answer_times.longest_s(submission) > self._stop_at
+        ):
             detail = f"this host stops in {self._stop_at - now:.1f} s"
             failure = Failure(
                 ErrorKind.SHUTTING_DOWN, detail, _SHUTTING_DOWN_RETRY_AFTER_S
@@ -439,6 +444,7 @@
     ) -> list[SubmissionAction]:
         submission = job.submission
         self._remove(job)
+        self._answer_times.note(submission, now - job.received_at, failure)
         answered = JobAnswered(
             submission.job_id,
             submission.route.name,
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -6,6 +6,7 @@
 import pytest
 
 from poplarhill import ErrorKind
+from poplarhill.exceptions import Failure
 from poplarhill.types import Resources
 from poplarhilld.catalogue import Route
 from poplarhilld.decisions import LogDecision
@@ -309,6 +310,41 @@
     assert answer.failure.retry_after_s == 0.0
 
 
+def submit_to_stopping(
+    submissions: Submissions, now: float, run_time_s: float
+) -> Failure | None:
+    """Submit a job with a limit of 30 s; return why it is refused, if it is."""
+    steps = (StepSpec(4, Resources(6.8, 64, 0), run_time_s),)
+    route = ROUTE._replace(timeout_s=30.0)
+    submission = Submission("a", route, "{}", steps, 30.0)
+    actions = submissions.submit(now, 9, submission)
+    failures = [answer.failure for answer in of_type(actions, AnswerCaller)]
+    return failures[0] if failures else None
+
+
+# From SIGTERM on, a host refused each job whose limit was longer than its grace period,
+# however short the job was.
+def test_a_stopping_host_accepts_a_short_job_of_a_patient_caller(submissions) -> None:
+    submissions.set_stop_time(5.0)
+    assert submit_to_stopping(submissions, 1.0, 0.2) is None
+
+
+def test_a_stopping_host_refuses_what_probably_ends_after_it(submissions) -> None:
+    submissions.set_stop_time(5.0)
+    for now, run_time_s in ((4.4, 0.2), (1.0, 4.0), (1.0, 0.0)):
+        failure = submit_to_stopping(submissions, now, run_time_s)
+        assert failure.kind is ErrorKind.SHUTTING_DOWN
+
+
+def test_a_stopping_host_goes_by_how_long_jobs_take(submissions) -> None:
+    for number in range(20):
+        submit_to_stopping(submissions, float(number), 0.2)
+        submissions.apply_report(number + 4.0, "h1", JobEnded("a"))
+    submissions.set_stop_time(25.0)
+    failure = submit_to_stopping(submissions, 20.5, 0.2)
+    assert failure.kind is ErrorKind.SHUTTING_DOWN
+
+
 def test_a_stopping_host_answers_jobs_in_flight_before_it_ends(
     submissions, submit
 ) -> None:
