Give a task that stalled once more time on its next worker

A run that takes four times as long as expected is stopped, and its task starts anew on another worker. A task that is itself that long was stopped again and again until its caller left: 3 % of the tasks of some users run seven times as long as the others. With callers that wait for less than that nobody could tell the difference.

Cause: the time alone was taken to show that the worker stands still. Change: each stalled run of a task doubles the time that its next one may take.

test_a_task_that_takes_far_longer_than_expected_is_done fails before.

--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -240,10 +240,15 @@
     def _check_stall(
         self, now: float, worker: LeasedWorker, task: LedTask, reservation: Reservation
     ) -> list[LeaderAction]:
-        """Stop a stalled run so that its task moves, if that can meet the deadline."""
+        """Stop a stalled run so that its task moves, if that can meet the deadline.
+
+        The next run of the task may take twice as long: if its time is up as well, the
+        task may be longer than expected, rather than both workers at a standstill.
+        """
         job = self._state.runs.job_of(task.name)
         expected_s = job.expected_s(task)
         limit_s = max(_STALL_FACTOR * expected_s, expected_s + _MIN_STALL_S)
+        limit_s *= 2**task.stalls
         if now - reservation.running_since < limit_s:
             check_at = reservation.running_since + limit_s - _ROUNDING_S
             reservation.stall_check_at = check_at
@@ -253,6 +258,7 @@
         name = worker.entry.name
         self._state.health.note_stall(name, reservation.run)
         task.avoid.add(name)
+        task.stalls += 1
         return self._closer.stop_run(now, worker, reservation.run, "it stalls")
 
     def apply_reply(
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -43,6 +43,7 @@
             data, s; 0 if that is unknown.
         run_factor: Factor on the run time of its last run, because of its rack.
         failures: Count of runs that failed.
+        stalls: Count of runs that were stopped because they took far too long.
         avoid: Workers on which a run of it failed, stalled or was lost.
         lost: Workers that were lost during a run of it and may have crashed under it.
     """
@@ -60,6 +61,7 @@
     took_s: float = 0.0
     run_factor: float = 1.0
     failures: int = 0
+    stalls: int = 0
     avoid: set[str] = field(default_factory=set)
     lost: set[LostWorker] = field(default_factory=set)
 
--- a/packages/poplarhilld/tests/leading/test_workers_lost.py
+++ b/packages/poplarhilld/tests/leading/test_workers_lost.py
@@ -63,6 +63,17 @@
     assert not world.violations
 
 
+# A task that takes seven times as long as its route's others was stopped and started
+# anew on one worker after the other until its caller left.
+def test_a_task_that_takes_far_longer_than_expected_is_done(world: World) -> None:
+    job = simulated_job("a", tasks=1, run_s=0.3, left_s=9.0)
+    job.runs["a.0.0.0"] = 7 * 0.3
+    world.submit("h1", job)
+    world.run(8.5)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 2
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_no_guarantee_is_broken_under_mixed_faults(seed: int, world: World) -> None:
     world.random.seed(seed)
