--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -10,6 +10,9 @@
 from poplarhilld.leading.spread import RunTimeSpread
 from poplarhilld.leases import Run
 from poplarhilld.peers.messages import JobOffer, LostWorker, StepSpec
+from poplarhilld.peers.steps import longest_chain_s
+
+_SAME_TIMEOUT_S = 0.01  # timeouts that differ by less count as equal
 
 
 def step_prefix(job_id: str, step: int) -> str:
@@ -40,6 +43,7 @@
             data, s; 0 if that is unknown.
         run_factor: Factor on the run time of its last run, because of its rack.
         failures: Count of runs that failed.
+        stalls: Count of runs that were stopped because they took far too long.
         avoid: Workers on which a run of it failed, stalled or was lost.
         lost: Workers that were lost during a run of it and may have crashed under it.
     """
@@ -57,6 +61,7 @@
     took_s: float = 0.0
     run_factor: float = 1.0
     failures: int = 0
+    stalls: int = 0
     avoid: set[str] = field(default_factory=set)
     lost: set[LostWorker] = field(default_factory=set)
 
@@ -117,8 +122,6 @@
         host: The entry host that offered it.
         now: The leader's clock, s.
         step_s: Expected run time of a task of each step, s.
-        earlier_wait_s: How long its caller had waited before the job arrived at its
-            entry host, s.
         spread: How far run times lie from their estimates.
     """
 
@@ -128,7 +131,6 @@
         host: str,
         now: float,
         step_s: Sequence[float],
-        earlier_wait_s: float = 0.0,
         spread: RunTimeSpread | None = None,
     ) -> None:
         self.offer = offer
@@ -167,14 +169,13 @@
         self._update_work()
         self.update_least_cores()
         self.home_step_s = self._step_s = tuple(step_s)
-        self.run_s = self.home_run_s = _longest_chain_s(offer, step_s)
+        self.run_s = self.home_run_s = longest_chain_s(offer.steps, step_s)
         spread = spread or RunTimeSpread()
         self.least_run_s = spread.least_run_s(offer.route, self.run_s)
         self._home_least_run_s = self.least_run_s
         self.held = False
-        asked_at = self.arrived_at - earlier_wait_s
-        self.due = asked_at + offer.stretch * self.run_s + offer.allowance_s
-        self._home_due = self.due
+        self.due = self.arrived_at + offer.stretch * self.run_s + offer.allowance_s
+        self._first_due = self._home_due = self.due
 
     @property
     def complete(self) -> bool:
@@ -228,10 +229,20 @@
             return self._step_s[task.step]
         return self.home_step_s[task.step] * task.run_factor
 
-    def move_due(self, by_s: float) -> None:
-        """Make it due later, or earlier if the time is negative."""
-        self.due += by_s
-        self._home_due += by_s
+    def set_usual_timeout(self, usual_s: float) -> None:
+        """Make it due earlier by the time that its caller has spent on attempts before.
+
+        A caller that tries again has less time left than the callers of its route
+        usually have.
+
+        Args:
+            usual_s: Usual timeout of the callers of its route, s; 0 if there is none.
+        """
+        timeout_s = self.offer.elapsed_s + self.offer.left_s
+        earlier_s = usual_s - timeout_s
+        home_due = self._first_due - (earlier_s if earlier_s > _SAME_TIMEOUT_S else 0.0)
+        self.due += home_due - self._home_due
+        self._home_due = home_due
 
     def set_run_factors(self, factors: tuple[float, ...]) -> None:
         """Set the factors on the run times of the steps where they would run.
@@ -239,7 +250,7 @@
         This changes its queue cost, so `JobQueue.update` must be called next.
         """
         self._step_s = step_s = tuple(map(mul, self.home_step_s, factors))
-        self.run_s = _longest_chain_s(self.offer, step_s)
+        self.run_s = longest_chain_s(self.offer.steps, step_s)
         self.due = self._home_due + self.offer.stretch * (self.run_s - self.home_run_s)
         if self.home_run_s > 0:
             self.least_run_s = self._home_least_run_s * self.run_s / self.home_run_s
@@ -279,7 +290,7 @@
             if task.run is not None:
                 ran_s = (now - task.ordered_at) / task.run_factor
             step_s[task.step] = max(step_s[task.step], ran_s)
-        return _longest_chain_s(self.offer, step_s)
+        return longest_chain_s(self.offer.steps, step_s)
 
     def timing(self, now: float) -> JobTiming:
         """Return when its tasks started and how long they have run.
@@ -343,11 +354,3 @@
     def on_worker(self, step: int, worker: str) -> int:
         """Return how many tasks of a step run on a worker."""
         return sum(t.worker == worker and t.step == step for t in self.under_way)
-
-
-def _longest_chain_s(offer: JobOffer, step_s: Sequence[float]) -> float:
-    ends: list[float] = []
-    for step, run_s in zip(offer.steps, step_s, strict=True):
-        begin = max((ends[earlier] for earlier in step.after), default=0.0)
-        ends.append(begin + run_s)
-    return max(ends, default=0.0)
