Let the next candidate claim a shard that the preferred host does not take

What callers saw in the simulated fleet: two of three data centres without a leader for 33 s, from the moment on in which their leaders had yielded.

Cause: who should lead follows from each host's list of workers. Hosts whose lists lacked most workers yielded to one with the whole list, by which these shards were not its to lead; all others waited for it.

Change: each next host of the data centre claims a shard a second later than the one before it, and moves no shard to a host that has not taken one for 30 s. test_data_centres_keep_a_leader_though_the_lists_of_hosts_differ was listed as red and passes.

--- a/packages/poplarhilld/src/poplarhilld/shards/claiming.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/claiming.py
@@ -31,6 +31,10 @@
 # To claim a shard whose workers another host leads as part of another shard. Hosts that
 # lead nothing read the list of workers every 2 s, or later if the store is slow.
 _SPLIT_WAIT_S = 10.0
+# From when a shard lacks a leader until each next candidate of its data centre claims
+# it. The one before may read another list of workers, by which it should not lead it.
+_CANDIDATE_WAIT_S = 1.0
+_DECLINED_S = 30.0  # no shards go to a host that has not taken one
 
 
 class Claiming:
@@ -44,6 +48,10 @@
     def __init__(self, fleet: Fleet, now: float) -> None:
         self._fleet = fleet
         self._takeover_wait_since: dict[str, float] = {}
+        # Since when each shard has had no leader while this host might have claimed it.
+        self._unclaimed_since: dict[str, float] = {}
+        # Until when each host counts as one that does not take shards.
+        self._declined_until: dict[str, float] = {}
         self._unreachable_since: dict[str, float] = {}
         self._relief_due_at = now
 
@@ -152,6 +160,8 @@
         for peer in self._fleet.peers.values():
             if not peer.live or peer.heartbeat.leaving or not peer.heartbeat.able:
                 continue
+            if now < self._declined_until.get(peer.name, now):
+                continue
             if (
                 self._fleet.large_fleet
                 and peer.heartbeat.data_centre != self._fleet.me.data_centre
@@ -188,6 +198,7 @@
         """
         if self._fleet.leader(shard) is not None:
             self._takeover_wait_since.pop(shard, None)
+            self._unclaimed_since.pop(shard, None)
             return []
         if (
             now < self._fleet.started_at + NEWCOMER_DELAY_S
@@ -212,7 +223,14 @@
             if reachable_since is None or now - reachable_since < _TAKEOVER_DELAY_S:
                 return []
             reason = "its data centre has no live host"
-        if self._preferred_leader(shard, shards) != self._fleet.me.name:
+        candidates = self._candidates(now, shard, shards)
+        if self._fleet.me.name not in candidates:
+            return []
+        before = candidates[: candidates.index(self._fleet.me.name)]
+        unclaimed_since = self._unclaimed_since.setdefault(shard, now)
+        if now - unclaimed_since < len(before) * _CANDIDATE_WAIT_S or (
+            remote and before
+        ):
             return []
         if remote and self._fleet.large_fleet and self._fleet.has_live_host(centre):
             # The hosts there are starting or leaving. They get time before a host of
@@ -221,6 +239,8 @@
             if now - since < _TAKEOVER_DELAY_S:
                 return []
         self._takeover_wait_since.pop(shard, None)
+        del self._unclaimed_since[shard]
+        self._declined_until.update(dict.fromkeys(before, now + _DECLINED_S))
         epoch = self._fleet.tokens.next(time_s)
         self._fleet.leading_since_epoch = self._fleet.leading_since_epoch or epoch
         self._fleet.claims[shard] = Claim(shard, epoch, shards[shard])
@@ -246,8 +266,8 @@
         added_cores = (
             self._fleet.busy * self._fleet.me.cores * workers / max(1, own_workers)
         )
-        name = self._preferred_leader(shard, shards)
-        peer = self._fleet.peers.get(name or "")
+        candidates = self._candidates(now, shard, shards)
+        peer = self._fleet.peers.get(candidates[0]) if candidates else None
         if (
             peer is None
             or peer.heartbeat.data_centre != self._fleet.me.data_centre
@@ -274,14 +294,17 @@
             for beat in self._fleet.leaders.values()
         )
 
-    def _preferred_leader(self, shard: str, shards: Mapping[str, int]) -> str | None:
-        """Return the host that should lead a shard that has no leader, if any.
+    def _candidates(
+        self, now: float, shard: str, shards: Mapping[str, int]
+    ) -> list[str]:
+        """Return the hosts that may lead a shard that has no leader, the best first.
 
         A leader places tasks best when it sees all workers, so one host leads as many
         shards as its capacity allows: all shards of a small fleet, or the shards of
         its data centre in a fleet that is too large for one leader.
 
         Args:
+            now: This host's clock, s.
             shard: The shard.
             shards: Count of the workers of each shard.
         """
@@ -299,6 +322,7 @@
             if peer.heartbeat.able
             and self._fleet.is_present(peer)
             and self._fleet.may_lead(peer.heartbeat)
+            and now >= self._declined_until.get(peer.name, now)
         ]
         own = tuple(self._fleet.claims.values())
         me = self._fleet.me
@@ -316,7 +340,7 @@
             load_preference = led_workers if fits else -led_workers
             remote = self._fleet.large_fleet and host_centre != centre
             ranked.append((remote, -load_preference, -cores, name))
-        return min(ranked)[-1] if ranked else None
+        return [row[-1] for row in sorted(ranked)]
 
     def _is_eligible(self) -> bool:
         """Return whether this host may lead: it stays, or it has no successor."""
