Send reports before the renewals that acknowledge their ends

A worker forgets an end once a renewal has acknowledged it. The renewal was written before the report on the job, so a leader that was lost in between left a result that nobody knew, and the next leader ran the task again.

--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -236,6 +236,7 @@
         environment, state = self._environment, self.state
         pending = deque(actions)
         messages: dict[Address, list] = {}
+        renewals: list[RenewLease] = []
         while pending:
             action = pending.popleft()
             match action:
@@ -243,7 +244,9 @@
                     environment.log(self.name, decision)
                 case SendHeartbeat(address, beat):
                     messages.setdefault(address, []).append(beat)
-                case StartRun() | StopRun() | RenewLease() | QueryWorker():
+                case RenewLease():
+                    renewals.append(action)
+                case StartRun() | StopRun() | QueryWorker():
                     environment.call_worker(self, action)
                 case ShareLosses(report):
                     for name in state.hosts.live:
@@ -264,6 +267,8 @@
                     pending.extend(state.leader.handle_lost_host(now, host))
         for address, together in messages.items():
             environment.send(self, address, together)
+        for renewal in renewals:
+            environment.call_worker(self, renewal)
 
     def _add_message(
         self, messages: dict[Address, list], host: str, message: object
--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -83,10 +83,13 @@
         """Perform actions in order, and those that result from them.
 
         The messages to each host are sent together once all actions are performed.
+        Renewals follow them: they acknowledge ends of runs, which workers then forget,
+        so what these mean for jobs has to be on its way.
         """
         state = self._state
         pending = deque(actions)
         messages: dict[Address, list[Message]] = {}
+        renewals: list[RenewLease] = []
         while pending:
             action = pending.popleft()
             match action:
@@ -95,8 +98,10 @@
                 case SendHeartbeat(address, beat):
                     self._heartbeats_sent.inc()
                     messages.setdefault(address, []).append(beat)
-                case StartRun() | StopRun() | RenewLease() | QueryWorker():
+                case StartRun() | StopRun() | QueryWorker():
                     await self._worker_calls.begin(action)
+                case RenewLease():
+                    renewals.append(action)
                 case ReportJob(host, message):
                     pending.extend(self._add_message(messages, host, message))
                 case ShareLosses(report):
@@ -117,6 +122,8 @@
                     )
         for address, together in messages.items():
             await self._peers.send(address, *together)
+        for renewal in renewals:
+            await self._worker_calls.begin(renewal)
 
     async def send(self, host: str, message: Message) -> list:
         """Send a message to a host; handle it at once if that is this host.
--- a/packages/poplarhilld/tests/entry/test_performer.py
+++ b/packages/poplarhilld/tests/entry/test_performer.py
@@ -12,9 +12,9 @@
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.performer import Performer
 from poplarhilld.entry.state import HostState
-from poplarhilld.leading import ReportJob, StartRun
+from poplarhilld.leading import RenewLease, ReportJob, StartRun
 from poplarhilld.leading.messages import Order
-from poplarhilld.leases import OrderOutcome, OrderReply, Run
+from poplarhilld.leases import OrderOutcome, OrderReply, Renewal, Run
 from poplarhilld.peers.messages import Beat, JobEnded, JobProgress
 from poplarhilld.submissions import OfferToLeader
 
@@ -52,6 +52,35 @@
     curio.run(main)
 
 
+# Guards against a result that is lost with its leader: a renewal that acknowledged the
+# end of a run was sent before the report on its job.
+def test_reports_are_sent_before_the_renewal_that_acknowledges_their_ends(
+    monkeypatch,
+) -> None:
+    sent = []
+
+    async def send(address: Address, *messages: object) -> None:
+        sent.extend(messages)
+
+    async def renew(worker, renewal, on_reply) -> None:
+        sent.append(renewal)
+
+    async def main() -> None:
+        settings = EntrySettings("h1", "dc1", ANY, ANY, ANY, ANY, ANY)
+        client = SimpleNamespace(renew=renew)
+        performer = Performer(HostState(settings, uptime()), client, EntryMetrics())
+        monkeypatch.setattr(performer.peers, "send", send)
+        beat = Beat(*PEER, "dc1", 1, 1.0, True)
+        performer._state.hosts.heartbeat_received(uptime(), "h2", beat)
+        renewal = Renewal(1, 7, None, 0.4, 0.0)
+        report = JobProgress("j1", (0,))
+        renew_lease = RenewLease(worker_entry("w1"), renewal)
+        await performer.perform([renew_lease, ReportJob("h2", report)])
+        assert sent == [report, renewal]
+
+    curio.run(main)
+
+
 # Guards against an order that may have been carried out and leaves no line, and against
 # a line for each of the many orders that are accepted at once.
 @pytest.mark.parametrize(
