Withdraw a job that its former leader has completed from the next one

The simulated fleet showed a leader that started tasks 0.68 s after their caller had its answer: a late report of the former leader completed the job, and the next one was not told. A success that comes from another leader than the present one now withdraws the job there. The test fails without the change.

--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -173,7 +173,7 @@
                 case JobEnded() if report.number not in (0, number):
                     continue
                 case JobEnded() if job.leader == host or not report.error:
-                    actions += self._apply_end(now, job, report)
+                    actions += self._apply_end(now, host, job, report)
         return actions
 
     def update_leaders(
@@ -331,11 +331,11 @@
         )
 
     def _apply_end(
-        self, now: float, job: PendingJob, report: JobEnded
+        self, now: float, host: str, job: PendingJob, report: JobEnded
     ) -> list[SubmissionAction]:
         if not report.error:
             self._transfers.counts["completed"] += bool(job.transfers)
-            return self._answer(now, job, None, withdraw=False)
+            return self._answer(now, job, None, withdraw=job.leader != host)
         if report.elsewhere:
             overloaded = report.error == ErrorKind.OVERLOADED.value
             offer = self._transfer if overloaded else self._offer_elsewhere
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -142,6 +142,18 @@
     assert third.offered.offer.handovers == 1
 
 
+# Once, the next leader of a job ran its tasks although the former one had told in the
+# meantime that it was complete.
+def test_a_completion_by_a_former_leader_withdraws_the_job_from_the_next_one(
+    submissions: Submissions, submit: Callable[..., list]
+) -> None:
+    submit()
+    submissions.update_leaders(0.2, {"h2": LEADER._replace(tenure=9)})
+    actions = submissions.apply_report(0.3, "h1", JobEnded("a"))
+    assert [a.host for a in of_type(actions, WithdrawFromLeader)] == ["h2"]
+    assert of_type(actions, AnswerCaller) == [AnswerCaller(1, None)]
+
+
 # Guards against a next leader that takes its own list for that of the former one.
 def test_an_offer_names_the_workers_of_the_former_leaders(
     submissions: Submissions, submit: Callable[..., list]
