--- a/packages/poplarhilld/src/poplarhilld/leading/demand.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/demand.py
@@ -1,7 +1,7 @@
 """Arrival rates, sizes and timeouts of the jobs of each route or service."""
 
 import math
-from collections import Counter, deque
+from collections import deque
 
 _MEMORY_S = 10.0  # time constant; traffic changes within about ten seconds
 _WORK_MEMORY_S = 1.5  # a burst lasts some seconds
@@ -10,6 +10,38 @@
 _TIMEOUT_DECIMALS = 2  # timeouts that differ by less than 10 ms count as equal
 
 
+class _RecentTimeouts:
+    """Timeouts of the last callers of a route.
+
+    Attributes:
+        usual_s: The one of half of them or more, s; 0 if there is none.
+    """
+
+    def __init__(self) -> None:
+        self.usual_s = 0.0
+        self._recent: deque[float] = deque()
+        self._counts: dict[float, int] = {}
+
+    def note(self, timeout_s: float) -> bool:
+        """Note the timeout of a caller, s; return whether the usual one changed."""
+        recent, counts = self._recent, self._counts
+        if len(recent) == _RECENT_TIMEOUTS:
+            oldest_s = recent[0]
+            if oldest_s == timeout_s:
+                recent.rotate(-1)
+                return False
+            recent.popleft()
+            counts[oldest_s] -= 1
+            if not counts[oldest_s]:
+                del counts[oldest_s]
+        recent.append(timeout_s)
+        counts[timeout_s] = counts.get(timeout_s, 0) + 1
+        least = len(recent) / 2
+        common = [value for value, count in counts.items() if count >= least]
+        before_s, self.usual_s = self.usual_s, max(common, default=0.0)
+        return self.usual_s != before_s
+
+
 class Demand:
     """Moving averages of the jobs of routes and services; older jobs weigh less."""
 
@@ -17,8 +49,7 @@
         self._rates: dict[str, tuple[float, float]] = {}
         self._mean_core_seconds: dict[str, float] = {}
         self._work_rates: dict[str, tuple[float, float]] = {}
-        self._timeouts: dict[str, deque[float]] = {}
-        self._usual_timeouts: dict[str, float] = {}
+        self._timeouts: dict[str, _RecentTimeouts] = {}
 
     def note_arrival(self, now: float, route: str, core_seconds: float) -> None:
         """Note a new job.
@@ -39,15 +70,19 @@
         Returns:
             0 if there is none, because callers state times of their own.
         """
-        return self._usual_timeouts.get(route, 0.0)
-
-    def note_timeout(self, route: str, timeout_s: float) -> None:
-        """Note the timeout of the caller of a new job, s."""
-        timeouts = self._timeouts.setdefault(route, deque(maxlen=_RECENT_TIMEOUTS))
-        timeouts.append(round(timeout_s, _TIMEOUT_DECIMALS))
-        counts = Counter(timeouts)
-        common = [t for t, count in counts.items() if 2 * count >= len(timeouts)]
-        self._usual_timeouts[route] = max(common, default=0.0)
+        timeouts = self._timeouts.get(route)
+        return timeouts.usual_s if timeouts else 0.0
+
+    def note_timeout(self, route: str, timeout_s: float) -> bool:
+        """Note the timeout of the caller of a new job, s.
+
+        Returns:
+            Whether the usual timeout of the route has changed.
+        """
+        timeouts = self._timeouts.get(route)
+        if timeouts is None:
+            timeouts = self._timeouts[route] = _RecentTimeouts()
+        return timeouts.note(round(timeout_s, _TIMEOUT_DECIMALS))
 
     def rate(self, now: float, route: str) -> float:
         """Return the recent arrival rate of a route, jobs per second."""
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -208,7 +208,9 @@
             for step in offer.steps
         ]
         job = LedJob(offer, host, now, step_s, self._state.spread)
-        job.set_usual_timeout(self._state.demand.usual_timeout_s(offer.route))
+        usual_s = self._state.demand.usual_timeout_s(offer.route)
+        if usual_s > offer.elapsed_s + offer.left_s:
+            job.set_usual_timeout(usual_s)
         job.ran_before = self._state.history.was_ordered(offer.job_id)
         return job
 
@@ -219,11 +221,9 @@
         have spent more or less time on earlier attempts than was assumed.
         """
         demand, route = self._state.demand, offer.route
-        before_s = demand.usual_timeout_s(route)
-        demand.note_timeout(route, offer.elapsed_s + offer.left_s)
-        usual_s = demand.usual_timeout_s(route)
-        if usual_s == before_s:
+        if not demand.note_timeout(route, offer.elapsed_s + offer.left_s):
             return
+        usual_s = demand.usual_timeout_s(route)
         for job in self._state.queue.jobs:
             if job.offer.route == route:
                 job.set_usual_timeout(usual_s)
