Remember what became of a job until its caller stops waiting

A leader forgot the answer to an offer after 10 s and took a repeat of it for a new job, whose tasks it started although they had been done. An entry host repeats an offer as long as its caller waits; if the link was cut for 10 s and the report was lost in it, that is a second run of each task. While callers waited for 1.5 s there was no such repeat.

Cause: a time in place of what the entry host knows, until when it may repeat its offer. It says so in the offer.

test_an_outcome_is_known_until_the_caller_stops_waiting fails before.

--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -268,7 +268,7 @@
         deadline_s = worker.reserve(now, run, task.spec.needs, job)
         capacity.update(name)
         if not job.run_count:
-            self._state.history.note_ordered(now, job.job_id)
+            self._state.history.note_ordered(now, job.job_id, job.deadline)
         job.run_count += 1
         task.run_factor = self._state.locality.factor(task.spec, worker.entry)
         data = self._state.locality.place(task.spec, worker.entry)
--- a/packages/poplarhilld/src/poplarhilld/leading/closing.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/closing.py
@@ -53,14 +53,15 @@
     def close_job(self, now: float, job: LedJob, report: JobEnded) -> list:
         """Report the outcome of a job and stop its remaining runs."""
         actions = self.report(job, report)
-        self._state.history.note_outcome(now, report)
+        history = self._state.history
+        history.note_outcome(now, report, job.deadline)
         if not job.not_run:
-            self._state.history.note_ordered(now, job.job_id)
+            history.note_ordered(now, job.job_id, job.deadline)
         for subscriber in self._state.subscribers[job.job_id]:
             answer = report
             if report.error:
                 answer = report._replace(number=subscriber.offer_number)
-            self._state.history.note_answer(now, (subscriber, job.job_id), answer)
+            history.note_answer(now, (subscriber, job.job_id), answer, job.deadline)
         closed = JobClosed(
             job.job_id,
             report.error or "complete",
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -245,7 +245,9 @@
         report = give_back(now, self._state, job, (subscriber,), report, wait_s)
         if elsewhere:
             report = report._replace(elsewhere=True, done=offer.done)
-        self._state.history.note_answer(now, (subscriber, offer.job_id), report)
+        self._state.history.note_answer(
+            now, (subscriber, offer.job_id), report, job.deadline
+        )
         refused = f"refused: {kind.value}: {detail}"
         line = self._offer_line(job, subscriber, offer, 0.0, refused)
         return [LogDecision(line), ReportJob(host, report)]
--- a/packages/poplarhilld/tests/leading/test_jobs.py
+++ b/packages/poplarhilld/tests/leading/test_jobs.py
@@ -53,6 +53,21 @@
     assert world.starts == 2
 
 
+# After 10 s a leader took the repeated offer of a job that it had completed for a new
+# job, and ran it again.
+def test_an_outcome_is_known_until_the_caller_stops_waiting(world: World) -> None:
+    job = simulated_job("a", left_s=13.0)
+    world.submit("h1", job)
+    world.run(11.0)
+    world.submit("h1", simulated_job("later"))
+    world.run(0.5)
+    starts = world.starts
+    world.reports.clear()
+    world.submit("h1", job)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == starts
+
+
 def test_a_job_too_large_for_any_worker_is_refused(world: World) -> None:
     world.submit("h1", simulated_job("huge", cores=64.0))
     assert world.job_outcome("huge").error == ErrorKind.IMPOSSIBLE.value
