Tell results to those who can pass them on

What callers could have seen: a task that was done started again after its leader was lost.

Change: a leader tells results of jobs that it does not have to all hosts, by the names of the tasks. It reports done tasks again to a host whose repeated offer does not name them. So the entry host of a job knows its results, and tells them to each next leader.

--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -19,7 +19,7 @@
     QueryWorker,
     RenewLease,
     ReportJob,
-    ShareLosses,
+    ShareReport,
     StartRun,
     StopRun,
 )
@@ -417,7 +417,7 @@
                     self._send_start(leader, worker, order)
                 case StopRun(worker, run, token):
                     self._schedule(LINK_DELAY_S, self._stop, leader, worker, run, token)
-                case ShareLosses(report):
+                case ShareReport(report):
                     self.shared_losses.append((self.now, report))
                     for other in self.leaders.keys() - {leader}:
                         self._schedule(LINK_DELAY_S, self._share_losses, other, report)
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -21,7 +21,7 @@
     QueryWorker,
     RenewLease,
     ReportJob,
-    ShareLosses,
+    ShareReport,
     StartRun,
     StopRun,
 )
@@ -248,9 +248,10 @@
                     renewals.append(action)
                 case StartRun() | StopRun() | QueryWorker():
                     environment.call_worker(self, action)
-                case ShareLosses(report):
+                case ShareReport(report):
                     for name in state.hosts.live:
                         self._add_message(messages, name, report)
+                    state.submissions.note_done(report.done_tasks)
                 case (
                     ReportJob(host, message)
                     | OfferToLeader(host, message)
--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -17,7 +17,7 @@
     QueryWorker,
     RenewLease,
     ReportJob,
-    ShareLosses,
+    ShareReport,
     StartRun,
     StopRun,
     as_handed_over,
@@ -104,9 +104,10 @@
                     renewals.append(action)
                 case ReportJob(host, message):
                     pending.extend(self._add_message(messages, host, message))
-                case ShareLosses(report):
+                case ShareReport(report):
                     for name in state.hosts.live:
                         self._add_message(messages, name, report)
+                    state.submissions.note_done(report.done_tasks)
                 case OfferToLeader(host, message) | WithdrawFromLeader(host, message):
                     pending.extend(self._add_message(messages, host, message))
                 case AnswerCaller(number, failure):
@@ -183,8 +184,10 @@
                 self._apply_workers_report(sender, message)
                 return []
             case JobProgress() | JobEnded():
-                if isinstance(message, JobProgress) and message.losses:
-                    state.leader.handle_losses(now, message.losses)
+                if isinstance(message, JobProgress):
+                    if message.losses:
+                        state.leader.handle_losses(now, message.losses)
+                    state.submissions.note_done(message.done_tasks)
                 return state.submissions.apply_report(now, sender, message)
         _log.warning("FrameIgnored", kind=type(message).__name__, peer=sender)
         return []
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -10,19 +10,11 @@
 from poplarhilld.leading.spread import RunTimeSpread
 from poplarhilld.leases import Run
 from poplarhilld.peers.messages import JobOffer, LostWorker, StepSpec
-from poplarhilld.peers.steps import longest_chain_s
+from poplarhilld.peers.steps import longest_chain_s, step_prefix
 
 _SAME_TIMEOUT_S = 0.01  # timeouts that differ by less count as equal
 
 
-def step_prefix(job_id: str, step: int) -> str:
-    """Return what the names of the tasks of a step begin with.
-
-    The name of a task is unique in the fleet.
-    """
-    return f"{job_id}.0.{step}."
-
-
 @dataclass
 class LedTask:
     """One task of a job.
@@ -182,6 +174,11 @@
         """Whether all its tasks are done."""
         return not self._open_tasks
 
+    @property
+    def done_count(self) -> int:
+        """Count of its tasks that are done."""
+        return len(self.tasks) - self._open_tasks
+
     @property
     def cores(self) -> float:
         """Cores that all its tasks need together."""
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -74,8 +74,8 @@
 
 
 @dataclass(frozen=True)
-class ShareLosses:
-    """Tell all other hosts which workers were lost under tasks."""
+class ShareReport:
+    """Send a report that is about the tasks of any jobs to all hosts."""
 
     report: JobProgress
 
@@ -86,7 +86,7 @@
     | StartRun
     | StopRun
     | ReportJob
-    | ShareLosses
+    | ShareReport
     | LogDecision
 )
 
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -33,6 +33,7 @@
 from poplarhilld.peers.messages import (
     JobEnded,
     JobOffer,
+    JobProgress,
 )
 
 _STARVED_INTERVAL_S = 0.1  # a tenth of the shortest time limits of callers
@@ -104,7 +105,7 @@
             # Most offers are repeated ones, so these take few calls.
             job.offer_lapses_at = lapses_at
             if (host, number) in self._state.subscribers[offer.job_id]:
-                return []
+                return _repeat_progress(host, job, offer)
         subscriber = Subscriber(host, number)
         if job is not None and not job.stopping:
             return self._subscribe(now, job, subscriber, offer, lapses_at)
@@ -157,6 +158,7 @@
             *switched,
             LogDecision(self._offer_line(job, subscriber, offer, wait_s, "taken")),
             *adopted,
+            *_repeat_progress(host, job, offer),
         ]
         if job.complete:
             return actions + self._closer.close_job(now, job, JobEnded(job.job_id))
@@ -364,6 +366,17 @@
         return actions
 
 
+def _repeat_progress(host: str, job: LedJob, offer: JobOffer) -> list[LeaderAction]:
+    """Report the done tasks of a job to a host whose offer does not name all of them.
+
+    If this leader is lost, only that host can tell the next one.
+    """
+    if len(offer.done) >= job.done_count or job.complete:
+        return []
+    done = tuple(task.number for task in job.tasks if task.done)
+    return [ReportJob(host, JobProgress(job.job_id, done))]
+
+
 def _answer_again(subscriber: Subscriber, report: JobEnded) -> list[LeaderAction]:
     """Return the recorded outcome of a job to one that offers it again."""
     host, number = subscriber
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -10,6 +10,7 @@
 from poplarhilld.leading.messages import (
     LeaderAction,
     RunResolved,
+    ShareReport,
 )
 from poplarhilld.leading.run_messages import RunAdopted, RunFound, UnknownRunEnded
 from poplarhilld.leading.shared import LeaderState, worker_state
@@ -185,7 +186,8 @@
         job = self._state.runs.job_of(run.task)
         if job is None:
             self._state.history.note_done(run.task)
-            return []
+            # The next renewal makes the worker forget it, and this leader may be lost.
+            return [ShareReport(JobProgress("", done_tasks=(run.task,)))]
         task = job.task(run.task)
         if task.done:
             return []
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -23,7 +23,7 @@
     LostHostWithdrawn,
     QueryWorker,
     RenewLease,
-    ShareLosses,
+    ShareReport,
 )
 from poplarhilld.leading.offers import Offers
 from poplarhilld.leading.outcomes import RunOutcomes
@@ -414,7 +414,7 @@
             actions += self._outcomes.check_suspects(now, job)
         losses = self._state.suspects.take_unshared()
         if losses:
-            actions.append(ShareLosses(JobProgress("", losses=losses)))
+            actions.append(ShareReport(JobProgress("", losses=losses)))
         self._state.placement_up_to_date = False
         actions += self._evacuated.give_up(now)
         return actions + self._assignment.assign(now) + self._offers.refuse_starved(now)
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -103,6 +103,7 @@
         "led_shards",
         "former_workers",
         "workers_digests",
+        "done_tasks",
     }
 )
 
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -149,6 +149,7 @@
   jobId @0 :Text;
   done @1 :List(UInt16);
   losses @2 :List(TaskLosses);
+  doneTasks @3 :List(Text);
 }
 
 struct JobEnded {
--- a/packages/poplarhilld/src/poplarhilld/peers/leadership.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/leadership.py
@@ -111,18 +111,21 @@
 class JobProgress(NamedTuple):
     """Reports to an entry host which tasks of its job are done.
 
-    A report of lost workers is about the tasks of any jobs. It names no job, and all
-    hosts get it, since any may lead these jobs next.
+    A report of lost workers, or of done tasks by name, is about the tasks of any jobs.
+    It names no job, and all hosts get it, since any may lead these jobs next or may
+    have accepted them.
 
     Attributes:
         job_id: Id of the job; empty in a report of lost workers.
         done: Numbers of the tasks done since the last report.
         losses: Workers that were lost under tasks since the last report.
+        done_tasks: Names of done tasks of jobs that the sender does not have.
     """
 
     job_id: str
     done: tuple[int, ...] = ()
     losses: tuple[TaskLosses, ...] = ()
+    done_tasks: tuple[str, ...] = ()
 
 
 class JobEnded(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -1,7 +1,7 @@
 """State of the submitted jobs of a host, from submission to answer."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from poplarhill.exceptions import ANSWERS, ErrorKind, Failure, RunState
 from poplarhilld.decisions import LogDecision
@@ -16,6 +16,7 @@
     OfferedJob,
 )
 from poplarhilld.peers.offer_limits import DEFAULT_LIMITS, OfferLimits
+from poplarhilld.peers.steps import parse_task_name
 from poplarhilld.submissions.answer_times import AnswerTimes
 from poplarhilld.submissions.choice import choose_leader
 from poplarhilld.submissions.messages import (
@@ -176,6 +177,15 @@
                     actions += self._apply_end(now, host, job, report)
         return actions
 
+    def note_done(self, tasks: Iterable[str]) -> None:
+        """Note done tasks by name, as far as they are of jobs that wait here."""
+        for task in filter(None, map(parse_task_name, tasks)):
+            for number in self._by_id.get(task.job_id, ()):
+                job = self._jobs[number]
+                counts = [step.count for step in job.submission.steps]
+                if task.step < len(counts) and task.index < counts[task.step]:
+                    job.done.add(sum(counts[: task.step]) + task.index)
+
     def update_leaders(
         self, now: float, leaders: Mapping[str, LeaderView]
     ) -> list[SubmissionAction]:
--- a/packages/poplarhilld/tests/leading/test_former_workers.py
+++ b/packages/poplarhilld/tests/leading/test_former_workers.py
@@ -2,7 +2,8 @@
 
 from poplarhill import ErrorKind
 from poplarhill_dev.leased import SimulatedWorker, World, simulated_job, worker_entry
-from poplarhilld.peers.messages import UNKNOWN_WORKERS
+from poplarhilld.leading import ReportJob, ShareReport
+from poplarhilld.peers.messages import UNKNOWN_WORKERS, JobProgress
 
 
 # Once, a leader whose list lacked the worker of a run took all workers on its list for
@@ -123,3 +124,38 @@
     world.silent_hosts.clear()
     world.run(0.3)
     assert "a.0.0.0" in world.starts_by_task
+
+
+# Once, a result that a successor had learnt before it was offered the job was known to
+# nobody else, and the task ran again when that leader was lost as well.
+def test_results_of_runs_of_unknown_jobs_are_told_to_all(world: World) -> None:
+    world.submit("h1", simulated_job("a", tasks=1, run_s=0.2, left_s=9.0))
+    world.run(0.1)
+    world.paused.add("h1")
+    told: list[str] = []
+    perform = world.perform
+
+    def record(leader: str, actions: list) -> None:
+        shared = (action for action in actions if isinstance(action, ShareReport))
+        told.extend(name for share in shared for name in share.report.done_tasks)
+        perform(leader, actions)
+
+    world.perform = record
+    world.add_leader("h2", 2)
+    world.run(0.3)
+    assert told == ["a.0.0.0"]
+
+
+# Once, the report on a done task was sent a single time. If it was lost, and its leader
+# after it, the next leader ran the task again.
+def test_a_lost_report_is_repeated_when_the_offer_is(world: World) -> None:
+    job = simulated_job("a", tasks=2, run_s=0.1, left_s=9.0)
+    job.runs["a.0.0.1"] = 2.0
+    world.submit("h1", job)
+    world.run(0.2)
+    world.reports.clear()
+    leader = world.leaders["h1"]
+    repeated = leader.handle_offer(world.now, "e1", 1, job.offer)
+    assert repeated == [ReportJob("e1", JobProgress("a", (0,)))]
+    known = job.offer._replace(done=(0,))
+    assert leader.handle_offer(world.now + 0.1, "e1", 1, known) == []
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -142,6 +142,20 @@
     assert third.offered.offer.handovers == 1
 
 
+# Guards against a result that a host does not pass on: a leader that has not got the
+# job yet is the only one to learn of it, and may be lost.
+@pytest.mark.parametrize(
+    ("name", "done"), [("a.0.0.2", (2,)), ("a.0.0.4", ()), ("b.0.0.1", ()), ("a", ())]
+)
+def test_results_that_another_host_tells_by_name_are_passed_on(
+    submissions: Submissions, submit: Callable[..., list], name: str, done: tuple
+) -> None:
+    submit()
+    submissions.note_done([name])
+    (offer,) = of_type(submissions.tick(REPEAT_INTERVAL_S), OfferToLeader)
+    assert offer.offered.offer.done == done
+
+
 # Once, the next leader of a job ran its tasks although the former one had told in the
 # meantime that it was complete.
 def test_a_completion_by_a_former_leader_withdraws_the_job_from_the_next_one(
