Count hosts that were lost before a leader when bounding unclaimed runs

What callers could have seen: two runs of one task after its entry host was lost and, up to a second later, its leader: the successor counted the time of runs that nobody offers from the loss of the leader, and extended their leases past the offers of their host.

A successor now counts from when the first of the lately lost hosts was last heard. If that is long ago, as heartbeats of distant hosts are rare, it extends no such lease. When the runs are stopped is unchanged.

--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -130,5 +130,6 @@
                 led_entries,
                 frozenset(not_led_here),
                 former_leaders_heard_at,
+                state.hosts.lost_hosts_heard_at(now),
             )
         )
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -76,8 +76,9 @@
     def _add_orphan(self, now: float, worker: LeasedWorker, run: Run) -> None:
         """Note a run whose job may be offered here soon, or be lost with its host.
 
-        Its host may have been lost together with a former leader. One that was lost
-        soon after the leader before it may not have stopped the runs that it found.
+        Its host may have been lost together with a former leader, or before it. One
+        that was lost soon after the leader before it may not have stopped the runs that
+        it found.
         """
         limits = self._state.limits
         stop_by, lapses_at = math.inf, -math.inf
@@ -87,7 +88,9 @@
             for before in earlier:
                 if heard_at - before < limits.runs_ended_after_s:
                     heard_at = before
-            stop_by = lapses_at = heard_at + limits.lifetime_s
+            stop_by = heard_at + limits.lifetime_s
+            heard_at = min(heard_at, self._state.lost_hosts_heard_at)
+            lapses_at = heard_at + limits.lifetime_s
         worker.set_job(run, Lapsing(lapses_at))
         self._state.runs.add_orphan(now, run, worker.entry.name, stop_by)
 
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -1,5 +1,6 @@
 """State that the parts of a leader share."""
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -49,6 +50,8 @@
         not_led_here: Names of the registered workers that other hosts lead.
         former_leaders_heard_at: When the former leaders of workers that were taken over
             were last heard, s, the newest first, by worker.
+        lost_hosts_heard_at: When the first of the hosts that were lost lately was last
+            heard, s; infinity if there is none.
         evacuated: Names of the evacuated data centres.
         renewal_backoff_s: Pause before the next renewal to a silent worker, s.
         reclaim_at: When each fenced worker may be claimed again, s.
@@ -87,6 +90,7 @@
         self.entries: Mapping[str, WorkerEntry] = {}
         self.not_led_here: frozenset[str] = frozenset()
         self.former_leaders_heard_at: Mapping[str, tuple[float, ...]] = {}
+        self.lost_hosts_heard_at = math.inf
         self.evacuated: frozenset[str] = frozenset()
         self.renewal_backoff_s: dict[str, float] = {}
         self.reclaim_at: dict[str, float] = {}
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -5,6 +5,7 @@
 each event returns the actions to take.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
@@ -148,6 +149,7 @@
         entries: Mapping[str, WorkerEntry],
         not_led_here: frozenset[str] = frozenset(),
         former_leaders_heard_at: Mapping[str, tuple[float, ...]] = MappingProxyType({}),
+        lost_hosts_heard_at: float = math.inf,
     ) -> list[LeaderAction]:
         """Set the workers that this host leads.
 
@@ -162,9 +164,12 @@
                 host does not lead.
             former_leaders_heard_at: When the former leaders of workers that were taken
                 over were last heard, s, the newest first, by worker.
+            lost_hosts_heard_at: When the first of the hosts that were lost lately was
+                last heard, s.
         """
         actions: list[LeaderAction] = []
         self._state.former_leaders_heard_at = former_leaders_heard_at
+        self._state.lost_hosts_heard_at = lost_hosts_heard_at
         if entries != self._state.entries or not_led_here != self._state.not_led_here:
             self._state.placement_up_to_date = False
             self._state.note_worker_change()
--- a/packages/poplarhilld/src/poplarhilld/shards/fleet.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/fleet.py
@@ -18,6 +18,8 @@
 # After a data centre has lost its leader, its live hosts have sent a heartbeat to each
 # other and to the leaders of other data centres within this time.
 _PROBE_TIME_S = 2 * HEARTBEAT_INTERVAL_S
+# Until the runs of a lost host have ended, and the loss of their leader is noticed.
+_RECENT_LOSS_S = 2.0
 _MOST_FORMER_LEADERS = 4  # more are not lost one after the other within seconds
 CLAIM_DELAY_S = 0.3  # two heartbeats, so that a new host learns of existing leaders
 
@@ -64,6 +66,8 @@
         last_leader: The last known leader of each shard, which may be lost.
         former_leaders_heard_at: When the leaders before the last one were last heard,
             s, the newest first, by shard.
+        lost_hosts: When each host that was lost lately was lost and was last heard
+            before, s, by name.
         update_intervals_at: When the intervals of heartbeats are next worked out, s.
         reported_by_leaders: For each data centre with a live leader, the hosts whose
             heartbeats its leaders receive.
@@ -92,6 +96,7 @@
         self.leader_of_shard: dict[str, str] | None = None
         self.last_leader: dict[str, str] = {}
         self.former_leaders_heard_at: dict[str, tuple[float, ...]] = {}
+        self.lost_hosts: dict[str, tuple[float, float]] = {}
         self.update_intervals_at = now
         self.reported_by_leaders: dict[str, set[str]] = {}
         self.leaderless_since: dict[str, float] = {}
@@ -190,6 +195,18 @@
             self.former_leaders_heard_at[shard] = heard_at
         self.last_leader[shard] = name
 
+    def lost_hosts_heard_at(self, now: float) -> float:
+        """Return when the first of the hosts that were lost lately was last heard, s.
+
+        Returns:
+            Infinity if none was lost lately.
+        """
+        for name, (lost_at, _) in list(self.lost_hosts.items()):
+            if now - lost_at > _RECENT_LOSS_S:
+                del self.lost_hosts[name]
+        heard_at = [heard_at for _, heard_at in self.lost_hosts.values()]
+        return min(heard_at, default=math.inf)
+
     def note_change(self) -> None:
         """Forget what was worked out from the hosts and their claims."""
         self.leader_of_shard = None
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -108,6 +108,14 @@
         """
         return self._fleet.former_leaders_heard_at
 
+    def lost_hosts_heard_at(self, now: float) -> float:
+        """Return when the first of the hosts that were lost lately was last heard, s.
+
+        Returns:
+            Infinity if none was lost lately.
+        """
+        return self._fleet.lost_hosts_heard_at(now)
+
     @property
     def leading_since_epoch(self) -> int:
         """Epoch since which this host has led continuously; 0 if it leads nothing.
