Split the lease off a leased worker

Its token, its replies and the end of its lease move to a base class, so that no call is added; behaviour is unchanged.

--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -1,10 +1,11 @@
-"""State of one leased worker: its lease, its free capacity and its runs."""
+"""State of one leased worker: its free capacity, its runs, and what renewals ask."""
 
 import math
 from collections.abc import Callable, Collection
 
 from poplarhill.types import Resources
 from poplarhilld.catalogue import WorkerEntry
+from poplarhilld.leases.lease import MAX_REPLY_AGE_S, Lease
 from poplarhilld.leases.messages import (
     LeaseReply,
     OrderOutcome,
@@ -31,29 +32,19 @@
 # Longest time that a worker may hold a renewal. Two renewals may fail before a lease
 # of 1 s expires.
 RENEWAL_WAIT_S = 0.4
-# Another leader may have renewed the lease just before it expired; it stops the
-# orphans on the worker within this time.
-TAKEOVER_GRACE_S = 0.8
 # While a run keeps the lease from being extended: soon after the run has ended or its
 # offer was repeated, the others on the worker need the next renewal.
 _SHORT_RENEWAL_WAIT_S = 0.1
 _SHORT_LEASE_S = 0.6  # an offer that is repeated in time leaves more
-# A renewal extends the lease only if the last reply is no older than this. While
-# renewals are answered, each one follows the last reply within 0.4 s. A worker counts
-# as responsive for twice this time after its last reply, and is given the same time
-# to reply first after it was claimed.
-MAX_REPLY_AGE_S = 0.5
 # Ends that are remembered. The reply to an overlapping request may hold an older list
 # of running runs, which must not bring back a run that has ended. Fewer runs than this
 # end on a worker between two such replies.
 _MAX_RECENT_ENDS = 256
-# The clock of a worker may be 2 % slow; another 1 % covers rounding.
-_MIN_CLOCK_RATE = 0.97
 
 RunChange = RunClosed | RunDiscovered
 
 
-class LeasedWorker:
+class LeasedWorker(Lease):
     """A worker whose lease this host holds or claims.
 
     A run gives up its capacity only on proof that it does not run: the worker
@@ -62,15 +53,6 @@
 
     Attributes:
         entry: Registry entry of the worker.
-        token: Fencing token of this host for the worker.
-        fenced: Whether this host must start no runs on the worker, because the
-            worker has accepted a newer token or this host no longer leads it.
-        superseded: Whether the worker has accepted a newer token.
-        confirmed: Whether the worker has accepted this host's token.
-        incarnation: When its process started, ms since the Unix epoch; `None` before a
-            reply.
-        last_reply_at: When the worker last replied, by the leader's clock, s. Before
-            the first reply, this is when this host first claimed the worker.
         listed_at: When the renewal was sent whose reply was the last one but one, by
             the leader's clock, s. Runs in that reply had not ended by then.
         reservations: Reservations of all runs that hold or may hold capacity; a
@@ -95,20 +77,11 @@
         note_change: Callable[[str], object] = lambda name: None,
         stops_s: float = 0.2,
     ) -> None:
+        super().__init__(token, lease_s, now)
         self.entry = entry
-        self._note_change = note_change
-        self.token = token
-        self.fenced = self.superseded = False
-        self.confirmed = False
-        self._lease_s, self._stops_s = lease_s, stops_s
-        self._claimed_at = now
-        self.incarnation: int | None = None
-        self._clock_at_reply_s = 0.0
-        self.last_reply_at = now
+        self._note_change, self._stops_s = note_change, stops_s
         self.listed_at = self._newest_list_at = now
         self._last_seen_end = 0
-        # By the worker's clock: end of the lease, or deadline of an order if later.
-        self._may_run_until_s = 0.0
         self._reservations: dict[Run, Reservation] = {}
         self.reservations: Collection[Reservation] = self._reservations.values()
         self._unknown_needs = 0
@@ -118,14 +91,6 @@
         # The newest last; a dictionary, since each reply looks up all listed runs.
         self._recent_ends: dict[Run, None] = {}
 
-    def awaits_first_reply(self, now: float) -> bool:
-        """Return whether the worker was claimed just now and may still reply."""
-        return not self.confirmed and now - self._claimed_at < 2 * MAX_REPLY_AGE_S
-
-    def is_responsive(self, now: float) -> bool:
-        """Return whether the worker accepted this token and replied recently."""
-        return self.confirmed and now - self.last_reply_at < 2 * MAX_REPLY_AGE_S
-
     @property
     def has_unknown_needs(self) -> bool:
         """Whether any run holds an unknown amount of capacity."""
@@ -162,20 +127,6 @@
         self._free_capacity = None
         self._note_change(self.entry.name)
 
-    def clock_s(self, now: float) -> float:
-        """Return the estimated clock of the worker, s.
-
-        The estimate lags slightly, by the time that the last reply took to arrive.
-        """
-        return self._clock_at_reply_s + now - self.last_reply_at
-
-    def reclaim(self, now: float, token: int) -> None:
-        """Claim the worker again under a new token."""
-        self.token = token
-        self.fenced = self.superseded = False
-        self._claimed_at = now
-        self.confirmed = False
-
     def replace_token(self, now: float, token: int) -> None:
         """Claim the worker under a new token, though no other leader has had it."""
         for reservation in self._reservations.values():
@@ -188,21 +139,6 @@
         reservation = self._reservations.get(run)
         return reservation is not None and reservation.last_event_at < self._claimed_at
 
-    def lease_left_s(self, now: float) -> float:
-        """Return the time for which the worker may run anything by its clock, s."""
-        return self._may_run_until_s - self.clock_s(now)
-
-    def lease_has_expired(self, now: float) -> bool:
-        """Return whether a worker without replies can no longer run anything.
-
-        Allows for a slow clock of the worker and for a last renewal by another
-        leader.
-        """
-        if self.incarnation is None:
-            return False
-        left_s = max(0.0, self._may_run_until_s - self._clock_at_reply_s)
-        return now > self.last_reply_at + left_s / _MIN_CLOCK_RATE + TAKEOVER_GRACE_S
-
     def next_renewal(self, now: float) -> Renewal:
         """Return the renewal to send now and note the lease that it asks for.
 
