--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -84,8 +84,9 @@
         near_data: PlacementPass | None = None
         if self._state.locality.active:
             near_data = self._begin_pass(now, capacity, capacity_short, fast, plan)
-        worker_sets = self._state.worker_sets
-        known_digests = worker_sets.digests
+        known_digests = self._state.workers_digests
+        if known_digests is None:
+            known_digests = self._state.worker_sets.digests
         for job in waiting:
             if least_cores > max_free:
                 break
@@ -97,7 +98,7 @@
             max_slowdown = max_slowdown_for(now, job, fast)
             barred: frozenset[str] = _NONE_BARRED
             if job.workers_digests != known_digests:
-                barred = worker_sets.added_since(job.workers_digests)
+                barred = self._state.worker_sets.added_since(job.workers_digests)
             for task in job.ready_tasks():
                 if task.lost or task.spec.needs.cores > initial_max_free:
                     continue
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -93,6 +93,7 @@
             the leader's clock, s.
         workers_digests: Digests of this leader's workers that the job's entry host
             knows; runs are ordered only on these.
+        done_count: Count of its tasks that are done.
         run_count: Count of runs that were ordered or adopted for it.
         ran_before: Whether this leader had ordered runs of it before it was offered
             again.
@@ -153,6 +154,7 @@
         for task in self.tasks:
             self._pending[task.step] += not task.done
         self._open_tasks = sum(self._pending)
+        self.done_count = len(self.tasks) - self._open_tasks
         self._task_core_seconds = [
             step.needs.cores * run_s
             for step, run_s in zip(offer.steps, step_s, strict=True)
@@ -174,11 +176,6 @@
         """Whether all its tasks are done."""
         return not self._open_tasks
 
-    @property
-    def done_count(self) -> int:
-        """Count of its tasks that are done."""
-        return len(self.tasks) - self._open_tasks
-
     @property
     def cores(self) -> float:
         """Cores that all its tasks need together."""
@@ -344,6 +341,7 @@
             task.done = True
             self._pending[task.step] -= 1
             self._open_tasks -= 1
+            self.done_count += 1
             self._update_work()
             if task.run is None:
                 self.update_least_cores()
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -105,7 +105,9 @@
             # Most offers are repeated ones, so these take few calls.
             job.offer_lapses_at = lapses_at
             if (host, number) in self._state.subscribers[offer.job_id]:
-                return _repeat_progress(host, job, offer)
+                if len(offer.done) < job.done_count:
+                    return _repeat_progress(host, job)
+                return []
         subscriber = Subscriber(host, number)
         if job is not None and not job.stopping:
             return self._subscribe(now, job, subscriber, offer, lapses_at)
@@ -158,8 +160,9 @@
             *switched,
             LogDecision(self._offer_line(job, subscriber, offer, wait_s, "taken")),
             *adopted,
-            *_repeat_progress(host, job, offer),
         ]
+        if job.done_count > len(offer.done):
+            actions += _repeat_progress(host, job)
         if job.complete:
             return actions + self._closer.close_job(now, job, JobEnded(job.job_id))
         return actions + self._assignment.assign(now)
@@ -366,13 +369,11 @@
         return actions
 
 
-def _repeat_progress(host: str, job: LedJob, offer: JobOffer) -> list[LeaderAction]:
+def _repeat_progress(host: str, job: LedJob) -> list[LeaderAction]:
     """Report the done tasks of a job to a host whose offer does not name all of them.
 
     If this leader is lost, only that host can tell the next one.
     """
-    if len(offer.done) >= job.done_count or job.complete:
-        return []
     done = tuple(task.number for task in job.tasks if task.done)
     return [ReportJob(host, JobProgress(job.job_id, done))]
 
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -56,6 +56,8 @@
         evacuated: Names of the evacuated data centres.
         renewal_backoff_s: Pause before the next renewal to a silent worker, s.
         reclaim_at: When each fenced worker may be claimed again, s.
+        workers_digests: Digests of the workers on which this leader may have runs;
+            `None` until `worker_sets` is read after a change.
         reclaimed_at: When a fenced worker was claimed again last, s.
         lost: Names of the workers that do not respond.
         refused: Lost workers whose address refused a connection: their process has
@@ -103,7 +105,7 @@
         self._usable: list[LeasedWorker] | None = None
         self._capacity: FreeCapacity | None = None
         self._worker_sets = WorkerSets()
-        self._worker_set_changed = False
+        self.workers_digests: tuple[int, ...] | None = None
         self._by_service: dict[str, list[LeasedWorker]] = {}
         self.changed_workers: set[str] = set()
         self.jobs: dict[str, LedJob] = {}
@@ -128,15 +130,15 @@
         """
         self._usable = None
         self._capacity = None
-        self._worker_set_changed = True
+        self.workers_digests = None
         self._by_service.clear()
 
     @property
     def worker_sets(self) -> WorkerSets:
         """The workers on which this leader may have runs, and those of recent times."""
-        if self._worker_set_changed:
-            self._worker_set_changed = False
+        if self.workers_digests is None:
             self._worker_sets.update(self.workers)
+            self.workers_digests = self._worker_sets.digests
         return self._worker_sets
 
     def is_usable(self, worker: LeasedWorker) -> bool:
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -117,7 +117,7 @@
         if self._unknown_needs or self._unreadable_runs:
             return Resources()
         cores, memory_mb, accelerators = self.entry.room
-        for reservation in self._reservations.values():
+        for reservation in self.reservations:
             cores -= reservation.needs.cores
             memory_mb -= reservation.needs.memory_mb
             accelerators -= reservation.needs.accelerators
@@ -129,7 +129,7 @@
 
     def replace_token(self, now: float, token: int) -> None:
         """Claim the worker under a new token, though no other leader has had it."""
-        for reservation in self._reservations.values():
+        for reservation in self.reservations:
             if reservation.token == self.token:
                 reservation.token = token
         self.reclaim(now, token)
@@ -148,7 +148,7 @@
         """
         deadline_s, lease_s = None, self._lease_s
         # Runs for each reply of each worker, so the usual case makes no calls.
-        for reservation in self._reservations.values():
+        for reservation in self.reservations:
             left_s = reservation.job.offer_lapses_at + self._stops_s - now
             if left_s < lease_s:
                 lease_s = left_s
@@ -207,7 +207,7 @@
         if validity_s > ORDER_VALIDITY_S:
             validity_s = ORDER_VALIDITY_S
         # The deadline extends the lease of the other runs as well.
-        for reservation in self._reservations.values():
+        for reservation in self.reservations:
             left_s = reservation.job.offer_lapses_at + self._stops_s - now
             if left_s < validity_s:
                 validity_s = left_s
@@ -276,7 +276,7 @@
     def awaits_order_reply(self) -> bool:
         """Whether any order has no reply yet."""
         ordered = ReservationState.ORDERED
-        return any(one.state is ordered for one in self._reservations.values())
+        return any(one.state is ordered for one in self.reservations)
 
     def presumed_ended_runs(self) -> list[Reservation]:
         """Return the runs that have ended once the lease or the process has.
@@ -286,7 +286,7 @@
         """
         return [
             reservation
-            for reservation in self._reservations.values()
+            for reservation in self.reservations
             if reservation.state is not ReservationState.ORDERED
         ]
 
@@ -308,12 +308,12 @@
             return []
         ended = [
             reservation
-            for reservation in self._reservations.values()
+            for reservation in self.reservations
             if reservation.state is ReservationState.RUNNING
             and reservation.accepted_clock_s > reply.clock_s + took_s
         ]
         changes = [self._close_missing(one, RunOutcome.LOST) for one in ended]
-        for reservation in self._reservations.values():
+        for reservation in self.reservations:
             reservation.deadline_s = reply.clock_s + ORDER_VALIDITY_S
             if reservation.state is ReservationState.RUNNING:
                 reservation.token = 0
@@ -362,7 +362,7 @@
                 changes.append(RunDiscovered(run))
         if reply.unreadable_runs:
             return changes  # each run that is not listed may be one of them
-        for reservation in list(self._reservations.values()):
+        for reservation in list(self.reservations):
             if reservation.run in listed:
                 continue
             if (
