End a job when the time that its caller states is over

Callers state in each request how long they wait for a response. If the timeout of the route was shorter, the job ended at that, and its caller got a 504 while it waited on.

Cause: a limit that nobody stated. No page says that a job ends at the timeout of its route; the name of the field suggested it.

--- a/packages/poplarhilld/src/poplarhilld/catalogue/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/catalogue/messages.py
@@ -16,7 +16,8 @@
         host: Host name in the requests, lower case.
         path_prefix: Prefix of the request paths.
         service: Service whose workers run the tasks.
-        timeout_s: Maximum time that a caller waits for the response, s.
+        timeout_s: Time that a caller waits for the response if its request does not
+            say, s.
         allowance_s: Constant part of the objective, s.
         stretch: Factor of the run time in the objective.
         priority: Priority of the jobs; 0 is the highest.
--- a/packages/poplarhilld/src/poplarhilld/submissions/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/messages.py
@@ -35,12 +35,14 @@
     @property
     def limited_by_caller(self) -> bool:
         """Whether the caller, rather than the route, sets the time limit."""
-        return self.caller_timeout_s - ANSWER_MARGIN_S < self.route.timeout_s
+        return self.caller_timeout_s < math.inf
 
     @property
     def limit_s(self) -> float:
         """Time after its arrival at which the job is given up, s."""
-        return min(self.route.timeout_s, self.caller_timeout_s - ANSWER_MARGIN_S)
+        if self.limited_by_caller:
+            return self.caller_timeout_s - ANSWER_MARGIN_S
+        return self.route.timeout_s
 
 
 class LeaderView(NamedTuple):
