Recognize the workers of a former leader by what was read from the store

Each host now remembers the sets of workers that it has read: if it knows which ones a digest stands for and leads all of them, others beside them do no harm.

With it, of the same class: a job that no worker of one leader is large enough for was failed for good, although another leader may have such workers. The leader gives it back, untouched, and its host tries the others first.

Both tests fail before.

--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -1,6 +1,7 @@
 """The decisions of an entry host that depend on time."""
 
 import time
+from collections.abc import Mapping
 
 import structlog
 
@@ -33,6 +34,7 @@
         self._state = state
         self._performer = performer
         self._logs = logs
+        self._remembered_shards: Mapping[str, Mapping[str, WorkerEntry]] = {}
 
     async def run(self) -> None:
         """Run the time-dependent decisions and write the log at short intervals."""
@@ -92,6 +94,12 @@
         state.hosts.set_outdated(
             bool(state.hosts.claims) and unread_s > _REGISTRY_OUTDATED_S
         )
+        if state.shards is not self._remembered_shards:
+            self._remembered_shards = state.shards
+            read = (
+                entry for shard in state.shards.values() for entry in shard.values()
+            )
+            state.leader.remember_workers(read)
         state.hosts.set_workers_digests(state.leader.workers_digests)
         actions = state.hosts.tick(
             now,
--- a/packages/poplarhilld/src/poplarhilld/leading/admission.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/admission.py
@@ -84,7 +84,8 @@
         if any(could_run_at_largest(w.entry, offer.service, step) for w in workers):
             detail = "the workers that can run a task have shrunk"
             return Refusal(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S)
-        return Refusal(ErrorKind.IMPOSSIBLE, "no worker is large enough for a task")
+        detail = "no worker is large enough for a task"
+        return Refusal(ErrorKind.IMPOSSIBLE, detail, elsewhere=True)
     if not offer.handovers and not fits_in_time(now, job):
         detail = (
             f"it runs for about {job.run_s:.2f} s, and its caller waits for"
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -195,6 +195,10 @@
                 actions += self._group.reclaim(now, time_s, worker)
         return actions + self._assignment.assign(now)
 
+    def remember_workers(self, entries: Iterable[WorkerEntry]) -> None:
+        """Keep which workers were read, to recognize them as those of former leaders."""
+        self._state.worker_sets.remember(entries)
+
     def set_evacuated(
         self, now: float, data_centres: frozenset[str]
     ) -> list[LeaderAction]:
--- a/packages/poplarhilld/src/poplarhilld/leading/worker_sets.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/worker_sets.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from poplarhilld.catalogue import WorkerEntry
 from poplarhilld.leases import LeasedWorker
 from poplarhilld.peers.messages import UNKNOWN_WORKERS
 
@@ -14,7 +15,7 @@
 
 
 class WorkerSets:
-    """The workers of a leader by data centre, now and in recent times.
+    """The workers of a leader by data centre, and sets that were read in recent times.
 
     A host that hands a job over tells the next leader on which workers the former one
     may have ordered runs. So a leader orders the runs of a job only on workers of the
@@ -27,36 +28,47 @@
 
     def __init__(self) -> None:
         self.digests: tuple[int, ...] = ()
-        self._present: dict[int, list[LeasedWorker]] = {}
+        self._present: Mapping[str, LeasedWorker] = {}
         self._sets: OrderedDict[int, frozenset[str]] = OrderedDict()
 
     def update(self, workers: Mapping[str, LeasedWorker]) -> None:
         """Set the present workers, by name."""
-        by_data_centre: dict[str, list[LeasedWorker]] = {}
-        for worker in workers.values():
-            by_data_centre.setdefault(worker.entry.data_centre, []).append(worker)
-        self._present = {}
-        for centre, members in by_data_centre.items():
-            names = frozenset(worker.entry.name for worker in members)
+        self._present = workers
+        self.digests = self.remember(worker.entry for worker in workers.values())
+
+    def remember(self, entries: Iterable[WorkerEntry]) -> tuple[int, ...]:
+        """Keep the sets of some workers, and return their digests in ascending order.
+
+        Most former leaders have had a set that this host has read from the store, too.
+        """
+        by_data_centre: dict[str, list[str]] = {}
+        for entry in entries:
+            by_data_centre.setdefault(entry.data_centre, []).append(entry.name)
+        digests = []
+        for centre, names in by_data_centre.items():
             digest = _digest(centre, names)
-            self._present[digest] = members
+            digests.append(digest)
             self._sets.pop(digest, None)
-            self._sets[digest] = names
-        self.digests = tuple(sorted(self._present))
+            self._sets[digest] = frozenset(names)
         while len(self._sets) > _MAX_SETS:
             self._sets.popitem(last=False)
+        return tuple(sorted(digests))
 
     def are_confirmed(self, digests: Iterable[int]) -> bool:
-        """Return whether sets are present and obey this leader.
+        """Return whether this leader has all workers of some sets, and they obey it.
 
-        Each worker of them has then accepted the token of this leader, which it still
-        obeys as far as is known, and has told its runs.
+        Each of them has then accepted the token of this leader, which it still obeys as
+        far as is known, and has told its runs.
         """
-        return all(
-            digest in self._present
-            and all(w.confirmed and not w.fenced for w in self._present[digest])
-            for digest in digests
-        )
+        for digest in digests:
+            names = self._sets.get(digest)
+            if names is None or not all(map(self._is_confirmed, names)):
+                return False
+        return True
+
+    def _is_confirmed(self, name: str) -> bool:
+        worker = self._present.get(name)
+        return worker is not None and worker.confirmed and not worker.fenced
 
     def added_since(self, digests: tuple[int, ...]) -> frozenset[str]:
         """Return the names of the present workers that are in none of some sets.
@@ -67,8 +79,7 @@
         if not digests or digests == self.digests:
             return frozenset()
         known = [self._sets.get(digest, frozenset()) for digest in digests]
-        present = (self._sets[digest] for digest in self.digests)
-        return frozenset().union(*present).difference(*known)
+        return frozenset(self._present).difference(*known)
 
 
 def _digest(data_centre: str, names: Iterable[str]) -> int:
--- a/packages/poplarhilld/tests/leading/test_former_workers.py
+++ b/packages/poplarhilld/tests/leading/test_former_workers.py
@@ -65,6 +65,25 @@
     assert not world.violations
 
 
+# Guards against jobs that end because the next leader has one more worker than the
+# former one had.
+def test_a_leader_with_all_workers_of_the_former_one_and_more_starts_tasks() -> None:
+    world = World(SimulatedWorker(worker_entry(f"w{n}")) for n in range(4))
+    former = {name: world.entries[name] for name in ("w0", "w1")}
+    world.add_leader("h1", 1, former)
+    world.run(0.2)
+    world.submit("h1", simulated_job("a", tasks=4, run_s=0.3, left_s=3.0, cores=16.0))
+    world.run(0.1)
+    world.paused.add("h1")
+    h2 = world.add_leader("h2", 2)
+    h2.remember_workers(former.values())
+    world.hand_over("h2", "a")
+    world.run(1.0)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 4
+    assert not world.violations
+
+
 # Guards against a run on a worker of which a host cannot tell the next leader.
 def test_a_worker_that_the_host_does_not_know_of_gets_no_run(world: World) -> None:
     leader = world.leaders["h1"]
@@ -159,3 +178,10 @@
     assert repeated == [ReportJob("e1", JobProgress("a", (0,)))]
     known = job.offer._replace(done=(0,))
     assert leader.handle_offer(world.now + 0.1, "e1", 1, known) == []
+
+
+# Once, a job that only workers of another leader can run failed for good.
+def test_a_job_that_is_impossible_here_may_go_elsewhere(world: World) -> None:
+    world.submit("h1", simulated_job("a", tasks=1, cores=64.0, left_s=9.0))
+    assert world.job_outcome("a").error == ErrorKind.IMPOSSIBLE.value
+    assert world.job_outcome("a").elsewhere
