Start no handed-over task again that a worker knows of

For a job that was handed over this reply shows that the task has run, so the job ends as one that may have run. The test fails before.

--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -176,11 +176,21 @@
         job = self._state.runs.job_of(task.name)
         if job is None or job.stopping or task.done:
             return []
-        detail = f"task {task.number} may have run on a worker that another host led"
+        detail = f"task {task.number} may be done by a run that another host ordered"
         return self._closer.close_job(
             now, job, job_ended(job, ErrorKind.WORKER_LOST, detail)
         )
 
+    def give_up_handed_over(self, now: float, task: LedTask) -> list[LeaderAction]:
+        """Close the job of a task that has run under its former leader, if it had one.
+
+        A job without one may have been submitted again, and starts its tasks anew.
+        """
+        job = self._state.runs.job_of(task.name)
+        if job is None or not job.offer.handovers:
+            return []
+        return self.give_up(now, task)
+
     def _handle_unknown_done(self, now: float, run: Run) -> list[LeaderAction]:
         """Note that a run which this leader has neither ordered nor adopted is done.
 
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -196,7 +196,7 @@
         return actions + self._assignment.assign(now)
 
     def remember_workers(self, entries: Iterable[WorkerEntry]) -> None:
-        """Keep which workers were read, to recognize them as those of former leaders."""
+        """Keep which workers were read; a former leader may have had the same."""
         self._state.worker_sets.remember(entries)
 
     def set_evacuated(
@@ -366,15 +366,14 @@
         fenced = reply.outcome is OrderOutcome.FENCED
         superseded = fenced and not worker.was_ordered_earlier(run)
         changes = worker.apply_order_reply(now, run, reply)
+        task = self._state.runs.task_of(name, run)
         match reply.outcome:
             case OrderOutcome.ACCEPTED:
                 pass
-            case OrderOutcome.OUTDATED:
-                task = self._state.runs.task_of(name, run)
-                if task is not None:
-                    # The worker has seen this run number or a higher one, ordered by an
-                    # earlier leader. Skip the next 8 numbers.
-                    task.next_number += 8
+            case OrderOutcome.OUTDATED if task is not None:
+                # The worker has seen this run number or a higher one, ordered by an
+                # earlier leader. Skip the next 8 numbers.
+                task.next_number += 8
             case OrderOutcome.UNKNOWN:
                 self._state.health.note_no_reply(now, name)
                 reason = "its order has no reply"
@@ -390,6 +389,8 @@
                 self._state.health.note_no_reply(now, name)
         for change in changes:
             actions += self._outcomes.apply_change(now, worker, change)
+        if reply.outcome is OrderOutcome.OUTDATED and task is not None:
+            actions += self._outcomes.give_up_handed_over(now, task)
         if self._state.placement_up_to_date:
             return actions
         return actions + self._assignment.assign(now)
--- a/packages/poplarhilld/tests/leading/test_former_workers.py
+++ b/packages/poplarhilld/tests/leading/test_former_workers.py
@@ -185,3 +185,21 @@
     world.submit("h1", simulated_job("a", tasks=1, cores=64.0, left_s=9.0))
     assert world.job_outcome("a").error == ErrorKind.IMPOSSIBLE.value
     assert world.job_outcome("a").elsewhere
+
+
+# Once, a worker that refused an order, since it knew a run of the task, was taken to
+# prove that the task had not run.
+def test_a_task_that_a_worker_knows_of_is_not_started_with_another_number(
+    world: World,
+) -> None:
+    world.submit("h1", simulated_job("a", tasks=1, run_s=0.1, left_s=9.0))
+    world.run(0.6)
+    assert world.job_outcome("a").error == ""  # this report is lost
+    world.reports.clear()
+    world.paused.add("h1")
+    world.add_leader("h2", 2)
+    world.run(0.1)
+    world.hand_over("h2", "a")
+    world.run(1.0)
+    assert world.starts == 1
+    assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
