Keep sight of the other leaders when that of the data centre stops

Cause: hosts know the leaders of other data centres from what their own leader reports. A leader that stops no longer reports, and its hosts took 'not reported' for 'lost': they withdrew their jobs from leaders that went on.

The test fails before.

--- a/packages/poplarhilld/src/poplarhilld/shards/fleet.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/fleet.py
@@ -158,15 +158,19 @@
         }
 
     def reported_leaders(self) -> list[LeaderDigest]:
-        """Return what other leaders report of leaders, the newest reports last."""
+        """Return what other leaders report of leaders, the newest reports last.
+
+        The last report of a host that stops to lead holds on until its successor
+        reports: the other leaders go on.
+        """
         oldest = self.last_tick_at - _RELAY_LIFETIME_S
         reporters = [
             peer
             for peer in self.peers.values()
-            if peer.heartbeat.leaders and peer.received_at >= oldest
+            if peer.reported_leaders and peer.reported_at >= oldest
         ]
-        reporters.sort(key=lambda peer: peer.received_at)
-        return [digest for peer in reporters for digest in peer.heartbeat.leaders]
+        reporters.sort(key=lambda peer: peer.reported_at)
+        return [digest for peer in reporters for digest in peer.reported_leaders]
 
     def leader(self, shard: str) -> str | None:
         """Return the live host with the newest claim to a shard, or None."""
--- a/packages/poplarhilld/src/poplarhilld/shards/peer.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/peer.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from poplarhilld.peers.messages import Beat
+from poplarhilld.peers.messages import Beat, LeaderDigest
 from poplarhilld.shards.intervals import (
     HEARTBEAT_INTERVAL_S,
     TIMEOUT_HEARTBEATS,
@@ -21,6 +21,8 @@
         received_at: When that was received, s.
         led_at: When a heartbeat was received in which it claims a shard, s, from this
             process or an earlier one.
+        reported_leaders: What it reported of other leaders while it led last.
+        reported_at: When it reported that, s.
         live: Whether heartbeats pass in both directions.
         live_since: When it last became live, s.
         lost_at: When it was last lost, s; None once it is live again or some time has
@@ -45,6 +47,8 @@
     send_interval_s: float = HEARTBEAT_INTERVAL_S
     relation: Relation = Relation.CLOSE
     shortened_at: float = 0.0
+    reported_leaders: tuple[LeaderDigest, ...] = ()
+    reported_at: float = -math.inf
 
     @property
     def nearby(self) -> bool:
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -207,6 +207,7 @@
         peer.heartbeat, peer.received_at = heartbeat, now
         if heartbeat.claims:
             peer.led_at = now
+            peer.reported_leaders, peer.reported_at = heartbeat.leaders, now
         address = Address(heartbeat.host, heartbeat.port)
         self._fleet.add_addresses(now, [address])
         target = self._fleet.targets[address]
--- a/packages/poplarhilld/tests/shards/test_large_fleet.py
+++ b/packages/poplarhilld/tests/shards/test_large_fleet.py
@@ -10,7 +10,7 @@
 from poplarhilld.decisions import LogDecision
 from poplarhilld.evacuation import Evacuation, EvacuationCopy, Evacuations
 from poplarhilld.leases import TokenSource
-from poplarhilld.peers import Beat, Load, encode
+from poplarhilld.peers import Beat, Claim, LeaderDigest, Load, encode
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.shards import Hosts, LocalHost, SendHeartbeat
 from poplarhilld.shards.intervals import HEARTBEAT_INTERVAL_S
@@ -222,6 +222,22 @@
     assert len(fleet.leaders("dc3")) == 1
 
 
+# Once, a host lost sight of the leaders of all other data centres when that of its own
+# stopped: it took its jobs from them, though they went on.
+def test_a_planned_stop_of_a_leader_hides_no_other_leaders() -> None:
+    me = LocalHost("dc1-00", Address("10.1.0.0", 1), "dc1", 1, 2.0)
+    hosts = Hosts(me, [], TokenSource(me.address), 0.0)
+    other = LeaderDigest("dc2-00", "10.2.0.0", 1, "dc2", ("dc2",), 9, Load())
+    claims = (Claim("dc1/0", 5, 20),)
+    fields = {"heard": ("dc1-00",), "claims": claims, "tenure": 5, "leaders": (other,)}
+    leading = Beat("10.1.0.1", 1, "dc1", 1, 1.0, True, **fields)
+    hosts.heartbeat_received(0.1, "dc1-01", leading)
+    assert hosts.leaders.keys() == {"dc1-01", "dc2-00"}
+    leaving = leading._replace(claims=(), tenure=0, leaders=(), leaving=True)
+    hosts.heartbeat_received(0.2, "dc1-01", leaving)
+    assert hosts.leaders.keys() == {"dc2-00"}
+
+
 # Guards against a leader that learns late that a host is gone, and works on for
 # callers that were lost with it.
 def test_a_leader_notices_a_silent_host_within_the_timeout(fleet: LargeFleet) -> None:
