--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/workers.py
@@ -236,12 +236,16 @@
             else:
                 self.schedule(LINK_DELAY_S, reply, result)
 
+        def carry_out_late() -> None:
+            if not worker.refusing:
+                request(lambda result: None)
+
         if worker.refusing:
             self.schedule(2 * LINK_DELAY_S, reply, refused)
         elif self.network.is_cut(host.name, name) or worker.unreachable:
             self.schedule(timeout_s, reply, no_reply)
         elif late_share and self.random.random() < late_share:
-            self.schedule(self._late_delay_s(), request, lambda result: None)
+            self.schedule(self._late_delay_s(), carry_out_late)
             self.schedule(timeout_s, reply, no_reply)
         else:
             self.schedule(LINK_DELAY_S, request, answer)
--- a/packages/poplarhill-dev/tests/simulation/test_store.py
+++ b/packages/poplarhill-dev/tests/simulation/test_store.py
@@ -1,7 +1,10 @@
 """Hosts that read the list of workers from a store with faults."""
 
+import math
+
 import pytest
 
+from poplarhill_dev.leased import simulated_job
 from poplarhill_dev.simulation import SMALL_FLEET, FleetWorld
 from poplarhill_dev.simulation.host import WorkersRead
 from poplarhill_dev.simulation.scenario import run_scenario
@@ -66,6 +69,17 @@
     assert fleet.workers["w0"].refusing
 
 
+# Guards against orders that are carried out late by a worker that has left.
+def test_workers_that_have_left_carry_out_no_late_orders(fleet: FleetWorld) -> None:
+    fleet.late_order_share = 1.0
+    fleet.submit_job(simulated_job("j0"), "dc1", HOST)
+    fleet.run(0.01)
+    for name in fleet.workers:
+        fleet.crash(name, down_s=math.inf)
+    fleet.run(13.0)
+    assert fleet.starts_by_task == {}
+
+
 # Shows that the faults of the store reach the hosts in the random scenarios.
 def test_the_store_has_faults_in_the_random_scenarios() -> None:
     lines = [line for seed in (18, 37) for line in run_scenario(seed).lines]
