--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/checks.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/checks.py
@@ -138,8 +138,8 @@
         world, since = self._world, sent_at - DRAIN_NOTICE_S
         if world.now - sent_at > _ON_TIME_S:
             return
-        draining_since = world.store.draining_since.get(name)
-        if draining_since is None or draining_since >= since:
+        draining_since = world.store.drains_since(name)
+        if draining_since >= since:
             return
         if world.undisturbed_since(host) <= since:
             drains_s = world.now - draining_since
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/store.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/store.py
@@ -1,5 +1,6 @@
 """The simulated store: the registered workers, and what each host reads of them."""
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -50,9 +51,6 @@
     Args:
         clock: The simulated time.
         entries: Workers that are registered at the start, by name.
-
-    Attributes:
-        draining_since: When it accepted that a worker drains, by name, s.
     """
 
     def __init__(self, clock: Clock, entries: Mapping[str, WorkerEntry]) -> None:
@@ -63,7 +61,7 @@
         self._faults: list[StoreFault] = []
         self._impaired_until: dict[str, float] = {}
         self._lists: list[tuple[float, Mapping[str, WorkerEntry]]] = []
-        self.draining_since: dict[str, float] = {}
+        self._draining_since: dict[str, float] = {}
         self._note_change()
 
     def read(self, host: str) -> Mapping[str, WorkerEntry] | None:
@@ -91,14 +89,20 @@
         """
         return max(self._down_until, self._impaired_until.get(host, 0.0))
 
+    def drains_since(self, name: str) -> float:
+        """Return since when it lists that a worker drains, s; infinite if it doesn't."""
+        since = self._draining_since.get(name, math.inf)
+        return max(since, self._absent_until.get(name, 0.0))
+
     def put(self, entry: WorkerEntry) -> None:
         """Register a worker or replace its entry, once the store is available."""
         if self._clock.now < self._down_until:
             self._clock.schedule(self._down_until - self._clock.now, self.put, entry)
             return
         self._entries[entry.name] = entry
+        self._absent_until.pop(entry.name, None)
         if entry.draining:
-            self.draining_since.setdefault(entry.name, self._clock.now)
+            self._draining_since.setdefault(entry.name, self._clock.now)
         self._note_change()
 
     def remove(self, name: str) -> None:
