--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/store.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/store.py
@@ -90,7 +90,7 @@
         return max(self._down_until, self._impaired_until.get(host, 0.0))
 
     def drains_since(self, name: str) -> float:
-        """Return since when it lists that a worker drains, s; infinite if it doesn't."""
+        """Return since when it lists a worker as draining, s; infinite if never."""
         since = self._draining_since.get(name, math.inf)
         return max(since, self._absent_until.get(name, 0.0))
 
