Give orders beside a run without an offer a finite deadline

Found by reading: an order must not extend the lease past the offer of a run on the worker. A run of which no offer is known made that minus infinity, which the adapter can't write, so that the loop would have failed. Such an order expires at once, and its task prefers another worker. The test fails before.

--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -374,6 +374,9 @@
                 # The worker has seen this run number or a higher one, ordered by an
                 # earlier leader. Skip the next 8 numbers.
                 task.next_number += 8
+            case OrderOutcome.EXPIRED if task is not None:
+                # The lease there is kept short until another run has been stopped.
+                task.avoid.add(name)
             case OrderOutcome.UNKNOWN:
                 self._state.health.note_no_reply(now, name)
                 reason = "its order has no reply"
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -211,6 +211,8 @@
             left_s = reservation.job.offer_lapses_at + self._stops_s - now
             if left_s < validity_s:
                 validity_s = left_s
+        if validity_s < 0:
+            validity_s = 0.0
         deadline_s = self.clock_s(now) + validity_s
         if deadline_s > self._may_run_until_s:
             self._may_run_until_s = deadline_s
--- a/packages/poplarhilld/tests/leases/test_lapse.py
+++ b/packages/poplarhilld/tests/leases/test_lapse.py
@@ -64,3 +64,15 @@
     renewal = worker.next_renewal(0.0)
     assert renewal.wait_s == plain.wait_s
     assert renewal.deadline_s > 50.0 + 2 * renewal.wait_s
+
+
+# Once, an order to a worker with a run of which no offer is known had an infinite
+# deadline, which no request can hold.
+def test_an_order_beside_a_run_without_an_offer_expires_at_once() -> None:
+    worker = worker_after_one_reply()
+    found = Run("a.0.0.0", 1)
+    renewal = worker.next_renewal(0.1)
+    worker.apply_renewal_reply(0.1, renewal, LeaseReply(0.1, 1, (found,), ()))
+    worker.set_needs(found, Resources(1.0))
+    deadline_s = worker.reserve(0.2, Run("b.0.0.0", 1), Resources(1.0))
+    assert deadline_s == worker.clock_s(0.2)
