Wait for workers that nobody leads yet, and start no task that may run once

And a task that may run only once started again after a failed run that only the lost leader knew of.

With each of the two checks switched off its test fails.

--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -124,6 +124,7 @@
         led_entries: dict[str, WorkerEntry] = {}
         former_leaders_heard_at: dict[str, tuple[float, ...]] = {}
         not_led_here: set[str] = set()
+        led_by_others: set[str] = set()
         for shard, entries in state.shards.items():
             if shard in state.hosts.claims:
                 led_entries.update(entries)
@@ -132,6 +133,8 @@
                     former_leaders_heard_at.update(dict.fromkeys(entries, heard_at))
             else:
                 not_led_here.update(entries)
+                if state.hosts.leader(shard) is not None:
+                    led_by_others.update(entries)
         await perform(
             state.leader.set_workers(
                 now,
@@ -140,5 +143,6 @@
                 frozenset(not_led_here),
                 former_leaders_heard_at,
                 state.hosts.lost_hosts_heard_at(now),
+                frozenset(led_by_others),
             )
         )
--- a/packages/poplarhilld/src/poplarhilld/leading/handover.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/handover.py
@@ -16,6 +16,10 @@
 from poplarhilld.leading.worker_sets import WorkerSets
 from poplarhilld.peers.messages import UNKNOWN_WORKERS, JobOffer, OfferedJob
 
+# The former leader may know of a failed run of a task, which allows another one only
+# from this count of attempts on.
+_MIN_ATTEMPTS = 2
+
 
 def as_handed_over(offered: OfferedJob, tenure: int) -> JobOffer:
     """Return an offer, marked as handed over if it was made to an earlier tenure.
@@ -44,16 +48,16 @@
         offer: Newest offer of the job.
         worker_sets: Workers of the leader.
     """
-    return bool(offer.former_workers) and worker_sets.are_confirmed(
-        offer.former_workers
-    )
+    if not offer.former_workers or offer.max_attempts < _MIN_ATTEMPTS:
+        return False
+    return worker_sets.are_confirmed(offer.former_workers)
 
 
 def cannot_start(now: float, job: LedJob, state: LeaderState) -> bool:
     """Return whether waiting tasks of a job that was handed over will not start.
 
     Until the workers have replied and the runs that other leaders had have been found
-    or have ended, this leader may adopt runs of them.
+    or have ended, this leader may adopt runs of them, or lead the rest of the workers.
 
     Args:
         now: The leader's clock, s.
@@ -65,5 +69,14 @@
     if any(worker.awaits_first_reply(now) for worker in state.workers.values()):
         return False
     settled_at = job.offered_at + state.limits.runs_ended_after_s
-    led_elsewhere = bool(state.not_led_here)
-    return now >= settled_at or (led_elsewhere and not fits_in_time(settled_at, job))
+    if now >= settled_at:
+        return True
+    return not fits_in_time(settled_at, job) and _others_lead_workers(job.offer, state)
+
+
+def _others_lead_workers(offer: JobOffer, state: LeaderState) -> bool:
+    """Return whether other leaders may have workers of the former leaders of a job."""
+    sets = [state.worker_sets.names(digest) for digest in offer.former_workers]
+    return not sets or any(
+        names is None or not names.isdisjoint(state.led_by_others) for names in sets
+    )
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -48,7 +48,8 @@
     Attributes:
         workers: Workers that this host leads or has led, by name.
         entries: Workers that this host is to lead, by name.
-        not_led_here: Names of the registered workers that other hosts lead.
+        not_led_here: Names of the registered workers that this host does not lead.
+        led_by_others: Names of those of them that another host leads.
         former_leaders_heard_at: When the former leaders of workers that were taken over
             were last heard, s, the newest first, by worker.
         lost_hosts_heard_at: When the first of the hosts that were lost lately was last
@@ -93,6 +94,7 @@
         self.workers: dict[str, LeasedWorker] = {}
         self.entries: Mapping[str, WorkerEntry] = {}
         self.not_led_here: frozenset[str] = frozenset()
+        self.led_by_others: frozenset[str] = frozenset()
         self.former_leaders_heard_at: Mapping[str, tuple[float, ...]] = {}
         self.lost_hosts_heard_at = math.inf
         self.evacuated: frozenset[str] = frozenset()
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -155,6 +155,7 @@
         not_led_here: frozenset[str] = frozenset(),
         former_leaders_heard_at: Mapping[str, tuple[float, ...]] = MappingProxyType({}),
         lost_hosts_heard_at: float = math.inf,
+        led_by_others: frozenset[str] | None = None,
     ) -> list[LeaderAction]:
         """Set the workers that this host leads.
 
@@ -171,10 +172,15 @@
                 over were last heard, s, the newest first, by worker.
             lost_hosts_heard_at: When the first of the hosts that were lost lately was
                 last heard, s.
+            led_by_others: Names of those that this host does not lead and another one
+                does; all if not given.
         """
         actions: list[LeaderAction] = []
         self._state.former_leaders_heard_at = former_leaders_heard_at
         self._state.lost_hosts_heard_at = lost_hosts_heard_at
+        if led_by_others is None:
+            led_by_others = not_led_here
+        self._state.led_by_others = led_by_others
         if entries != self._state.entries or not_led_here != self._state.not_led_here:
             self._state.placement_up_to_date = False
             self._state.note_worker_change()
--- a/packages/poplarhilld/src/poplarhilld/leading/worker_sets.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/worker_sets.py
@@ -54,6 +54,10 @@
             self._sets.popitem(last=False)
         return tuple(sorted(digests))
 
+    def names(self, digest: int) -> frozenset[str] | None:
+        """Return the names of the workers of a set, or `None` if it is not known."""
+        return self._sets.get(digest)
+
     def are_confirmed(self, digests: Iterable[int]) -> bool:
         """Return whether this leader has all workers of some sets, and they obey it.
 
@@ -61,7 +65,7 @@
         far as is known, and has told its runs.
         """
         for digest in digests:
-            names = self._sets.get(digest)
+            names = self.names(digest)
             if names is None or not all(map(self._is_confirmed, names)):
                 return False
         return True
--- a/packages/poplarhilld/tests/leading/test_former_workers.py
+++ b/packages/poplarhilld/tests/leading/test_former_workers.py
@@ -1,5 +1,7 @@
 """Jobs that were handed over: which workers the former leader had decides."""
 
+import math
+
 from poplarhill import ErrorKind
 from poplarhill_dev.leased import SimulatedWorker, World, simulated_job, worker_entry
 from poplarhilld.leading import ReportJob, ShareReport
@@ -203,3 +205,41 @@
     world.run(1.0)
     assert world.starts == 1
     assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
+
+
+# Once, jobs of impatient callers ended before the next leader had claimed the other
+# shards of the former one.
+def test_a_job_waits_for_workers_that_nobody_leads_yet(world: World) -> None:
+    world.submit("h1", simulated_job("a", tasks=4, run_s=0.4, left_s=1.4, cores=16.0))
+    world.run(0.1)
+    world.paused.add("h1")
+    first = {name: world.entries[name] for name in ("w0", "w1")}
+    rest = frozenset(world.entries) - first.keys()
+    h2 = world.add_leader("h2", 2, first)
+    h2.remember_workers(world.entries.values())
+    args = (frozenset(rest), {}, math.inf, frozenset())
+    world.perform("h2", h2.set_workers(world.now, world.now, first, *args))
+    world.hand_over("h2", "a")
+    world.run(0.1)
+    world.perform("h2", h2.set_workers(world.now, world.now, world.entries))
+    world.run(0.8)
+    assert world.job_outcome("a").error == ""
+    assert world.starts == 4
+
+
+# Guards against another run of a task that may run once, after one that has failed.
+def test_a_task_that_may_run_once_is_not_started_after_a_handover(world: World) -> None:
+    job = simulated_job("a", tasks=1, run_s=0.1, left_s=9.0, max_attempts=1)
+    world.submit("h1", job)
+    world.workers["w0"].broken = True
+    world.run(0.6)
+    world.reports.clear()
+    world.paused.add("h1")
+    broken = world.workers["w0"]
+    broken.entry = broken.entry._replace(draining=True)
+    world.add_leader("h2", 2)
+    world.run(0.1)
+    world.hand_over("h2", "a")
+    world.run(2.0)
+    assert world.starts == 1
+    assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
