Take no proof from a leader that is only silent

A leader that is cut from the other hosts but not from its workers goes on to acknowledge results whose reports never arrive.

Change: the entry host passes the workers of a former leader on only if all of its reports have arrived: it has told that it leads nothing, has restarted, or its process has ended. After mere silence the waiting tasks of its jobs do not start, and the job ends as one that may have run.

--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -71,7 +71,7 @@
             settings.name,
             limits,
         )
-        self.submissions = Submissions(limits)
+        self.submissions = Submissions(limits, self.hosts.has_reported_all)
         self.outcomes: dict[int, curio.Queue] = {}
         self.catalogue = Catalogue()
         self.registry = Registry()
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -132,6 +132,17 @@
         """Return the live host with the newest claim to a shard, or None."""
         return self._fleet.leader(shard)
 
+    def has_reported_all(self, name: str) -> bool:
+        """Return whether all reports of a host that has led have arrived here.
+
+        It has told since that it leads nothing, has restarted, or its process has
+        ended. A host that is only silent may go on as a leader.
+        """
+        if name == self._fleet.me.name:
+            return True
+        peer = self._fleet.peers.get(name)
+        return peer is not None and (peer.given_up or not peer.heartbeat.claims)
+
     def address(self, name: str) -> Address | None:
         """Return the address of a host, or None if the host is unknown."""
         peer = self._fleet.peers.get(name)
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -1,7 +1,7 @@
 """State of the submitted jobs of a host, from submission to answer."""
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from poplarhill.exceptions import ANSWERS, ErrorKind, Failure, RunState
 from poplarhilld.decisions import LogDecision
@@ -55,12 +55,19 @@
 
     Args:
         limits: How long an offer keeps a job at its leader.
+        has_reported_all: Returns whether all reports of a former leader have arrived,
+            given its name.
 
     Attributes:
         remote_slowdown: Factor on run times outside the rack of the data; 1 is off.
     """
 
-    def __init__(self, limits: OfferLimits = DEFAULT_LIMITS) -> None:
+    def __init__(
+        self,
+        limits: OfferLimits = DEFAULT_LIMITS,
+        has_reported_all: Callable[[str], bool] = lambda name: True,
+    ) -> None:
+        self._has_reported_all = has_reported_all
         self.remote_slowdown = OFF
         self._repeat_interval_s = min(REPEAT_INTERVAL_S, limits.lifetime_s / _REPEATS)
         self._jobs: dict[int, PendingJob] = {}
@@ -270,7 +277,7 @@
         if not repeated:
             former = job.leader if job.leader != name else ""
             if job.leader:
-                job.former_workers += job.workers_digests or (UNKNOWN_WORKERS,)
+                job.former_workers += self._former_workers(job)
             if former:
                 withdrawn = JobWithdrawn(job.submission.job_id)
                 actions.append(WithdrawFromLeader(former, withdrawn))
@@ -286,6 +293,16 @@
         )
         return [*actions, OfferToLeader(name, offered)]
 
+    def _former_workers(self, job: PendingJob) -> tuple[int, ...]:
+        """Return the digests of the workers of the leader that a job is taken from.
+
+        A leader that is only silent may have acknowledged results that were not
+        reported, so its workers prove nothing to the next one.
+        """
+        if not job.workers_digests or not self._has_reported_all(job.leader):
+            return (UNKNOWN_WORKERS,)
+        return job.workers_digests
+
     def _log_choice(
         self,
         now: float,
--- a/packages/poplarhilld/tests/shards/test_large_fleet.py
+++ b/packages/poplarhilld/tests/shards/test_large_fleet.py
@@ -233,9 +233,11 @@
     leading = Beat("10.1.0.1", 1, "dc1", 1, 1.0, True, **fields)
     hosts.heartbeat_received(0.1, "dc1-01", leading)
     assert hosts.leaders.keys() == {"dc1-01", "dc2-00"}
+    assert not hosts.has_reported_all("dc1-01")
     leaving = leading._replace(claims=(), tenure=0, leaders=(), leaving=True)
     hosts.heartbeat_received(0.2, "dc1-01", leaving)
     assert hosts.leaders.keys() == {"dc2-00"}
+    assert hosts.has_reported_all("dc1-01")
 
 
 # Guards against a leader that learns late that a host is gone, and works on for
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -146,6 +146,21 @@
     assert third.offered.offer.handovers == 1
 
 
+# Once, a leader that was cut off had acknowledged results that never arrived, and the
+# next one of the same workers ran these tasks again.
+def test_the_workers_of_a_silent_leader_prove_nothing() -> None:
+    submissions = Submissions(has_reported_all=lambda name: name != "h1")
+    submissions.update_leaders(0.0, {"h1": LEADER._replace(workers_digests=(5,))})
+    steps = (StepSpec(4, Resources(6.8, 64, 0), 0.2),)
+    submissions.submit(0.0, 1, Submission("a", ROUTE, "{}", steps, 1.5))
+    h2 = LEADER._replace(tenure=9, workers_digests=(6,))
+    (second,) = of_type(submissions.update_leaders(0.2, {"h2": h2}), OfferToLeader)
+    assert second.offered.offer.former_workers == (UNKNOWN_WORKERS,)
+    actions = submissions.update_leaders(0.3, {"h3": LEADER._replace(tenure=10)})
+    (third,) = of_type(actions, OfferToLeader)
+    assert third.offered.offer.former_workers == (UNKNOWN_WORKERS, 6)
+
+
 # Guards against a result that a host does not pass on: a leader that has not got the
 # job yet is the only one to learn of it, and may be lost.
 @pytest.mark.parametrize(
