--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -151,18 +151,12 @@
     default="mixed",
     help="Whether callers wait longer than the timeout of their route.",
 )
-@click.option(
-    "--long-routes",
-    is_flag=True,
-    help="Let the timeout of routes be as long as their callers wait.",
-)
 def simulate(
     seeds: str,
     trace: bool,
     closed_requests: bool,
     store: str,
     callers: str,
-    long_routes: bool,
 ) -> None:
     """Run simulated fleets under random faults and check that no task runs twice."""
     from poplarhill_dev.simulation.command import run_seeds
@@ -171,9 +165,7 @@
 
     first, _, last = seeds.partition("-")
     numbers = range(int(first), int(last or first) + 1)
-    options = ScenarioOptions(
-        closed_requests, store == "on", CallerKind(callers), long_routes
-    )
+    options = ScenarioOptions(closed_requests, store == "on", CallerKind(callers))
     sys.exit(0 if run_seeds(numbers, trace, options) else 1)
 
 
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/load.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/load.py
@@ -62,19 +62,17 @@
     Args:
         seed: Seed of the scenario.
         kind: How long callers wait.
-        long_routes: Whether the timeout of a route is as long as its callers wait.
 
     Attributes:
         long: Whether callers wait for longer than the timeout of their route.
         resends: Whether callers send a job again after a failed attempt.
     """
 
-    def __init__(self, seed: int, kind: CallerKind, long_routes: bool) -> None:
+    def __init__(self, seed: int, kind: CallerKind) -> None:
         random = Random(f"callers {seed}")
         mixed_long = random.random() < 0.6
         self.long = kind is CallerKind.LONG or (kind is CallerKind.MIXED and mixed_long)
         self.resends = not self.long or random.random() < 0.5
-        self._long_routes = long_routes
         self._route_timeout_s = random.uniform(*_ROUTE_TIMEOUTS_S)
 
     def schedule(self, world: FleetWorld, random: Random) -> None:
@@ -106,8 +104,6 @@
         stated_s = math.inf
         if kind.caller_timeout_s:
             stated_s = random.uniform(*kind.caller_timeout_s)
-            if self._long_routes:
-                route = route._replace(timeout_s=stated_s)
         return Caller(job, centre, route, stated_s, self.resends)
 
 
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
@@ -22,13 +22,11 @@
             their close.
         store: Whether the store has faults, and workers come and go.
         callers: How long callers wait.
-        long_routes: Whether the timeout of a route is as long as its callers wait.
     """
 
     closed_requests: bool = False
     store: bool = True
     callers: CallerKind = CallerKind.MIXED
-    long_routes: bool = False
 
 
 DEFAULTS = ScenarioOptions()
@@ -41,7 +39,7 @@
     world.callers.closed_requests_handled = options.closed_requests
     if options.store:
         _begin_store_faults(world, seed)
-    load = Load(seed, options.callers, options.long_routes)
+    load = Load(seed, options.callers)
     load.schedule(world, random)
     _schedule_faults(world, random, load)
     world.run(LOAD_S + (_LONG_DRAIN_S if load.long else _DRAIN_S))
--- a/packages/poplarhill-dev/tests/simulation/test_scenarios.py
+++ b/packages/poplarhill-dev/tests/simulation/test_scenarios.py
@@ -10,7 +10,7 @@
 
 SEEDS = (1, 2, 3, 4, 1185)
 EQUAL_LISTS = ScenarioOptions(store=False, callers=CallerKind.SHORT)
-LONG_JOBS = ScenarioOptions(callers=CallerKind.LONG, long_routes=True)
+LONG_JOBS = ScenarioOptions(callers=CallerKind.LONG)
 
 
 # Guards against two runs of one task, and against runs after their caller was told that
@@ -56,5 +56,5 @@
 
 
 def test_callers_resend_in_some_scenarios_only() -> None:
-    loads = [Load(seed, CallerKind.LONG, long_routes=True) for seed in range(20)]
+    loads = [Load(seed, CallerKind.LONG) for seed in range(20)]
     assert {load.resends for load in loads} == {True, False}
