--- a/packages/poplarhilld/src/poplarhilld/leading/demand.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/demand.py
@@ -1,7 +1,6 @@
 """Arrival rates, sizes and timeouts of the jobs of each route or service."""
 
 import math
-from collections import deque
 
 _MEMORY_S = 10.0  # time constant; traffic changes within about ten seconds
 _WORK_MEMORY_S = 1.5  # a burst lasts some seconds
@@ -19,25 +18,26 @@
 
     def __init__(self) -> None:
         self.usual_s = 0.0
-        self._recent: deque[float] = deque()
+        self._recent: list[float | None] = [None] * _RECENT_TIMEOUTS
+        self._next = 0
         self._counts: dict[float, int] = {}
 
     def note(self, timeout_s: float) -> bool:
         """Note the timeout of a caller, s; return whether the usual one changed."""
-        recent, counts = self._recent, self._counts
-        if len(recent) == _RECENT_TIMEOUTS:
-            oldest_s = recent[0]
-            if oldest_s == timeout_s:
-                recent.rotate(-1)
-                return False
-            recent.popleft()
+        # Usually all are the same, so that case makes no calls.
+        oldest_s = self._recent[self._next]
+        self._recent[self._next] = timeout_s
+        self._next = (self._next + 1) % _RECENT_TIMEOUTS
+        if oldest_s == timeout_s:
+            return False
+        counts = self._counts
+        if oldest_s is not None:
             counts[oldest_s] -= 1
             if not counts[oldest_s]:
                 del counts[oldest_s]
-        recent.append(timeout_s)
         counts[timeout_s] = counts.get(timeout_s, 0) + 1
-        least = len(recent) / 2
-        common = [value for value, count in counts.items() if count >= least]
+        least = sum(counts.values()) / 2
+        common = [value for value, number in counts.items() if number >= least]
         before_s, self.usual_s = self.usual_s, max(common, default=0.0)
         return self.usual_s != before_s
 
@@ -70,8 +70,9 @@
         Returns:
             0 if there is none, because callers state times of their own.
         """
-        timeouts = self._timeouts.get(route)
-        return timeouts.usual_s if timeouts else 0.0
+        if route not in self._timeouts:
+            return 0.0
+        return self._timeouts[route].usual_s
 
     def note_timeout(self, route: str, timeout_s: float) -> bool:
         """Note the timeout of the caller of a new job, s.
@@ -79,10 +80,9 @@
         Returns:
             Whether the usual timeout of the route has changed.
         """
-        timeouts = self._timeouts.get(route)
-        if timeouts is None:
-            timeouts = self._timeouts[route] = _RecentTimeouts()
-        return timeouts.note(round(timeout_s, _TIMEOUT_DECIMALS))
+        if route not in self._timeouts:
+            self._timeouts[route] = _RecentTimeouts()
+        return self._timeouts[route].note(round(timeout_s, _TIMEOUT_DECIMALS))
 
     def rate(self, now: float, route: str) -> float:
         """Return the recent arrival rate of a route, jobs per second."""
--- a/packages/poplarhilld/src/poplarhilld/leading/spread.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/spread.py
@@ -84,7 +84,8 @@
             route: The route.
             expected_s: Expected run time of a job, s.
         """
-        return self._run_s(route, expected_s, _LEAST_DEVIATIONS)
+        mean, variance, _ = self._routes.get(route, _PRIOR)
+        return expected_s * math.exp(mean + _LEAST_DEVIATIONS * math.sqrt(variance))
 
     def most_run_s(self, route: str, expected_s: float) -> float:
         """Return the run time that 19 jobs of a route in 20 stay below, s.
@@ -93,7 +94,8 @@
             route: The route.
             expected_s: Expected run time of a job, s.
         """
-        return self._run_s(route, expected_s, _MOST_DEVIATIONS)
+        mean, variance, _ = self._routes.get(route, _PRIOR)
+        return expected_s * math.exp(mean + _MOST_DEVIATIONS * math.sqrt(variance))
 
     def usual_factor(self, route: str) -> float:
         """Return the median run time of the jobs of a route over the expected one."""
@@ -103,10 +105,6 @@
         """Return the standard deviation of the logarithm of run times of a route."""
         return math.sqrt(self._routes.get(route, _PRIOR).variance)
 
-    def _run_s(self, route: str, expected_s: float, deviations: float) -> float:
-        mean, variance, _ = self._routes.get(route, _PRIOR)
-        return expected_s * math.exp(mean + deviations * math.sqrt(variance))
-
 
 def _truncated(spread: _Spread, least: float) -> tuple[float, float]:
     """Return mean and variance of the values above a bound."""
