--- a/packages/poplarhill-dev/src/poplarhill_dev/grown.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/grown.py
@@ -264,8 +264,14 @@
     # Workers: an event is scheduled for the end of each run, instead of polling.
 
     def _hold_renewal(
-        self, leader: str, name: str, renewal: Renewal, until: float
+        self,
+        leader: str,
+        name: str,
+        renewal: Renewal,
+        until: float,
+        incarnation: int,
     ) -> None:
+        # No worker of these deployments restarts.
         self._held_renewals[name] = (leader, renewal, until)
         self._schedule(max(0.0, until - self.now), self._answer_held_renewal, name)
         self._answer_held_renewal(name)
