--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/callers.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/callers.py
@@ -19,7 +19,8 @@
 
 RESEND_DELAY_S = 1.3
 MAX_ATTEMPTS = 4
-_PATIENCE_S = 0.01  # of callers that state no time, beyond the timeout of the route
+# Callers that state no time wait this much longer than the timeout of the route.
+_WAIT_BEYOND_TIMEOUT_S = 0.01
 ROUTE = Route("deposit", "one.example", "/r/", "booking", 1.53, 0.06, 1.6, 0, 2)
 # Attempts that reach another data centre, as when the own one is out of rotation.
 _RESENT_ELSEWHERE_SHARE = 0.25
@@ -80,7 +81,7 @@
     def timeout_s(self) -> float:
         """How long it waits for an answer, s."""
         if math.isinf(self.stated_timeout_s):
-            return self.route.timeout_s + _PATIENCE_S
+            return self.route.timeout_s + _WAIT_BEYOND_TIMEOUT_S
         return self.stated_timeout_s
 
     def awaits(self, attempt: Attempt) -> bool:
