Log how old the offer of an orphan may be, and name the report of it

An operator who follows two runs of one task could not see from the log by what a successor had extended a lease. `RunFound` says it for orphans (`offer_age_s`).

What leaders pass on is now named a report throughout, and what counts for it is a generator of its own.

--- a/packages/poplarhill-dev/src/poplarhill_dev/leased.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/leased.py
@@ -419,7 +419,7 @@
                 next_tick += TICK_S
                 for name, leader in list(self.leaders.items()):
                     if name not in self.paused:
-                        oldest_at = leader.tell_oldest_offer(self.now)
+                        oldest_at = leader.report_oldest_offer(self.now)
                         self._told_offers.append(_ToldOffers(self.now, oldest_at))
                         self.perform(name, leader.tick(self.now))
             self._check_invariants()
--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -101,7 +101,7 @@
             )
             state.leader.remember_workers(read)
         state.hosts.set_workers_digests(state.leader.workers_digests)
-        state.hosts.set_oldest_offer(state.leader.tell_oldest_offer(now))
+        state.hosts.set_oldest_offer(state.leader.report_oldest_offer(now))
         actions = state.hosts.tick(
             now,
             time.time(),
--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -237,9 +237,9 @@
         """
         state = self._state
         # The leader that has held workers of this one may have jobs of it by now. The
-        # next offer of a job shows that it is still here. One that was sent before this
-        # leader told that its runs are newer does not count either.
-        offered_since = max(state.reclaimed_at, state.offer_times.told_at)
+        # next offer of a job shows that it is still here. An offer that is older than
+        # this leader has reported of its runs does not count either.
+        offered_since = max(state.reclaimed_at, state.offer_times.reported_at)
         starts_if_lapsing_at = offered_since + state.limits.lifetime_s
         for job in state.queue.by_rank(now):
             if job.least_cores > max_free or job.stopping:
--- a/packages/poplarhilld/src/poplarhilld/leading/offer_times.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offer_times.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
@@ -19,17 +19,18 @@
     """Lower bounds on when runs were offered, by the leader's clock.
 
     Attributes:
-        told_at: The newest bound that this leader has told. It starts nothing of a job
-            whose offer was sent before that, as the next leader would not allow for it.
+        reported_at: The newest bound that this leader has reported, s. It starts
+            nothing of a job whose offer was sent before that, as the next leader would
+            not allow for it.
     """
 
     def __init__(self) -> None:
-        self.told_at = -math.inf
+        self.reported_at = -math.inf
         self._former: Mapping[str, float] = MappingProxyType({})
 
-    def set_former(self, offers_at: Mapping[str, float]) -> None:
-        """Set the bounds that the former leaders of workers told, s, by worker."""
-        self._former = offers_at
+    def set_former(self, bounds: Mapping[str, float]) -> None:
+        """Set the bounds that the former leaders of workers reported, s, by worker."""
+        self._former = bounds
 
     def former(self, worker: str) -> float:
         """Return the bound for the runs of a worker's former leaders, s.
@@ -39,11 +40,10 @@
         """
         return self._former.get(worker, -math.inf)
 
-    def tell(self, now: float, state: "LeaderState") -> float:
+    def report(self, now: float, state: "LeaderState") -> float:
         """Return the bound for all runs that this leader may leave, s.
 
-        Those that it found count, and those that it may start or find until it tells
-        the next bound. A run rests on the newest offer of its job.
+        It holds until the next report, for the runs that start until then as well.
 
         Args:
             now: The leader's clock, s.
@@ -52,20 +52,25 @@
         Returns:
             Minus infinity if it is not known.
         """
-        lifetime_s = state.limits.lifetime_s
-        lapses_at = [job.offer_lapses_at for job in state.jobs.values()]
-        # Runs on a worker that is lost or fenced may have been given up here.
+        bound = min(self._offered_at(now, state), default=math.inf)
+        bound = min(bound, now - _DELIVERY_S)
+        self.reported_at = max(self.reported_at, bound)
+        return bound
+
+    def _offered_at(self, now: float, state: "LeaderState") -> Iterator[float]:
+        """Yield when the jobs were last offered, or a bound where that is not known."""
+        limits = state.limits
+        for job in state.jobs.values():
+            yield job.offer_lapses_at - limits.lifetime_s
+        # The job of a run on a worker that is lost or fenced may be gone.
         for name in state.lost | state.reclaim_at.keys():
             worker = state.workers.get(name)
-            if worker is not None:
-                lapses_at += [one.job.offer_lapses_at for one in worker.reservations]
-        bounds = [at - lifetime_s for at in lapses_at]
-        bounds += state.runs.orphan_offers_at
+            for reservation in () if worker is None else worker.reservations:
+                yield reservation.job.offer_lapses_at - limits.lifetime_s
+        yield from state.runs.orphan_offers_at
         for name, worker in state.workers.items():
-            awaited = not worker.confirmed and not worker.fenced
-            if awaited and now - worker.claimed_at < state.limits.runs_ended_after_s:
-                bounds.append(self.former(name))
-        oldest_at = min(bounds, default=math.inf)
-        oldest_at = min(oldest_at, now - _DELIVERY_S)
-        self.told_at = max(self.told_at, oldest_at)
-        return oldest_at
+            # Its runs are not known before its first reply. Without one for so long,
+            # their lease has expired.
+            silent_s = now - worker.claimed_at
+            if not worker.confirmed and silent_s < limits.runs_ended_after_s:
+                yield self.former(name)
--- a/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/outcomes.py
@@ -66,8 +66,9 @@
             return []
         job = self._state.runs.job_of(run.task)
         if job is None:
-            self._add_orphan(now, worker, run)
-            return [_found(run, name, "orphan")]
+            offered_at = self._add_orphan(now, worker, run)
+            age_s = round(now - offered_at, 3) if math.isfinite(offered_at) else None
+            return [_found(run, name, "orphan", age_s)]
         task = job.task(run.task)
         worker.set_needs(run, task.spec.needs)
         worker.set_job(run, job)
@@ -78,11 +79,14 @@
         stops = self._closer.stop_run(now, worker, run, reason)
         return [_found(run, name, "stopped"), *stops]
 
-    def _add_orphan(self, now: float, worker: LeasedWorker, run: Run) -> None:
+    def _add_orphan(self, now: float, worker: LeasedWorker, run: Run) -> float:
         """Note a run whose job may be offered here soon, or be lost with its host.
 
-        No offer to this leader keeps it alive. Its lease is extended as far as what the
-        former leader told of its offers allows, and not at all if that is not known.
+        No offer to this leader keeps it alive. Its lease is extended as far as the
+        report of the former leader on its offers allows, and not at all without one.
+
+        Returns:
+            When its job was offered at the earliest, s.
         """
         name = worker.entry.name
         offered_at = self._state.offer_times.former(name)
@@ -92,6 +96,7 @@
         if math.isfinite(offered_at):
             stop_by = offered_at + limits.last_stop_s - _LEASED_STOP_S
         self._state.runs.add_orphan(now, run, name, offered_at, stop_by)
+        return offered_at
 
     def adopt_orphans(self, now: float, job: LedJob) -> list[LeaderAction]:
         """Adopt the runs of a job that an earlier leader ordered."""
@@ -274,9 +279,11 @@
         return not registered
 
 
-def _found(run: Run, worker: str, action: str) -> LogDecision:
+def _found(
+    run: Run, worker: str, action: str, offer_age_s: float | None = None
+) -> LogDecision:
     """Return the log line on a run that this leader has not ordered."""
-    return LogDecision(RunFound(run.task, run.number, worker, action))
+    return LogDecision(RunFound(run.task, run.number, worker, action, offer_age_s))
 
 
 def crash_detail(task: LedTask) -> str:
--- a/packages/poplarhilld/src/poplarhilld/leading/run_messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/run_messages.py
@@ -12,12 +12,15 @@
         worker: Name of the worker.
         action: What follows: "adopted"; "orphan" if this leader does not have the
             job; "stopped" if the task is done or has another run.
+        offer_age_s: Longest time since the last offer of an orphan's job, by which its
+            lease is extended, s; `None` if that is not known.
     """
 
     task: str
     run: int
     worker: str
     action: str
+    offer_age_s: float | None = None
 
 
 class RunAdopted(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -168,7 +168,7 @@
                 host does not lead.
             former_offers_at: Time by the leader's clock after which the runs were
                 offered that the former leaders of workers may have left, as the last of
-                them told, s, by worker.
+                them reported, s, by worker.
             led_by_others: Names of those that this host does not lead and another one
                 does; all if not given.
         """
@@ -197,16 +197,16 @@
                 actions += self._group.reclaim(now, time_s, worker)
         return actions + self._assignment.assign(now)
 
-    def tell_oldest_offer(self, now: float) -> float:
+    def report_oldest_offer(self, now: float) -> float:
         """Return the time after which all runs were offered that it may leave, s.
 
-        The next leader extends the leases of runs that it finds by that. This one then
-        starts nothing of jobs that were offered before.
+        The next leader extends the leases of runs that it finds by that. This one
+        starts nothing any more of jobs that were offered before.
 
         Returns:
             By the leader's clock; minus infinity if it is not known.
         """
-        return self._state.offer_times.tell(now, self._state)
+        return self._state.offer_times.report(now, self._state)
 
     def remember_workers(self, entries: Iterable[WorkerEntry]) -> None:
         """Keep which workers were read; a former leader may have had the same."""
--- a/packages/poplarhilld/src/poplarhilld/shards/fleet.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/fleet.py
@@ -41,7 +41,7 @@
 
 
 class FormerLeader(NamedTuple):
-    """What a leader that no longer leads a shard told last while it led.
+    """What a leader that no longer leads a shard reported last while it led.
 
     Attributes:
         heard_at: When it was last heard as a leader, s.
@@ -206,7 +206,7 @@
         return leaders
 
     def note_successor(self, shard: str, name: str) -> None:
-        """Note what the former leader of a shard told last.
+        """Note what the former leader of a shard reported last.
 
         It has taken account of the leaders before it.
         """
@@ -218,8 +218,8 @@
         self.last_leader[shard] = name
         if name == self.me.name:
             # The first heartbeat with the claim precedes the workers' replies.
-            told = self.former_leaders.get(shard, _UNKNOWN_LEADER)
-            self.oldest_offer_at = min(self.oldest_offer_at, told.oldest_offer_at)
+            reported = self.former_leaders.get(shard, _UNKNOWN_LEADER)
+            self.oldest_offer_at = min(self.oldest_offer_at, reported.oldest_offer_at)
 
     def note_change(self) -> None:
         """Forget what was worked out from the hosts and their claims."""
--- a/packages/poplarhilld/src/poplarhilld/shards/peer.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/peer.py
@@ -22,7 +22,7 @@
         led_at: When a heartbeat was received in which it claims a shard, s, from this
             process or an earlier one.
         oldest_offer_at: Time after which the runs were offered that it may leave, as it
-            told then, s; minus infinity if that is not known.
+            reported then, s; minus infinity if that is not known.
         reported_leaders: What it reported of other leaders while it led last.
         reported_at: When it reported that, s.
         live: Whether heartbeats pass in both directions.
@@ -59,7 +59,7 @@
         return self.relation is not Relation.FAR
 
     def note_leading(self, now: float, age_s: float) -> None:
-        """Note what its newest heartbeat, in which it claims a shard, tells.
+        """Note what its newest heartbeat, in which it claims a shard, says.
 
         Args:
             now: This host's clock, s.
--- a/packages/poplarhilld/tests/leading/test_log_lines.py
+++ b/packages/poplarhilld/tests/leading/test_log_lines.py
@@ -65,6 +65,23 @@
     assert submission == ("e2", 7, 0.4, 2.6)
 
 
+# Guards against a lease that is extended for an orphan by what no line shows.
+def test_a_takeover_logs_how_old_the_offer_of_an_orphan_may_be(world, lines) -> None:
+    world.submit("h1", simulated_job("a", tasks=1, run_s=5.0, left_s=9.0))
+    world.silent_hosts.add("e1")
+    world.run(0.4)
+    world.paused.add("h1")
+    world.add_leader("h2", 2, former_heard_at=(world.now,))
+    world.run(0.1)
+    [found] = lines("h2", RunFound)
+    assert 0.4 <= found.offer_age_s <= 0.5
+    world.paused.add("h2")
+    world.add_leader("h3", 3)
+    world.run(0.1)
+    [found] = lines("h3", RunFound)
+    assert found.offer_age_s is None
+
+
 # Guards against jobs that end without a line on the loss of their host.
 def test_the_jobs_of_a_lost_host_are_logged_with_the_reason(world, lines) -> None:
     world.submit("h1", simulated_job("a", tasks=1, run_s=0.5, left_s=3.0))
