Place tasks before a lease is extended, and bar workers with fewer calls

The workers that are barred to a job were asked for with each job.

After the reply of a worker, tasks are placed first and its lease is extended then, by the offers of the new runs too.

--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -4,7 +4,7 @@
 from collections.abc import Container, Iterable, Iterator
 
 from poplarhilld.decisions import LogDecision
-from poplarhilld.leading.barred import BarredWorkers
+from poplarhilld.leading.barred import NONE_BARRED, BarredWorkers
 from poplarhilld.leading.capacity import TOLERANCE, FreeCapacity
 from poplarhilld.leading.handover import knows_all_runs
 from poplarhilld.leading.job import LedJob, LedTask
@@ -23,6 +23,7 @@
 )
 from poplarhilld.leading.shared import LeaderState
 from poplarhilld.leases import (
+    LONGEST_LEASE_FACTOR,
     LeasedWorker,
     Run,
 )
@@ -39,7 +40,14 @@
 
     def __init__(self, state: LeaderState) -> None:
         self._state = state
-        self._barred: BarredWorkers
+        self._barred: BarredWorkers | None = None
+        # A younger offer outlasts the longest lease of a worker.
+        limits = state.limits
+        self._least_left_s = (
+            state.lease_s * LONGEST_LEASE_FACTOR
+            + limits.lifetime_s
+            - limits.runs_ended_after_s
+        )
 
     def assign(self, now: float) -> list[LeaderAction]:
         """Start the tasks that fit, in queue order.
@@ -61,7 +69,7 @@
         initial_max_free = capacity.max_free_cores
         if least_cores > initial_max_free:
             return []
-        self._barred = BarredWorkers(now, self._state)
+        self._barred = None
         plan = self._state.lookahead.plan(now, capacity)
         waiting: Iterable[LedJob] = self._waiting_jobs(
             now, initial_max_free if plan is None else math.inf
@@ -85,6 +93,9 @@
         near_data: PlacementPass | None = None
         if self._state.locality.active:
             near_data = self._begin_pass(now, capacity, capacity_short, fast, plan)
+        known_digests = self._state.workers_digests
+        if known_digests is None:
+            known_digests = self._state.worker_sets.digests
         for job in waiting:
             if least_cores > max_free:
                 break
@@ -94,7 +105,12 @@
                 continue
             avoid_fast = capacity_short and tolerates_slow_worker(now, job)
             max_slowdown = max_slowdown_for(now, job, fast)
-            barred = self._barred.barred_to(job)
+            barred = NONE_BARRED
+            if (
+                job.workers_digests != known_digests
+                or job.offer_lapses_at < now + self._least_left_s
+            ):
+                barred = self._barred_to(now, job)
             for task in job.ready_tasks():
                 if task.lost or task.spec.needs.cores > initial_max_free:
                     continue
@@ -141,6 +157,12 @@
                     max_free = capacity.max_free_cores
         return actions if near_data is None else actions + near_data.lines
 
+    def _barred_to(self, now: float, job: LedJob) -> frozenset[str]:
+        """Return the names of the workers on which no run of a job may start now."""
+        if self._barred is None:
+            self._barred = BarredWorkers(self._state)
+        return self._barred.barred_to(now, job)
+
     def _begin_pass(
         self,
         now: float,
@@ -158,10 +180,9 @@
             fast: Slowdown of the fast workers in use.
             plan: Decisions of a round that looks ahead, if it does.
         """
-        barred_to = self._barred.barred_to
 
         def closed_to(job: LedJob, task: LedTask, remote: bool) -> frozenset[str]:
-            barred = barred_to(job)
+            barred = self._barred_to(now, job)
             if plan is None:
                 return barred
             factor = self._state.locality.slowdown if remote else 1.0
@@ -203,7 +224,7 @@
                 capacity,
                 self._state.times.rounded_slowdowns,
                 len(suspects),
-                self._barred.barred_to(job),
+                self._barred_to(now, job),
             )
             if worker is not None:
                 actions += self._start_run(now, job, task, worker, capacity)
@@ -266,7 +287,8 @@
         run = Run(task.name, task.next_number)
         deadline_s = worker.reserve(now, run, task.spec.needs, job)
         capacity.update(name)
-        self._barred.note_start(name)
+        if self._barred is not None:
+            self._barred.note_start(name)
         if not job.run_count:
             self._state.history.note_ordered(now, job.job_id, job.deadline)
         job.run_count += 1
--- a/packages/poplarhilld/src/poplarhilld/leading/barred.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/barred.py
@@ -15,30 +15,29 @@
     of the entry host: from the last offer, as far as the leader can know.
 
     Args:
-        now: The leader's clock, s.
         state: State of the leader.
     """
 
-    def __init__(self, now: float, state: LeaderState) -> None:
+    def __init__(self, state: LeaderState) -> None:
         self._state = state
-        digests = state.workers_digests
-        self._digests = state.worker_sets.digests if digests is None else digests
         limits = state.limits
-        self._run_time_s = limits.runs_ended_after_s - limits.lifetime_s
-        self._latest_end = now + state.lease_s * LONGEST_LEASE_FACTOR
+        self._stop_time_s = limits.runs_ended_after_s - limits.lifetime_s
+        self._longest_lease_s = state.lease_s * LONGEST_LEASE_FACTOR
         self._lease_ends: dict[str, float] | None = None
 
-    def barred_to(self, job: LedJob) -> frozenset[str]:
+    def barred_to(self, now: float, job: LedJob) -> frozenset[str]:
         """Return the names of the workers on which no run of a job may start.
 
         These are the workers that its entry host does not know of, and those whose
         lease outlasts its offer by more than the time to stop a run.
+
+        Args:
+            now: The leader's clock, s.
+            job: The job.
         """
-        barred = NONE_BARRED
-        if job.workers_digests != self._digests:
-            barred = self._state.worker_sets.added_since(job.workers_digests)
-        ends_by = job.offer_lapses_at + self._run_time_s
-        if ends_by < self._latest_end:
+        barred = self._state.worker_sets.added_since(job.workers_digests)
+        ends_by = job.offer_lapses_at + self._stop_time_s
+        if ends_by < now + self._longest_lease_s:
             barred |= self._leased_beyond(ends_by)
         return barred
 
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -344,10 +344,11 @@
         if self._state.renewal_backoff_s:
             self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
+        # Before the lease is extended, it closes the worker to fewer of the jobs.
+        if not self._state.placement_up_to_date:
+            actions += self._assignment.assign(now)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
-        if self._state.placement_up_to_date:
-            return actions
-        return actions + self._assignment.assign(now)
+        return actions
 
     def handle_state_reply(
         self,
