--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -41,7 +41,7 @@
     def __init__(self, state: LeaderState) -> None:
         self._state = state
         self._barred: BarredWorkers | None = None
-        # A younger offer outlasts the longest lease of a worker.
+        # An offer that is valid for longer closes no worker to its job.
         limits = state.limits
         self._least_left_s = (
             state.lease_s * LONGEST_LEASE_FACTOR
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -344,7 +344,7 @@
         if self._state.renewal_backoff_s:
             self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
-        # Before the lease is extended, it closes the worker to fewer of the jobs.
+        # A worker whose lease was just extended is closed to jobs with older offers.
         if not self._state.placement_up_to_date:
             actions += self._assignment.assign(now)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
--- a/packages/poplarhilld/tests/leading/test_chains_of_losses.py
+++ b/packages/poplarhilld/tests/leading/test_chains_of_losses.py
@@ -25,14 +25,15 @@
     Attributes:
         after: Ticks since the loss of the leader before it, or since the beginning.
         noticed_after: Ticks until the next leader claims the workers.
-        unheard: Ticks before the loss of which no heartbeat has reached the next one.
+        heartbeat_before: Ticks from its last heartbeat that has reached the next leader
+            until the loss.
         offered_after: Ticks until the live hosts offer their jobs to the next one.
         resumes_after: Ticks after which the lost leader resumes; 0 if it never does.
     """
 
     after: int
     noticed_after: int
-    unheard: int
+    heartbeat_before: int
     offered_after: int
     resumes_after: int
 
@@ -61,7 +62,7 @@
     Loss,
     after=st.integers(0, 26),
     noticed_after=st.integers(0, 18),
-    unheard=st.integers(0, 12),
+    heartbeat_before=st.integers(0, 12),
     offered_after=st.integers(1, 6),
     resumes_after=st.sampled_from((0, 0, 8, 24, 32)),
 )
@@ -117,7 +118,7 @@
         self.world.paused.add(former)
         lost_at = self.world.now
         now = self._tick
-        heard_at = lost_at - loss.unheard * TICK_S
+        heard_at = lost_at - loss.heartbeat_before * TICK_S
         self._at(now + loss.noticed_after, self._succeed, number + 1, heard_at)
         offered = now + loss.noticed_after + loss.offered_after
         self._at(offered, self._hand_over, following)
--- a/packages/poplarhilld/tests/leading/test_offer_times.py
+++ b/packages/poplarhilld/tests/leading/test_offer_times.py
@@ -5,6 +5,7 @@
 import pytest
 
 from poplarhill_dev.leased import World, simulated_job
+from poplarhilld.leading import Leader
 from poplarhilld.peers.offer_limits import DEFAULT_LIMITS
 
 LIFETIME_S = DEFAULT_LIMITS.lifetime_s
@@ -17,6 +18,18 @@
     return world.now
 
 
+def lose_host_and_leader(world: World) -> tuple[float, Leader]:
+    """Lose the host of a job, then its leader.
+
+    Returns:
+        When the job was offered last, and the next leader.
+    """
+    offered_at = submit_and_lose_host(world)
+    world.run(0.5)
+    world.paused.add("h1")
+    return offered_at, world.add_leader("h2", 2, former_heard_at=(world.now,))
+
+
 # Guards against a successor that takes the runs of a lost host for newer than they are.
 def test_a_leader_tells_the_time_of_its_oldest_offer(world: World) -> None:
     offered_at = submit_and_lose_host(world)
@@ -31,10 +44,7 @@
 def test_a_leader_passes_on_what_the_former_one_told_until_workers_reply(
     world: World,
 ) -> None:
-    offered_at = submit_and_lose_host(world)
-    world.run(0.5)
-    world.paused.add("h1")
-    h2 = world.add_leader("h2", 2, former_heard_at=(world.now,))
+    offered_at, h2 = lose_host_and_leader(world)
     assert h2.report_oldest_offer(world.now) == pytest.approx(offered_at)
 
 
@@ -42,10 +52,7 @@
 def test_a_leader_passes_on_what_the_former_one_told_of_unclaimed_runs(
     world: World,
 ) -> None:
-    offered_at = submit_and_lose_host(world)
-    world.run(0.5)
-    world.paused.add("h1")
-    h2 = world.add_leader("h2", 2, former_heard_at=(world.now,))
+    offered_at, h2 = lose_host_and_leader(world)
     world.run(0.1)
     assert all(worker.confirmed for worker in h2.workers.values())
     assert h2.report_oldest_offer(world.now) == pytest.approx(offered_at)
