--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -344,11 +344,10 @@
         if self._state.renewal_backoff_s:
             self._state.renewal_backoff_s.pop(name, None)
         actions = self._group.apply_reply(now, worker, renewal, reply)
-        # A worker whose lease was just extended is closed to jobs with older offers.
-        if not self._state.placement_up_to_date:
-            actions += self._assignment.assign(now)
         actions.append(RenewLease(worker.entry, worker.next_renewal(now)))
-        return actions
+        if self._state.placement_up_to_date:
+            return actions
+        return actions + self._assignment.assign(now)
 
     def handle_state_reply(
         self,
