--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -710,6 +711,8 @@
                 host.process.kill()
                 await host.process.wait()
         self.record.write()
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run(case: str, scenario) -> None:
@@ -726,12 +729,6 @@
             return 2
         finally:
             await world.close()
-            if os.environ.get("KEEP_LOGS"):
-                print(world.folder)
-            else:
-                import shutil
-
-                shutil.rmtree(world.folder, ignore_errors=True)
         for line in broken:
             print(line)
         return 1 if broken else 0
