Start tasks of a handed-over job on replies from after the handover

Cause: the next leader takes "the worker has accepted my token" as proof that it knows all runs there. That was true when the worker last answered. Two leaders that can't hear each other claim the workers from each other, and one notices a claim only with the reply to its renewal, which the worker may hold for 0.4 s.

Rule: the former leader orders nothing after the host has offered the job to the next one, and it ordered only where its token was accepted before. So a reply under the token of the next leader, to a request that was sent after that offer, shows every run. `Lease.confirmed_at` holds when that request was sent, `None` if there was none, in place of a flag; a worker that lists runs that can't be read proves nothing. The leader asks the workers of the former leader at once (`RunQueries`), each 20 times a second at most, whatever the count of jobs. A refusal of such a query now counts as one.

Ruled out: a late order of the former leader. It carries a token that the worker had accepted before, so it is refused after the reply.

--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -157,6 +157,12 @@
     is_flag=True,
     help="Lose only entry hosts and the leaders of their jobs, one after the other.",
 )
+@click.option("--series", is_flag=True, help="Repeat one kind of fault in each seed.")
+@click.option(
+    "--cuts",
+    is_flag=True,
+    help="Cut hosts off from each other again and again, beside few other faults.",
+)
 def simulate(
     seeds: str,
     trace: bool,
@@ -164,17 +170,29 @@
     store: str,
     callers: str,
     chains: bool,
+    series: bool,
+    cuts: bool,
 ) -> None:
-    """Run simulated fleets under random faults and check that no task runs twice."""
+    """Run simulated fleets under random faults and check that no task runs twice.
+
+    Raises:
+        click.UsageError: Two kinds of faults are asked for.
+    """
     from poplarhill_dev.simulation.chains import run_chain
     from poplarhill_dev.simulation.command import run_seeds
+    from poplarhill_dev.simulation.cuts import run_cuts
     from poplarhill_dev.simulation.load import CallerKind
     from poplarhill_dev.simulation.scenario import ScenarioOptions, run_scenario
 
     first, _, last = seeds.partition("-")
     numbers = range(int(first), int(last or first) + 1)
-    options = ScenarioOptions(closed_requests, store == "on", CallerKind(callers))
-    run = run_chain if chains else partial(run_scenario, options=options)
+    kind = CallerKind(callers)
+    options = ScenarioOptions(closed_requests, store == "on", kind, series)
+    run = partial(run_scenario, options=options)
+    if chains and cuts:
+        raise click.UsageError("--chains and --cuts exclude each other")
+    if chains or cuts:
+        run = run_chain if chains else run_cuts
     sys.exit(0 if run_seeds(numbers, trace, run) else 1)
 
 
--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/scenario.py
@@ -1,6 +1,6 @@
 """Random loads and faults of a simulated fleet, drawn from a seed."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import NamedTuple
 
@@ -13,6 +13,8 @@
 _FIRST_FAULT_S = 0.5
 _FLEETS = (SMALL_FLEET, SMALL_FLEET, SMALL_FLEET, CENTRES)
 
+Fault = Callable[[FleetWorld, Random], None]
+
 
 class ScenarioOptions(NamedTuple):
     """What the scenarios of all seeds have in common.
@@ -22,11 +24,13 @@
             their close.
         store: Whether the store has faults, and workers come and go.
         callers: How long callers wait.
+        series: Whether all faults of a seed are of one kind.
     """
 
     closed_requests: bool = False
     store: bool = True
     callers: CallerKind = CallerKind.MIXED
+    series: bool = False
 
 
 DEFAULTS = ScenarioOptions()
@@ -41,7 +45,8 @@
         _begin_store_faults(world, seed)
     load = Load(seed, options.callers)
     load.schedule(world, random)
-    _schedule_faults(world, random, load)
+    faults = (random.choice(_FAULTS),) if options.series else _FAULTS
+    _schedule_faults(world, random, load, faults)
     world.run(LOAD_S + (_LONG_DRAIN_S if load.long else _DRAIN_S))
     return world
 
@@ -54,11 +59,13 @@
     world.run(before_s)
 
 
-def _schedule_faults(world: FleetWorld, random: Random, load: Load) -> None:
+def _schedule_faults(
+    world: FleetWorld, random: Random, load: Load, faults: Sequence[Fault]
+) -> None:
     """Schedule a few faults, most of them close together, each after a burst."""
     at = _FIRST_FAULT_S
     for _ in range(random.randint(2, 5)):
-        fault = random.choice(_FAULTS)
+        fault = random.choice(faults)
         world.schedule(at, fault, world, random)
         for _ in range(random.choice([5, 10, 20])):
             early_s = random.uniform(0.0, 0.25)
@@ -213,7 +220,7 @@
         world.crash(name, down_s=random.uniform(0.3, 3.0))
 
 
-_FAULTS: tuple[Callable[[FleetWorld, Random], None], ...] = (
+_FAULTS: tuple[Fault, ...] = (
     _kill,
     _kill,
     _lose_leaders_in_a_row,
--- a/packages/poplarhilld/src/poplarhilld/leading/assignment.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/assignment.py
@@ -269,8 +269,7 @@
                 continue  # nobody may wait for it any more
             if job.offer_lapses_at < starts_if_lapsing_at:
                 continue
-            handed_over = job.offer.handovers
-            if handed_over and not knows_all_runs(job.offer, state.worker_sets):
+            if job.offer.handovers and not knows_all_runs(job, state.worker_sets):
                 continue
             yield job
 
--- a/packages/poplarhilld/src/poplarhilld/leading/group.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/group.py
@@ -299,9 +299,11 @@
         """Apply what a worker replies about its runs."""
         name = worker.entry.name
         actions: list[LeaderAction] = []
-        was_confirmed = worker.confirmed
+        was_confirmed = worker.confirmed_at is not None
         incarnation = worker.incarnation
         changes = worker.apply_renewal_reply(now, renewal, reply)
+        if self._state.sets_known_at:
+            self._state.sets_known_at.clear()
         if not was_confirmed:
             self._state.placement_up_to_date = False
             self._state.note_worker_change()
--- a/packages/poplarhilld/src/poplarhilld/leading/handover.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/handover.py
@@ -3,9 +3,10 @@
 Runs of such a job may be under way, and tasks of it may be done, on any worker of the
 former leader. Time shows that no run is left, but not whether a task is done. This
 leader knows all that the job has run only if it leads the workers of the former leader,
-and each of them has accepted its token and told its runs. Which workers these are comes
-from the former leader, by way of the job's entry host: the lists of workers that hosts
-read may differ.
+and each of them has told its runs under its token since the former leader has ordered
+the last one. Until then that one may have claimed a worker back that this leader takes
+for its own. Which workers these are comes from the former leader, by way of the job's
+entry host: the lists of workers that hosts read may differ.
 """
 
 import math
@@ -41,16 +42,34 @@
     )
 
 
-def knows_all_runs(offer: JobOffer, worker_sets: WorkerSets) -> bool:
+def may_know_all_runs(offer: JobOffer, worker_sets: WorkerSets) -> bool:
+    """Return whether a leader has all workers of the former leaders of a job.
+
+    As far as it knows they obey it, so asking them shows every run of the job.
+
+    Args:
+        offer: The offer.
+        worker_sets: Workers of the leader.
+    """
+    if not offer.former_workers or offer.max_attempts < _MIN_ATTEMPTS:
+        return False
+    return worker_sets.runs_known_at(offer.former_workers) is not None
+
+
+def knows_all_runs(job: LedJob, worker_sets: WorkerSets) -> bool:
     """Return whether a leader knows every run of a job that was handed over.
 
+    The entry host has offered it here after the former leader had ordered its last run.
+
     Args:
-        offer: Newest offer of the job.
+        job: The job.
         worker_sets: Workers of the leader.
     """
+    offer = job.offer
     if not offer.former_workers or offer.max_attempts < _MIN_ATTEMPTS:
         return False
-    return worker_sets.are_confirmed(offer.former_workers)
+    known_at = worker_sets.runs_known_at(offer.former_workers)
+    return known_at is not None and known_at >= job.handed_over_at
 
 
 def cannot_start(now: float, job: LedJob, state: LeaderState) -> bool:
@@ -64,11 +83,11 @@
         job: The job.
         state: State of the leader.
     """
-    if job.least_cores == math.inf or knows_all_runs(job.offer, state.worker_sets):
+    if job.least_cores == math.inf or knows_all_runs(job, state.worker_sets):
         return False
     if any(worker.awaits_first_reply(now) for worker in state.workers.values()):
         return False
-    settled_at = job.offered_at + state.limits.runs_ended_after_s
+    settled_at = job.handed_over_at + state.limits.runs_ended_after_s
     if now >= settled_at:
         return True
     return not fits_in_time(settled_at, job) and _others_lead_workers(job.offer, state)
--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -87,6 +87,9 @@
     Attributes:
         job_id: Its id.
         offered_at: When it was offered, by the leader's clock, s.
+        handed_over_at: When an entry host last offered it that had taken it from
+            another leader, by the leader's clock, s. No such leader has ordered a run
+            of it since; before the first such offer, this is when it was offered.
         arrived_at: When it arrived at its entry host, by the leader's clock, s.
         deadline: When its caller stops waiting, by the leader's clock, s.
         offer_lapses_at: When it is closed unless an entry host repeats its offer, by
@@ -129,7 +132,7 @@
         self.offer = offer
         self.job_id = offer.job_id
         self.host = host
-        self.offered_at = now
+        self.offered_at = self.handed_over_at = now
         self.arrived_at = now - offer.elapsed_s
         self.deadline = now + offer.left_s
         self.offer_lapses_at = math.inf
--- a/packages/poplarhilld/src/poplarhilld/leading/offer_times.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offer_times.py
@@ -72,5 +72,5 @@
             # Its runs are not known before its first reply. Without one for so long,
             # their lease has expired.
             silent_s = now - worker.claimed_at
-            if not worker.confirmed and silent_s < limits.runs_ended_after_s:
+            if worker.confirmed_at is None and silent_s < limits.runs_ended_after_s:
                 yield self.former(name)
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -15,7 +15,7 @@
 from poplarhilld.leading.assignment import Assignment
 from poplarhilld.leading.closing import JobCloser, job_ended
 from poplarhilld.leading.evacuated import EvacuatedJobs
-from poplarhilld.leading.handover import cannot_start, knows_all_runs
+from poplarhilld.leading.handover import cannot_start, may_know_all_runs
 from poplarhilld.leading.job import LedJob
 from poplarhilld.leading.late import LateOffers
 from poplarhilld.leading.messages import (
@@ -27,6 +27,7 @@
 )
 from poplarhilld.leading.order import core_second_cost
 from poplarhilld.leading.outcomes import RunOutcomes, crash_detail
+from poplarhilld.leading.run_queries import RunQueries
 from poplarhilld.leading.shared import LeaderState, Subscriber
 from poplarhilld.leading.suspects import find_deadly_task
 from poplarhilld.leading.transfer import give_back
@@ -54,6 +55,7 @@
         assignment: Places tasks on workers.
         evacuated: Refuses jobs that only evacuated workers could run.
         late: Refuses new jobs while the host's processor is overloaded.
+        queries: Asks the workers of former leaders for their runs.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         assignment: Assignment,
         evacuated: EvacuatedJobs,
         late: LateOffers,
+        queries: RunQueries,
     ) -> None:
         self._state = state
         self._closer = closer
@@ -71,6 +74,7 @@
         self._assignment = assignment
         self._evacuated = evacuated
         self._late = late
+        self._queries = queries
         self._starved_check_at = 0.0
         self._ticked_at = -math.inf
         self._paused_at = -math.inf
@@ -165,6 +169,8 @@
             actions += _repeat_progress(host, job)
         if job.complete:
             return actions + self._closer.close_job(now, job, JobEnded(job.job_id))
+        if offer.handovers:
+            actions += self._queries.ask_for(now, job)
         return actions + self._assignment.assign(now)
 
     def _subscribe(
@@ -183,7 +189,7 @@
             return []
         if job.stopping:
             # Another leader may have had it since it was withdrawn here.
-            job.offer, job.offered_at = offer, now
+            job.offer, job.offered_at, job.handed_over_at = offer, now, now
             job.stopping = False
             self._state.placement_up_to_date = False
             job.arrived_at = now - offer.elapsed_s
@@ -281,7 +287,7 @@
             round(offer.elapsed_s, 4),
             round(offer.left_s, 4),
             job.ran_before,
-            not offer.handovers or knows_all_runs(offer, self._state.worker_sets),
+            not offer.handovers or may_know_all_runs(offer, self._state.worker_sets),
         )
 
     def check_deadlines(self, now: float) -> list[LeaderAction]:
@@ -317,6 +323,8 @@
             detail = "its leader was lost, and its tasks may have run there"
             report = job_ended(job, ErrorKind.WORKER_LOST, detail)
             return self._closer.close_job(now, job, report)
+        if job.offer.handovers:
+            return self._queries.ask_for(now, job)
         if not fits_in_time(now, job) and job.not_run:
             detail = f"no free capacity in time for a run time of {job.run_s:.2f} s"
             report = job_ended(job, ErrorKind.OVERLOADED, detail, RETRY_AFTER_S)
--- a/packages/poplarhilld/src/poplarhilld/leading/run_messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/run_messages.py
@@ -23,6 +23,20 @@
     offer_age_s: float | None = None
 
 
+class WorkersQueried(NamedTuple):
+    """Log line: workers are asked for their runs, as a job was handed over.
+
+    Attributes:
+        job: Id of the job, which waits for the replies to start tasks.
+        workers: Count of the workers that are asked.
+        known_s: Time since which the runs of one of them are not known, s.
+    """
+
+    job: str
+    workers: int
+    known_s: float
+
+
 class RunAdopted(NamedTuple):
     """Log line: a run without a job became that of a job that was offered.
 
--- a/packages/poplarhilld/src/poplarhilld/leading/shared.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/shared.py
@@ -55,6 +55,8 @@
         evacuated: Names of the evacuated data centres.
         renewal_backoff_s: Pause before the next renewal to a silent worker, s.
         reclaim_at: When each fenced worker may be claimed again, s.
+        sets_known_at: As of when the runs on sets of workers are known; must be cleared
+            when a worker has replied.
         workers_digests: Digests of the workers on which this leader may have runs;
             `None` until `worker_sets` is read after a change.
         reclaimed_at: When a fenced worker was claimed again last, s.
@@ -104,6 +106,7 @@
         self._usable: list[LeasedWorker] | None = None
         self._capacity: FreeCapacity | None = None
         self._worker_sets = WorkerSets()
+        self.sets_known_at = self._worker_sets.known_at
         self.workers_digests: tuple[int, ...] | None = None
         self._by_service: dict[str, list[LeasedWorker]] = {}
         self.changed_workers: set[str] = set()
@@ -147,7 +150,7 @@
         """
         entry = worker.entry
         return (
-            worker.confirmed
+            worker.confirmed_at is not None
             and not worker.fenced
             and entry.name in self.entries
             and not entry.draining
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -27,6 +27,7 @@
 )
 from poplarhilld.leading.offers import Offers
 from poplarhilld.leading.outcomes import RunOutcomes
+from poplarhilld.leading.run_queries import RunQueries
 from poplarhilld.leading.shared import LeaderState, worker_state
 from poplarhilld.leases import (
     LeasedWorker,
@@ -78,6 +79,7 @@
         self._group = WorkerGroup(self._state, self._closer, self._outcomes)
         self._assignment = Assignment(self._state)
         self._evacuated = EvacuatedJobs(self._state, self._closer)
+        self._queries = RunQueries(self._state)
         self._offers = Offers(
             self._state,
             self._closer,
@@ -85,6 +87,7 @@
             self._assignment,
             self._evacuated,
             LateOffers(self._state, overload, own_name),
+            self._queries,
         )
 
     @property
@@ -357,9 +360,13 @@
         reply: LeaseReply | RenewalFailure,
     ) -> list[LeaderAction]:
         """Handle the reply to a state query that was sent beside a renewal."""
+        if name in self._queries.awaited:
+            self._queries.note_reply(name)
         worker = self._state.workers.get(name)
         if worker is None or worker.token != renewal.token:
             return []
+        if reply is RenewalFailure.FENCED and not worker.fenced:
+            return self._group.mark_fenced(now, worker, superseded=True)
         if not isinstance(reply, LeaseReply):
             return []
         actions = self._group.apply_reply(now, worker, renewal, reply)
--- a/packages/poplarhilld/src/poplarhilld/leading/worker_sets.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/worker_sets.py
@@ -1,5 +1,6 @@
 """The workers on which a leader may have runs, told to other hosts by digests."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
@@ -24,16 +25,20 @@
     Attributes:
         digests: Digests of the present sets, in ascending order; none is
             `UNKNOWN_WORKERS`.
+        known_at: As of when all runs on the workers of a set are known, s, by digest;
+            `None` if they are not. Must be cleared when a worker has replied.
     """
 
     def __init__(self) -> None:
         self.digests: tuple[int, ...] = ()
         self._present: Mapping[str, LeasedWorker] = {}
         self._sets: OrderedDict[int, frozenset[str]] = OrderedDict()
+        self.known_at: dict[int, float | None] = {}
 
     def update(self, workers: Mapping[str, LeasedWorker]) -> None:
         """Set the present workers, by name."""
         self._present = workers
+        self.known_at.clear()
         self.digests = self.remember(worker.entry for worker in workers.values())
 
     def remember(self, entries: Iterable[WorkerEntry]) -> tuple[int, ...]:
@@ -58,21 +63,38 @@
         """Return the names of the workers of a set, or `None` if it is not known."""
         return self._sets.get(digest)
 
-    def are_confirmed(self, digests: Iterable[int]) -> bool:
-        """Return whether this leader has all workers of some sets, and they obey it.
+    def runs_known_at(self, digests: Iterable[int]) -> float | None:
+        """Return as of when all runs on the workers of some sets are known, s.
 
-        Each of them has then accepted the token of this leader, which it still obeys as
-        far as is known, and has told its runs.
+        Each of these workers has answered a request under the token of this leader that
+        was sent then or later. It may have accepted a newer token since.
+
+        Returns:
+            By the leader's clock. `None` if the runs are not known: this leader lacks a
+            worker, or does not know that it obeys the token.
         """
+        oldest_at = math.inf
         for digest in digests:
-            names = self.names(digest)
-            if names is None or not all(map(self._is_confirmed, names)):
-                return False
-        return True
-
-    def _is_confirmed(self, name: str) -> bool:
-        worker = self._present.get(name)
-        return worker is not None and worker.confirmed and not worker.fenced
+            if digest not in self.known_at:
+                self.known_at[digest] = self._set_known_at(digest)
+            known_at = self.known_at[digest]
+            if known_at is None:
+                return None
+            oldest_at = min(oldest_at, known_at)
+        return oldest_at
+
+    def _set_known_at(self, digest: int) -> float | None:
+        names = self.names(digest)
+        if names is None:
+            return None
+        oldest_at = math.inf
+        for name in names:
+            worker = self._present.get(name)
+            known_at = None if worker is None else worker.runs_known_at
+            if known_at is None:
+                return None
+            oldest_at = min(oldest_at, known_at)
+        return oldest_at
 
     def added_since(self, digests: tuple[int, ...]) -> frozenset[str]:
         """Return the names of the present workers that are in none of some sets.
--- a/packages/poplarhilld/src/poplarhilld/leases/lease.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/lease.py
@@ -22,7 +22,9 @@
         fenced: Whether this host must start no runs on the worker, because the
             worker has accepted a newer token or this host no longer leads it.
         superseded: Whether the worker has accepted a newer token.
-        confirmed: Whether the worker has accepted this host's token.
+        confirmed_at: When the newest request was sent that the worker has answered
+            under the present token, by the leader's clock, s; `None` before the first
+            one. It obeyed that token then, and may have accepted a newer one since.
         incarnation: When the worker's process started, ms since the Unix epoch; `None`
             before a reply.
         last_reply_at: When the worker last replied, by the leader's clock, s. Before
@@ -37,7 +39,7 @@
     def __init__(self, token: int, lease_s: float, now: float) -> None:
         self.token = token
         self.fenced = self.superseded = False
-        self.confirmed = False
+        self.confirmed_at: float | None = None
         self._claimed_at = now
         self._lease_s = lease_s
         self.incarnation: int | None = None
@@ -46,6 +48,11 @@
         # By the worker's clock: end of the lease, or deadline of an order if later.
         self._may_run_until_s = 0.0
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the worker has ever accepted the present token of this host."""
+        return self.confirmed_at is not None
+
     @property
     def claimed_at(self) -> float:
         """When this host last claimed the worker, by the leader's clock, s."""
@@ -64,18 +71,20 @@
 
     def awaits_first_reply(self, now: float) -> bool:
         """Return whether the worker was claimed just now and may still reply."""
-        return not self.confirmed and now - self._claimed_at < 2 * MAX_REPLY_AGE_S
+        waited_s = now - self._claimed_at
+        return self.confirmed_at is None and waited_s < 2 * MAX_REPLY_AGE_S
 
     def is_responsive(self, now: float) -> bool:
         """Return whether the worker accepted this token and replied recently."""
-        return self.confirmed and now - self.last_reply_at < 2 * MAX_REPLY_AGE_S
+        silent_s = now - self.last_reply_at
+        return self.confirmed_at is not None and silent_s < 2 * MAX_REPLY_AGE_S
 
     def reclaim(self, now: float, token: int) -> None:
         """Claim the worker again under a new token."""
         self.token = token
         self.fenced = self.superseded = False
         self._claimed_at = now
-        self.confirmed = False
+        self.confirmed_at = None
 
     def clock_s(self, now: float) -> float:
         """Return the estimated clock of the worker, s.
--- a/packages/poplarhilld/src/poplarhilld/leases/worker.py
+++ b/packages/poplarhilld/src/poplarhilld/leases/worker.py
@@ -91,6 +91,17 @@
         # The newest last; a dictionary, since each reply looks up all listed runs.
         self._recent_ends: dict[Run, None] = {}
 
+    @property
+    def runs_known_at(self) -> float | None:
+        """As of when all runs on the worker are known, by the leader's clock, s.
+
+        `None` if they are not: the worker has not replied under the present token, is
+        known to obey a newer one, or has listed a run that could not be read.
+        """
+        if self.fenced or self._unreadable_runs:
+            return None
+        return self.confirmed_at
+
     @property
     def has_unknown_needs(self) -> bool:
         """Whether any run holds an unknown amount of capacity."""
@@ -159,7 +170,7 @@
             deadline_s = self.clock_s(now) + lease_s
             if deadline_s > self._may_run_until_s:
                 self._may_run_until_s = deadline_s
-        wait_s = RENEWAL_WAIT_S if self.confirmed else 0.0
+        wait_s = 0.0 if self.confirmed_at is None else RENEWAL_WAIT_S
         if lease_s < _SHORT_LEASE_S and wait_s:
             wait_s = _SHORT_RENEWAL_WAIT_S
         return Renewal(self.token, self._last_seen_end, deadline_s, wait_s, now)
@@ -178,11 +189,13 @@
         self._clock_at_reply_s, self.last_reply_at = reply.clock_s, now
         self.listed_at, self._newest_list_at = self._newest_list_at, renewal.sent_at
         if renewal.token == self.token:
-            if not self.confirmed:
+            if self.confirmed_at is None:
                 # Another leader may have extended the lease before this reply.
                 longest_s = reply.clock_s + self._lease_s
                 self._may_run_until_s = max(self._may_run_until_s, longest_s)
-            self.confirmed = True
+                self.confirmed_at = renewal.sent_at
+            elif renewal.sent_at > self.confirmed_at:
+                self.confirmed_at = renewal.sent_at
         for end in reply.ends:
             if end.sequence > self._last_seen_end:
                 self._last_seen_end = end.sequence
--- a/packages/poplarhilld/tests/leading/test_former_workers.py
+++ b/packages/poplarhilld/tests/leading/test_former_workers.py
@@ -1,8 +1,10 @@
 """Jobs that were handed over: which workers the former leader had decides."""
 
+from dataclasses import replace
+
 from poplarhill import ErrorKind
 from poplarhill_dev.leased import SimulatedWorker, World, simulated_job, worker_entry
-from poplarhilld.leading import ReportJob, ShareReport
+from poplarhilld.leading import QueryWorker, ReportJob, ShareReport
 from poplarhilld.peers.messages import UNKNOWN_WORKERS, JobProgress
 
 
@@ -241,3 +243,63 @@
     world.run(2.0)
     assert world.starts == 1
     assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
+
+
+# Once, a leader took a worker for its own by a reply from before another leader had
+# claimed it back, and started a task beside the run that the other one had ordered.
+def test_a_worker_that_was_claimed_back_since_its_last_reply_proves_nothing(
+    world: World,
+) -> None:
+    h1 = world.leaders["h1"]
+    claimed_back = {"w1": world.entries["w1"]}
+    h1.remember_workers(claimed_back.values())
+    world.paused.add("h1")  # the refusal of the worker is on its way
+    former = world.add_leader("h2", 2, claimed_back)
+    world.run(0.02)
+    world.submit("h2", simulated_job("a", tasks=1, run_s=1.0, left_s=9.0))
+    world.run(0.02)
+    world.perform("h2", former.resign())
+    world.paused.clear()
+    assert not h1.workers["w1"].fenced
+    world.hand_over("h1", "a")
+    for _ in range(30):
+        world.perform("h1", h1.set_workers(world.now, world.now, world.entries))
+        world.run(0.05)
+    assert world.starts == 1
+    assert world.job_outcome("a").error == ""
+
+
+# Guards against a wait for the renewals: a worker may hold one for 0.4 s.
+def test_workers_are_asked_at_once_for_the_runs_of_a_handed_over_job(
+    world: World,
+) -> None:
+    world.submit("h1", simulated_job("a", tasks=3, run_s=0.3, left_s=9.0, cores=16.0))
+    world.run(0.01)
+    world.paused.add("h1")
+    world.add_leader("h2", 2)
+    world.run(0.25)
+    world.hand_over("h2", "a")
+    world.run(0.15)
+    assert world.job_outcome("a").error == ""
+
+
+# Guards against a query for each job: jobs are handed over by the hundred.
+def test_the_queries_for_jobs_that_are_handed_over_together_are_bounded(
+    world: World,
+) -> None:
+    queries: list[QueryWorker] = []
+    perform = world.perform
+
+    def record(leader: str, actions: list) -> None:
+        queries.extend(one for one in actions if isinstance(one, QueryWorker))
+        perform(leader, actions)
+
+    world.perform = record
+    digests = world.leaders["h1"].workers_digests
+    for number in range(200):
+        job = simulated_job(f"j{number}", tasks=1, run_s=0.05, left_s=9.0, handovers=1)
+        offer = job.offer._replace(former_workers=digests)
+        world.submit_at(world.now + 0.001 * number, "h1", replace(job, offer=offer))
+    world.run(3.0)
+    assert world.starts == 200
+    assert len(queries) <= len(world.workers) * (0.2 / 0.05 + 2)
