Count the former leaders of a job for each host that offers it

Cause: two entry hosts may have attempts of one job. The leader that gets the job from both kept the offer of the first: if that one came from no other leader, its waiting tasks started although the second host had taken the job from a leader that may run them.

Change: an offer that joins a job adds its handovers and the workers of its former leaders, and runs have to be known as of the newest such offer.

--- a/packages/poplarhilld/src/poplarhilld/leading/job.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/job.py
@@ -9,7 +9,12 @@
 from poplarhilld.leading.estimates import CompletedRun
 from poplarhilld.leading.spread import RunTimeSpread
 from poplarhilld.leases import Run
-from poplarhilld.peers.messages import JobOffer, LostWorker, StepSpec
+from poplarhilld.peers.messages import (
+    UNKNOWN_WORKERS,
+    JobOffer,
+    LostWorker,
+    StepSpec,
+)
 from poplarhilld.peers.steps import longest_chain_s, step_prefix
 
 _SAME_TIMEOUT_S = 0.01  # timeouts that differ by less count as equal
@@ -213,6 +218,22 @@
         self.open_core_seconds = work
         self.queue_cost = work * self._core_second_cost
 
+    def note_handover(self, now: float, offer: JobOffer) -> None:
+        """Note that another entry host has taken this job from other leaders.
+
+        Their runs count as well as those of the leaders that it had before.
+
+        Args:
+            now: The leader's clock, s.
+            offer: The offer of that host.
+        """
+        former = dict.fromkeys(_former_workers(self.offer) + _former_workers(offer))
+        handovers = max(self.offer.handovers, offer.handovers)
+        self.offer = self.offer._replace(
+            handovers=handovers, former_workers=tuple(former)
+        )
+        self.handed_over_at = now
+
     def is_late(self, now: float) -> bool:
         """Return whether nothing of it has started and it can't be done when due."""
         if self.run_count:
@@ -352,3 +373,13 @@
     def on_worker(self, step: int, worker: str) -> int:
         """Return how many tasks of a step run on a worker."""
         return sum(t.worker == worker and t.step == step for t in self.under_way)
+
+
+def _former_workers(offer: JobOffer) -> tuple[int, ...]:
+    """Return the digests of the workers of the leaders that a job had before.
+
+    An entry host of an earlier build names none, and then they are not known.
+    """
+    if offer.handovers and not offer.former_workers:
+        return (UNKNOWN_WORKERS,)
+    return offer.former_workers
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -195,6 +195,8 @@
             job.arrived_at = now - offer.elapsed_s
             self._state.queue.update(job)
             subscribers.clear()
+        elif offer.handovers:
+            job.note_handover(now, offer)
         subscribers.add(subscriber)
         job.deadline = max(job.deadline, now + offer.left_s)
         joined = LogDecision(self._offer_line(job, subscriber, offer, 0.0, "joined"))
--- a/packages/poplarhilld/tests/leading/test_former_workers.py
+++ b/packages/poplarhilld/tests/leading/test_former_workers.py
@@ -303,3 +303,20 @@
     world.run(3.0)
     assert world.starts == 200
     assert len(queries) <= len(world.workers) * (0.2 / 0.05 + 2)
+
+
+# Once, a leader that got a job from two hosts went by the first offer alone, and
+# started tasks that might run at the leader from which the other host had taken it.
+def test_the_former_leaders_of_a_job_count_for_each_host_that_offers_it(
+    world: World,
+) -> None:
+    world.submit("h1", simulated_job("busy", 0.3, tasks=4, cores=16.0, left_s=9.0))
+    job = simulated_job("a", 0.3, tasks=1, cores=16.0, left_s=9.0, stretch=30.0)
+    world.submit("h1", job)
+    offer = job.offer._replace(handovers=1, former_workers=(UNKNOWN_WORKERS,))
+    world.submit("h1", replace(job, offer=offer), host="e2")
+    world.run(1.0)
+    assert world.job_outcome("busy").error == ""
+    assert "a.0.0.0" not in world.starts_by_task
+    world.run(1.0)
+    assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
