Take a leader's word that it has stopped only for the tenure it speaks of

Cause: a host hands a job over with the workers of its former leader as proof once the newest heartbeat of that leader claims nothing. Distant leaders are known from reports of other leaders, and their own newest heartbeat may be from before they took the lead. When the report ended, that old heartbeat counted as "it has told that it leads nothing".

Change: a host notes the tenure of the last heartbeat with a claim that it has received itself, and `has_reported_all` asks for the tenure that the job was offered in. Jobs of a leader that is known from reports alone are handed over as those of unknown workers.

The two callers in tests pass the tenure as well; what they ask is unchanged.

--- a/packages/poplarhilld/src/poplarhilld/shards/peer.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/peer.py
@@ -21,6 +21,7 @@
         received_at: When that was received, s.
         led_at: When a heartbeat was received in which it claims a shard, s, from this
             process or an earlier one.
+        led_tenure: Tenure in that heartbeat; 0 if there was none.
         oldest_offer_at: Time after which the runs were offered that it may leave, as it
             reported then, s; minus infinity if that is not known.
         reported_leaders: What it reported of other leaders while it led last.
@@ -41,6 +42,7 @@
     heartbeat: Beat
     received_at: float
     led_at: float = -math.inf
+    led_tenure: int = 0
     oldest_offer_at: float = -math.inf
     live: bool = False
     live_since: float = 0.0
@@ -66,7 +68,7 @@
             age_s: How long that was under way, s.
         """
         beat = self.heartbeat
-        self.led_at = now
+        self.led_at, self.led_tenure = now, beat.tenure
         self.oldest_offer_at = -math.inf
         if beat.oldest_offer_at_s:
             offer_age_s = beat.sent_at_s - beat.oldest_offer_at_s
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -124,16 +124,23 @@
         """Return the live host with the newest claim to a shard, or None."""
         return self._fleet.leader(shard)
 
-    def has_reported_all(self, name: str) -> bool:
+    def has_reported_all(self, name: str, tenure: int) -> bool:
         """Return whether all reports of a host that has led have arrived here.
 
         It has told since that it leads nothing, has restarted, or its process has
-        ended. A host that is only silent may go on as a leader.
+        ended. A host that is only silent may go on as a leader. If this host knows of
+        that tenure from other leaders alone, its newest heartbeat may be from before.
+
+        Args:
+            name: Name of the host.
+            tenure: Epoch since which it has led without a break.
         """
         if name == self._fleet.me.name:
             return True
         peer = self._fleet.peers.get(name)
-        return peer is not None and (peer.given_up or not peer.heartbeat.claims)
+        if peer is None or peer.given_up:
+            return peer is not None
+        return not peer.heartbeat.claims and peer.led_tenure >= tenure
 
     def address(self, name: str) -> Address | None:
         """Return the address of a host, or None if the host is unknown."""
@@ -204,7 +211,7 @@
                 actions.append(HostLost(name, "it has restarted", lost_s))
             former, peer = peer, Peer(name, heartbeat, now)
             if former is not None:
-                peer.led_at = former.led_at
+                peer.led_at, peer.led_tenure = former.led_at, former.led_tenure
                 peer.oldest_offer_at = former.oldest_offer_at
             self._fleet.peers[name] = peer
             self._fleet.note_change()
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -56,7 +56,7 @@
     Args:
         limits: How long an offer keeps a job at its leader.
         has_reported_all: Returns whether all reports of a former leader have arrived,
-            given its name.
+            given its name and the epoch since which it led.
 
     Attributes:
         remote_slowdown: Factor on run times outside the rack of the data; 1 is off.
@@ -65,7 +65,7 @@
     def __init__(
         self,
         limits: OfferLimits = DEFAULT_LIMITS,
-        has_reported_all: Callable[[str], bool] = lambda name: True,
+        has_reported_all: Callable[[str, int], bool] = lambda name, tenure: True,
     ) -> None:
         self._has_reported_all = has_reported_all
         self.remote_slowdown = OFF
@@ -299,9 +299,9 @@
         A leader that is only silent may have acknowledged results that were not
         reported, so its workers prove nothing to the next one.
         """
-        if not job.workers_digests or not self._has_reported_all(job.leader):
-            return (UNKNOWN_WORKERS,)
-        return job.workers_digests
+        if self._has_reported_all(job.leader, job.tenure):
+            return job.workers_digests or (UNKNOWN_WORKERS,)
+        return (UNKNOWN_WORKERS,)
 
     def _log_choice(
         self,
--- a/packages/poplarhilld/tests/shards/test_large_fleet.py
+++ b/packages/poplarhilld/tests/shards/test_large_fleet.py
@@ -233,11 +233,33 @@
     leading = Beat("10.1.0.1", 1, "dc1", 1, 1.0, True, **fields)
     hosts.heartbeat_received(0.1, "dc1-01", leading)
     assert hosts.leaders.keys() == {"dc1-01", "dc2-00"}
-    assert not hosts.has_reported_all("dc1-01")
+    assert not hosts.has_reported_all("dc1-01", 5)
     leaving = leading._replace(claims=(), tenure=0, leaders=(), leaving=True)
     hosts.heartbeat_received(0.2, "dc1-01", leaving)
     assert hosts.leaders.keys() == {"dc2-00"}
-    assert hosts.has_reported_all("dc1-01")
+    assert hosts.has_reported_all("dc1-01", 5)
+
+
+# Once, a heartbeat from before a distant host took the lead showed that it led nothing
+# any more, and its workers proved that no run of its jobs was left.
+def test_a_leader_that_others_reported_has_not_told_that_it_stopped() -> None:
+    me = LocalHost("dc1-00", Address("10.1.0.0", 1), "dc1", 1, 2.0)
+    hosts = Hosts(me, [], TokenSource(me.address), 0.0)
+    distant = Beat("10.2.0.0", 1, "dc2", 1, 1.0, True, heard=("dc1-00",))
+    hosts.heartbeat_received(0.1, "dc2-00", distant)
+    other = LeaderDigest("dc2-00", "10.2.0.0", 1, "dc2", ("dc2",), 9, Load())
+    claims = (Claim("dc1/0", 5, 20),)
+    fields = {"heard": ("dc1-00",), "claims": claims, "tenure": 5, "leaders": (other,)}
+    reporter = Beat("10.1.0.1", 1, "dc1", 1, 1.0, True, **fields)
+    hosts.heartbeat_received(0.2, "dc1-01", reporter)
+    assert "dc2-00" in hosts.leaders
+    hosts.heartbeat_received(0.3, "dc1-01", reporter._replace(leaders=()))
+    assert not hosts.has_reported_all("dc2-00", 9)
+    claims = (Claim("dc2/0", 9, 20),)
+    leading = distant._replace(claims=claims, tenure=9)
+    hosts.heartbeat_received(0.4, "dc2-00", leading)
+    hosts.heartbeat_received(0.5, "dc2-00", distant)
+    assert hosts.has_reported_all("dc2-00", 9)
 
 
 # Guards against a leader that learns late that a host is gone, and works on for
--- a/packages/poplarhilld/tests/submissions/test_submissions.py
+++ b/packages/poplarhilld/tests/submissions/test_submissions.py
@@ -149,7 +149,7 @@
 # Once, a leader that was cut off had acknowledged results that never arrived, and the
 # next one of the same workers ran these tasks again.
 def test_the_workers_of_a_silent_leader_prove_nothing() -> None:
-    submissions = Submissions(has_reported_all=lambda name: name != "h1")
+    submissions = Submissions(has_reported_all=lambda name, _: name != "h1")
     submissions.update_leaders(0.0, {"h1": LEADER._replace(workers_digests=(5,))})
     steps = (StepSpec(4, Resources(6.8, 64, 0), 0.2),)
     submissions.submit(0.0, 1, Submission("a", ROUTE, "{}", steps, 1.5))
