Drop the jobs of a leader before its heartbeat says that it has stopped

Cause: a leader that yields its last shard sent the heartbeat without claims first and dropped its workers and jobs after that. Replies of workers that were read in between could still start tasks, although other hosts may hand its jobs over from that heartbeat on. A pause there makes that seconds.

Change: it resigns before the heartbeat is sent.

Measured: test_yielding fails before (three workers left when the heartbeat is sent) and passes.

--- a/packages/poplarhilld/src/poplarhilld/entry/ticker.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/ticker.py
@@ -111,6 +111,9 @@
             state.catalogue.version,
             {**state.reachable_since, **state.last_reply_of_led_shards(now)},
         )
+        if not state.hosts.claims and state.leader.workers:
+            # Other hosts hand its jobs over once a heartbeat says that it has stopped.
+            actions = [*state.leader.resign(), *actions]
         await self._performer.perform(actions)
         await self._update_led_workers()
 
@@ -118,8 +121,6 @@
         """Lead exactly the workers of the shards that this host claims."""
         state, perform = self._state, self._performer.perform
         if not state.hosts.claims:
-            if state.leader.workers:
-                await perform(state.leader.resign())
             return
         now = uptime()
         led_entries: dict[str, WorkerEntry] = {}
