Date an offer by the clock of the leader that gets it

Cause: the age of an offer was an estimate, the difference to the fastest message of its host. Hosts that lead nothing put no time into heartbeats, so the first offer of such a host had nothing to compare with, and counted as one that took no time; it was 2.6 s old. The same held for the first message after 20 s without one, and for the first heartbeat of a leader, by which its successor extends leases.

Change: heartbeats of a leader carry its clock already. An entry host keeps the highest time that this clock must have passed (`PeerClocks`), and sends it with each offer (`OfferedJob.leader_clock_s`, eight bytes an offer, none in heartbeats). The leader's own clock less that is at least the age of the offer, whatever any process was paused for and in whichever order it reads. What is not known is `None`: the leader ignores such an offer, and sends a heartbeat at once, so that the next repeat is dated. Offers of earlier builds are estimated as before, but the first message is of unknown age, and a heartbeat of unknown age dates no offers.

--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/host.py
@@ -21,6 +21,7 @@
     QueryWorker,
     RenewLease,
     ReportJob,
+    SendClock,
     ShareReport,
     StartRun,
     StopRun,
@@ -260,6 +261,8 @@
                     pending.extend(self._add_message(messages, host, message))
                 case AnswerCaller(number, failure):
                     environment.answer(self.process, number, failure)
+                case SendClock(host):
+                    state.hosts.send_heartbeat(environment.now, host)
                 case AnswerNewPeer(address):
                     environment.reconnect(self, address)
                 case HostLost(host):
--- a/packages/poplarhill-dev/tests/simulation/test_scenarios.py
+++ b/packages/poplarhill-dev/tests/simulation/test_scenarios.py
@@ -23,7 +23,13 @@
 # Guards against the same when the lists of hosts differ and jobs last for seconds.
 @pytest.mark.parametrize(
     ("seed", "options"),
-    [(11, DEFAULTS), (12, DEFAULTS), (8101, LONG_JOBS), (8102, LONG_JOBS)],
+    [
+        (11, DEFAULTS),
+        (12, DEFAULTS),
+        (9414, DEFAULTS),  # a leader that wakes reads an offer of a host new to it
+        (8101, LONG_JOBS),
+        (8102, LONG_JOBS),
+    ],
 )
 def test_no_task_runs_twice_with_faults_of_the_store(
     seed: int, options: ScenarioOptions
--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -17,13 +17,14 @@
     QueryWorker,
     RenewLease,
     ReportJob,
+    SendClock,
     ShareReport,
     StartRun,
     StopRun,
     as_handed_over,
 )
 from poplarhilld.peers import PeerLinks
-from poplarhilld.peers.ages import MessageAges
+from poplarhilld.peers.ages import MessageAges, age_by_own_clock_s
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.peers.messages import (
     Beat,
@@ -110,6 +111,8 @@
                     state.submissions.note_done(report.done_tasks)
                 case OfferToLeader(host, message) | WithdrawFromLeader(host, message):
                     pending.extend(self._add_message(messages, host, message))
+                case SendClock(host):
+                    state.hosts.send_heartbeat(uptime(), host)
                 case AnswerCaller(number, failure):
                     outcome_queue = state.outcomes.get(number)
                     if outcome_queue is not None:
@@ -161,6 +164,9 @@
         match message:
             case Beat():
                 age_s = self._ages.age_s(now, sender, message.sent_at_s)
+                state.peer_clocks.note(
+                    now, sender, message.incarnation, message.sent_at_s
+                )
                 actions = state.hosts.heartbeat_received(now, sender, message, age_s)
                 if message.evacuations_end:
                     copy = Evacuations(message.evacuations_end, message.evacuations)
@@ -170,9 +176,7 @@
                 if not state.hosts.claims:
                     return []
                 offer = as_handed_over(message, state.hosts.leading_since_epoch)
-                age_s = 0.0
-                if sender != self._name:
-                    age_s = self._ages.age_s(now, sender, message.sent_at_s)
+                age_s = self._offer_age_s(now, sender, message)
                 return state.leader.handle_offer(
                     now, sender, number, offer, age_s, message.workers_digests
                 )
@@ -193,6 +197,16 @@
         _log.warning("FrameIgnored", kind=type(message).__name__, peer=sender)
         return []
 
+    def _offer_age_s(
+        self, now: float, sender: str, offered: OfferedJob
+    ) -> float | None:
+        """Return for how long an offer was under way, s; `None` if it is not known."""
+        if sender == self._name:
+            return 0.0
+        if offered.leader_clock_s is not None:
+            return age_by_own_clock_s(now, offered.leader_clock_s)
+        return self._ages.age_s(now, sender, offered.sent_at_s)
+
     async def update_evacuations(self, copy: Evacuations) -> None:
         """Put the evacuations that were read from the store in force."""
         await self.perform(self._adopt_evacuations("store", copy))
--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -15,6 +15,7 @@
 from poplarhilld.locality import OFF, cores_by_rack
 from poplarhilld.lookahead import LookaheadOptions
 from poplarhilld.overload import OverloadControl
+from poplarhilld.peers.ages import PeerClocks
 from poplarhilld.peers.messages import LeaderDigest, Load
 from poplarhilld.peers.offer_limits import OfferLimits
 from poplarhilld.shards import Hosts, LocalHost, data_centre
@@ -45,6 +46,7 @@
         usage: Counts what the processor time is spent on.
         busy: Measures the share of the processor in use.
         overload: Refuses new jobs while the event loop is late.
+        peer_clocks: What is known of the clocks of the leaders.
         pause: Pause until the next decisions that depend on time.
         shutting_down: Whether this host has begun to stop.
     """
@@ -82,6 +84,7 @@
         self.reachable_since: dict[str, float] = {}
         self.usage = UsageMeter(now)
         self.busy = BusyMeter(now, settings.cores)
+        self.peer_clocks = PeerClocks()
         self.pause = Pause()
         self.shutting_down = False
         self._racks_of_shards: tuple[Mapping, dict[str, dict[str, float]]] = ({}, {})
@@ -114,6 +117,7 @@
                 self.evacuations.leaves_nothing(load.cores, map(data_centre, claims)),
                 self._racks_of(claims),
                 self.leader.workers_digests,
+                0.0,
             )
         relayed = self.hosts.relayed_digests if self._places_near_data else {}
         for name, beat in self.hosts.leaders.items():
@@ -125,7 +129,13 @@
                 shards = self._shards_of(relayed[name])
             racks = self._racks_of(shards)
             view[name] = LeaderView(
-                beat.tenure, near, beat.load, evacuated, racks, beat.workers_digests
+                beat.tenure,
+                near,
+                beat.load,
+                evacuated,
+                racks,
+                beat.workers_digests,
+                self.peer_clocks.ahead_s(name),
             )
         return view
 
--- a/packages/poplarhilld/src/poplarhilld/leading/__init__.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/__init__.py
@@ -8,6 +8,7 @@
 from poplarhilld.leading.messages import QueryWorker as QueryWorker
 from poplarhilld.leading.messages import RenewLease as RenewLease
 from poplarhilld.leading.messages import ReportJob as ReportJob
+from poplarhilld.leading.messages import SendClock as SendClock
 from poplarhilld.leading.messages import ShareReport as ShareReport
 from poplarhilld.leading.messages import StartRun as StartRun
 from poplarhilld.leading.messages import StopRun as StopRun
--- a/packages/poplarhilld/src/poplarhilld/leading/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/messages.py
@@ -80,6 +80,13 @@
     report: JobProgress
 
 
+@dataclass(frozen=True)
+class SendClock:
+    """Send a heartbeat to a host soon, so that its next offers can be dated."""
+
+    host: str
+
+
 LeaderAction = (
     RenewLease
     | QueryWorker
@@ -87,6 +94,7 @@
     | StopRun
     | ReportJob
     | ShareReport
+    | SendClock
     | LogDecision
 )
 
@@ -357,9 +365,9 @@
     Attributes:
         job: Id of the job.
         host: Entry host that sent it.
-        age_s: How long it was under way, s.
+        age_s: How long it was under way, s; `None` if that is not known.
     """
 
     job: str
     host: str
-    age_s: float
+    age_s: float | None
--- a/packages/poplarhilld/src/poplarhilld/leading/offers.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/offers.py
@@ -24,6 +24,7 @@
     OfferAnswered,
     OfferIgnored,
     ReportJob,
+    SendClock,
 )
 from poplarhilld.leading.order import core_second_cost
 from poplarhilld.leading.outcomes import RunOutcomes, crash_detail
@@ -86,18 +87,19 @@
         host: str,
         number: int,
         offer: JobOffer,
-        age_s: float,
+        age_s: float | None,
         workers_digests: tuple[int, ...],
     ) -> list:
         """Accept a job from an entry host, or refuse it.
 
-        Ignores an offer that lapsed on its way: the host may have answered its caller
-        or have offered the job elsewhere. It repeats the offer otherwise.
+        Ignores an offer that lapsed on its way, or may have: the host may have answered
+        its caller or have offered the job elsewhere. It repeats the offer otherwise.
         """
+        if age_s is None or age_s >= self._state.limits.lifetime_s:
+            known_s = None if age_s is None else round(age_s, 4)
+            ignored = OfferIgnored(offer.job_id, host, known_s)
+            return [LogDecision(ignored), SendClock(host)]
         lapses_at = now - age_s + self._state.limits.lifetime_s
-        if now >= lapses_at:
-            ignored = OfferIgnored(offer.job_id, host, round(age_s, 4))
-            return [LogDecision(ignored)]
         if age_s >= _LATE_OFFER_S:
             offer = offer._replace(
                 elapsed_s=offer.elapsed_s + age_s, left_s=offer.left_s - age_s
--- a/packages/poplarhilld/src/poplarhilld/leading/state.py
+++ b/packages/poplarhilld/src/poplarhilld/leading/state.py
@@ -254,7 +254,7 @@
         host: str,
         number: int,
         offer: JobOffer,
-        age_s: float = 0.0,
+        age_s: float | None = 0.0,
         workers_digests: tuple[int, ...] = (),
     ) -> list:
         """Accept a job from an entry host, or refuse it.
@@ -264,7 +264,7 @@
             host: Name of the entry host.
             number: Number of the submission there.
             offer: The job.
-            age_s: How long the offer was under way, s.
+            age_s: How long the offer was under way, s; `None` if it is not known.
             workers_digests: Digests of this leader's workers that the host knows.
         """
         return self._offers.handle_offer(
--- a/packages/poplarhilld/src/poplarhilld/peers/codec.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/codec.py
@@ -154,12 +154,14 @@
         nested: Type of the message in it, or of each element of its list, if any.
         is_list: Whether it is a list.
         is_float: Whether it is a floating-point number.
+        is_optional: Whether it is a number that may be missing; 0 stands for that.
     """
 
     key: str
     nested: type | None
     is_list: bool
     is_float: bool
+    is_optional: bool
 
 
 @cache
@@ -170,7 +172,8 @@
             _camel_case(name),
             _LIST_ELEMENT_TYPES.get(name) or _STRUCT_FIELD_TYPES.get(name),
             name in _LIST_ELEMENT_TYPES or name in _SCALAR_LISTS,
-            hint is float,
+            hint in (float, float | None),
+            hint == float | None,
         )
         for name, hint in get_type_hints(kind).items()
     )
@@ -181,7 +184,7 @@
 
     Setting each field takes a tenth of the time that a conversion from a dict takes.
     """
-    for (key, nested, is_list, _), value in zip(
+    for (key, nested, is_list, *_), value in zip(
         _fields_of(type(message)), message, strict=True
     ):
         if not value:
@@ -203,7 +206,7 @@
         ValueError: A value is out of its range.
     """
     values = []
-    for key, nested, is_list, is_float in _fields_of(kind):
+    for key, nested, is_list, is_float, is_optional in _fields_of(kind):
         value = getattr(struct, key)
         if is_list:
             if nested is None:
@@ -214,6 +217,8 @@
             value = _from_struct(nested, value)
         elif is_float and not math.isfinite(value):
             raise ValueError(f"{key} is not finite")
+        elif is_optional and not value:
+            value = None
         values.append(value)
     message = kind(*values)
     check_ranges(message)
--- a/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
+++ b/packages/poplarhilld/src/poplarhilld/peers/frames.capnp
@@ -128,6 +128,7 @@
   repeated @3 :Bool;
   sentAtS @4 :Float64;
   workersDigests @5 :List(UInt64);
+  leaderClockS @6 :Float64;
 }
 
 struct JobWithdrawn {
--- a/packages/poplarhilld/src/poplarhilld/peers/leadership.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/leadership.py
@@ -177,6 +177,8 @@
         workers_digests: Digests of the leader's workers in its last heartbeat that the
             sender received; runs of the job are ordered only on these. None if they
             are not known, which allows all.
+        leader_clock_s: A time that the leader's clock has passed when it was sent, as
+            the sender knows from the leader's heartbeats, s; `None` if it knows none.
     """
 
     number: int
@@ -185,6 +187,7 @@
     repeated: bool = False
     sent_at_s: float = 0.0
     workers_digests: tuple[int, ...] = ()
+    leader_clock_s: float | None = None
 
 
 class Claim(NamedTuple):
--- a/packages/poplarhilld/src/poplarhilld/shards/peer.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/peer.py
@@ -60,17 +60,17 @@
         """Whether heartbeats to it list nearby hosts only."""
         return self.relation is not Relation.FAR
 
-    def note_leading(self, now: float, age_s: float) -> None:
+    def note_leading(self, now: float, age_s: float | None) -> None:
         """Note what its newest heartbeat, in which it claims a shard, says.
 
         Args:
             now: This host's clock, s.
-            age_s: How long that was under way, s.
+            age_s: How long that was under way, s; `None` if it is not known.
         """
         beat = self.heartbeat
         self.led_at, self.led_tenure = now, beat.tenure
         self.oldest_offer_at = -math.inf
-        if beat.oldest_offer_at_s:
+        if beat.oldest_offer_at_s and age_s is not None:
             offer_age_s = beat.sent_at_s - beat.oldest_offer_at_s
             self.oldest_offer_at = now - age_s - offer_age_s
         self.reported_leaders, self.reported_at = beat.leaders, now
--- a/packages/poplarhilld/src/poplarhilld/shards/state.py
+++ b/packages/poplarhilld/src/poplarhilld/shards/state.py
@@ -182,7 +182,7 @@
         }
 
     def heartbeat_received(
-        self, now: float, name: str, heartbeat: Beat, age_s: float = 0.0
+        self, now: float, name: str, heartbeat: Beat, age_s: float | None = 0.0
     ) -> list[ShardAction]:
         """Update the sender's state from its heartbeat.
 
@@ -190,7 +190,7 @@
             now: This host's clock, s.
             name: Name of the sender.
             heartbeat: The heartbeat.
-            age_s: How long it was under way, s.
+            age_s: How long it was under way, s; `None` if it is not known.
         """
         if name == self._fleet.me.name:
             return []
@@ -251,6 +251,14 @@
             )
         return actions
 
+    def send_heartbeat(self, now: float, name: str) -> None:
+        """Let the next tick send a heartbeat to a host."""
+        peer = self._fleet.peers.get(name)
+        if peer is not None:
+            address = Address(peer.heartbeat.host, peer.heartbeat.port)
+            self._fleet.add_addresses(now, [address])
+            self._fleet.targets[address].next_heartbeat_at = now
+
     def connection_refused(self, now: float, address: Address) -> list[ShardAction]:
         """Mark the host at an address that refuses connections as no longer live."""
         actions: list[ShardAction] = []
--- a/packages/poplarhilld/src/poplarhilld/submissions/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/messages.py
@@ -56,6 +56,8 @@
         evacuated: Whether all its workers are in evacuated data centres.
         racks: Cores of its workers by rack; empty where the settings give no slowdown.
         workers_digests: Digests of its workers; none if they are not known.
+        clock_ahead_s: By how much this host's clock is ahead of the leader's at most,
+            s; `None` if it is not known.
     """
 
     tenure: int
@@ -64,6 +66,7 @@
     evacuated: bool = False
     racks: Mapping[str, float] = MappingProxyType({})
     workers_digests: tuple[int, ...] = ()
+    clock_ahead_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/poplarhilld/src/poplarhilld/submissions/state.py
+++ b/packages/poplarhilld/src/poplarhilld/submissions/state.py
@@ -288,8 +288,15 @@
         job.offers += 1
         job.workers_digests = leader.workers_digests
         offer = self._job_offer(now, job)
+        ahead_s = leader.clock_ahead_s
         offered = OfferedJob(
-            job.number, offer, job.tenure, repeated, now, job.workers_digests
+            job.number,
+            offer,
+            job.tenure,
+            repeated,
+            now,
+            job.workers_digests,
+            None if ahead_s is None else now - ahead_s,
         )
         return [*actions, OfferToLeader(name, offered)]
 
--- a/packages/poplarhilld/tests/entry/test_performer.py
+++ b/packages/poplarhilld/tests/entry/test_performer.py
@@ -6,16 +6,16 @@
 import pytest
 
 from poplarhill.types import Address
-from poplarhill_dev.leased import worker_entry
+from poplarhill_dev.leased import simulated_job, worker_entry
 from poplarhilld.entry import EntrySettings, worker_calls
 from poplarhilld.entry.clock import uptime
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.performer import Performer
 from poplarhilld.entry.state import HostState
-from poplarhilld.leading import RenewLease, ReportJob, StartRun
-from poplarhilld.leading.messages import Order
+from poplarhilld.leading import RenewLease, ReportJob, SendClock, StartRun
+from poplarhilld.leading.messages import JobTaken, OfferIgnored, Order
 from poplarhilld.leases import OrderOutcome, OrderReply, Renewal, Run
-from poplarhilld.peers.messages import Beat, JobEnded, JobProgress
+from poplarhilld.peers.messages import Beat, JobEnded, JobProgress, OfferedJob
 from poplarhilld.submissions import OfferToLeader
 
 ANY = Address("127.0.0.1", 0)
@@ -110,3 +110,32 @@
     for event, fields in lines:
         assert (event, fields["outcome"]) == ("OrderReplied", outcome)
         assert fields["took_s"] >= reply_s
+
+
+# Once, a leader that woke from a freeze took the first offer of a host, which was 2.6 s
+# old, for a new one, and started tasks that another leader was running by then.
+@pytest.mark.parametrize(
+    ("clock_age_s", "taken"), [(2.6, False), (0.002, True), (None, False)]
+)
+def test_the_first_offer_of_a_host_counts_by_the_clock_of_the_leader(
+    clock_age_s, taken
+) -> None:
+    settings = EntrySettings("h1", "dc1", ANY, ANY, ANY, ANY, ANY)
+    now = uptime()
+    state = HostState(settings, now - 1.0)
+    for number in range(20):
+        at = now - 1.0 + 0.05 * number
+        state.hosts.tick(at, at, {"dc1/0": 4}, True, state.load(at), 1, {})
+    assert state.hosts.claims
+
+    async def main() -> None:
+        performer = Performer(state, None, EntryMetrics())
+        clock_s = None if clock_age_s is None else now - clock_age_s
+        offer = simulated_job("a").offer
+        offered = OfferedJob(1, offer, sent_at_s=77.0, leader_clock_s=clock_s)
+        actions = performer.handle_message("h2", offered)
+        lines = [type(getattr(action, "decision", action)) for action in actions]
+        assert (JobTaken in lines) == taken
+        assert (lines == [OfferIgnored, SendClock]) == (not taken)
+
+    curio.run(main)
--- a/packages/poplarhilld/tests/peers/test_codec.py
+++ b/packages/poplarhilld/tests/peers/test_codec.py
@@ -31,6 +31,7 @@
 OFFER = peers.OfferedJob(
     *(4, peers.JobOffer("j1", "r", "s", "{}", (STEP, STEP), 1, 2, 1.5, 0.5, 0.25, 1.0)),
     *(2**53, True, 1.25),
+    leader_clock_s=2.5,
 )
 
 
@@ -47,6 +48,7 @@
         peers.Goodbye(5),
         HEARTBEAT,
         OFFER,
+        OFFER._replace(leader_clock_s=None),
         peers.JobWithdrawn("j1", True),
         peers.JobProgress("j1", (0, 3)),
         peers.JobProgress("", losses=(peers.TaskLosses("j1.0.0.3", (LOST,)),)),
@@ -194,7 +196,7 @@
     # Of placement near the data, and of the workers of former leaders.
     *("racks @5", "ledShards @7", "workersDigests @", "formerWorkers @"),
     *("sentAtS @19", "oldestOfferAtS @"),
-    "doneTasks @",
+    *("doneTasks @", "leaderClockS @"),
 )
 
 
--- a/packages/poplarhilld/tests/shards/test_hosts.py
+++ b/packages/poplarhilld/tests/shards/test_hosts.py
@@ -7,11 +7,12 @@
 
 from poplarhill.types import Address
 from poplarhilld.leases import TokenSource
-from poplarhilld.peers import Load, decode, encode
+from poplarhilld.peers import Beat, Claim, Load, decode, encode
 from poplarhilld.peers.codec import Envelope
 from poplarhilld.shards import HostLost, Hosts, LocalHost, SendHeartbeat
 from poplarhilld.shards.intervals import HEARTBEAT_INTERVAL_S
 from poplarhilld.shards.messages import HeartbeatIgnored
+from poplarhilld.shards.peer import Peer
 
 SHARDS = {"dc1/0": 8, "dc2/0": 8}
 STEP_S = 0.05
@@ -631,3 +632,16 @@
     follower.connection_refused(fleet.now, fleet.address(leader))
     assert follower.changed
     assert follower.next_tick_at(fleet.now) == fleet.now
+
+
+# Once, the first heartbeat of a leader counted as not delayed, and the leases of the
+# runs that it left were extended by as much as it had waited for a paused host.
+def test_a_heartbeat_of_unknown_age_does_not_date_the_offers_of_a_leader() -> None:
+    claims = (Claim("dc1/0", 5, 8),)
+    times = {"sent_at_s": 70.0, "oldest_offer_at_s": 69.5}
+    beat = Beat("10.0.0.1", 1, "dc1", 1, 1.0, True, claims=claims, **times)
+    peer = Peer("h1", beat, 100.0)
+    peer.note_leading(100.0, None)
+    assert peer.oldest_offer_at == -math.inf
+    peer.note_leading(100.0, 0.25)
+    assert peer.oldest_offer_at == pytest.approx(99.25)
