--- a/packages/poplarhill-dev/src/poplarhill_dev/cli.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/cli.py
@@ -152,47 +152,49 @@
     default="mixed",
     help="Whether callers wait longer than the timeout of their route.",
 )
+@click.option("--series", is_flag=True, help="Repeat one kind of fault in each seed.")
 @click.option(
     "--chains",
-    is_flag=True,
+    "scenario",
+    flag_value="chains",
     help="Lose only entry hosts and the leaders of their jobs, one after the other.",
 )
-@click.option("--series", is_flag=True, help="Repeat one kind of fault in each seed.")
 @click.option(
     "--cuts",
-    is_flag=True,
+    "scenario",
+    flag_value="cuts",
     help="Cut hosts off from each other again and again, beside few other faults.",
 )
+@click.option(
+    "--pauses",
+    "scenario",
+    flag_value="pauses",
+    help="Pause leaders and entry hosts while other hosts restart.",
+)
 def simulate(
     seeds: str,
     trace: bool,
     closed_requests: bool,
     store: str,
     callers: str,
-    chains: bool,
     series: bool,
-    cuts: bool,
+    scenario: str | None,
 ) -> None:
-    """Run simulated fleets under random faults and check that no task runs twice.
-
-    Raises:
-        click.UsageError: Two kinds of faults are asked for.
-    """
+    """Run simulated fleets under random faults and check that no task runs twice."""
     from poplarhill_dev.simulation.chains import run_chain
     from poplarhill_dev.simulation.command import run_seeds
     from poplarhill_dev.simulation.cuts import run_cuts
     from poplarhill_dev.simulation.load import CallerKind
+    from poplarhill_dev.simulation.pauses import run_pauses
     from poplarhill_dev.simulation.scenario import ScenarioOptions, run_scenario
 
     first, _, last = seeds.partition("-")
     numbers = range(int(first), int(last or first) + 1)
     kind = CallerKind(callers)
     options = ScenarioOptions(closed_requests, store == "on", kind, series)
-    run = partial(run_scenario, options=options)
-    if chains and cuts:
-        raise click.UsageError("--chains and --cuts exclude each other")
-    if chains or cuts:
-        run = run_chain if chains else run_cuts
+    run_random = partial(run_scenario, options=options)
+    scenarios = {"chains": run_chain, "cuts": run_cuts, "pauses": run_pauses}
+    run = scenarios.get(scenario, run_random)
     sys.exit(0 if run_seeds(numbers, trace, run) else 1)
 
 
