Forget the clock of a leader that was not heard for five minutes

Cause: an entry host adds what has passed at itself to the last time that a leader has sent. Distant leaders are known from reports of other leaders, so that time may be hours old, and the clocks may have drifted apart by more than an offer may be late.

In fleets in which hosts and leaders exchange heartbeats at least every five minutes decisions are the same.

--- a/packages/poplarhilld/src/poplarhilld/entry/state.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/state.py
@@ -135,7 +135,7 @@
                 evacuated,
                 racks,
                 beat.workers_digests,
-                self.peer_clocks.ahead_s(name),
+                self.peer_clocks.ahead_s(now, name),
             )
         return view
 
--- a/packages/poplarhilld/src/poplarhilld/peers/ages.py
+++ b/packages/poplarhilld/src/poplarhilld/peers/ages.py
@@ -13,7 +13,8 @@
 
 _PERIOD_S = 10.0  # follows a link whose latency changes, and clocks that drift
 _MOST_REORDERED_S = 60.0  # a lower time than this shows that the machine has restarted
-_CLOCK_TOLERANCE_S = 0.05  # clocks that drift differ by less within two periods
+_CLOCK_TOLERANCE_S = 0.05  # by which drift may put a clock ahead of itself
+_CLOCK_LIFETIME_S = 300.0  # clocks that differ by 100 ppm drift apart by 0.03 s
 
 
 class _Period(NamedTuple):
@@ -61,6 +62,21 @@
     return period, False
 
 
+class _PeerClock(NamedTuple):
+    """What is known of the clock of a host.
+
+    Attributes:
+        incarnation: When the process that sent the times started, ms since the Unix
+            epoch.
+        heard_at: When the last one was received, by the receiver's clock, s.
+        period: The times that it has sent.
+    """
+
+    incarnation: int
+    heard_at: float
+    period: _Period
+
+
 class PeerClocks:
     """Times that the clocks of other hosts have passed, from times that they have sent.
 
@@ -69,7 +85,7 @@
     """
 
     def __init__(self) -> None:
-        self._periods: dict[str, tuple[int, _Period]] = {}
+        self._clocks: dict[str, _PeerClock] = {}
 
     def note(self, now: float, host: str, incarnation: int, sent_at_s: float) -> None:
         """Note a time that a host has sent.
@@ -82,20 +98,28 @@
         """
         if not sent_at_s:
             return
-        known, period = self._periods.get(host, (incarnation, None))
-        if known != incarnation:
-            period = None
+        period = None
+        clock = self._clocks.get(host)
+        if clock is not None and clock.incarnation == incarnation:
+            period = clock.period
         period, _ = _update(period, now - sent_at_s, sent_at_s)
-        self._periods[host] = incarnation, period
+        self._clocks[host] = _PeerClock(incarnation, now, period)
 
-    def ahead_s(self, host: str) -> float | None:
+    def ahead_s(self, now: float, host: str) -> float | None:
         """Return by how much this host's clock is ahead of another one's at most, s.
 
+        Args:
+            now: The clock of this host, s.
+            host: Name of the other host.
+
         Returns:
-            `None` if the other host has sent no time.
+            `None` if that host has sent no time, or so long ago that the clocks may
+            have drifted apart.
         """
-        known = self._periods.get(host)
-        return None if known is None else known[1].fastest_s
+        clock = self._clocks.get(host)
+        if clock is None or now - clock.heard_at > _CLOCK_LIFETIME_S:
+            return None
+        return clock.period.fastest_s
 
 
 def age_by_own_clock_s(now: float, clock_s: float) -> float | None:
--- a/packages/poplarhilld/tests/peers/test_ages.py
+++ b/packages/poplarhilld/tests/peers/test_ages.py
@@ -75,7 +75,7 @@
         now += random.choice([0.001, 0.001, 0.2, 3.0])
         clocks.note(now, "h1", 1, sent_at_s)
         now += random.choice([0.1, 0.3, 25.0])
-        ahead_s = clocks.ahead_s("h1")
+        ahead_s = clocks.ahead_s(now, "h1")
         took_s = random.choice([0.001, 0.4, 2.6])
         age_s = age_by_own_clock_s(now + took_s - offset_s, now - ahead_s)
         assert took_s <= age_s + 1e-6
@@ -84,17 +84,25 @@
 
 def test_a_prompt_heartbeat_dates_offers_to_the_millisecond() -> None:
     clocks = PeerClocks()
-    assert clocks.ahead_s("h1") is None
+    assert clocks.ahead_s(100.0, "h1") is None
     for late_s in (0.8, 0.001, 0.3):
         clocks.note(100.0 + late_s, "h1", 1, 50.0)
-    age_s = age_by_own_clock_s(51.0, 101.0 - clocks.ahead_s("h1"))
+    age_s = age_by_own_clock_s(51.0, 101.0 - clocks.ahead_s(101.0, "h1"))
     assert age_s == pytest.approx(0.001)
 
 
+# Guards against a clock that has drifted since it was last heard.
+def test_a_clock_is_not_known_for_ever() -> None:
+    clocks = PeerClocks()
+    clocks.note(100.0, "h1", 1, 50.0)
+    assert clocks.ahead_s(300.0, "h1") == pytest.approx(50.0)
+    assert clocks.ahead_s(500.0, "h1") is None
+
+
 # Guards against offers that are ignored for long: the clock of a machine begins anew.
 def test_the_clock_of_a_restarted_machine_is_learnt_anew() -> None:
     clocks = PeerClocks()
     clocks.note(100.0, "h1", 1, 50.0)
-    assert age_by_own_clock_s(10.0, 100.0 - clocks.ahead_s("h1")) is None
+    assert age_by_own_clock_s(10.0, 100.0 - clocks.ahead_s(100.0, "h1")) is None
     clocks.note(101.0, "h1", 2, 11.0)
-    assert age_by_own_clock_s(11.0, 101.0 - clocks.ahead_s("h1")) == 0.0
+    assert age_by_own_clock_s(11.0, 101.0 - clocks.ahead_s(101.0, "h1")) == 0.0
