--- a/packages/poplarhill-dev/src/poplarhill_dev/simulation/pauses.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/simulation/pauses.py
@@ -25,6 +25,9 @@
 _RUN_S = (0.3, 2.0)
 _PAUSES_S = (0.3, 0.8, 1.5, 2.5, 3.3, 5.0, 10.0)
 _DOWN_S = (0.2, 0.6)
+_RESTART_SHARE = 0.7  # of the hosts that offer jobs
+_ALL_PAUSED_SHARE = 0.7  # of the rounds
+_CALLER_TIMEOUTS_S = (1.0, 1.5, 6.0)
 
 
 def run_pauses(seed: int) -> FleetWorld:
@@ -47,18 +50,25 @@
     entries = [random.choice(near or others), random.choice(others)]
     paused_at = random.uniform(2.0, 2.4)
     for name in entries:
-        if (
-            random.random() < 0.7
-        ):  # the leader knows it for a moment only, or not at all
+        # The leader knows a host that restarts for a moment only, or not at all.
+        if random.random() < _RESTART_SHARE:
             at = paused_at - random.uniform(0.4, 1.8)
             world.schedule(at, world.kill, name, random.uniform(*_DOWN_S))
     pause_s = random.choice(_PAUSES_S) * random.uniform(0.8, 1.2)
     if leader:
         world.schedule(paused_at, world.freeze, leader, pause_s)
-    if random.random() < 0.7:  # nobody is left there who would claim the workers
+    if random.random() < _ALL_PAUSED_SHARE:
+        # Nobody is left in the data centre who would claim its workers.
         for name in near:
             at = paused_at + random.uniform(0.2, 0.6)
             world.schedule(at, world.freeze, name, pause_s + random.uniform(0.0, 0.8))
+    _submit(world, random, entries, paused_at)
+
+
+def _submit(
+    world: FleetWorld, random: Random, entries: list[str], paused_at: float
+) -> None:
+    """Let callers send jobs to some hosts, about when a leader is paused."""
     centres = sorted({name.partition("-")[0] for name in world.hosts})
     first = len(world.callers.by_job)
     for number in range(first, first + _JOBS):
@@ -70,7 +80,7 @@
         caller = Caller(
             job,
             random.choice(centres),
-            stated_timeout_s=random.choice([1.0, 1.5, 6.0]),
+            stated_timeout_s=random.choice(_CALLER_TIMEOUTS_S),
         )
         arrival = paused_at + random.uniform(-0.1, 0.5)
         world.schedule(arrival, world.submit, caller, random.choice(entries))
