--- a/packages/poplarhilld/tests/leading/test_former_workers.py
+++ b/packages/poplarhilld/tests/leading/test_former_workers.py
@@ -320,3 +320,18 @@
     assert "a.0.0.0" not in world.starts_by_task
     world.run(1.0)
     assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
+
+
+# Once, a reply with a run that could not be read counted as the list of all runs.
+def test_a_worker_with_a_run_that_cannot_be_read_proves_nothing(world: World) -> None:
+    worker = world.workers["w3"]
+    renew = worker.renew
+    worker.renew = lambda *args: renew(*args)._replace(unreadable_runs=1)
+    world.run(1.0)
+    job = simulated_job("a", tasks=1, handovers=1, left_s=9.0)
+    digests = world.leaders["h1"].workers_digests
+    offer = job.offer._replace(former_workers=digests)
+    world.submit("h1", replace(job, offer=offer))
+    world.run(2.0)
+    assert world.starts == 0
+    assert world.job_outcome("a").error == ErrorKind.WORKER_LOST.value
