--- a/packages/poplarhilld/tests/entry/test_performer.py
+++ b/packages/poplarhilld/tests/entry/test_performer.py
@@ -112,8 +112,8 @@
         assert fields["took_s"] >= reply_s
 
 
-# Once, a leader that woke from a freeze took the first offer of a host, which was 2.6 s
-# old, for a new one, and started tasks that another leader was running by then.
+# Guards against two runs of one task: a leader that resumed after a pause took the old
+# first offer of a host for a new one, though another leader had the job by then.
 @pytest.mark.parametrize(
     ("clock_age_s", "taken"), [(2.6, False), (0.002, True), (None, False)]
 )
--- a/packages/poplarhilld/tests/leading/test_former_workers.py
+++ b/packages/poplarhilld/tests/leading/test_former_workers.py
@@ -269,7 +269,8 @@
     assert world.job_outcome("a").error == ""
 
 
-# Guards against a wait for the renewals: a worker may hold one for 0.4 s.
+# Guards against tasks that wait for the next renewals after a handover: a worker may
+# hold each one for 0.4 s.
 def test_workers_are_asked_at_once_for_the_runs_of_a_handed_over_job(
     world: World,
 ) -> None:
@@ -283,7 +284,8 @@
     assert world.job_outcome("a").error == ""
 
 
-# Guards against a query for each job: jobs are handed over by the hundred.
+# Guards against a flood of calls to workers: hundreds of jobs may be handed over at
+# once, and each needs the runs on all of them.
 def test_the_queries_for_jobs_that_are_handed_over_together_are_bounded(
     world: World,
 ) -> None:
