Refuse a job by its number of values before it is decoded

Callers saw: one client with one body of 7.5 MB, steps of 2.5 million `{}`, took the process to 566 MB, and the next caller waited until it was decoded; the same for a daemon with 1.6 million short tasks, 178 MB.

Cause: three bytes of JSON become an object of 200 bytes. The count of steps and tasks was checked on the decoded job.

Ruled out: a lower limit on bytes alone, as the configuration may allow 8 MiB.

--- a/packages/poplarhilld/src/poplarhilld/api/handler.py
+++ b/packages/poplarhilld/src/poplarhilld/api/handler.py
@@ -20,6 +20,7 @@
 _HTTP_UNAVAILABLE = 503
 _JOB_ID = re.compile("[A-Za-z0-9._-]{1,64}")
 _CONFLICT_RETRY_S = 1.0
+_MAX_SHOWN_CHARS = 100
 
 Submit = Callable[[JobSpec], Awaitable[JobOutcome]]
 Cancel = Callable[[str], Awaitable[bool]]
@@ -73,7 +74,7 @@
             case ("GET", ["metrics"]):
                 headers = {"content-type": "text/plain; version=0.0.4"}
                 return Response(_HTTP_OK, headers, self._metrics())
-        detail = f"no route for {request.method} {request.path}"
+        detail = f"no route for {request.method} {request.path[:_MAX_SHOWN_CHARS]}"
         return _failure_response(None, Failure(ErrorKind.UNKNOWN_PATH, detail))
 
     async def _post_job(self, service: str, request: Request) -> Response:
@@ -115,7 +116,8 @@
         if job_id is not None and await self._cancel(job_id):
             return json_response(_HTTP_ACCEPTED, {"job_id": job_id})
         failure = Failure(
-            ErrorKind.UNKNOWN_JOB, f"no job {requested_id!r} is in flight on this host"
+            ErrorKind.UNKNOWN_JOB,
+            f"no job {requested_id[:_MAX_SHOWN_CHARS]!r} is in flight on this host",
         )
         return _failure_response(requested_id, failure)
 
--- a/packages/poplarhilld/src/poplarhilld/api/requests.py
+++ b/packages/poplarhilld/src/poplarhilld/api/requests.py
@@ -20,6 +20,7 @@
 _DEFAULT_TIMEOUT_S = 30.0
 _MAX_TIMEOUT_S = 3600.0
 _MAX_KEY_CHARS = 200
+_MAX_VALUES = 1024  # a job of 160 tasks has fewer
 
 _Tasks = Annotated[list[str], msgspec.Meta(min_length=1, max_length=MAX_TASKS_PER_JOB)]
 _Timeout = Annotated[float, msgspec.Meta(le=_MAX_TIMEOUT_S)]
@@ -78,7 +79,7 @@
         now: The host's own clock, s.
     """
     try:
-        request = decode_json(body, JobRequest)
+        request = decode_json(body, JobRequest, _MAX_VALUES)
     except InvalidDataError as error:
         return Error(Failure(ErrorKind.BAD_REQUEST, str(error)))
     if key is not None and not 0 < len(key) <= _MAX_KEY_CHARS:
