Bound the log buffer in bytes, and keep bodies of responses in one buffer

The log buffer held 20,000 lines of any length. A line on a dropped request holds its path, of up to 16 KiB, so that a reader of the log that stalls cost up to 320 MB; found by reading, shown by test_long_lines_are_dropped_before_they_fill_the_memory, which needs 320 MB before. Usual lines are kept in the same number.

Bodies of responses were lists of their chunks: a response of 1 MiB in chunks of two bytes took some 25 MB, by reading. They are one buffer now.

--- a/packages/poplarhill/src/poplarhill/http/client.py
+++ b/packages/poplarhill/src/poplarhill/http/client.py
@@ -165,8 +165,7 @@
     async def _receive(self) -> Response:
         status = 0
         headers: dict[str, str] = {}
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         # Asking for an event before any data has come would cost as much as one.
         await self._read(status)
         while True:
@@ -181,17 +180,16 @@
                     if header_size(event) > self._limits.header_bytes:
                         raise InvalidResponseError("response headers too large")
                 case h11.Data():
-                    size += len(event.data)
-                    if size > self._limits.body_bytes:
+                    if len(body) + len(event.data) > self._limits.body_bytes:
                         raise InvalidResponseError("response body too large")
-                    chunks.append(bytes(event.data))
+                    body += event.data
                 case h11.EndOfMessage():
                     break
                 case h11.ConnectionClosed():
                     raise ConnectionLostError("connection closed", sent=True)
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
-        return Response(status, headers, b"".join(chunks))
+        return Response(status, headers, bytes(body))
 
     async def _read(self, status: int) -> None:
         """Receive data; `status` is 0 before the status line has been received."""
--- a/packages/poplarhill/src/poplarhill/http/framing.py
+++ b/packages/poplarhill/src/poplarhill/http/framing.py
@@ -47,7 +47,7 @@
         self._reusable = True
         self._http: h11.Connection | None = None
         self._status = 0
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
         self._missing_bytes = 0
         self._size_bytes = 0
 
@@ -67,7 +67,7 @@
         """
         if self._http is not None:
             return self._feed_h11(data)
-        if self._chunks:
+        if self._missing_bytes > 0:
             return self._feed_body(data)
         head_bytes = data.find(_HEAD_END) + len(_HEAD_END)
         if not len(_HEAD_END) <= head_bytes <= _KEPT_HEAD_BYTES:
@@ -84,11 +84,11 @@
     def _feed_body(self, data: bytes) -> Response | None:
         missing_bytes = self._missing_bytes = self._missing_bytes - len(data)
         if missing_bytes > 0:
-            self._chunks.append(data)
+            self._body += data
             return None
-        if self._chunks:
-            data = b"".join((*self._chunks, data))
-            self._chunks.clear()
+        if self._body:
+            data = bytes(self._body + data)
+            self._body.clear()
         if missing_bytes < 0:
             self._reusable = False
             data = data[:missing_bytes]
@@ -116,14 +116,14 @@
                     self._size_bytes += len(event.data)
                     if self._size_bytes > self._limits.body_bytes:
                         raise InvalidResponseError("response body too large")
-                    self._chunks.append(bytes(event.data))
+                    self._body += event.data
                 case h11.EndOfMessage():
                     break
         done = http.their_state is h11.DONE and not http.trailing_data[0]
         self._reusable = self._reusable and done
         self._http = None
-        body = b"".join(self._chunks)
-        self._chunks.clear()
+        body = bytes(self._body)
+        self._body.clear()
         return Response(self._status, body=body)
 
     def _check(self, event: h11.Response) -> None:
--- a/packages/poplarhilld/src/poplarhilld/entry/logs.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/logs.py
@@ -12,7 +12,8 @@
 
 from poplarhilld.logs import capture_library_logs
 
-_MAX_LINES = 20_000  # about 5 MB of lines, a tenth of the smallest host's memory
+_MAX_LINES = 20_000  # about 5 MB of usual lines
+_MAX_BYTES = 10_000_000  # lines on input may be long
 
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
@@ -30,6 +31,7 @@
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
         self._lines: deque[bytes] = deque()
+        self._lines_bytes = 0
         self._unwritten = b""
         self._dropped = 0
         self._dropped_logged = 0
@@ -43,9 +45,11 @@
 
     def msg(self, line: bytes) -> None:
         """Add a line, or drop it if the buffer is full."""
-        if len(self._lines) >= _MAX_LINES:
+        size = self._lines_bytes + len(line)
+        if len(self._lines) >= _MAX_LINES or size > _MAX_BYTES:
             self._dropped += 1
             return
+        self._lines_bytes = size
         self._lines.append(line)
 
     debug = info = warning = error = critical = exception = log = msg
@@ -67,13 +71,18 @@
 
     def _next_block(self) -> bytes:
         """Return lines that a pipe takes as a whole or not at all."""
-        parts = [self._lines.popleft()]
+        parts = [self._next_line()]
         size = len(parts[0]) + 1
         while self._lines and size + len(self._lines[0]) < select.PIPE_BUF:
-            parts.append(self._lines.popleft())
+            parts.append(self._next_line())
             size += len(parts[-1]) + 1
         return b"\n".join(parts) + b"\n"
 
+    def _next_line(self) -> bytes:
+        line = self._lines.popleft()
+        self._lines_bytes -= len(line)
+        return line
+
 
 def configure_logs(buffer: LogBuffer, host: str) -> None:
     """Send the structured log of this process to a buffer.
--- a/packages/poplarhilld/tests/entry/test_logs.py
+++ b/packages/poplarhilld/tests/entry/test_logs.py
@@ -9,7 +9,7 @@
 import pytest
 import structlog
 
-from poplarhilld.entry.logs import _MAX_LINES, LogBuffer, configure_logs
+from poplarhilld.entry.logs import _MAX_BYTES, _MAX_LINES, LogBuffer, configure_logs
 
 
 @pytest.fixture
@@ -111,3 +111,19 @@
     age = datetime.now(UTC) - datetime.fromisoformat(problem["timestamp"])
     assert timedelta(0) <= age < timedelta(minutes=1)
     structlog.reset_defaults()
+
+
+# Guards against a buffer whose memory depends on what clients send: lines may hold
+# parts of their requests.
+def test_long_lines_are_dropped_before_they_fill_the_memory(
+    pipe: tuple[int, int],
+) -> None:
+    _, writing = pipe
+    buffer = LogBuffer(writing)
+    line_bytes = 16_000
+    for _ in range(_MAX_LINES):
+        buffer.msg(b"x" * line_bytes)
+    kept = _MAX_LINES - buffer.dropped
+    assert kept * line_bytes <= _MAX_BYTES
+    buffer.flush()
+    assert buffer.dropped == _MAX_LINES - kept
