Bound what connections to the port of the hosts hold

Callers saw: 60 half frames of 4 MiB on the port of the other hosts took a host to 298 MB; 300 silent connections there took every descriptor, jobs got 503, and the process ended with code 1.

Cause: 4,096 connections were allowed, more than there are descriptors, and each could keep 4 MiB of a frame for ever. A failed accept ended the loop, and so the process.

--- a/packages/poplarhill/src/poplarhill/http/__init__.py
+++ b/packages/poplarhill/src/poplarhill/http/__init__.py
@@ -6,6 +6,8 @@
 from poplarhill.http.client import InvalidResponseError as InvalidResponseError
 from poplarhill.http.client import connect_from as connect_from
 from poplarhill.http.client import fetch as fetch
+from poplarhill.http.limiter import Cause as Cause
+from poplarhill.http.limiter import InputLimiter as InputLimiter
 from poplarhill.http.messages import Limits as Limits
 from poplarhill.http.messages import Request as Request
 from poplarhill.http.messages import Response as Response
--- a/packages/poplarhilld/tests/peers/test_links.py
+++ b/packages/poplarhilld/tests/peers/test_links.py
@@ -1,5 +1,6 @@
 """Links between entry hosts whose peers fail, stall or send malformed frames."""
 
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -299,3 +300,25 @@
         await runner.cancel()
 
     run(body)
+
+
+# Guards against a host that ends because its clients have taken all descriptors.
+def test_a_failed_accept_does_not_end_the_loop(monkeypatch) -> None:
+    accept = curio.io.Socket.accept
+    failures = [OSError(errno.EMFILE, "Too many open files")]
+
+    async def failing_accept(sock: curio.io.Socket):
+        if failures:
+            raise failures.pop()
+        return await accept(sock)
+
+    async def body(host: Host) -> None:
+        sock = await curio.open_connection(*host.address)
+        async with sock:
+            await sock.sendall(framed(GOOD))
+            await until(lambda: bool(host.received))
+
+    monkeypatch.setattr(curio.io.Socket, "accept", failing_accept)
+    host = run(body)
+    assert not failures
+    assert [envelope.sender for envelope in host.received] == ["h9"]
