--- a/packages/poplarhill/src/poplarhill/http/messages.py
+++ b/packages/poplarhill/src/poplarhill/http/messages.py
@@ -15,12 +15,14 @@
     Attributes:
         header_bytes: Largest size of the request or status line with the headers.
         body_bytes: Largest size of the body.
+        header_s: Longest time until the headers have arrived, s.
         receive_s: Longest time to transfer one whole message, s.
         idle_s: Longest time that a connection may stay open without a request, s.
     """
 
     header_bytes: int = 16 * KIB
     body_bytes: int = 8 * MIB
+    header_s: float = 10.0
     receive_s: float = 10.0
     idle_s: float = 120.0
 
--- a/packages/poplarhilld/src/poplarhilld/catalogue/messages.py
+++ b/packages/poplarhilld/src/poplarhilld/catalogue/messages.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from poplarhill.http import Limits
+from poplarhill.http.messages import KIB
 from poplarhill.types import Address, Resources
 
 
@@ -43,6 +45,11 @@
         return self.stretch * run_time_s + self.allowance_s
 
 
+# Until a configuration sets others. An idle connection is kept longer than clients keep
+# theirs, since closing it may cross a request.
+DEFAULT_LIMITS = Limits(body_bytes=256 * KIB, header_s=3.0)
+
+
 class Catalogue(NamedTuple):
     """One version of the routes and services.
 
@@ -50,11 +57,13 @@
         version: Version of the catalogue; it increases with each change.
         routes: All routes.
         services: Names of the services that routes may name.
+        limits: Limits on the requests of callers.
     """
 
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: frozenset[str] = frozenset()
+    limits: Limits = DEFAULT_LIMITS
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a host name whose prefix of the path is the longest."""
