Bound memory, turns and places of all callers of a process together

Callers saw, on: 40 clients that never send the last byte of 8 MB took a process to 363 MB, 900 within the limits to 286 MB, chunks without end to 383 MB, short header fields to 202 MB, the readiness and metrics ports to 360 MB, a daemon to 388 MB. 3 clients with chunks of two bytes, or 10 with requests one after the other, and nobody got an answer within 60 s. 120 or 300 silent clients, and ordinary jobs got 503.

Causes, which meet in the read path of a connection, so that they are mended together: - each limit was one of a single connection; nothing bounded the sum; - `recv` returns without a switch of tasks while data is there, and one read could hold 9,000 events of h11; - a silent connection kept its place for 120 s, and refused ones counted against nothing.

Change: a request is charged to the budget of the process beyond 16 KiB, from its first read to its answer, with 400 bytes a header field; when the budget is full the message with the largest product of size and age gets 503, not run. At most 16 connections begin and 2 continue to parse in a cycle of the loop, 32 events each. When all places are taken the longest silent connection goes, those without an answered request first. The limits of `config` are in force at once on open connections. `memory_mb` and `descriptors` in the settings; counts by cause in metrics and `InputRefused`.

A usual request takes no switch of tasks more than before. A body of 9 MB that is refused is still read, so that its sender sees the 413 (16 MiB for 32 clients at a time; before 64 MiB for each). Weighed: docs/design/untrusted-clients.md.

--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -6,23 +6,34 @@
 response.
 """
 
-import resource
+import contextlib
+import math
+import time
 from collections.abc import Awaitable, Callable
+from itertools import islice
 
 import curio
 import structlog
 
 from poplarhill.exceptions import ErrorKind, Failure, error_body
 from poplarhill.http.closes import CloseWatcher
-from poplarhill.http.messages import Limits, Request, Response, json_response
+from poplarhill.http.limiter import NO_PLACE, Cause, InputLimiter
+from poplarhill.http.listening import listen
+from poplarhill.http.messages import KIB, Limits, Request, Response, json_response
+from poplarhill.http.places import Places
 from poplarhill.http.session import RefusedError, Session, SessionEndedError
+from poplarhill.machine import MachineLimits
 
 Handler = Callable[[Request], Awaitable[Response]]
 
 _BACKLOG = 1024
 _ACCEPT_PAUSE_S = 0.1
 _DRAIN_LINGER_S = 0.2
-_OVERLOAD_RETRY_S = 1.0
+_ACCEPTS_PER_TURN = 16
+_MAX_PLACES_TRIED = 8
+_MAX_LOGGED_PATH_CHARS = 200
+_MAX_LOGGED_METHOD_CHARS = 20
+_TURNED_AWAY_READ_BYTES = 16 * KIB  # unread data would reset the connection
 _log = structlog.get_logger()
 
 
@@ -34,15 +45,29 @@
         port: TCP port to listen on; 0 selects any free port.
         handler: Coroutine function that takes a request and returns a response.
         limits: Limits on requests.
+        limiter: What the listeners of the process share; one of its own if not given.
+        max_connections: Largest number of open connections; what the machine allows
+            for callers if not given.
     """
 
     def __init__(
-        self, host: str, port: int, handler: Handler, limits: Limits | None = None
+        self,
+        host: str,
+        port: int,
+        handler: Handler,
+        limits: Limits | None = None,
+        limiter: InputLimiter | None = None,
+        max_connections: int | None = None,
     ) -> None:
+        machine = MachineLimits.from_machine()
         self._handler = handler
         self._limits = limits or Limits()
-        self._sock = curio.tcp_server_socket(host, port, backlog=_BACKLOG)
-        self._max_connections = resource.getrlimit(resource.RLIMIT_NOFILE)[0] // 2
+        self._limiter = limiter or InputLimiter.from_machine(machine)
+        self._sock = listen(host, port, _BACKLOG)
+        self._max_connections = max_connections or machine.caller_connections
+        self._places: Places[Session] = Places()
+        self._given_up: set[Session] = set()
+        self._accepted = 0
         self._open_connections = 0
         self._waiting_sessions: set[Session] = set()
         self._sessions: dict[int, Session] = {}
@@ -67,6 +92,10 @@
         """Count of requests that were received completely and are not answered yet."""
         return self._in_flight
 
+    def set_limits(self, limits: Limits) -> None:
+        """Put other limits in force, for requests that are not complete yet as well."""
+        self._limits = limits
+
     async def run(self) -> None:
         """Accept connections until cancelled."""
         async with curio.TaskGroup(wait=all) as group, self._sock:
@@ -119,34 +148,76 @@
             _log.warning("accept failed", reason=str(error))
             await curio.sleep(_ACCEPT_PAUSE_S)
             return
-        await group.spawn(self._serve, client)
+        self._accepted += 1
+        if self._make_place():
+            self._open_connections += 1
+            await group.spawn(self._serve, client)
+        else:
+            await self._turn_away(client)
+        if self._accepted % _ACCEPTS_PER_TURN == 0:
+            await curio.sleep(0)
+
+    def _make_place(self) -> bool:
+        """Return whether there is a place for one more connection, if need be made."""
+        if self._open_connections - len(self._given_up) < self._max_connections:
+            return True
+        candidates = self._places.candidates(time.monotonic())
+        for session in list(islice(candidates, _MAX_PLACES_TRIED)):
+            if session.give_up(NO_PLACE):
+                self._places.remove(session)
+                self._given_up.add(session)
+                return True
+        return False
+
+    async def _turn_away(self, client: curio.io.Socket) -> None:
+        """Refuse a connection, since requests are handled on all others."""
+        self._limiter.refused[Cause.NO_PLACE] += 1
+        async with client:
+            with contextlib.suppress(OSError):
+                client._socket.recv(_TURNED_AWAY_READ_BYTES)
+            with contextlib.suppress(OSError):
+                client._socket.send(_NO_PLACE_RESPONSE)
 
     async def _reap(self, group: curio.TaskGroup) -> None:
         async for _ in group:
             pass
 
     async def _serve(self, client: curio.io.Socket) -> None:
-        session = Session(client, self._limits, await curio.current_task())
         descriptor = client.fileno()
-        self._open_connections += 1
-        self._sessions[descriptor] = session
-        self._closes.add(descriptor)
+        session: Session | None = None
         try:
             async with client:
+                session = Session(
+                    client,
+                    lambda: self._limits,
+                    await curio.current_task(),
+                    self._limiter,
+                    self._note_progress,
+                )
+                self._sessions[descriptor] = session
+                self._places.add(session, time.monotonic())
+                self._closes.add(descriptor)
                 try:
                     await self._serve_all(session)
                 finally:
                     self._closes.remove(descriptor)
                     del self._sessions[descriptor]
-        except (SessionEndedError, OSError, curio.TaskTimeout):
+        except (SessionEndedError, RefusedError, OSError, curio.TaskTimeout):
             return
         except curio.TaskCancelled:
-            if not session.handling_cancelled:
+            if session is None or not session.handling_cancelled:
                 raise
         except Exception:
             _log.exception("connection failed")
         finally:
             self._open_connections -= 1
+            if session is not None:
+                session.release()
+                self._places.remove(session)
+                self._given_up.discard(session)
+
+    def _note_progress(self, session: Session) -> None:
+        self._places.note_progress(session, time.monotonic())
 
     async def _on_close(self, descriptor: int) -> None:
         """Cancel the handling of a request whose caller closed its connection."""
@@ -155,10 +226,6 @@
             await session.closed_by_caller()
 
     async def _serve_all(self, session: Session) -> None:
-        if self._open_connections > self._max_connections:
-            detail = f"more than {self._max_connections} connections are open"
-            failure = Failure(ErrorKind.OVERLOADED, detail, _OVERLOAD_RETRY_S)
-            await session.refuse(failure)
         while session.reusable:
             await self._wait_for_data(session)
             self._busy_connections += 1
@@ -187,8 +254,11 @@
 
     async def _answer(self, session: Session, request: Request) -> None:
         self._in_flight += 1
+        self._places.hold(session)
         try:
             response = await self._handle(session, request)
+            session.release()
+            self._places.release(session, time.monotonic())
             close = self._closing and not session.has_received_more()
             await session.send(response, close)
         finally:
@@ -197,7 +267,7 @@
     async def _handle(self, session: Session, request: Request) -> Response:
         if session.is_closed_by_caller():
             # The caller may have sent the request again, to another server.
-            _log.info("RequestDropped", method=request.method, path=request.path)
+            _log.info("RequestDropped", **_for_log(request))
         else:
             try:
                 async with session.cancel_if_closed():
@@ -213,7 +283,7 @@
         try:
             return await self._handler(request)
         except (Exception, curio.TaskTimeout):
-            _log.exception("handler failed", method=request.method, path=request.path)
+            _log.exception("handler failed", **_for_log(request))
             return _failure_response(
                 Failure(ErrorKind.INTERNAL, "internal error in this process")
             )
@@ -222,3 +292,29 @@
 def _failure_response(failure: Failure) -> Response:
     body = {"state": "failed", "error": error_body(failure)}
     return json_response(failure.answer.status, body)
+
+
+def _for_log(request: Request) -> dict[str, str]:
+    """Return the fields of a log line on a request, bounded in length."""
+    return {
+        "method": request.method[:_MAX_LOGGED_METHOD_CHARS],
+        "path": request.path[:_MAX_LOGGED_PATH_CHARS],
+    }
+
+
+def _encode_refusal(failure: Failure) -> bytes:
+    """Return the whole response to a client whose request is not read."""
+    response = _failure_response(failure)
+    fields = {
+        **response.headers,
+        "content-length": len(response.body),
+        "retry-after": math.ceil(failure.retry_after_s or 0),
+        "connection": "close",
+    }
+    lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
+    return (
+        f"HTTP/1.1 {response.status} \r\n{''.join(lines)}\r\n".encode() + response.body
+    )
+
+
+_NO_PLACE_RESPONSE = _encode_refusal(NO_PLACE)
--- a/packages/poplarhilld/src/poplarhilld/daemon.py
+++ b/packages/poplarhilld/src/poplarhilld/daemon.py
@@ -9,7 +9,8 @@
 import structlog
 
 from poplarhill.exceptions import ErrorKind, Failure
-from poplarhill.http import HttpServer
+from poplarhill.http import HttpServer, InputLimiter
+from poplarhill.machine import MachineLimits
 from poplarhill.platform import HttpPlatform
 from poplarhill.status import HostStatus
 from poplarhill.types import Address, JobSpec
@@ -83,12 +84,16 @@
             self._platform, self._post, self._clock
         )
         self._claim_loop = ClaimLoop(self._platform, self._post)
+        machine = MachineLimits.from_machine(settings.memory_mb)
+        self._limiter = InputLimiter.from_machine(machine)
         self._peer_links = PeerLinks(
             settings.name,
             settings.peer_listen,
             self._frame_received,
             self._connection_refused,
             settings.source,
+            self._limiter,
+            machine.peer_connections,
         )
         self._api = Api(
             submit=self.submit,
@@ -98,7 +103,12 @@
             metrics=self._metrics_page,
             clock=self._clock,
         )
-        self._http = HttpServer(*settings.listen, self._api.handle)
+        self._http = HttpServer(
+            *settings.listen,
+            self._api.handle,
+            limiter=self._limiter,
+            max_connections=machine.caller_connections,
+        )
 
     @classmethod
     def from_config(cls, settings: Settings) -> "Daemon":
@@ -184,6 +194,7 @@
         self._metrics.hosts_version.set(hosts.freshness.version)
         self._metrics.workers_ejected.set(self._dispatcher.workers_ejected)
         self._metrics.isolated.set(hosts.freshness.isolated)
+        self._metrics.set_input(self._limiter)
         self._metrics.peer_frames_dropped.set(self._peer_links.dropped)
         return self._metrics.page()
 
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -2,13 +2,15 @@
 
 import math
 import signal
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import curio
 import structlog
 
 from poplarhill.exceptions import ErrorKind, Failure, SettingsError
-from poplarhill.http import HttpServer, Request, Response
+from poplarhill.http import Cause, HttpServer, InputLimiter, Limits, Request, Response
+from poplarhill.types import Address
 from poplarhilld.catalogue import Catalogue, Registry, Route
 from poplarhilld.entry.callers import Callers
 from poplarhilld.entry.clock import processor_time_s
@@ -32,6 +34,7 @@
 
 _IDLE_SWEEP_S = 5.0  # an idle connection costs only a file descriptor
 _USAGE_INTERVAL_S = 5.0  # short enough to tell the start from what follows
+_PAGE_LIMITS = Limits(header_bytes=4096, body_bytes=4096)
 _log = structlog.get_logger()
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -73,7 +76,9 @@
         self._metrics = metrics
         state = self._state = HostState(settings, uptime())
         self._loops = Supervisor()
-        self._performer = Performer(state, workers, metrics)
+        self._refusals_logged: Counter[Cause] = Counter()
+        self._limiter = InputLimiter.from_machine(settings.machine)
+        self._performer = Performer(state, workers, metrics, self._limiter)
         self._ticker = Ticker(state, self._performer, logs)
         self._store = StoreReader(
             state, directory, self._performer, metrics, self._ticker.tick
@@ -81,7 +86,12 @@
         self._reachability = ReachabilityChecks(state, workers)
         self._callers = Callers(state, self._performer, metrics)
         self._pages = Pages(
-            state, self._performer.peers, logs, metrics, lambda: self.ready
+            state,
+            self._performer.peers,
+            logs,
+            metrics,
+            self._limiter,
+            lambda: self.ready,
         )
 
     @property
@@ -126,9 +136,16 @@
         signals = SignalWaiter(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         state, perform = self._state, self._performer.perform
         settings = state.settings
-        http = HttpServer(*settings.callers, handler)
-        readiness = HttpServer(*settings.readiness, self._pages.answer_readiness)
-        metrics = HttpServer(*settings.metrics, self._pages.answer_metrics)
+        http = HttpServer(
+            *settings.callers,
+            handler,
+            state.catalogue.limits,
+            self._limiter,
+            settings.machine.caller_connections,
+        )
+        self._store.on_limits = http.set_limits
+        readiness = self._page_server(settings.readiness, self._pages.answer_readiness)
+        metrics = self._page_server(settings.metrics, self._pages.answer_metrics)
         _log.info(
             "Started",
             data_centre=settings.data_centre,
@@ -171,6 +188,11 @@
         self._logs.flush()
         return 1 if self._loops.failed else 0
 
+    def _page_server(self, address: Address, handler: Handler) -> HttpServer:
+        """Return a server of pages, whose requests have no bodies."""
+        connections = self._state.settings.machine.page_connections
+        return HttpServer(*address, handler, _PAGE_LIMITS, self._limiter, connections)
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route that matches a request, if any."""
         return self._state.catalogue.route(host, path)
@@ -220,6 +242,20 @@
                 len(state.submissions),
             )
             _log.info("Usage", **usage._asdict())
+            self._log_refusals()
+
+    def _log_refusals(self) -> None:
+        """Log how much input was refused since the last such line, if any was."""
+        refused = self._limiter.refused - self._refusals_logged
+        if refused:
+            self._refusals_logged = self._limiter.refused.copy()
+            budget = self._limiter.budget
+            _log.warning(
+                "InputRefused",
+                **{cause.value: count for cause, count in refused.items()},
+                held_bytes=budget.held_bytes,
+                peak_bytes=budget.peak_bytes,
+            )
 
     async def _wait_for_stop(self, signals: SignalWaiter) -> None:
         """Return when the process is to stop; reload the settings on each SIGHUP."""
--- a/packages/poplarhilld/src/poplarhilld/entry/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/metrics.py
@@ -10,6 +10,9 @@
     generate_latest,
 )
 
+from poplarhill.http import InputLimiter
+from poplarhilld.input_metrics import InputMetrics
+
 # Latency objectives range from 150 ms to some seconds, and callers wait up to 13 s.
 _LATENCY_S = (
     *(0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.9, 1.2, 1.5),
@@ -95,6 +98,7 @@
         )
         self.lines_dropped = self._gauge("log_lines_dropped", "Log lines dropped")
         self.frames_dropped = self._gauge("peer_frames_dropped", "Frames dropped")
+        self._input = InputMetrics(self._registry)
 
     def set_evacuated(self, evacuated: frozenset[str], known: Iterable[str]) -> None:
         """Set which of the known data centres are evacuated."""
@@ -102,6 +106,10 @@
         for name in evacuated.union(known):
             self.evacuated.labels(name).set(name in evacuated)
 
+    def set_input(self, limiter: InputLimiter) -> None:
+        """Set what the listeners of this process hold and have refused."""
+        self._input.set(limiter)
+
     def page(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/poplarhilld/src/poplarhilld/entry/pages.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/pages.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from poplarhill.http import Request, Response, json_response
+from poplarhill.http import InputLimiter, Request, Response, json_response
 from poplarhilld.entry.clock import processor_time_s, uptime
 from poplarhilld.entry.logs import LogBuffer
 from poplarhilld.entry.metrics import EntryMetrics
@@ -22,6 +22,7 @@
         peers: Links to the other hosts.
         logs: Buffer of the log lines.
         metrics: Metrics of this process.
+        limiter: What the listeners of this process share.
         ready: Returns whether this host accepts new jobs.
     """
 
@@ -31,12 +32,14 @@
         peers: PeerLinks,
         logs: LogBuffer,
         metrics: EntryMetrics,
+        limiter: InputLimiter,
         ready: Callable[[], bool],
     ) -> None:
         self._state = state
         self._peers = peers
         self._logs = logs
         self._metrics = metrics
+        self._limiter = limiter
         self._ready = ready
 
     async def answer_readiness(self, request: Request) -> Response:
@@ -69,6 +72,7 @@
         for rack, wait_s in state.load(now).racks:
             metrics.rack_waits.labels(rack).set(wait_s)
         metrics.processor_s.set(processor_time_s())
+        metrics.set_input(self._limiter)
         metrics.lines_dropped.set(self._logs.dropped)
         metrics.frames_dropped.set(self._peers.dropped)
         headers = {"content-type": "text/plain; version=0.0.4"}
--- a/packages/poplarhilld/src/poplarhilld/entry/performer.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/performer.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from poplarhill.http import InputLimiter
 from poplarhill.types import Address
 from poplarhilld.decisions import LogDecision
 from poplarhilld.entry.clock import uptime
@@ -48,10 +49,15 @@
         state: State of this host.
         workers: Sends lease renewals and orders to workers.
         metrics: Metrics of this process.
+        limiter: What the listeners of this process share; one of its own if not given.
     """
 
     def __init__(
-        self, state: HostState, workers: WorkerClient, metrics: EntryMetrics
+        self,
+        state: HostState,
+        workers: WorkerClient,
+        metrics: EntryMetrics,
+        limiter: InputLimiter | None = None,
     ) -> None:
         self._state = state
         self._metrics = metrics
@@ -73,6 +79,8 @@
             self.on_frame,
             self._on_refused,
             settings.peers.host,
+            limiter,
+            settings.machine.peer_connections,
         )
 
     @property
--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -8,14 +8,17 @@
 
 from poplarhill.decoding import (
     Cores,
+    Descriptors,
     Duration,
     DurationMs,
     Factor,
     InvalidDataError,
+    MemoryMb,
     convert_json,
     decode_json,
 )
 from poplarhill.exceptions import SettingsError
+from poplarhill.machine import DEFAULT_MEMORY_MB, MIN_MEMORY_MB, MachineLimits
 from poplarhill.types import Address
 from poplarhilld.locality import OFF
 from poplarhilld.lookahead import LookaheadMode
@@ -44,6 +47,8 @@
     lookahead: LookaheadMode = LookaheadMode.AUTO
     remote_slowdown: float | str = ""
     resend_ms: float | str = ""
+    memory_mb: MemoryMb = DEFAULT_MEMORY_MB
+    descriptors: Descriptors = 0
 
 
 class EntrySettings(NamedTuple):
@@ -68,6 +73,9 @@
             1 if the deployment gives none.
         resend_delay_s: Shortest time after which callers send a job again that got no
             answer, s.
+        memory_mb: Memory that this process may use, MB.
+        descriptors: File descriptors that it may use, if fewer than the system allows;
+            0 if not given.
     """
 
     name: str
@@ -85,6 +93,13 @@
     lookahead: LookaheadMode = LookaheadMode.AUTO
     remote_slowdown: float = OFF
     resend_delay_s: float = RESEND_DELAY_S
+    memory_mb: int = DEFAULT_MEMORY_MB
+    descriptors: int = 0
+
+    @property
+    def machine(self) -> MachineLimits:
+        """Bounds on what this process holds for its clients."""
+        return MachineLimits.from_machine(self.memory_mb, self.descriptors or None)
 
     @classmethod
     def from_config(cls, value: Any) -> "EntrySettings":
@@ -126,6 +141,8 @@
         if not _SHORTEST_RESEND_DELAY_S <= resend_delay_s < math.inf:
             least_ms = _SHORTEST_RESEND_DELAY_S * _MS
             problems.append(f"$.resend_ms: neither empty nor {least_ms:g} or more")
+        if fields.memory_mb < MIN_MEMORY_MB:
+            problems.append(f"$.memory_mb: below {MIN_MEMORY_MB}")
         if problems:
             raise SettingsError(tuple(problems))
         return cls(
@@ -138,6 +155,8 @@
             lookahead=fields.lookahead,
             remote_slowdown=remote_slowdown,
             resend_delay_s=resend_delay_s,
+            memory_mb=fields.memory_mb,
+            descriptors=fields.descriptors,
             **addresses,
         )
 
--- a/packages/poplarhilld/src/poplarhilld/entry/store.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/store.py
@@ -5,6 +5,7 @@
 import curio
 import structlog
 
+from poplarhill.http import Limits
 from poplarhilld.entry.clock import uptime
 from poplarhilld.entry.metrics import EntryMetrics
 from poplarhilld.entry.performer import Performer
@@ -33,6 +34,9 @@
         performer: Sends what was read to leaders that can't read it.
         metrics: Metrics of this process.
         tick: Makes the decisions that depend on time.
+
+    Attributes:
+        on_limits: Called with the limits on requests of each newer catalogue.
     """
 
     def __init__(
@@ -49,6 +53,7 @@
         self._metrics = metrics
         self._tick = tick
         self._errors: dict[str, str] = {}
+        self.on_limits: Callable[[Limits], None] = lambda limits: None
 
     async def read_catalogues(self) -> None:
         """Put each newer catalogue from the store in force."""
@@ -72,6 +77,7 @@
                     routes=len(catalogue.routes),
                 )
                 state.catalogue = catalogue
+                self.on_limits(catalogue.limits)
 
     async def read_workers(self) -> None:
         """Read the registered workers from the store and divide them into shards."""
--- a/packages/poplarhilld/src/poplarhilld/metrics.py
+++ b/packages/poplarhilld/src/poplarhilld/metrics.py
@@ -2,6 +2,9 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
+from poplarhill.http import InputLimiter
+from poplarhilld.input_metrics import InputMetrics
+
 
 class Metrics:
     """The metrics of one process, in a separate registry."""
@@ -82,6 +85,12 @@
             registry=self._registry,
         )
 
+        self._input = InputMetrics(self._registry)
+
+    def set_input(self, limiter: InputLimiter) -> None:
+        """Set what the listeners of this process hold and have refused."""
+        self._input.set(limiter)
+
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/poplarhilld/src/poplarhilld/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/settings.py
@@ -5,6 +5,7 @@
 
 from poplarhill.decoding import decode_json
 from poplarhill.exceptions import SettingsError
+from poplarhill.machine import DEFAULT_MEMORY_MB, MIN_MEMORY_MB
 from poplarhill.schema import check
 from poplarhill.types import Address
 
@@ -24,6 +25,7 @@
         advertise: Address that this host announces to its peers; `peer_listen` if
             not given.
         log_retention_s: Minimum time that the platform's log keeps records, s.
+        memory_mb: Memory that this process may use, MB.
     """
 
     name: str
@@ -35,6 +37,7 @@
     source: str | None = None
     advertise: Address | None = None
     log_retention_s: float = 3600.0
+    memory_mb: int = DEFAULT_MEMORY_MB
 
     @classmethod
     def from_config(cls, value: Any) -> "Settings":
@@ -95,5 +98,6 @@
         "source": _IP,
         "advertise": _ADDRESS,
         "log_retention_s": {"type": "number", "exclusiveMinimum": 0},
+        "memory_mb": {"type": "integer", "minimum": MIN_MEMORY_MB},
     },
 }
