Count the tasks of accepted jobs against the memory of a host

Callers saw: 900 jobs of 160 steps, each within every limit, took a host to 228 MB on. Cause: a job of a few KB becomes 0.3 MB of tasks and dependencies, on the host and on its leader, and only the number of connections bounded the jobs.

A new job that finds no room gets 503, not run; one that is in flight already is not refused, as it may have run.

--- a/packages/poplarhilld/src/poplarhilld/entry/callers.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/callers.py
@@ -3,6 +3,9 @@
 import curio
 
 from poplarhill.exceptions import Failure
+from poplarhill.http import Cause, InputLimiter
+from poplarhill.http.budget import BudgetExceededError
+from poplarhill.http.limiter import NO_MEMORY
 from poplarhilld.catalogue import Route
 from poplarhilld.entry.clock import uptime
 from poplarhilld.entry.metrics import EntryMetrics
@@ -11,6 +14,10 @@
 from poplarhilld.peers.messages import JobWithdrawn
 from poplarhilld.submissions import Submission
 
+# Objects of this host and of a leader, beside the input of the tasks.
+_TASK_BYTES = 2048
+_DEPENDENCY_BYTES = 16
+
 
 class Callers:
     """Submits the jobs of callers and returns their outcomes.
@@ -19,14 +26,20 @@
         state: State of this host.
         performer: Performs the resulting actions.
         metrics: Metrics of this process.
+        limiter: What the listeners of this process share.
     """
 
     def __init__(
-        self, state: HostState, performer: Performer, metrics: EntryMetrics
+        self,
+        state: HostState,
+        performer: Performer,
+        metrics: EntryMetrics,
+        limiter: InputLimiter,
     ) -> None:
         self._state = state
         self._performer = performer
         self._metrics = metrics
+        self._limiter = limiter
         self._count = 0
 
     def find_refusal(
@@ -43,7 +56,7 @@
                 infinite if the request does not say.
         """
         state = self._state
-        if state.submissions.is_in_flight(job_id) or job_id in state.leader.jobs:
+        if self.is_known(job_id):
             return None
         # Patient callers do not make this host later for others of their route.
         limit_s = min(route.timeout_s, caller_timeout_s)
@@ -54,7 +67,24 @@
         return shed.failure
 
     async def submit(self, submission: Submission) -> Failure | None:
-        """Run a job and return its failure, or `None` once it is complete."""
+        """Run a job and return its failure, or `None` once it is complete.
+
+        A new job is refused if there is no memory for its tasks. One that is in flight
+        here already is not: it may have run.
+        """
+        known = self.is_known(submission.job_id)
+        memory = self._limiter.budget.open(lambda: None)
+        try:
+            memory.resize(0 if known else _job_bytes(submission), movable=False)
+        except BudgetExceededError:
+            self._limiter.refused[Cause.NO_MEMORY] += 1
+            return NO_MEMORY
+        try:
+            return await self._run(submission)
+        finally:
+            memory.release()
+
+    async def _run(self, submission: Submission) -> Failure | None:
         state, perform = self._state, self._performer.perform
         self._count += 1
         number = self._count
@@ -78,6 +108,11 @@
         self._metrics.jobs.labels(route, kind).inc()
         return failure
 
+    def is_known(self, job_id: str) -> bool:
+        """Return whether a job was submitted to this host, or is led by it."""
+        state = self._state
+        return state.submissions.is_in_flight(job_id) or job_id in state.leader.jobs
+
     async def cancel(self, job_id: str) -> None:
         """Cancel a job on all live hosts."""
         performer = self._performer
@@ -86,3 +121,11 @@
             await performer.send(name, withdrawn)
         own_name = self._state.settings.name
         await performer.perform(performer.handle_message(own_name, withdrawn))
+
+
+def _job_bytes(submission: Submission) -> int:
+    """Return the memory that a job takes up until its answer."""
+    tasks = sum(step.count for step in submission.steps)
+    dependencies = sum(len(step.after) for step in submission.steps)
+    objects = tasks * _TASK_BYTES + dependencies * _DEPENDENCY_BYTES
+    return objects + len(submission.body)
--- a/packages/poplarhilld/src/poplarhilld/entry/host.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/host.py
@@ -84,7 +84,7 @@
             state, directory, self._performer, metrics, self._ticker.tick
         )
         self._reachability = ReachabilityChecks(state, workers)
-        self._callers = Callers(state, self._performer, metrics)
+        self._callers = Callers(state, self._performer, metrics, self._limiter)
         self._pages = Pages(
             state,
             self._performer.peers,
@@ -203,8 +203,7 @@
 
     def is_in_flight(self, job_id: str) -> bool:
         """Return whether a job was submitted to this host, or is led by it."""
-        state = self._state
-        return state.submissions.is_in_flight(job_id) or job_id in state.leader.jobs
+        return self._callers.is_known(job_id)
 
     def find_refusal(
         self, route: Route, job_id: str, caller_timeout_s: float = math.inf
