End a drain among clients that are back at once

Operators saw: a daemon that was told to stop did not end within 60 s while 100 clients sent half a head, or requests without pause, and connected again whenever their connection was closed. A host did not either in the second case, in spite of its grace period of 6 s.

Cause: the drain waits for a moment in which no request is being received or handled, and a connection on which more has been sent is not closed after an answer.

Change: after 5 s of a drain new connections get 503 (shutting_down, not run), and each open one is closed after its next answer. Requests in flight are answered as before.

The share of descriptors for other hosts is a sixth, so that the listeners together leave a quarter to calls.

--- a/packages/poplarhill-dev/src/poplarhill_dev/crowds/clients.py
+++ b/packages/poplarhill-dev/src/poplarhill_dev/crowds/clients.py
@@ -20,7 +20,8 @@
 class _Client:
     """One connection and what is left of its script."""
 
-    def __init__(self, address: Address, data: Iterator[bytes]) -> None:
+    def __init__(self, number: int, address: Address, data: Iterator[bytes]) -> None:
+        self.number = number
         self.sock = socket.socket()
         self.sock.setblocking(False)
         self.sock.connect_ex(address)
@@ -66,20 +67,28 @@
         count: Number of clients.
         script: Returns what the client with a number sends.
         reads: Whether the clients read what the server sends.
+        returns: Whether a client whose connection is closed connects again and follows
+            its script anew; it has to read.
     """
 
     def __init__(
-        self, address: Address, count: int, script: Script, reads: bool = True
+        self,
+        address: Address,
+        count: int,
+        script: Script,
+        reads: bool = True,
+        returns: bool = False,
     ) -> None:
+        self._address = address
+        self._script = script
+        self._returns = returns
         self._selector = selectors.DefaultSelector()
         self._reads = reads
         self._stopping = threading.Event()
         self._sent = threading.Event()
         self._thread = threading.Thread(target=self._run)
         self._sending = 0
-        self._clients = [
-            _Client(address, iter(script(number))) for number in range(count)
-        ]
+        self._clients = [self._connect(number) for number in range(count)]
 
     @property
     def answers(self) -> list[bytes]:
@@ -89,11 +98,7 @@
     def start(self) -> None:
         """Begin to send, without waiting."""
         for client in self._clients:
-            events = selectors.EVENT_WRITE
-            if self._reads:
-                events |= selectors.EVENT_READ
-            self._selector.register(client.sock, events, client)
-        self._sending = len(self._clients)
+            self._register(client)
         self._thread.start()
 
     def wait_sent(self) -> None:
@@ -126,6 +131,16 @@
     ) -> None:
         self.close()
 
+    def _connect(self, number: int) -> _Client:
+        return _Client(number, self._address, iter(self._script(number)))
+
+    def _register(self, client: _Client) -> None:
+        events = selectors.EVENT_WRITE
+        if self._reads:
+            events |= selectors.EVENT_READ
+        self._selector.register(client.sock, events, client)
+        self._sending += 1
+
     def _run(self) -> None:
         stop_at = time.monotonic() + 2 * _TIMEOUT_S
         while not self._stopping.is_set() and time.monotonic() < stop_at:
@@ -142,6 +157,10 @@
         if events & selectors.EVENT_READ and not client.read():
             self._sending -= bool(watched & selectors.EVENT_WRITE)
             self._selector.unregister(client.sock)
+            if self._returns:
+                client.sock.close()
+                self._clients[client.number] = self._connect(client.number)
+                self._register(self._clients[client.number])
             return
         if events & selectors.EVENT_WRITE and not client.send():
             self._sending -= 1
--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -29,6 +29,7 @@
 _BACKLOG = 1024
 _ACCEPT_PAUSE_S = 0.1
 _DRAIN_LINGER_S = 0.2
+_DRAIN_ACCEPT_S = 5.0  # balancers notice within 2.5 s that the host is not ready
 _ACCEPTS_PER_TURN = 16
 _MAX_PLACES_TRIED = 8
 _MAX_LOGGED_PATH_CHARS = 200
@@ -73,6 +74,7 @@
         self._sessions: dict[int, Session] = {}
         self._closes = CloseWatcher(self._on_close)
         self._closing = False
+        self._refuses_new = False
         self._busy_connections = 0
         self._in_flight = 0
         self._all_idle = curio.Event()
@@ -128,12 +130,15 @@
 
         Requests that arrive in the meantime are still handled, and a request that
         has been received in part is waited for. Idle connections are not waited
-        for.
+        for. New connections are refused after some seconds, since clients that come
+        back at once would keep the server busy for ever.
         """
         self.close_after_answers()
-        await self.wait_idle()
-        await curio.sleep(_DRAIN_LINGER_S)
-        await self.wait_idle()
+        async with curio.ignore_after(_DRAIN_ACCEPT_S):
+            await self._finish_requests()
+            return
+        self._refuses_new = True
+        await self._finish_requests()
 
     async def wait_idle(self) -> None:
         """Wait until no request is being received or handled."""
@@ -141,6 +146,11 @@
             self._all_idle.clear()
             await self._all_idle.wait()
 
+    async def _finish_requests(self) -> None:
+        await self.wait_idle()
+        await curio.sleep(_DRAIN_LINGER_S)
+        await self.wait_idle()
+
     async def _accept(self, group: curio.TaskGroup) -> None:
         try:
             client, _ = await self._sock.accept()
@@ -149,11 +159,14 @@
             await curio.sleep(_ACCEPT_PAUSE_S)
             return
         self._accepted += 1
-        if self._make_place():
+        if self._refuses_new:
+            await self._turn_away(client, _SHUTTING_DOWN_RESPONSE)
+        elif self._make_place():
             self._open_connections += 1
             await group.spawn(self._serve, client)
         else:
-            await self._turn_away(client)
+            self._limiter.refused[Cause.NO_PLACE] += 1
+            await self._turn_away(client, _NO_PLACE_RESPONSE)
         if self._accepted % _ACCEPTS_PER_TURN == 0:
             await curio.sleep(0)
 
@@ -169,14 +182,13 @@
                 return True
         return False
 
-    async def _turn_away(self, client: curio.io.Socket) -> None:
-        """Refuse a connection, since requests are handled on all others."""
-        self._limiter.refused[Cause.NO_PLACE] += 1
+    async def _turn_away(self, client: curio.io.Socket, response: bytes) -> None:
+        """Refuse a connection without reading its request."""
         async with client:
             with contextlib.suppress(OSError):
                 client._socket.recv(_TURNED_AWAY_READ_BYTES)
             with contextlib.suppress(OSError):
-                client._socket.send(_NO_PLACE_RESPONSE)
+                client._socket.send(response)
 
     async def _reap(self, group: curio.TaskGroup) -> None:
         async for _ in group:
@@ -259,7 +271,9 @@
             response = await self._handle(session, request)
             session.release()
             self._places.release(session, time.monotonic())
-            close = self._closing and not session.has_received_more()
+            close = self._closing and (
+                self._refuses_new or not session.has_received_more()
+            )
             await session.send(response, close)
         finally:
             self._in_flight -= 1
@@ -318,3 +332,6 @@
 
 
 _NO_PLACE_RESPONSE = _encode_refusal(NO_PLACE)
+_SHUTTING_DOWN_RESPONSE = _encode_refusal(
+    Failure(ErrorKind.SHUTTING_DOWN, "this host is shutting down", 1.0)
+)
--- a/packages/poplarhill/src/poplarhill/machine.py
+++ b/packages/poplarhill/src/poplarhill/machine.py
@@ -15,7 +15,7 @@
 _CONNECTION_BYTES = 48 * _KIB
 # Of the descriptors. The rest is for files, workers, the store and links to hosts.
 _CALLERS_SHARE = 2
-_PEERS_SHARE = 4
+_PEERS_SHARE = 6
 _PAGES_SHARE = 32
 _MAX_PAGE_CONNECTIONS = 16
 
