Spread the times at which refused clients return; give up no message in vain

Found by reading. A client that got 503 for want of a connection or of memory was told to come back after 1 s, as all others of its crowd (docs/operators/limits.md promises spread times): now 1 to 4 s. A message that found no room in the budget, because requests that are handled hold it, had made the unfinished ones give way before it was refused: test_a_message_that_needs_more_than_there_is_gives_up_none_in_vain failed before.

--- a/packages/poplarhill/src/poplarhill/http/budget.py
+++ b/packages/poplarhill/src/poplarhill/http/budget.py
@@ -94,22 +94,30 @@
                 the holding then keeps what it had.
         """
         now = self._clock()
-        added_bytes = charged_bytes - holding.charged_bytes
-        while added_bytes > 0 and self._held_bytes + added_bytes > self._capacity_bytes:
-            self._give_up_one(now, holding)
+        missing_bytes = self._missing_bytes(holding, charged_bytes)
+        if missing_bytes > 0:
+            self._make_room(now, holding, missing_bytes)
         if not holding.charged_bytes:
             holding.since_s = now
         holding.movable = movable
         self._set(holding, charged_bytes)
         self._peak_bytes = max(self._peak_bytes, self._held_bytes)
 
-    def _give_up_one(self, now: float, needed_by: Holding) -> None:
+    def _missing_bytes(self, holding: Holding, charged_bytes: int) -> int:
+        added_bytes = max(0, charged_bytes - holding.charged_bytes)
+        return self._held_bytes + added_bytes - self._capacity_bytes
+
+    def _make_room(self, now: float, needed_by: Holding, missing_bytes: int) -> None:
+        """Give up as many messages as needed; none if all of them are not enough."""
         candidates = [h for h in self._holdings if h.movable and h is not needed_by]
-        if not candidates:
+        if sum(h.charged_bytes for h in candidates) < missing_bytes:
             raise BudgetExceededError
-        chosen = max(candidates, key=lambda h: h.charged_bytes * (now - h.since_s))
-        self._set(chosen, 0)
-        chosen.give_up()
+        candidates.sort(key=lambda h: h.charged_bytes * (now - h.since_s))
+        while missing_bytes > 0:
+            chosen = candidates.pop()
+            missing_bytes -= chosen.charged_bytes
+            self._set(chosen, 0)
+            chosen.give_up()
 
     def _set(self, holding: Holding, charged_bytes: int) -> None:
         self._held_bytes += charged_bytes - holding.charged_bytes
--- a/packages/poplarhill/src/poplarhill/http/limiter.py
+++ b/packages/poplarhill/src/poplarhill/http/limiter.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from enum import Enum
+from random import uniform
 
 from poplarhill.exceptions import ErrorKind, Failure
 from poplarhill.http.budget import MemoryBudget
@@ -9,6 +10,7 @@
 from poplarhill.machine import MachineLimits
 
 _RETRY_S = 1.0
+_MAX_RETRY_FACTOR = 4.0
 # Refused clients that are given time to read their answers; others are closed at once.
 _MAX_LINGERING = 32
 
@@ -18,6 +20,14 @@
 )
 
 
+def spread_retry(failure: Failure) -> Failure:
+    """Return a failure whose clients do not all come back at the same time."""
+    if failure.retry_after_s is None:
+        return failure
+    factor = uniform(1.0, _MAX_RETRY_FACTOR)
+    return failure._replace(retry_after_s=failure.retry_after_s * factor)
+
+
 class Cause(Enum):
     """Why input was refused or a connection closed."""
 
--- a/packages/poplarhill/src/poplarhill/http/server.py
+++ b/packages/poplarhill/src/poplarhill/http/server.py
@@ -17,7 +17,7 @@
 
 from poplarhill.exceptions import ErrorKind, Failure, error_body
 from poplarhill.http.closes import CloseWatcher
-from poplarhill.http.limiter import NO_PLACE, Cause, InputLimiter
+from poplarhill.http.limiter import NO_PLACE, Cause, InputLimiter, spread_retry
 from poplarhill.http.listening import listen
 from poplarhill.http.messages import KIB, Limits, Request, Response, json_response
 from poplarhill.http.places import Places
@@ -35,6 +35,7 @@
 _MAX_LOGGED_PATH_CHARS = 200
 _MAX_LOGGED_METHOD_CHARS = 20
 _TURNED_AWAY_READ_BYTES = 16 * KIB  # unread data would reset the connection
+_SHUTTING_DOWN = Failure(ErrorKind.SHUTTING_DOWN, "this host is shutting down", 1.0)
 _log = structlog.get_logger()
 
 
@@ -160,13 +161,13 @@
             return
         self._accepted += 1
         if self._refuses_new:
-            await self._turn_away(client, _SHUTTING_DOWN_RESPONSE)
+            await self._turn_away(client, _SHUTTING_DOWN)
         elif self._make_place():
             self._open_connections += 1
             await group.spawn(self._serve, client)
         else:
             self._limiter.refused[Cause.NO_PLACE] += 1
-            await self._turn_away(client, _NO_PLACE_RESPONSE)
+            await self._turn_away(client, NO_PLACE)
         if self._accepted % _ACCEPTS_PER_TURN == 0:
             await curio.sleep(0)
 
@@ -182,8 +183,9 @@
                 return True
         return False
 
-    async def _turn_away(self, client: curio.io.Socket, response: bytes) -> None:
+    async def _turn_away(self, client: curio.io.Socket, failure: Failure) -> None:
         """Refuse a connection without reading its request."""
+        response = _encode_refusal(spread_retry(failure))
         async with client:
             with contextlib.suppress(OSError):
                 client._socket.recv(_TURNED_AWAY_READ_BYTES)
@@ -329,9 +331,3 @@
     return (
         f"HTTP/1.1 {response.status} \r\n{''.join(lines)}\r\n".encode() + response.body
     )
-
-
-_NO_PLACE_RESPONSE = _encode_refusal(NO_PLACE)
-_SHUTTING_DOWN_RESPONSE = _encode_refusal(
-    Failure(ErrorKind.SHUTTING_DOWN, "this host is shutting down", 1.0)
-)
--- a/packages/poplarhill/src/poplarhill/http/session.py
+++ b/packages/poplarhill/src/poplarhill/http/session.py
@@ -13,7 +13,7 @@
 from poplarhill.decoding import MAX_HEADER_BYTES
 from poplarhill.exceptions import ErrorKind, Failure, error_body
 from poplarhill.http.budget import BudgetExceededError
-from poplarhill.http.limiter import NO_MEMORY, Cause, InputLimiter
+from poplarhill.http.limiter import NO_MEMORY, Cause, InputLimiter, spread_retry
 from poplarhill.http.messages import (
     KIB,
     MIB,
@@ -379,6 +379,7 @@
             SessionEndedError: Always, so that the connection is closed.
         """
         self._limiter.refused[Cause.from_failure(failure)] += 1
+        failure = spread_retry(failure)
         self._refused = True
         self._body = bytearray()
         self._holding.release()
--- a/packages/poplarhill/tests/http/test_budget.py
+++ b/packages/poplarhill/tests/http/test_budget.py
@@ -61,9 +61,15 @@
     assert budget.held_bytes == CAPACITY_BYTES
 
 
+# Guards against messages that are given up although the new one is refused as well.
 def test_a_message_that_needs_more_than_there_is_gives_up_none_in_vain(
     budget, clock
 ) -> None:
+    handled, arriving = Receiver(budget), Receiver(budget)
+    handled.hold(600, movable=False)
+    arriving.hold(300)
+    clock[0] = 5.0
     with pytest.raises(BudgetExceededError):
-        Receiver(budget).hold(CAPACITY_BYTES + 1)
-    assert not budget.held_bytes
+        Receiver(budget).hold(401)
+    assert not arriving.given_up
+    assert budget.held_bytes == 900
--- a/packages/poplarhilld/src/poplarhilld/entry/callers.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/callers.py
@@ -5,7 +5,7 @@
 from poplarhill.exceptions import Failure
 from poplarhill.http import Cause, InputLimiter
 from poplarhill.http.budget import BudgetExceededError
-from poplarhill.http.limiter import NO_MEMORY
+from poplarhill.http.limiter import NO_MEMORY, spread_retry
 from poplarhilld.catalogue import Route
 from poplarhilld.entry.clock import uptime
 from poplarhilld.entry.metrics import EntryMetrics
@@ -78,7 +78,7 @@
             memory.resize(0 if known else _job_bytes(submission), movable=False)
         except BudgetExceededError:
             self._limiter.refused[Cause.NO_MEMORY] += 1
-            return NO_MEMORY
+            return spread_retry(NO_MEMORY)
         try:
             return await self._run(submission)
         finally:
