Bound what a leader remembers of the racks that callers name

Found by reading. A job names the rack of its data as it likes. A leader keeps the demand on each rack until it has decayed, but forgot none whose tasks need no cores (0 is not below 2 % of 0), and any number of others within a second: each 160 names of up to 255 characters a job, on deployments with a slowdown outside the rack.

Change: a demand of nothing is forgotten, and at most 4,096 racks are tracked. Both tests failed before. Placement of jobs on known racks is as before.

--- a/packages/poplarhilld/src/poplarhilld/locality/state.py
+++ b/packages/poplarhilld/src/poplarhilld/locality/state.py
@@ -20,6 +20,7 @@
 # A rack is in demand if its work would fill this share of its cores. With 0.4 and 0.65,
 # other work is kept from places that stay free, and credit is lower.
 _IN_DEMAND_SHARE = 0.9
+_MAX_RACKS = 4096  # callers name them; the largest fleet has 2,600
 _FORGET_SHARE = 0.02  # a rack with less demand than this is not tracked any more
 _MAX_REPORTED = 16  # racks in a heartbeat, those with the longest waits
 _WAIT_DIGITS = 2  # a heartbeat that changes is decoded anew by each receiver
@@ -131,7 +132,7 @@
             return
         self._review_at = now + _REVIEW_INTERVAL_S
         for rack, demand in list(self._demand.items()):
-            if demand.work_at(now) < _FORGET_SHARE * demand.cores:
+            if demand.work_at(now) <= _FORGET_SHARE * demand.cores:
                 del self._demand[rack]
         waits: dict[tuple[str, str], float] = {}
         for job in state.queue.jobs:
@@ -159,6 +160,8 @@
                 continue
             core_s = step.count * step.needs.cores * job.home_step_s[number]
             demand = self._demand.get(step.data_rack)
+            if demand is None and len(self._demand) >= _MAX_RACKS:
+                continue
             work, cores = 0.0, step.needs.cores
             if demand is not None:
                 work = demand.work_at(now)
--- a/packages/poplarhilld/tests/locality/test_placing.py
+++ b/packages/poplarhilld/tests/locality/test_placing.py
@@ -10,7 +10,7 @@
 from poplarhilld.decisions import LogDecision
 from poplarhilld.leading import assignment
 from poplarhilld.leading.messages import RunOrdered
-from poplarhilld.locality import DataPlace
+from poplarhilld.locality import DataPlace, state
 from poplarhilld.locality.timeline import RackTimeline, Release, expected_end
 
 SLOWDOWN = 2.0
@@ -47,6 +47,26 @@
     return all(one is not None and not one.error for one in outcomes)
 
 
+# Guards against memory that grows with the names that callers send.
+def test_racks_whose_tasks_need_no_cores_are_forgotten(world: World) -> None:
+    for number in range(20):
+        rack = f"unknown{number}"
+        world.submit("h1", data_job(f"j{number}", rack, cores=0.0, run_s=0.05))
+    world.run(0.5)
+    assert not world.leaders["h1"].locality.active
+
+
+# Guards against memory that grows with the names that callers send.
+def test_the_number_of_racks_that_callers_name_is_bounded(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(state, "_MAX_RACKS", 4)
+    for number in range(20):
+        world.submit("h1", data_job(f"j{number}", f"unknown{number}", run_s=0.05))
+    world.run(0.01)
+    assert len(world.leaders["h1"].locality._demand) == 4
+
+
 # Load: four tasks fill the rack. A fifth one gains 0.2 s there, and loses the wait.
 def test_a_task_waits_for_its_rack_only_while_that_is_sooner(world: World) -> None:
     world.submit("h1", data_job("a", tasks=4, run_s=0.25))
