Accept a fraction of a megabyte in `memory_mb`

Found by reading: a process whose template is filled with a fraction would not start. test_the_bounds_on_clients_follow_from_the_machine failed before.

--- a/packages/poplarhill/src/poplarhill/decoding.py
+++ b/packages/poplarhill/src/poplarhill/decoding.py
@@ -29,6 +29,7 @@
 
 Cores = Annotated[float, msgspec.Meta(ge=0, le=MAX_CORES)]
 Millicores = Annotated[int, msgspec.Meta(ge=0, le=MAX_CORES * _MILLI)]
+Megabytes = Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)]
 MemoryMb = Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)]
 Accelerators = Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_UINT16)]
--- a/packages/poplarhilld/src/poplarhilld/entry/settings.py
+++ b/packages/poplarhilld/src/poplarhilld/entry/settings.py
@@ -13,7 +13,7 @@
     DurationMs,
     Factor,
     InvalidDataError,
-    MemoryMb,
+    Megabytes,
     convert_json,
     decode_json,
 )
@@ -47,7 +47,7 @@
     lookahead: LookaheadMode = LookaheadMode.AUTO
     remote_slowdown: float | str = ""
     resend_ms: float | str = ""
-    memory_mb: MemoryMb = DEFAULT_MEMORY_MB
+    memory_mb: Megabytes = DEFAULT_MEMORY_MB
     descriptors: Descriptors = 0
 
 
@@ -93,7 +93,7 @@
     lookahead: LookaheadMode = LookaheadMode.AUTO
     remote_slowdown: float = OFF
     resend_delay_s: float = RESEND_DELAY_S
-    memory_mb: int = DEFAULT_MEMORY_MB
+    memory_mb: float = DEFAULT_MEMORY_MB
     descriptors: int = 0
 
     @property
--- a/packages/poplarhilld/tests/entry/test_settings.py
+++ b/packages/poplarhilld/tests/entry/test_settings.py
@@ -42,6 +42,8 @@
         ("seeds", "10.0.0.1:80,nowhere"),
         ("lease_ms", 10),
         ("lease_ms", "long"),
+        ("memory_mb", 63),
+        ("descriptors", -1),
         ("cores", 0),
         ("grace_s", -1),
         ("lookahead", "sometimes"),
@@ -99,3 +101,14 @@
     value["resend_ms"] = wrong
     with pytest.raises(SettingsError, match="resend_ms"):
         EntrySettings.from_config(value)
+
+
+# Guards against a template that fills in a fraction of a megabyte: the process would
+# not start.
+def test_the_bounds_on_clients_follow_from_the_machine(value: dict) -> None:
+    small = EntrySettings.from_config({**value, "memory_mb": 160.5}).machine
+    large = EntrySettings.from_config({**value, "memory_mb": 552}).machine
+    few = EntrySettings.from_config({**value, "descriptors": 200}).machine
+    assert small.budget_bytes < large.budget_bytes < 552_000_000
+    assert small.caller_connections < large.caller_connections
+    assert few.caller_connections + few.peer_connections < 200 - 40
